--- /dev/null
+++ b/cmd/flamingobeam/emulate.go
@@ -0,0 +1,126 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/urfave/cli/v3"
+
+	"github.com/flamingobeam/flamingobeam/coord/result"
+	"github.com/flamingobeam/flamingobeam/coord/structs"
+	"github.com/flamingobeam/flamingobeam/daemon/config"
+	"github.com/flamingobeam/flamingobeam/daemon/logs"
+	"github.com/flamingobeam/flamingobeam/emulate/service"
+	"github.com/flamingobeam/flamingobeam/emulate/store"
+	"github.com/flamingobeam/flamingobeam/kernel"
+)
+
+const (
+	shutdownWait      = 2 * time.Second
+	readHeaderTimeout = 5 * time.Second
+)
+
+func emulateCommand() *cli.Command {
+	return &cli.Command{
+		Name:     "emulate",
+		Usage:    "run a stand-in of a system outside, for tests and experiments",
+		Commands: []*cli.Command{emulateStoreCommand(), emulateServiceCommand()},
+	}
+}
+
+func listenFlag() cli.Flag {
+	return &cli.StringFlag{Name: "listen", Usage: "`ADDRESS` to listen on, an IP number and port", Required: true}
+}
+
+func emulateStoreCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "store",
+		Usage:     "the platform's key-value service, host list and weight store",
+		UsageText: "flamingobeam emulate store --listen 127.0.0.1:8001 --fleet fleet.yaml",
+		Flags: []cli.Flag{
+			listenFlag(),
+			&cli.StringFlag{Name: "fleet", Usage: "YAML `FILE` that lists the hosts at the start"},
+			&cli.DurationFlag{Name: "lag", Usage: "lag of the host list", Value: time.Second},
+			&cli.FloatFlag{Name: "writes", Usage: "writes a second", Value: store.DefaultLimits().Writes},
+			&cli.FloatFlag{Name: "reads", Usage: "reads a second", Value: store.DefaultLimits().Reads},
+			&cli.Uint64Flag{Name: "seed", Usage: "seed of the faults", Value: 1},
+		},
+		Action: func(ctx context.Context, command *cli.Command) error {
+			fleet := store.NewFleet(command.Duration("lag"))
+			if err := loadFleet(command.String("fleet"), fleet); err != nil {
+				return err
+			}
+			limits := store.Limits{Writes: command.Float("writes"), Reads: command.Float("reads")}
+			return serve(ctx, command, store.Handler(store.New(limits, command.Uint64("seed")), fleet))
+		},
+	}
+}
+
+// fleetFile lists hosts as the platform's host list would.
+type fleetFile struct {
+	Servers []structs.BackendServer `yaml:"servers"`
+}
+
+func loadFleet(path string, fleet *store.Fleet) error {
+	if path == "" {
+		return nil
+	}
+	source, err := os.ReadFile(path)
+	if err != nil {
+		return result.Wrap(result.SettingsUnread, err)
+	}
+	var file fleetFile
+	if err := config.Strict(source, &file); err != nil {
+		return err
+	}
+	for _, server := range file.Servers {
+		fleet.Set(server)
+	}
+	return nil
+}
+
+func emulateServiceCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "service",
+		Usage:     "a plain service with look-ups and submissions",
+		UsageText: "flamingobeam emulate service --listen 127.0.0.1:8301 --name portal-1",
+		Flags: []cli.Flag{
+			listenFlag(),
+			&cli.StringFlag{Name: "name", Usage: "host `NAME`", Value: "service"},
+		},
+		Action: func(ctx context.Context, command *cli.Command) error {
+			return serve(ctx, command, service.New(structs.HostName(command.String("name"))).Handler())
+		},
+	}
+}
+
+// serve serves HTTP on the --listen address until ctx ends.
+func serve(ctx context.Context, command *cli.Command, handler http.Handler) error {
+	log, err := logs.New(os.Stderr, "info", "text")
+	if err != nil {
+		return err
+	}
+	listener, err := net.Listen("tcp", command.String("listen"))
+	if err != nil {
+		return result.Wrap(result.AddressTaken, err)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+	go func() {
+		<-ctx.Done()
+		stopCtx, cancel := context.WithTimeout(context.Background(), shutdownWait)
+		defer cancel()
+		if server.Shutdown(stopCtx) != nil {
+			_ = server.Close()
+		}
+	}()
+	log.WithFields(logrus.Fields{kernel.PartField: "emulate " + command.Name}).Infof("Listening on %s.", listener.Addr())
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/flamingobeam/main.go
@@ -0,0 +1,57 @@
+// Command flamingobeam is the tool of operators and of experiments.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/flamingobeam/flamingobeam/coord/result"
+)
+
+// Exit statuses. A script can tell a refusal, which left nothing changed,
+// from an outcome that is not known.
+const (
+	exitFailure = 1
+	exitRefused = 2
+	exitUnknown = 3
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	if err := command().Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "flamingobeam:", err)
+		os.Exit(exitStatus(err))
+	}
+}
+
+func exitStatus(err error) int {
+	if result.CodeOf(err) == result.OutcomeUnknown {
+		return exitFailure
+	}
+	if result.OutcomeOf(err) == result.Unknown {
+		return exitUnknown
+	}
+	return exitRefused
+}
+
+func command() *cli.Command {
+	return &cli.Command{
+		Name:                  "flamingobeam",
+		Usage:                 "operate the rollout service and experiment with it",
+		EnableShellCompletion: true,
+		Commands: []*cli.Command{
+			checkCommand(),
+			createCommand(),
+			applyCommand(),
+			statusCommand(),
+			suspendCommand(),
+			emulateCommand(),
+		},
+	}
+}
--- /dev/null
+++ b/coord/result/result.go
@@ -0,0 +1,220 @@
+// Package result holds the numbered result codes. Each code says whether the
+// request was answered, was not run, or may or may not have run.
+package result
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/pkg/errors"
+)
+
+// Outcome says what became of a request.
+type Outcome string
+
+// The outcomes.
+const (
+	// Answered means that the whole answer was given.
+	Answered Outcome = "answered"
+	// NotRun means that no byte of the request left for a backend server.
+	NotRun Outcome = "not run"
+	// Unknown means that the request may have run.
+	Unknown Outcome = "unknown outcome"
+)
+
+// Code is a numbered result.
+type Code int
+
+// Codes from 1000 are successes, from 2000 refusals because of the request,
+// from 3000 refusals because of the system's state, from 4000 unknown
+// outcomes, from 5000 those of settings changes and from 6000 those of a
+// process that cannot start.
+const (
+	OK       Code = 1000
+	Repeated Code = 1001
+
+	BadRequest           Code = 2000
+	UnknownWorkspace     Code = 2001
+	UnknownService       Code = 2002
+	MissingKey           Code = 2003
+	BodyTooLarge         Code = 2004
+	KeyTooOld            Code = 2005
+	KeyReused            Code = 2006
+	Unauthorized         Code = 2007
+	NotFound             Code = 2008
+	BadClass             Code = 2009
+	StepTooFarAhead      Code = 2010
+	StepForgotten        Code = 2011
+	MethodNotAllowed     Code = 2012
+	WeightVersionUnknown Code = 2013
+
+	NoBackend         Code = 3000
+	Overloaded        Code = 3001
+	DueTimePassed     Code = 3002
+	SettingsInDoubt   Code = 3003
+	NoGrant           Code = 3004
+	JournalUnreached  Code = 3005
+	Quarantined       Code = 3006
+	Stopping          Code = 3007
+	StepNotReady      Code = 3008
+	StoreUnavailable  Code = 3009
+	BackendRefused    Code = 3010
+	RetryBudgetSpent  Code = 3011
+	PeerUnreachable   Code = 3012
+	FairShareExceeded Code = 3013
+
+	OutcomeUnknown  Code = 4000
+	AnswerCut       Code = 4001
+	StillRunning    Code = 4002
+	BackendBroke    Code = 4003
+	SealUnknown     Code = 4004
+	JournalTakeover Code = 4005
+
+	ChangeConflict  Code = 5000
+	ChangeInvalid   Code = 5001
+	ChangeWithdrawn Code = 5002
+	ChangeUnknown   Code = 5003
+	ChangePending   Code = 5004
+
+	SettingsMalformed Code = 6000
+	SettingsInvalid   Code = 6001
+	SettingsUnread    Code = 6002
+	AddressTaken      Code = 6003
+	AddressBad        Code = 6004
+	TLSInvalid        Code = 6005
+	CommandFailed     Code = 6006
+	PromiseBroken     Code = 6007
+)
+
+// Entry describes a code.
+type Entry struct {
+	Code    Code
+	Name    string
+	Outcome Outcome
+	// Status is the HTTP status that goes with the code.
+	Status int
+	// Sentence tells a caller what happened.
+	Sentence string
+}
+
+var table = []Entry{
+	{OK, "ok", Answered, 200, "The answer is whole."},
+	{Repeated, "repeated", Answered, 200, "The recorded answer of the first request with this key is given again."},
+	{BadRequest, "bad-request", NotRun, 400, "The request is malformed."},
+	{UnknownWorkspace, "unknown-workspace", NotRun, 404, "There is no workspace of this name."},
+	{UnknownService, "unknown-service", NotRun, 404, "There is no service of this name."},
+	{MissingKey, "missing-key", NotRun, 400, "A submission needs an Idempotency-Key."},
+	{BodyTooLarge, "body-too-large", NotRun, 413, "The body is larger than the limit."},
+	{KeyTooOld, "key-too-old", NotRun, 409, "The Idempotency-Key is older than the window in which keys are kept."},
+	{KeyReused, "key-reused", NotRun, 422, "The Idempotency-Key was used for another request."},
+	{Unauthorized, "unauthorized", NotRun, 401, "The token is missing, wrong or expired."},
+	{NotFound, "not-found", NotRun, 404, "There is nothing at this path."},
+	{BadClass, "bad-class", NotRun, 400, "There is no class of this name."},
+	{StepTooFarAhead, "step-too-far-ahead", NotRun, 409, "An earlier step has not been asked for."},
+	{StepForgotten, "step-forgotten", NotRun, 410, "The step is no longer kept."},
+	{MethodNotAllowed, "method-not-allowed", NotRun, 405, "The path does not take this method."},
+	{WeightVersionUnknown, "weight-version-unknown", NotRun, 409, "No weights of this version have been published."},
+	{NoBackend, "no-backend", NotRun, 503, "No backend server can take the request."},
+	{Overloaded, "overloaded", NotRun, 429, "The system is at its limit; try again later."},
+	{DueTimePassed, "due-time-passed", NotRun, 504, "The request could not be answered by its due time."},
+	{SettingsInDoubt, "settings-in-doubt", NotRun, 503, "A change of the settings that the request needs is being decided."},
+	{NoGrant, "no-grant", NotRun, 503, "This daemon does not know whether its settings are the newest."},
+	{JournalUnreached, "journal-unreached", NotRun, 503, "The journal of submissions cannot be reached."},
+	{Quarantined, "quarantined", NotRun, 422, "Requests like this one crashed backend servers."},
+	{Stopping, "stopping", NotRun, 503, "This daemon is shutting down."},
+	{StepNotReady, "step-not-ready", NotRun, 425, "The step does not have enough samples yet."},
+	{StoreUnavailable, "store-unavailable", NotRun, 503, "The platform's key-value service does not answer."},
+	{BackendRefused, "backend-refused", NotRun, 503, "Every backend server refused the request."},
+	{RetryBudgetSpent, "retry-budget-spent", NotRun, 503, "The request failed and the retry budget is spent."},
+	{PeerUnreachable, "peer-unreachable", NotRun, 503, "The daemon that must handle the request cannot be reached."},
+	{FairShareExceeded, "fair-share-exceeded", NotRun, 429, "The workspace has used its share; try again later."},
+	{OutcomeUnknown, "outcome-unknown", Unknown, 502, "The request may have run; it will not run again."},
+	{AnswerCut, "answer-cut", Unknown, 502, "The answer broke off before its end."},
+	{StillRunning, "still-running", Unknown, 409, "The first request with this key is still running."},
+	{BackendBroke, "backend-broke", Unknown, 502, "The backend server failed while it ran the request."},
+	{SealUnknown, "seal-unknown", Unknown, 503, "The step may have been sealed; ask for it again."},
+	{JournalTakeover, "journal-takeover", Unknown, 502, "The request was begun by a daemon that has since been replaced."},
+	{ChangeConflict, "change-conflict", NotRun, 409, "Another change was made first."},
+	{ChangeInvalid, "change-invalid", NotRun, 422, "The change would make the settings invalid."},
+	{ChangeWithdrawn, "change-withdrawn", NotRun, 409, "The change was withdrawn because an availability zone did not acknowledge it."},
+	{ChangeUnknown, "change-unknown", Unknown, 503, "The change may have been accepted; apply it again with the same change id."},
+	{ChangePending, "change-pending", Unknown, 202, "The change is being decided."},
+	{SettingsMalformed, "settings-malformed", NotRun, 400, "The settings file is not well-formed."},
+	{SettingsInvalid, "settings-invalid", NotRun, 400, "A value in the settings file is not allowed."},
+	{SettingsUnread, "settings-unread", NotRun, 400, "The settings file cannot be read."},
+	{AddressTaken, "address-taken", NotRun, 409, "The address is already in use."},
+	{AddressBad, "address-bad", NotRun, 400, "The address is not an IP number and port of this host."},
+	{TLSInvalid, "tls-invalid", NotRun, 400, "A certificate or key cannot be used."},
+	{CommandFailed, "command-failed", NotRun, 500, "The command failed."},
+	{PromiseBroken, "promise-broken", NotRun, 500, "A run broke a promise of the service."},
+}
+
+// Table lists all codes in order.
+func Table() []Entry { return slices.Clone(table) }
+
+// Lookup describes a code and reports whether it exists.
+func Lookup(code Code) (Entry, bool) {
+	index, found := slices.BinarySearchFunc(table, code, func(e Entry, c Code) int { return int(e.Code - c) })
+	if !found {
+		return Entry{}, false
+	}
+	return table[index], true
+}
+
+// Error is an error with a result code.
+type Error struct {
+	Code Code
+	// Detail adds to the code's sentence and may be empty.
+	Detail string
+	cause  error
+}
+
+// New returns an error with a code and a detail.
+func New(code Code, format string, args ...any) *Error {
+	return &Error{Code: code, Detail: fmt.Sprintf(format, args...)}
+}
+
+// Wrap returns an error with a code and a cause.
+func Wrap(code Code, cause error) *Error {
+	return &Error{Code: code, Detail: cause.Error(), cause: cause}
+}
+
+// Entry describes the error's code.
+func (e *Error) Entry() Entry {
+	entry, _ := Lookup(e.Code)
+	return entry
+}
+
+// Error returns the code's sentence and the detail.
+func (e *Error) Error() string {
+	entry := e.Entry()
+	if e.Detail == "" {
+		return fmt.Sprintf("%d %s: %s", e.Code, entry.Name, entry.Sentence)
+	}
+	return fmt.Sprintf("%d %s: %s (%s)", e.Code, entry.Name, entry.Sentence, e.Detail)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.cause }
+
+// CodeOf returns the code of an error: OK for nil, and OutcomeUnknown for an
+// error without a code, because nothing is known about it.
+func CodeOf(err error) Code {
+	if err == nil {
+		return OK
+	}
+	var coded *Error
+	if errors.As(err, &coded) {
+		return coded.Code
+	}
+	return OutcomeUnknown
+}
+
+// OutcomeOf returns the outcome that an error stands for.
+func OutcomeOf(err error) Outcome {
+	entry, ok := Lookup(CodeOf(err))
+	if !ok {
+		return Unknown
+	}
+	return entry.Outcome
+}
--- /dev/null
+++ b/daemon/agent/agent.go
@@ -0,0 +1,50 @@
+// Package agent assembles a daemon: it lists the services that the kernel
+// loads and runs them until the process is told to stop.
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/flamingobeam/flamingobeam/daemon/config"
+	"github.com/flamingobeam/flamingobeam/daemon/contract"
+	"github.com/flamingobeam/flamingobeam/kernel"
+
+	// The services register themselves under their names.
+	_ "github.com/flamingobeam/flamingobeam/daemon/services/balance"
+	_ "github.com/flamingobeam/flamingobeam/daemon/services/clients"
+	_ "github.com/flamingobeam/flamingobeam/daemon/services/front"
+	_ "github.com/flamingobeam/flamingobeam/daemon/services/hosts"
+	_ "github.com/flamingobeam/flamingobeam/daemon/services/metrics"
+	_ "github.com/flamingobeam/flamingobeam/daemon/services/peers"
+	_ "github.com/flamingobeam/flamingobeam/daemon/services/plain"
+	_ "github.com/flamingobeam/flamingobeam/daemon/services/rpcserver"
+	_ "github.com/flamingobeam/flamingobeam/daemon/services/settings"
+	_ "github.com/flamingobeam/flamingobeam/daemon/services/zone"
+)
+
+// Services lists what every daemon runs. What these need is loaded as well.
+func Services() []kernel.Name {
+	return []kernel.Name{contract.NameRPC, contract.NameZone, contract.NameFront}
+}
+
+// New returns the kernel of a daemon, not yet started.
+func New(daemon config.Daemon, log *logrus.Logger) *kernel.Kernel {
+	return kernel.New(kernel.Options{Services: Services(), Config: daemon, Log: log})
+}
+
+// Run runs a daemon until ctx ends and then stops it, giving requests in
+// flight the time that the settings allow.
+func Run(ctx context.Context, daemon config.Daemon, log *logrus.Logger) error {
+	k := New(daemon, log)
+	if err := k.Start(ctx); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	log.WithField(kernel.PartField, "agent").Info("Stopping.")
+	stopCtx, cancel := context.WithTimeout(context.Background(), time.Duration(daemon.Limits.StopWithin))
+	defer cancel()
+	return k.Stop(stopCtx)
+}
--- /dev/null
+++ b/daemon/contract/contract.go
@@ -0,0 +1,216 @@
+// Package contract names the services of a daemon and holds the interfaces by
+// which they use each other. Services import this package, never one another.
+package contract
+
+import (
+	"context"
+	"time"
+
+	"github.com/flamingobeam/flamingobeam/coord/change"
+	"github.com/flamingobeam/flamingobeam/coord/settings"
+	"github.com/flamingobeam/flamingobeam/coord/structs"
+	"github.com/flamingobeam/flamingobeam/coord/zone"
+	"github.com/flamingobeam/flamingobeam/kernel"
+	"github.com/flamingobeam/flamingobeam/platform"
+)
+
+// The names under which services are found.
+const (
+	// NameClients offers Clients.
+	NameClients kernel.Name = "platform.clients"
+	// NameHosts offers Hosts.
+	NameHosts kernel.Name = "control.hosts"
+	// NameSettings offers Settings and Operator.
+	NameSettings kernel.Name = "control.settings"
+	// NameZone offers Zone.
+	NameZone kernel.Name = "control.zone"
+	// NameWeights offers Weights.
+	NameWeights kernel.Name = "control.weights"
+	// NamePeers offers Peers.
+	NamePeers kernel.Name = "rpc.peers"
+	// NameRPC offers RPC.
+	NameRPC kernel.Name = "rpc.server"
+	// NameBalance offers Balancer.
+	NameBalance kernel.Name = "traffic.balance"
+	// NamePlain offers Plain.
+	NamePlain kernel.Name = "traffic.plain"
+	// NameJournal offers Journal.
+	NameJournal kernel.Name = "traffic.journal"
+	// NameRollout offers Rollouts.
+	NameRollout kernel.Name = "traffic.rollout"
+	// NameSteps offers Steps.
+	NameSteps kernel.Name = "traffic.steps"
+	// NameFront is the HTTP front end.
+	NameFront kernel.Name = "http.front"
+	// NameMetrics offers Metrics.
+	NameMetrics kernel.Name = "ops.metrics"
+)
+
+// Clients gives the clients of the platform.
+type Clients interface {
+	// Platform returns the clients; it may be called from any goroutine.
+	Platform() platform.Clients
+}
+
+// HostView is the immutable snapshot of the host list and of what this daemon
+// has itself seen of the hosts.
+type HostView struct {
+	// Services maps each service to the servers that may get new work.
+	Services map[structs.ServiceName][]structs.BackendServer
+	// Daemons are the entry hosts, this one among them. Their Address is the
+	// one for net/rpc.
+	Daemons []structs.BackendServer
+	// Known is set once the list has been read.
+	Known bool
+}
+
+// Signal says what a traffic goroutine saw of a backend server.
+type Signal uint8
+
+// The signals.
+const (
+	// SignalFailedConnect means that no connection could be opened.
+	SignalFailedConnect Signal = iota
+	// SignalLeaving means that the server itself refused new work.
+	SignalLeaving
+	// SignalAnswered means that the server answered.
+	SignalAnswered
+)
+
+// Hosts gives the live backend servers and daemons.
+type Hosts interface {
+	// View returns the snapshot; it may be called from any goroutine.
+	View() *kernel.Snapshot[HostView]
+	// Report tells the control loop of a signal; it never blocks.
+	Report(server structs.HostName, signal Signal)
+}
+
+// SettingsView is the immutable snapshot of the settings in force.
+type SettingsView struct {
+	Revision settings.Revision
+	Document *settings.Document
+	// Resolved holds the parameters of each workspace.
+	Resolved map[structs.WorkspaceName]settings.Resolved
+	// InDoubt holds the workspaces that an undecided change touches.
+	InDoubt map[structs.WorkspaceName]bool
+	// GrantEnds is when this daemon must stop taking the settings for the
+	// newest, by the kernel's clock.
+	GrantEnds time.Time
+}
+
+// Settings gives the settings in force.
+type Settings interface {
+	// View returns the snapshot; it may be called from any goroutine.
+	View() *kernel.Snapshot[SettingsView]
+	// Acquire returns the parameters of a workspace for a request that they
+	// touch. While a change of them is undecided it waits, until ctx ends. It
+	// fails with code UnknownWorkspace, SettingsInDoubt or NoGrant.
+	Acquire(ctx context.Context, workspace structs.WorkspaceName) (settings.Resolved, error)
+	// Peek returns the parameters last known, for a request whose outcome
+	// they do not touch. It fails with code UnknownWorkspace.
+	Peek(workspace structs.WorkspaceName) (settings.Resolved, error)
+}
+
+// Carry is what a collector hands to a follower with a grant.
+type Carry struct {
+	// Whole is the document of the revision Since, or nil when the follower
+	// has it.
+	Whole *settings.Document `json:"whole,omitempty"`
+	// Since is the revision to which Accepted is to be added.
+	Since    settings.Revision `json:"since"`
+	Accepted []change.Accepted `json:"accepted,omitempty"`
+	// Staged are the undecided changes of Round.
+	Staged []settings.Change `json:"staged,omitempty"`
+	Round  change.Round      `json:"round"`
+}
+
+// SettingsControl is the part of the settings that the zone's protocol uses.
+// All methods must be called on the control goroutine.
+type SettingsControl interface {
+	// Lead begins to follow the store's settings for the zone.
+	Lead(term structs.Term)
+	// Unlead ends it.
+	Unlead()
+	// News is the newest state known, and false before there is any.
+	News() (zone.News, bool)
+	// Carry is what a follower of a revision lacks.
+	Carry(since settings.Revision) Carry
+	// Take applies what a collector handed over.
+	Take(carry Carry) error
+	// SetGrant says until when the settings may be taken for the newest.
+	SetGrant(ends time.Time)
+	// Acknowledge writes the zone's acknowledgement of a round.
+	Acknowledge(round change.Round)
+	// OnNews sets the function to call after each change of News.
+	OnNews(call func())
+}
+
+// Zone gives a daemon's standing in its availability zone.
+type Zone interface {
+	// Standing returns the snapshot; it may be called from any goroutine.
+	Standing() *kernel.Snapshot[Standing]
+}
+
+// Standing is a daemon's place in its availability zone.
+type Standing struct {
+	Self structs.Incarnation
+	// Collector is the host that grants, and Address where it takes calls.
+	Collector structs.HostName
+	Address   string
+	Term      structs.Term
+	// Collects says that this daemon is the collector.
+	Collects bool
+	// Roster is known to the collector alone.
+	Roster zone.Roster
+}
+
+// ChangeOutcome says what became of a change.
+type ChangeOutcome struct {
+	ID       settings.ChangeID  `json:"id"`
+	Accepted bool               `json:"accepted"`
+	Revision settings.Revision  `json:"revision"`
+	Missing  []structs.ZoneName `json:"missing,omitempty"`
+	// Seconds is the time from stage to decision.
+	Seconds float64 `json:"seconds"`
+}
+
+// Operator takes the operators' commands.
+type Operator interface {
+	// Apply makes a change and waits for the decision. It fails with code
+	// ChangeConflict, ChangeInvalid, ChangeWithdrawn or ChangeUnknown.
+	Apply(ctx context.Context, change settings.Change) (ChangeOutcome, error)
+	// Create writes the first document; it fails with code ChangeConflict
+	// when there is one.
+	Create(ctx context.Context, document *settings.Document) error
+	// Suspend declares a zone's hosts stopped, or no longer so.
+	Suspend(ctx context.Context, zone structs.ZoneName, stopped bool) error
+}
+
+// Peers calls other daemons.
+type Peers interface {
+	// Call makes a net/rpc call at an address. The connection is closed when
+	// ctx ends before the reply. An error without a code from the other side
+	// has code PeerUnreachable when no byte can have left, else
+	// OutcomeUnknown.
+	Call(ctx context.Context, address, method string, args, reply any) error
+}
+
+// RPC takes calls from other daemons.
+type RPC interface {
+	// Register offers a receiver's methods under a name. It must be called
+	// while services are provisioned.
+	Register(name string, receiver any) error
+}
+
+// Metrics counts and times what the services do.
+type Metrics interface {
+	// Count adds to a counter.
+	Count(name string, delta int64)
+	// Gauge sets a gauge.
+	Gauge(name string, value int64)
+	// Time records how long something took.
+	Time(name string, span time.Duration)
+	// Served records a request for the burn report: whether it was answered
+	// correctly within its due time.
+	Served(workspace structs.WorkspaceName, class structs.Class, good bool)
+}
--- /dev/null
+++ b/daemon/logs/logs.go
@@ -0,0 +1,55 @@
+// Package logs sets up the log: one line an event, with a fixed prefix that
+// names the part of the daemon that wrote it.
+package logs
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"slices"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/flamingobeam/flamingobeam/kernel"
+)
+
+const timeLayout = "2006-01-02T15:04:05.000Z07:00"
+
+// New returns a logger that writes to out; format is "text" or "json".
+func New(out io.Writer, level, format string) (*logrus.Logger, error) {
+	parsed, err := logrus.ParseLevel(level)
+	if err != nil {
+		return nil, err
+	}
+	logger := logrus.New()
+	logger.SetOutput(out)
+	logger.SetLevel(parsed)
+	if format == "json" {
+		logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: timeLayout})
+	} else {
+		logger.SetFormatter(textFormatter{})
+	}
+	return logger, nil
+}
+
+// textFormatter writes "time level part: message key=value".
+type textFormatter struct{}
+
+// Format implements logrus.Formatter.
+func (textFormatter) Format(entry *logrus.Entry) ([]byte, error) {
+	var line bytes.Buffer
+	part, _ := entry.Data[kernel.PartField].(string)
+	fmt.Fprintf(&line, "%s %-7s %s: %s", entry.Time.Format(timeLayout), entry.Level, part, entry.Message)
+	fields := make([]string, 0, len(entry.Data))
+	for name := range entry.Data {
+		if name != kernel.PartField {
+			fields = append(fields, name)
+		}
+	}
+	slices.Sort(fields)
+	for _, name := range fields {
+		fmt.Fprintf(&line, " %s=%v", name, entry.Data[name])
+	}
+	line.WriteByte('\n')
+	return line.Bytes(), nil
+}
--- /dev/null
+++ b/daemon/services/front/front.go
@@ -0,0 +1,124 @@
+// Package front is the service "http.front": the HTTP interface towards
+// callers, trainers and operators. It translates between HTTP and the
+// services that decide; it decides nothing itself.
+package front
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/julienschmidt/httprouter"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"github.com/flamingobeam/flamingobeam/coord/result"
+	"github.com/flamingobeam/flamingobeam/daemon/config"
+	"github.com/flamingobeam/flamingobeam/daemon/contract"
+	"github.com/flamingobeam/flamingobeam/kernel"
+)
+
+func init() {
+	kernel.Register(contract.NameFront, func() kernel.Service { return &service{} })
+}
+
+const (
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = time.Minute
+)
+
+type service struct {
+	kernel.Base
+	config   config.Daemon
+	log      *logrus.Entry
+	plain    contract.Plain
+	settings contract.Settings
+	operator contract.Operator
+	zone     contract.Zone
+	clock    clockwork.Clock
+	server   *http.Server
+	group    conc.WaitGroup
+	leaving  atomic.Bool
+}
+
+// Provision implements kernel.Service.
+func (s *service) Provision(ctx *kernel.Context) error {
+	var err error
+	if s.config, err = kernel.ConfigOf[config.Daemon](ctx); err != nil {
+		return err
+	}
+	if s.plain, err = kernel.Find[contract.Plain](ctx, contract.NamePlain); err != nil {
+		return err
+	}
+	if s.settings, err = kernel.Find[contract.Settings](ctx, contract.NameSettings); err != nil {
+		return err
+	}
+	if s.operator, err = kernel.Find[contract.Operator](ctx, contract.NameSettings); err != nil {
+		return err
+	}
+	if s.zone, err = kernel.Find[contract.Zone](ctx, contract.NameZone); err != nil {
+		return err
+	}
+	s.log, s.clock = ctx.Log(), ctx.Clock()
+	return nil
+}
+
+// Start implements kernel.Service.
+func (s *service) Start() error {
+	listener, err := net.Listen("tcp", s.config.Listen.Callers)
+	if err != nil {
+		return result.Wrap(result.AddressTaken, err)
+	}
+	s.server = &http.Server{
+		Handler:           s.routes(),
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+	}
+	s.log.Infof("Listening for callers on %s.", listener.Addr())
+	s.group.Go(func() { _ = s.server.Serve(listener) })
+	return nil
+}
+
+// Stop implements kernel.Service: it reports itself unready and waits for the
+// requests in flight.
+func (s *service) Stop(ctx context.Context) error {
+	s.leaving.Store(true)
+	err := s.server.Shutdown(ctx)
+	s.group.Wait()
+	return err
+}
+
+func (s *service) routes() http.Handler {
+	router := httprouter.New()
+	router.NotFound = refuse(result.NotFound)
+	router.MethodNotAllowed = refuse(result.MethodNotAllowed)
+	router.GET("/healthz/live", s.live)
+	router.GET("/healthz/ready", s.ready)
+	router.GET("/v1/workspaces/:workspace/service/*path", s.lookup)
+	router.GET(contract.PathStatus, s.status)
+	router.POST(contract.PathDocument, s.create)
+	router.POST(contract.PathChanges, s.apply)
+	router.POST(contract.PathZones, s.suspend)
+	return router
+}
+
+func refuse(code result.Code) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		writeError(w, result.New(code, "%s %s", r.Method, r.URL.Path))
+	})
+}
+
+func (s *service) live(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	w.WriteHeader(http.StatusOK)
+}
+
+func (s *service) ready(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	if s.leaving.Load() {
+		writeError(w, result.New(result.Stopping, ""))
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
--- /dev/null
+++ b/daemon/services/front/read.go
@@ -0,0 +1,42 @@
+package front
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"github.com/flamingobeam/flamingobeam/coord/result"
+)
+
+// body reads a request's whole body within the limit; it answers and reports
+// false when it cannot.
+func (s *service) body(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.config.Limits.MaxBody))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case err == nil:
+		return body, true
+	case errors.As(err, &tooLarge):
+		writeError(w, result.New(result.BodyTooLarge, "the limit is %d bytes", tooLarge.Limit))
+	default:
+		writeError(w, result.Wrap(result.BadRequest, err))
+	}
+	return nil, false
+}
+
+// decodeStrict decodes one JSON value and refuses unknown fields and what
+// follows the value.
+func decodeStrict(body []byte, into any) error {
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(into); err != nil {
+		return err
+	}
+	if decoder.More() {
+		return errors.New("more than one value")
+	}
+	return nil
+}
--- /dev/null
+++ b/daemon/services/rpcserver/rpcserver.go
@@ -0,0 +1,102 @@
+// Package rpcserver is the service "rpc.server": it takes net/rpc calls from
+// other daemons for the services that registered a receiver.
+package rpcserver
+
+import (
+	"context"
+	"net"
+	"net/rpc"
+	"sync"
+
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"github.com/flamingobeam/flamingobeam/coord/result"
+	"github.com/flamingobeam/flamingobeam/daemon/config"
+	"github.com/flamingobeam/flamingobeam/daemon/contract"
+	"github.com/flamingobeam/flamingobeam/kernel"
+)
+
+func init() {
+	kernel.Register(contract.NameRPC, func() kernel.Service {
+		return &service{server: rpc.NewServer(), open: make(map[net.Conn]bool)}
+	})
+}
+
+type service struct {
+	kernel.Base
+	server   *rpc.Server
+	address  string
+	listener net.Listener
+	log      *logrus.Entry
+	group    conc.WaitGroup
+
+	mu   sync.Mutex
+	open map[net.Conn]bool
+}
+
+var _ contract.RPC = (*service)(nil)
+
+// Provision implements kernel.Service.
+func (s *service) Provision(ctx *kernel.Context) error {
+	daemon, err := kernel.ConfigOf[config.Daemon](ctx)
+	if err != nil {
+		return err
+	}
+	s.address = daemon.Listen.Peers
+	s.log = ctx.Log()
+	return nil
+}
+
+// Register implements contract.RPC.
+func (s *service) Register(name string, receiver any) error {
+	return s.server.RegisterName(name, receiver)
+}
+
+// Start implements kernel.Service.
+func (s *service) Start() error {
+	listener, err := net.Listen("tcp", s.address)
+	if err != nil {
+		return result.Wrap(result.AddressTaken, err)
+	}
+	s.listener = listener
+	s.log.Infof("Listening for daemons on %s.", listener.Addr())
+	s.group.Go(s.accept)
+	return nil
+}
+
+func (s *service) accept() {
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		s.track(conn, true)
+		s.group.Go(func() {
+			defer s.track(conn, false)
+			s.server.ServeConn(conn)
+		})
+	}
+}
+
+func (s *service) track(conn net.Conn, isOpen bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if isOpen {
+		s.open[conn] = true
+	} else {
+		delete(s.open, conn)
+	}
+}
+
+// Stop implements kernel.Service.
+func (s *service) Stop(context.Context) error {
+	err := s.listener.Close()
+	s.mu.Lock()
+	for conn := range s.open {
+		_ = conn.Close()
+	}
+	s.mu.Unlock()
+	s.group.Wait()
+	return err
+}
--- /dev/null
+++ b/daemon/services/settings/lead.go
@@ -0,0 +1,366 @@
+package settings
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/flamingobeam/flamingobeam/coord/change"
+	"github.com/flamingobeam/flamingobeam/coord/settings"
+	"github.com/flamingobeam/flamingobeam/coord/structs"
+	"github.com/flamingobeam/flamingobeam/daemon/contract"
+	"github.com/flamingobeam/flamingobeam/kernel"
+	"github.com/flamingobeam/flamingobeam/platform"
+)
+
+// The keys under which the settings are kept in the store.
+const (
+	prefixSettings  = "settings/"
+	keyHead         = prefixSettings + "head"
+	prefixAcks      = prefixSettings + "ack/"
+	prefixDocuments = "documents/"
+)
+
+const (
+	watchWait  = 10 * time.Second
+	retryDelay = 500 * time.Millisecond
+	// decideSpread keeps the collectors of several zones from writing the
+	// same decision at once.
+	decideSpread = 300 * time.Millisecond
+)
+
+func documentKey(revision settings.Revision) string {
+	return fmt.Sprintf("%s%d", prefixDocuments, revision)
+}
+
+// lead is the state of a collector that follows the store's settings. It
+// belongs to the control goroutine.
+type lead struct {
+	term    structs.Term
+	through platform.Revision
+	head    change.Head
+	// headAt, ackAt and lastAckAt are the store's revisions of the head, of
+	// this zone's acknowledgement and of the newest one of any zone.
+	headAt    platform.Revision
+	ackAt     platform.Revision
+	lastAckAt platform.Revision
+	acks      map[structs.ZoneName]change.Acknowledgement
+	// acked is the newest round whose acknowledgement was begun.
+	acked   change.Round
+	writing bool
+	// stagedSeen is when the undecided round was first seen.
+	stagedSeen time.Time
+	timer      *kernel.Timer
+}
+
+// loaded is what a worker read from the store for the lead of a term.
+type loaded struct {
+	term     structs.Term
+	changes  platform.Changes
+	head     *change.Head
+	headAt   platform.Revision
+	document *settings.Document
+}
+
+// written is the outcome of a write for the lead of a term.
+type written struct {
+	term structs.Term
+	what string
+}
+
+// Lead implements contract.SettingsControl.
+func (s *service) Lead(term structs.Term) {
+	s.lead = &lead{term: term, acks: make(map[structs.ZoneName]change.Acknowledgement)}
+	s.watch()
+}
+
+// Unlead implements contract.SettingsControl.
+func (s *service) Unlead() {
+	if s.lead != nil {
+		s.loop.Cancel(s.lead.timer)
+	}
+	s.lead = nil
+}
+
+// watch waits on a worker for the next change of the settings in the store.
+func (s *service) watch() {
+	ld, store := s.lead, s.clients.Platform().Store
+	term, after, known, revision := ld.term, ld.through, s.document, s.revision
+	kernel.Async(s.workers, 0, s.loaded, func(ctx context.Context) (loaded, error) {
+		changes, err := store.Watch(ctx, prefixSettings, after, watchWait)
+		if err != nil {
+			return loaded{term: term}, err
+		}
+		got := loaded{term: term, changes: changes}
+		err = got.readHead(ctx, store, known, revision)
+		return got, err
+	})
+}
+
+// readHead decodes the head among the changes and brings a document up to it.
+func (l *loaded) readHead(ctx context.Context, store platform.Store, known *settings.Document, revision settings.Revision) error {
+	for _, entry := range l.changes.Entries {
+		if entry.Key != keyHead || entry.Value == nil {
+			continue
+		}
+		head, err := decodeHead(entry.Value)
+		if err != nil {
+			return err
+		}
+		l.head, l.headAt = head, entry.Revision
+		l.document, err = documentOf(ctx, store, head, known, revision)
+		return err
+	}
+	return nil
+}
+
+func decodeHead(value []byte) (*change.Head, error) {
+	head := &change.Head{}
+	if err := json.Unmarshal(value, head); err != nil {
+		return nil, errors.Wrap(err, "the settings in the store")
+	}
+	return head, nil
+}
+
+// documentOf returns the document in force under a head, starting from a
+// known one where the head still has all rounds since.
+func documentOf(ctx context.Context, store platform.Store, head *change.Head, known *settings.Document, revision settings.Revision) (*settings.Document, error) {
+	if known != nil {
+		if rounds, ok := head.Since(revision); ok {
+			return change.Replay(known, rounds)
+		}
+	}
+	entry, err := store.Get(ctx, documentKey(head.Base))
+	if err != nil {
+		return nil, err
+	}
+	base := &settings.Document{}
+	if err := json.Unmarshal(entry.Value, base); err != nil {
+		return nil, errors.Wrap(err, "the document in the store")
+	}
+	return change.Replay(base, head.Accepted)
+}
+
+func (s *service) onLoaded(reply kernel.Reply[loaded]) {
+	ld := s.lead
+	if ld == nil || ld.term != reply.Value.term {
+		return
+	}
+	if reply.Err != nil {
+		s.log.WithError(reply.Err).Debug("The settings could not be read.")
+		s.loop.After(retryDelay, func() {
+			if s.lead == ld {
+				s.watch()
+			}
+		})
+		return
+	}
+	ld.through = reply.Value.changes.Through
+	s.learnAcks(reply.Value.changes.Entries)
+	if reply.Value.head != nil {
+		s.learnHead(reply.Value)
+	}
+	s.decide()
+	s.watch()
+}
+
+func (s *service) learnAcks(entries []platform.Entry) {
+	for _, entry := range entries {
+		name, isAck := strings.CutPrefix(entry.Key, prefixAcks)
+		if !isAck {
+			continue
+		}
+		var ack change.Acknowledgement
+		if err := json.Unmarshal(entry.Value, &ack); err != nil {
+			s.log.WithError(err).Errorf("The acknowledgement of %s is unreadable.", name)
+			continue
+		}
+		s.lead.acks[structs.ZoneName(name)] = ack
+		s.lead.lastAckAt = max(s.lead.lastAckAt, entry.Revision)
+		if structs.ZoneName(name) == s.config.Place.Zone {
+			s.lead.ackAt = entry.Revision
+		}
+	}
+}
+
+func (s *service) learnHead(got loaded) {
+	ld := s.lead
+	if got.headAt <= ld.headAt {
+		return
+	}
+	if got.head.Round != ld.head.Round {
+		ld.stagedSeen = s.clock.Now()
+	}
+	ld.head, ld.headAt = *got.head, got.headAt
+	s.adopt(got.document, ld.head.Revision, ld.head.Round, ld.head.Staged)
+}
+
+// decide activates the undecided round when every zone has acknowledged it,
+// withdraws it when its time is up, and else sets a timer for that.
+func (s *service) decide() {
+	ld := s.lead
+	s.loop.Cancel(ld.timer)
+	ld.timer = nil
+	if ld.writing || s.document == nil {
+		return
+	}
+	if ld.head.Undecided() == 0 {
+		s.foldIfLong()
+		return
+	}
+	missing := ld.head.Missing(s.document, ld.acknowledgements())
+	if len(missing) == 0 {
+		s.decideAfter(s.turnDelay(), func() { s.writeHead("activate", ld.head.Activate()) })
+		return
+	}
+	left := ld.stagedSeen.Add(time.Duration(s.config.Lease.Decide)).Sub(s.clock.Now())
+	if left > 0 {
+		s.decideAfter(left, s.decide)
+		return
+	}
+	s.decideAfter(s.turnDelay(), func() {
+		s.log.Warnf("Round %d is withdrawn: no acknowledgement from %v.", ld.head.Round, missing)
+		s.writeHead("withdraw", ld.head.Withdraw(missing))
+	})
+}
+
+func (s *service) decideAfter(delay time.Duration, act func()) {
+	ld := s.lead
+	if delay <= 0 {
+		act()
+		return
+	}
+	ld.timer = s.loop.After(delay, func() {
+		ld.timer = nil
+		if s.lead == ld && !ld.writing {
+			act()
+		}
+	})
+}
+
+// turnDelay gives each zone a turn to write a decision: the one that
+// acknowledged last first, the others only if it does not.
+func (s *service) turnDelay() time.Duration {
+	if s.lead.ackAt == s.lead.lastAckAt {
+		return 0
+	}
+	for i, place := range s.document.Zones {
+		if place.Zone == s.config.Place.Zone {
+			return decideSpread * time.Duration(i+1)
+		}
+	}
+	return decideSpread
+}
+
+func (l *lead) acknowledgements() []change.Acknowledgement {
+	list := make([]change.Acknowledgement, 0, len(l.acks))
+	for _, ack := range l.acks {
+		list = append(list, ack)
+	}
+	return list
+}
+
+// writeHead replaces the head. Whatever becomes of the write, the watch shows
+// the head that is then in force.
+func (s *service) writeHead(what string, next change.Head) {
+	expected := s.lead.headAt
+	s.write(what, func(ctx context.Context, store platform.Store) error {
+		value, err := json.Marshal(next)
+		if err != nil {
+			return err
+		}
+		_, err = store.CompareAndSwap(ctx, keyHead, expected, value, 0)
+		return err
+	})
+}
+
+// foldIfLong writes the document out whole when the head has grown long.
+func (s *service) foldIfLong() {
+	ld := s.lead
+	if len(ld.head.Accepted) < change.FoldAt {
+		return
+	}
+	document, expected, next := s.document, ld.headAt, ld.head.Fold()
+	s.write("fold", func(ctx context.Context, store platform.Store) error {
+		return writeFolded(ctx, store, document, expected, next)
+	})
+}
+
+func writeFolded(ctx context.Context, store platform.Store, document *settings.Document, expected platform.Revision, next change.Head) error {
+	whole, err := json.Marshal(document)
+	if err != nil {
+		return err
+	}
+	_, err = store.CompareAndSwap(ctx, documentKey(next.Base), 0, whole, 0)
+	if err != nil && !errors.Is(err, platform.ErrConflict) {
+		return err
+	}
+	value, err := json.Marshal(next)
+	if err != nil {
+		return err
+	}
+	_, err = store.CompareAndSwap(ctx, keyHead, expected, value, 0)
+	return err
+}
+
+// write makes one write at a time on a worker.
+func (s *service) write(what string, act func(context.Context, platform.Store) error) {
+	ld, store := s.lead, s.clients.Platform().Store
+	ld.writing = true
+	kernel.Async(s.workers, platform.CallTimeout, s.written, func(ctx context.Context) (written, error) {
+		return written{term: ld.term, what: what}, act(ctx, store)
+	})
+}
+
+func (s *service) onWritten(reply kernel.Reply[written]) {
+	ld := s.lead
+	if ld == nil || ld.term != reply.Value.term {
+		return
+	}
+	ld.writing = false
+	if reply.Err == nil {
+		return
+	}
+	s.log.WithError(reply.Err).Debugf("The write to %s did not succeed.", reply.Value.what)
+	ld.acked = min(ld.acked, ld.acks[s.config.Place.Zone].Round)
+	s.decideAfter(retryDelay, func() {
+		s.decide()
+		s.onNews()
+	})
+}
+
+// Acknowledge implements contract.SettingsControl.
+func (s *service) Acknowledge(round change.Round) {
+	ld := s.lead
+	if ld == nil || ld.writing || ld.acked >= round || ld.acks[s.config.Place.Zone].Round >= round {
+		return
+	}
+	ld.acked = round
+	ack := change.Acknowledgement{Zone: s.config.Place.Zone, Term: ld.term, Round: round}
+	expected := ld.ackAt
+	s.write("acknowledge", func(ctx context.Context, store platform.Store) error {
+		value, err := json.Marshal(ack)
+		if err != nil {
+			return err
+		}
+		_, err = store.CompareAndSwap(ctx, prefixAcks+string(ack.Zone), expected, value, 0)
+		return err
+	})
+}
+
+// Carry implements contract.SettingsControl.
+func (s *service) Carry(since settings.Revision) contract.Carry {
+	carry := contract.Carry{Since: s.revision, Staged: s.staged, Round: s.round}
+	if s.lead != nil && s.lead.head.Revision == s.revision {
+		if rounds, ok := s.lead.head.Since(since); ok {
+			carry.Since, carry.Accepted = since, rounds
+			return carry
+		}
+	}
+	carry.Whole = s.document
+	return carry
+}
--- /dev/null
+++ b/daemon/services/zone/collect.go
@@ -0,0 +1,310 @@
+package zone
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/flamingobeam/flamingobeam/coord/change"
+	"github.com/flamingobeam/flamingobeam/coord/structs"
+	"github.com/flamingobeam/flamingobeam/coord/zone"
+	"github.com/flamingobeam/flamingobeam/kernel"
+	"github.com/flamingobeam/flamingobeam/platform"
+)
+
+// collects is the state of the collector's role. It belongs to the control
+// goroutine.
+type collects struct {
+	decide   *zone.Collector
+	lease    platform.LeaseID
+	rosterAt platform.Revision
+	held     []*heldAsk
+	joining  zone.Roster
+	lapse    *kernel.Timer
+}
+
+// taken is what a daemon has once it took the role.
+type taken struct {
+	lease  platform.LeaseID
+	record record
+	// until is when the lease ends, counted from when it was asked for.
+	until    zone.Instant
+	roster   zone.Roster
+	rosterAt platform.Revision
+}
+
+// rosterRecord is the roster as it is kept in the store.
+type rosterRecord struct {
+	// Term is the fencing number of the collector that wrote it.
+	Term   structs.Term `json:"term"`
+	Roster zone.Roster  `json:"roster"`
+}
+
+// takeRole makes this daemon the collector in the store. The roster is written
+// again with the new term, so that a late write of a former collector fails.
+func (s *service) takeRole(ctx context.Context, store platform.Store) (*taken, error) {
+	asked := s.now()
+	lease, err := store.Grant(ctx, s.ttl)
+	if err != nil {
+		return nil, err
+	}
+	role := &taken{lease: lease, until: asked + s.ttl}
+	role.record = record{Host: s.self.Host, Start: s.self.Start, Address: s.config.Listen.Peers}
+	value, err := json.Marshal(role.record)
+	if err != nil {
+		return nil, err
+	}
+	revision, err := store.CompareAndSwap(ctx, s.collectorKey(), 0, value, lease)
+	if err != nil {
+		// After a lost answer the entry may exist; it ends with its lease.
+		return nil, err
+	}
+	role.record.term = structs.Term(revision)
+	return role, s.claimRoster(ctx, store, role)
+}
+
+func (s *service) claimRoster(ctx context.Context, store platform.Store, role *taken) error {
+	entry, err := store.Get(ctx, s.rosterKey())
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return err
+	}
+	var kept rosterRecord
+	if err == nil {
+		if err := json.Unmarshal(entry.Value, &kept); err != nil {
+			return err
+		}
+	}
+	role.roster = kept.Roster
+	role.rosterAt, err = writeRoster(ctx, store, s.rosterKey(), entry.Revision, rosterRecord{Term: role.record.term, Roster: kept.Roster})
+	return err
+}
+
+func writeRoster(ctx context.Context, store platform.Store, key string, expected platform.Revision, roster rosterRecord) (platform.Revision, error) {
+	value, err := json.Marshal(roster)
+	if err != nil {
+		return 0, err
+	}
+	return store.CompareAndSwap(ctx, key, expected, value, 0)
+}
+
+// begin takes up the role on the control goroutine.
+func (s *service) begin(role *taken) {
+	s.known = role.record
+	s.collects = &collects{
+		decide:   zone.NewCollector(s.self, role.record.term, s.span, role.roster),
+		lease:    role.lease,
+		rosterAt: role.rosterAt,
+	}
+	s.collects.decide.StoreLease(role.until)
+	s.log.Infof("Collecting for %s in term %d.", s.config.Place.Zone, role.record.term)
+	s.settings.Lead(role.record.term)
+	s.publish()
+	s.loop.After(s.ttl/holdShare, func() { s.keepAlive(role.record.term) })
+	s.askSelf()
+}
+
+// stepDown gives the role up; the other daemons find the next collector.
+func (s *service) stepDown() {
+	if s.collects == nil {
+		return
+	}
+	held := s.collects.held
+	s.loop.Cancel(s.collects.lapse)
+	s.collects = nil
+	s.settings.Unlead()
+	s.log.Info("No longer collecting.")
+	s.publish()
+	for _, waiting := range held {
+		s.loop.Cancel(waiting.timer)
+		waiting.call.answer <- AskReply{}
+	}
+	s.loop.After(jitter(retryDelay), s.find)
+}
+
+// renewal is the outcome of a keep-alive.
+type renewal struct {
+	term  structs.Term
+	until zone.Instant
+}
+
+func (s *service) keepAlive(term structs.Term) {
+	if s.collects == nil || s.collects.decide.Term() != term {
+		return
+	}
+	store, lease, asked := s.clients.Platform().Store, s.collects.lease, s.now()
+	kernel.Async(s.workers, 0, s.renewed, func(ctx context.Context) (renewal, error) {
+		return renewal{term: term, until: asked + s.ttl}, store.KeepAlive(ctx, lease)
+	})
+}
+
+func (s *service) onRenewed(reply kernel.Reply[renewal]) {
+	if s.collects == nil || s.collects.decide.Term() != reply.Value.term {
+		return
+	}
+	if errors.Is(reply.Err, platform.ErrLeaseLost) {
+		s.log.Warn("The lease in the store has lapsed.")
+		s.stepDown()
+		return
+	}
+	if reply.Err == nil {
+		s.collects.decide.StoreLease(reply.Value.until)
+		s.tend()
+	}
+	s.loop.After(s.ttl/holdShare, func() { s.keepAlive(reply.Value.term) })
+}
+
+// askSelf lets the collector be its own follower.
+func (s *service) askSelf() {
+	if s.collects == nil {
+		return
+	}
+	asked, term := s.now(), s.collects.decide.Term()
+	s.learn()
+	ask := s.follower.Ask()
+	s.accept(asked, s.collects.decide.Ask(asked, ask))
+	if !s.collects.decide.Roster().Has(s.self) {
+		s.join(s.self)
+	}
+	s.tend()
+	s.loop.After(s.span/holdShare, func() {
+		if s.collects != nil && s.collects.decide.Term() == term {
+			s.askSelf()
+		}
+	})
+}
+
+// learn tells the rules what the settings are.
+func (s *service) learn() {
+	if news, ok := s.settings.News(); ok {
+		s.collects.decide.Learn(news)
+	}
+}
+
+// onNews runs when the settings known have changed.
+func (s *service) onNews() {
+	if s.collects == nil {
+		return
+	}
+	s.learn()
+	asked := s.now()
+	s.accept(asked, s.collects.decide.Ask(asked, s.follower.Ask()))
+	s.releaseAll()
+	s.tend()
+}
+
+// tend acknowledges the undecided round and changes the roster when the rules
+// allow it.
+func (s *service) tend() {
+	cs := s.collects
+	if cs == nil {
+		return
+	}
+	if news, ok := s.settings.News(); ok && news.Undecided {
+		s.tryAcknowledge(news.Round)
+	}
+	s.tryRoster()
+}
+
+func (s *service) tryAcknowledge(round change.Round) {
+	cs, now := s.collects, s.now()
+	if cs.decide.MayAcknowledge(now, round) {
+		s.settings.Acknowledge(round)
+		return
+	}
+	s.loop.Cancel(cs.lapse)
+	cs.lapse = nil
+	if lapse := cs.decide.NextLapse(now, round); lapse > now {
+		cs.lapse = s.loop.After(lapse-now+time.Millisecond, func() { s.tend() })
+	}
+}
+
+// join asks for a place on the roster for a member.
+func (s *service) join(member structs.Incarnation) {
+	if !s.collects.joining.Has(member) {
+		s.collects.joining = append(s.collects.joining, member)
+	}
+}
+
+// rosterWrite is the outcome of a change of the roster.
+type rosterWrite struct {
+	term     structs.Term
+	roster   zone.Roster
+	revision platform.Revision
+}
+
+// tryRoster writes the roster with those who join and without the silent.
+func (s *service) tryRoster() {
+	cs, now := s.collects, s.now()
+	next := cs.decide.Roster()
+	for _, member := range cs.joining {
+		next = next.With(member)
+	}
+	for _, member := range cs.decide.Silent(now, silentSpans*s.span) {
+		if now > silentSpans*s.span {
+			next = next.Without(member)
+		}
+	}
+	changed := len(cs.joining) > 0 || len(next) != len(cs.decide.Roster())
+	if !changed || !cs.decide.Propose(now, next) {
+		return
+	}
+	cs.joining = nil
+	s.writeRoster(next)
+}
+
+func (s *service) writeRoster(next zone.Roster) {
+	cs, store, key := s.collects, s.clients.Platform().Store, s.rosterKey()
+	term, expected := cs.decide.Term(), cs.rosterAt
+	kernel.Async(s.workers, 0, s.rostered, func(ctx context.Context) (rosterWrite, error) {
+		revision, err := writeRoster(ctx, store, key, expected, rosterRecord{Term: term, Roster: next})
+		return rosterWrite{term: term, roster: next, revision: revision}, err
+	})
+}
+
+func (s *service) onRostered(reply kernel.Reply[rosterWrite]) {
+	cs := s.collects
+	if cs == nil || cs.decide.Term() != reply.Value.term {
+		return
+	}
+	if reply.Err != nil {
+		// Whether the roster was written is not known for certain; a new
+		// term begins with what the store then holds.
+		s.log.WithError(reply.Err).Warn("The roster could not be written.")
+		s.readRosterBack(reply.Value)
+		return
+	}
+	s.adoptRoster(reply.Value)
+}
+
+func (s *service) adoptRoster(write rosterWrite) {
+	s.collects.rosterAt = write.revision
+	s.collects.decide.Resolve(write.roster)
+	s.publish()
+	s.releaseAll()
+	s.tend()
+}
+
+// readRosterBack learns what became of a write without an answer. Until then
+// both rosters bind.
+func (s *service) readRosterBack(write rosterWrite) {
+	store, key := s.clients.Platform().Store, s.rosterKey()
+	term := s.collects.decide.Term()
+	s.loop.After(jitter(retryDelay), func() {
+		kernel.Async(s.workers, 0, s.rostered, func(ctx context.Context) (rosterWrite, error) {
+			entry, err := store.Get(ctx, key)
+			if err != nil {
+				return write, err
+			}
+			var kept rosterRecord
+			if err := json.Unmarshal(entry.Value, &kept); err != nil {
+				return write, err
+			}
+			if kept.Term != term {
+				return write, platform.ErrConflict
+			}
+			return rosterWrite{term: term, roster: kept.Roster, revision: entry.Revision}, nil
+		})
+	})
+}
--- /dev/null
+++ b/daemon/services/zone/receive.go
@@ -0,0 +1,123 @@
+package zone
+
+import (
+	"encoding/json"
+
+	"github.com/flamingobeam/flamingobeam/coord/result"
+	"github.com/flamingobeam/flamingobeam/coord/zone"
+	"github.com/flamingobeam/flamingobeam/kernel"
+)
+
+// Receiver takes the calls of other daemons under the name Zone.
+type Receiver struct{ service *service }
+
+// askCall is a follower's ask on its way to the control goroutine.
+type askCall struct {
+	ask    zone.Ask
+	answer chan AskReply
+}
+
+// heldAsk is an ask that is answered once there is news, or after a while.
+type heldAsk struct {
+	call  askCall
+	timer *kernel.Timer
+}
+
+// Ask answers a follower, at once when there is news for it.
+func (r *Receiver) Ask(args *AskArgs, reply *AskReply) error {
+	call := askCall{ask: args.Ask, answer: make(chan AskReply, 1)}
+	if err := r.service.asks.Post(call); err != nil {
+		return result.Wrap(result.Overloaded, err)
+	}
+	select {
+	case *reply = <-call.answer:
+	case <-r.service.loop.Done():
+	}
+	return nil
+}
+
+func (s *service) onAsk(call askCall) {
+	cs := s.collects
+	if cs == nil {
+		call.answer <- AskReply{}
+		return
+	}
+	if call.ask.Term > cs.decide.Term() {
+		s.log.Infof("%s follows term %d.", call.ask.Member.Host, call.ask.Term)
+		call.answer <- AskReply{}
+		s.stepDown()
+		return
+	}
+	if !cs.decide.Roster().Has(call.ask.Member) {
+		s.join(call.ask.Member)
+		s.hold(call)
+		s.tend()
+		return
+	}
+	reply := cs.decide.Ask(s.now(), call.ask)
+	if s.isNews(call.ask) {
+		s.answer(call, reply)
+	} else {
+		s.hold(call)
+	}
+	s.tend()
+}
+
+// isNews reports whether a follower lacks something, or has not yet echoed a
+// reply of this term.
+func (s *service) isNews(ask zone.Ask) bool {
+	news, ok := s.settings.News()
+	if !ok {
+		return false
+	}
+	return ask.Echo == 0 || ask.Term < s.collects.decide.Term() || ask.Revision < news.Revision || ask.Staged < news.Round
+}
+
+func (s *service) hold(call askCall) {
+	held := &heldAsk{call: call}
+	held.timer = s.loop.After(s.span/holdShare, func() { s.release(held) })
+	s.collects.held = append(s.collects.held, held)
+}
+
+// release answers one ask whose time is up.
+func (s *service) release(held *heldAsk) {
+	cs := s.collects
+	if cs == nil {
+		return
+	}
+	for i, other := range cs.held {
+		if other == held {
+			last := len(cs.held) - 1
+			cs.held[i] = cs.held[last]
+			cs.held = cs.held[:last]
+			break
+		}
+	}
+	s.answer(held.call, cs.decide.Ask(s.now(), held.call.ask))
+}
+
+// releaseAll answers all held asks because there is news.
+func (s *service) releaseAll() {
+	held := s.collects.held
+	s.collects.held = nil
+	for _, waiting := range held {
+		s.loop.Cancel(waiting.timer)
+		s.answer(waiting.call, s.collects.decide.Ask(s.now(), waiting.call.ask))
+	}
+}
+
+// answer sends a reply with what the follower lacks.
+func (s *service) answer(call askCall, reply zone.Reply) {
+	answer := AskReply{Collects: true, Reply: reply}
+	if _, ok := s.settings.News(); ok {
+		carry, err := json.Marshal(s.settings.Carry(call.ask.Revision))
+		if err != nil {
+			s.log.WithError(err).Error("The settings could not be encoded.")
+			answer.Reply.Granted = false
+		}
+		answer.Carry = carry
+	} else {
+		answer.Reply.Granted = false
+	}
+	call.answer <- answer
+}
--- /dev/null
+++ b/daemon/services/zone/zone.go
@@ -0,0 +1,147 @@
+// Package zone is the service "control.zone": a daemon's part in the protocol
+// of its availability zone. Every daemon follows; the one that holds the
+// zone's lease in the store also collects.
+package zone
+
+import (
+	"context"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+
+	"github.com/flamingobeam/flamingobeam/coord/structs"
+	"github.com/flamingobeam/flamingobeam/coord/zone"
+	"github.com/flamingobeam/flamingobeam/daemon/config"
+	"github.com/flamingobeam/flamingobeam/daemon/contract"
+	"github.com/flamingobeam/flamingobeam/kernel"
+)
+
+func init() {
+	kernel.Register(contract.NameZone, func() kernel.Service { return &service{} })
+}
+
+const (
+	askCapacity   = 4096
+	replyCapacity = 64
+	// holdShare and askShare divide the span T of a grant: a collector
+	// without news holds an ask for T/holdShare, and a follower gives an ask
+	// up after T/askShare.
+	holdShare = 3
+	askShare  = 2
+	// retryDelay is the pause of a follower that reached no collector.
+	retryDelay = 200 * time.Millisecond
+	// silentSpans is the count of spans T after which a member that does not
+	// ask is taken off the roster.
+	silentSpans = 10
+	rpcName     = "Zone"
+)
+
+type service struct {
+	kernel.Base
+	config   config.Daemon
+	clock    clockwork.Clock
+	loop     *kernel.Loop
+	workers  *kernel.Workers
+	log      *logrus.Entry
+	clients  contract.Clients
+	peers    contract.Peers
+	settings contract.SettingsControl
+	span     time.Duration
+	ttl      time.Duration
+	started  time.Time
+	self     structs.Incarnation
+	standing *kernel.Snapshot[contract.Standing]
+	calls    *kernel.Calls
+
+	asks     *kernel.Mailbox[askCall]
+	answers  *kernel.Mailbox[kernel.Reply[answer]]
+	found    *kernel.Mailbox[kernel.Reply[finding]]
+	renewed  *kernel.Mailbox[kernel.Reply[renewal]]
+	rostered *kernel.Mailbox[kernel.Reply[rosterWrite]]
+
+	// The fields below belong to the control goroutine.
+	follower *zone.Follower
+	known    record
+	collects *collects
+	stopping bool
+}
+
+var _ contract.Zone = (*service)(nil)
+
+// Provision implements kernel.Service.
+func (s *service) Provision(ctx *kernel.Context) error {
+	var err error
+	if s.config, err = kernel.ConfigOf[config.Daemon](ctx); err != nil {
+		return err
+	}
+	if s.clients, err = kernel.Find[contract.Clients](ctx, contract.NameClients); err != nil {
+		return err
+	}
+	if s.peers, err = kernel.Find[contract.Peers](ctx, contract.NamePeers); err != nil {
+		return err
+	}
+	if s.settings, err = kernel.Find[contract.SettingsControl](ctx, contract.NameSettings); err != nil {
+		return err
+	}
+	server, err := kernel.Find[contract.RPC](ctx, contract.NameRPC)
+	if err != nil {
+		return err
+	}
+	s.clock, s.loop, s.workers, s.log = ctx.Clock(), ctx.Loop(), ctx.Workers(), ctx.Log()
+	s.calls = kernel.NewCalls(s.loop)
+	s.prepare()
+	return server.Register(rpcName, &Receiver{service: s})
+}
+
+// prepare sets up the state before the control loop runs.
+func (s *service) prepare() {
+	s.span = time.Duration(s.config.Lease.Grant)
+	s.ttl = time.Duration(s.config.Lease.Store)
+	s.started = s.clock.Now()
+	s.self = structs.Incarnation{Host: s.config.Host, Start: uint64(s.started.UnixNano())}
+	s.follower = zone.NewFollower(s.self, s.span)
+	s.standing = kernel.NewSnapshot(&contract.Standing{Self: s.self})
+	s.asks = kernel.NewMailbox(s.loop, askCapacity, s.onAsk)
+	s.answers = kernel.NewMailbox(s.loop, replyCapacity, s.onAnswer)
+	s.found = kernel.NewMailbox(s.loop, replyCapacity, s.onFound)
+	s.renewed = kernel.NewMailbox(s.loop, replyCapacity, s.onRenewed)
+	s.rostered = kernel.NewMailbox(s.loop, replyCapacity, s.onRostered)
+	s.settings.OnNews(s.onNews)
+	s.loop.After(0, s.find)
+}
+
+// Standing implements contract.Zone.
+func (s *service) Standing() *kernel.Snapshot[contract.Standing] { return s.standing }
+
+// now reads the clock as the protocol does.
+func (s *service) now() zone.Instant { return s.clock.Since(s.started) }
+
+func (s *service) publish() {
+	standing := &contract.Standing{
+		Self:      s.self,
+		Collector: s.known.Host,
+		Address:   s.known.Address,
+		Term:      s.follower.Term(),
+	}
+	if s.collects != nil {
+		standing.Collects = true
+		standing.Roster = s.collects.decide.Roster()
+	}
+	s.standing.Publish(standing)
+}
+
+// Stop implements kernel.Service: a collector hands its lease back, so that
+// another daemon need not wait for it to lapse.
+func (s *service) Stop(ctx context.Context) error {
+	var held *collects
+	err := s.calls.Do(ctx, func() {
+		s.stopping = true
+		held = s.collects
+		s.stepDown()
+	})
+	if err != nil || held == nil {
+		return err
+	}
+	return s.clients.Platform().Store.Revoke(ctx, held.lease)
+}
--- /dev/null
+++ b/kernel/loop_test.go
@@ -0,0 +1,89 @@
+package kernel
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/shoenig/test/must"
+)
+
+func runLoop(t *testing.T, clock clockwork.Clock) *Loop {
+	t.Helper()
+	loop := NewLoop(clock)
+	ctx, cancel := context.WithCancel(context.Background())
+	go loop.Run(ctx)
+	t.Cleanup(func() {
+		cancel()
+		<-loop.Done()
+	})
+	return loop
+}
+
+func TestLoop_HandlesMessagesOneAtATime(t *testing.T) {
+	loop := runLoop(t, clockwork.NewRealClock())
+	calls := NewCalls(loop)
+	total := 0
+	mailbox := NewMailbox(loop, 1000, func(n int) { total += n })
+	var senders sync.WaitGroup
+	for range 10 {
+		senders.Go(func() {
+			for range 100 {
+				_ = mailbox.Post(1)
+			}
+		})
+	}
+	senders.Wait()
+	seen := 0
+	must.NoError(t, calls.Do(t.Context(), func() { seen = total }))
+	// A call may be handled in the turn that handles the last messages or
+	// before it; a second call comes after both.
+	must.NoError(t, calls.Do(t.Context(), func() { seen = total }))
+	must.Eq(t, 1000, seen)
+}
+
+func TestMailbox_RefusesWhenFullAndCounts(t *testing.T) {
+	loop := NewLoop(clockwork.NewFakeClock())
+	mailbox := NewMailbox(loop, 2, func(int) {})
+	must.NoError(t, mailbox.Post(1))
+	must.NoError(t, mailbox.Post(2))
+	must.ErrorIs(t, mailbox.Post(3), ErrMailboxFull)
+	must.Eq(t, 1, mailbox.Dropped())
+}
+
+func TestLatest_KeepsNewestOfEachKey(t *testing.T) {
+	loop := NewLoop(clockwork.NewFakeClock())
+	got := map[string]int{}
+	latest := NewLatest(loop, 2, func(key string, n int) { got[key] = n })
+	must.NoError(t, latest.Post("a", 1))
+	must.NoError(t, latest.Post("a", 2))
+	must.NoError(t, latest.Post("b", 3))
+	must.ErrorIs(t, latest.Post("c", 4), ErrMailboxFull)
+	must.Eq(t, 2, loop.turn())
+	must.Eq(t, map[string]int{"a": 2, "b": 3}, got)
+}
+
+func TestLoop_TimersFireInOrderAndCancel(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	loop := NewLoop(clock)
+	var fired []string
+	loop.After(2*time.Second, func() { fired = append(fired, "second") })
+	loop.After(time.Second, func() { fired = append(fired, "first") })
+	loop.Cancel(loop.After(time.Second, func() { fired = append(fired, "never") }))
+	must.Eq(t, 0, loop.turn())
+	clock.Advance(3 * time.Second)
+	must.Eq(t, 2, loop.turn())
+	must.Eq(t, []string{"first", "second"}, fired)
+}
+
+func TestSnapshot_WatchTellsOfNewer(t *testing.T) {
+	one, two := 1, 2
+	snapshot := NewSnapshot(&one)
+	value, replaced := snapshot.Watch()
+	must.Eq(t, 1, *value)
+	snapshot.Publish(&two)
+	<-replaced
+	must.Eq(t, 2, *snapshot.Load())
+}
--- /dev/null
+++ b/scripts/check-imports.sh
@@ -0,0 +1,37 @@
+#!/usr/bin/env bash
+# Holds the shape of the code base: coord decides without I/O, encodings or
+# goroutines, the kernel knows nothing of the project, and services find each
+# other by name instead of importing each other.
+set -u
+root=github.com/flamingobeam/flamingobeam
+bad=0
+
+# report TEXT LINES prints lines as a breach when there are any.
+report() {
+  if [ -n "$2" ]; then
+    echo "$1:"
+    echo "$2"
+    bad=1
+  fi
+}
+
+imports() { go list -f '{{$p := .ImportPath}}{{range .Imports}}{{$p}} {{.}}{{"\n"}}{{end}}' "$@" | grep .; }
+
+report "coord must not do I/O, encode messages or start goroutines" \
+  "$(imports ./coord/... | grep -E ' (net|net/.*|os|os/.*|io|io/.*|sync|sync/.*|syscall|encoding/.*|database/.*|.*yaml.*|.*logrus.*|.*sourcegraph/conc.*)$')"
+report "coord must not start goroutines" \
+  "$(grep -rnE '^\s*go (func|[a-z])' coord --include='*.go' | grep -v _test.go)"
+report "coord may import only itself of the project" \
+  "$(imports ./coord/... | grep -E " $root/" | grep -v " $root/coord")"
+report "kernel must import nothing of the project" \
+  "$(imports ./kernel/... | grep -E " $root/" | grep -v " $root/kernel")"
+report "platform may import only coord" \
+  "$(imports ./platform/... | grep -E " $root/" | grep -vE " $root/(coord|platform)")"
+report "services must find each other by name" \
+  "$(imports ./daemon/services/... | grep -E "^$root/daemon/services/([^/ ]+)[^ ]* $root/daemon/services/" |
+     awk -v p="$root/daemon/services/" '{ a=$1; b=$2; sub(p,"",a); sub(p,"",b); sub("/.*","",a); sub("/.*","",b); if (a!=b) print }')"
+report "the daemon must not import the stand-ins" \
+  "$(imports ./daemon/... ./cmd/flamingobeamd/... | grep -E " $root/emulate")"
+report "no thread may poll by sleeping" \
+  "$(grep -rn 'time\.Sleep' --include='*.go' . | grep -v _test.go)"
+exit $bad
--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,3 @@
+#!/usr/bin/env bash
+echo "not yet" >&2
+exit 1
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,70 @@
+#!/usr/bin/env bash
+# Runs every check and test. The last line counts them: "N passed, N failed".
+# Entries of KNOWN-RED.txt are printed and do not count as failures.
+set -u
+cd "$(dirname "$0")/.."
+export GOFLAGS="${GOFLAGS:-} -buildvcs=false"
+staticcheck_version=v0.8.2
+out=out/test
+mkdir -p "$out"
+passed=0
+failed=0
+
+# check NAME COMMAND... runs one check and counts it.
+check() {
+  local name=$1
+  shift
+  if "$@" >"$out/$name.log" 2>&1; then
+    passed=$((passed + 1))
+    echo "ok      $name"
+  else
+    failed=$((failed + 1))
+    echo "FAILED  $name"
+    tail -n 60 "$out/$name.log"
+  fi
+}
+
+formatted() {
+  local bad
+  bad=$(git ls-files '*.go' | xargs -r gofmt -l)
+  [ -z "$bad" ] || { echo "$bad"; return 1; }
+}
+
+lint() {
+  local bin=$PWD/bin/staticcheck-$staticcheck_version
+  if [ ! -x "$bin" ]; then
+    mkdir -p bin
+    GOBIN=$PWD/bin GOWORK=off go install "honnef.co/go/tools/cmd/staticcheck@$staticcheck_version" || return 1
+    mv bin/staticcheck "$bin"
+  fi
+  go list -f '{{.ImportPath}}' work | xargs "$bin"
+}
+
+check format formatted
+check vet go vet work
+check staticcheck lint
+check imports bash scripts/check-imports.sh
+if [ -f scripts/check-models.sh ]; then
+  # shellcheck source=/dev/null
+  source scripts/check-models.sh
+fi
+
+known=$(sed -n 's/^test: *//p' KNOWN-RED.txt 2>/dev/null | paste -sd'|' -)
+go test -json ${known:+-skip "^($known)\$"} work >"$out/go-test.json" 2>"$out/go-test.err"
+status=$?
+tests_passed=$(grep -c '"Action":"pass".*"Test":' "$out/go-test.json")
+tests_failed=$(grep -c '"Action":"fail".*"Test":' "$out/go-test.json")
+passed=$((passed + tests_passed))
+failed=$((failed + tests_failed))
+if [ "$status" -ne 0 ]; then
+  [ "$tests_failed" -gt 0 ] || failed=$((failed + 1))
+  sed -n 's/.*"Action":"output".*"Output":"\(.*\)"}$/\1/p' "$out/go-test.json" |
+    sed 's/\\n$//; s/\\t/\t/g; s/\\"/"/g' | grep -v -e '^=== ' -e '^--- PASS' -e '^ok ' -e '^PASS' -e 'no test files' | tail -n 80
+  cat "$out/go-test.err"
+fi
+if [ -s KNOWN-RED.txt ]; then
+  echo "Known to fail:"
+  cat KNOWN-RED.txt
+fi
+echo "$passed passed, $failed failed"
+[ "$failed" -eq 0 ]
