Decide a change of the settings as soon as its zones have acknowledged it

Cause: a change took 0.5 to 1.3 s although every daemon hears of it at once.

Ruled out: the store (0.2 ms a call here) and the followers, whose asks are answered at once.

The HTTP front end is cut into endpoints at the same time, one file for each group of paths.

--- a/daemon/contract/http.go
+++ b/daemon/contract/http.go
@@ -5,6 +5,27 @@
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 )
 
+// The paths of the callers' and trainers' HTTP interface.
+const (
+	// PathService takes look-ups by GET and submissions by POST; what follows
+	// is the path on the plain service.
+	PathService = "/v1/workspaces/:workspace/service/*path"
+	// PathRollouts takes a RolloutRequest and answers with a RolloutReply.
+	PathRollouts = "/v1/workspaces/:workspace/rollouts"
+	// PathDrafts takes a RolloutRequest and answers with a structs.Sample.
+	PathDrafts = "/v1/workspaces/:workspace/drafts"
+	// PathSteps takes a StepBody and answers with a StepReply.
+	PathSteps = "/v1/workspaces/:workspace/steps/:step"
+	// PathMetrics answers with the daemon's metrics.
+	PathMetrics = "/metrics"
+)
+
+// StepBody is the body of a trainer's request for a step.
+type StepBody struct {
+	// Holds is the weight version that the trainer holds.
+	Holds structs.WeightVersion `json:"holds"`
+}
+
 // The paths of the operators' HTTP interface.
 const (
 	PathStatus   = "/v1/operator/status"
--- a/daemon/services/front/front.go
+++ b/daemon/services/front/front.go
@@ -10,7 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/jonboulle/clockwork"
 	"github.com/julienschmidt/httprouter"
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
@@ -30,18 +29,22 @@
 	idleTimeout       = time.Minute
 )
 
+// endpoint is a group of paths that stands before some of the services.
+type endpoint interface {
+	// provision finds the services by name.
+	provision(ctx *kernel.Context) error
+	// routes adds the paths.
+	routes(router *httprouter.Router)
+}
+
 type service struct {
 	kernel.Base
-	config   config.Daemon
-	log      *logrus.Entry
-	plain    contract.Plain
-	settings contract.Settings
-	operator contract.Operator
-	zone     contract.Zone
-	clock    clockwork.Clock
-	server   *http.Server
-	group    conc.WaitGroup
-	leaving  atomic.Bool
+	config    config.Daemon
+	log       *logrus.Entry
+	endpoints []endpoint
+	server    *http.Server
+	group     conc.WaitGroup
+	leaving   atomic.Bool
 }
 
 // Provision implements kernel.Service.
@@ -50,19 +53,16 @@
 	if s.config, err = kernel.ConfigOf[config.Daemon](ctx); err != nil {
 		return err
 	}
-	if s.plain, err = kernel.Find[contract.Plain](ctx, contract.NamePlain); err != nil {
-		return err
+	s.log = ctx.Log()
+	s.endpoints = []endpoint{
+		&lookups{},
+		&operators{},
 	}
-	if s.settings, err = kernel.Find[contract.Settings](ctx, contract.NameSettings); err != nil {
-		return err
+	for _, each := range s.endpoints {
+		if err := each.provision(ctx); err != nil {
+			return err
+		}
 	}
-	if s.operator, err = kernel.Find[contract.Operator](ctx, contract.NameSettings); err != nil {
-		return err
-	}
-	if s.zone, err = kernel.Find[contract.Zone](ctx, contract.NameZone); err != nil {
-		return err
-	}
-	s.log, s.clock = ctx.Log(), ctx.Clock()
 	return nil
 }
 
@@ -97,11 +97,9 @@
 	router.MethodNotAllowed = refuse(result.MethodNotAllowed)
 	router.GET("/healthz/live", s.live)
 	router.GET("/healthz/ready", s.ready)
-	router.GET("/v1/workspaces/:workspace/service/*path", s.lookup)
-	router.GET(contract.PathStatus, s.status)
-	router.POST(contract.PathDocument, s.create)
-	router.POST(contract.PathChanges, s.apply)
-	router.POST(contract.PathZones, s.suspend)
+	for _, each := range s.endpoints {
+		each.routes(router)
+	}
 	return router
 }
 
--- a/daemon/services/front/callers.go
+++ b/daemon/services/front/lookups.go
@@ -8,18 +8,32 @@
 	"github.com/flamingobeam/flamingobeam/coord/result"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
+	"github.com/flamingobeam/flamingobeam/kernel"
 )
 
 // queryClass names the class of a request; look-ups are the default.
 const queryClass = "class"
 
-func (s *service) lookup(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
+// lookups stands before the look-ups on plain services.
+type lookups struct{ plain contract.Plain }
+
+func (l *lookups) provision(ctx *kernel.Context) error {
+	var err error
+	l.plain, err = kernel.Find[contract.Plain](ctx, contract.NamePlain)
+	return err
+}
+
+func (l *lookups) routes(router *httprouter.Router) {
+	router.GET(contract.PathService, l.lookup)
+}
+
+func (l *lookups) lookup(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
 	class, err := classOf(r, structs.ClassLookup)
 	if err != nil {
 		writeError(w, err)
 		return
 	}
-	answer, err := s.plain.Lookup(r.Context(), contract.LookupRequest{
+	answer, err := l.plain.Lookup(r.Context(), contract.LookupRequest{
 		Workspace: structs.WorkspaceName(params.ByName("workspace")),
 		Class:     class,
 		Path:      params.ByName("path"),
--- a/daemon/services/front/operators.go
+++ b/daemon/services/front/operators.go
@@ -4,26 +4,61 @@
 	"net/http"
 	"slices"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/julienschmidt/httprouter"
 
 	"github.com/flamingobeam/flamingobeam/coord/result"
 	"github.com/flamingobeam/flamingobeam/coord/settings"
+	"github.com/flamingobeam/flamingobeam/daemon/config"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
+	"github.com/flamingobeam/flamingobeam/kernel"
 )
 
 // queryDocument asks for the whole document with the status.
 const queryDocument = "document"
 
-func (s *service) status(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-	view, standing := s.settings.View().Load(), s.zone.Standing().Load()
+// operators stands before the settings and the daemon's standing.
+type operators struct {
+	config   config.Daemon
+	clock    clockwork.Clock
+	settings contract.Settings
+	operator contract.Operator
+	zone     contract.Zone
+}
+
+func (o *operators) provision(ctx *kernel.Context) error {
+	var err error
+	if o.config, err = kernel.ConfigOf[config.Daemon](ctx); err != nil {
+		return err
+	}
+	if o.settings, err = kernel.Find[contract.Settings](ctx, contract.NameSettings); err != nil {
+		return err
+	}
+	if o.operator, err = kernel.Find[contract.Operator](ctx, contract.NameSettings); err != nil {
+		return err
+	}
+	o.zone, err = kernel.Find[contract.Zone](ctx, contract.NameZone)
+	o.clock = ctx.Clock()
+	return err
+}
+
+func (o *operators) routes(router *httprouter.Router) {
+	router.GET(contract.PathStatus, o.status)
+	router.POST(contract.PathDocument, o.create)
+	router.POST(contract.PathChanges, o.apply)
+	router.POST(contract.PathZones, o.suspend)
+}
+
+func (o *operators) status(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	view, standing := o.settings.View().Load(), o.zone.Standing().Load()
 	status := contract.Status{
-		Host:      s.config.Host,
-		Place:     s.config.Place,
+		Host:      o.config.Host,
+		Place:     o.config.Place,
 		Revision:  view.Revision,
 		Collector: standing.Collector,
 		Term:      standing.Term,
 		Collects:  standing.Collects,
-		Granted:   s.clock.Now().Before(view.GrantEnds),
+		Granted:   o.clock.Now().Before(view.GrantEnds),
 	}
 	for workspace := range view.InDoubt {
 		status.InDoubt = append(status.InDoubt, string(workspace))
@@ -38,24 +73,24 @@
 	writeOK(w, status)
 }
 
-func (s *service) create(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+func (o *operators) create(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	var document settings.Document
-	if !s.decode(w, r, &document) {
+	if !decode(w, r, o.config.Limits.MaxBody, &document) {
 		return
 	}
-	if err := s.operator.Create(r.Context(), &document); err != nil {
+	if err := o.operator.Create(r.Context(), &document); err != nil {
 		writeError(w, err)
 		return
 	}
 	writeOK(w, struct{}{})
 }
 
-func (s *service) apply(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+func (o *operators) apply(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	var change settings.Change
-	if !s.decode(w, r, &change) {
+	if !decode(w, r, o.config.Limits.MaxBody, &change) {
 		return
 	}
-	outcome, err := s.operator.Apply(r.Context(), change)
+	outcome, err := o.operator.Apply(r.Context(), change)
 	if err != nil {
 		writeError(w, err)
 		return
@@ -63,32 +98,18 @@
 	writeOK(w, outcome)
 }
 
-func (s *service) suspend(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+func (o *operators) suspend(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	var suspension contract.Suspension
-	if !s.decode(w, r, &suspension) {
+	if !decode(w, r, o.config.Limits.MaxBody, &suspension) {
 		return
 	}
-	if err := s.operator.Suspend(r.Context(), suspension.Zone, suspension.Stopped); err != nil {
+	if err := o.operator.Suspend(r.Context(), suspension.Zone, suspension.Stopped); err != nil {
 		writeError(w, err)
 		return
 	}
 	writeOK(w, suspension)
 }
 
-// decode reads a JSON body strictly; it answers and reports false when it
-// cannot.
-func (s *service) decode(w http.ResponseWriter, r *http.Request, into any) bool {
-	body, ok := s.body(w, r)
-	if !ok {
-		return false
-	}
-	if err := decodeStrict(body, into); err != nil {
-		writeError(w, result.Wrap(result.BadRequest, err))
-		return false
-	}
-	return true
-}
-
 func writeOK(w http.ResponseWriter, body any) {
 	entry, _ := result.Lookup(result.OK)
 	writeJSON(w, entry, body)
--- a/daemon/services/front/read.go
+++ b/daemon/services/front/read.go
@@ -11,10 +11,10 @@
 	"github.com/flamingobeam/flamingobeam/coord/result"
 )
 
-// body reads a request's whole body within the limit; it answers and reports
-// false when it cannot.
-func (s *service) body(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.config.Limits.MaxBody))
+// readBody reads a request's whole body within a limit in bytes; it answers
+// and reports false when it cannot.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, bool) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
@@ -40,3 +40,17 @@
 	}
 	return nil
 }
+
+// decode reads a JSON body strictly, within a limit in bytes; it answers and
+// reports false when it cannot.
+func decode(w http.ResponseWriter, r *http.Request, limit int64, into any) bool {
+	body, ok := readBody(w, r, limit)
+	if !ok {
+		return false
+	}
+	if err := decodeStrict(body, into); err != nil {
+		writeError(w, result.Wrap(result.BadRequest, err))
+		return false
+	}
+	return true
+}
--- a/daemon/services/settings/lead.go
+++ b/daemon/services/settings/lead.go
@@ -323,6 +323,9 @@
 	}
 	ld.writing = false
 	if reply.Err == nil {
+		// The watch may have shown the outcome before this reply came.
+		s.decide()
+		s.onNews()
 		return
 	}
 	s.log.WithError(reply.Err).Debugf("The write to %s did not succeed.", reply.Value.what)
--- a/daemon/services/zone/collect.go
+++ b/daemon/services/zone/collect.go
@@ -160,10 +160,9 @@
 	if s.collects == nil {
 		return
 	}
-	asked, term := s.now(), s.collects.decide.Term()
+	term := s.collects.decide.Term()
 	s.learn()
-	ask := s.follower.Ask()
-	s.accept(asked, s.collects.decide.Ask(asked, ask))
+	s.renewSelf()
 	if !s.collects.decide.Roster().Has(s.self) {
 		s.join(s.self)
 	}
@@ -175,6 +174,14 @@
 	})
 }
 
+// renewSelf asks twice: once for what is new, and once to tell the rules that
+// it is staged here.
+func (s *service) renewSelf() {
+	asked := s.now()
+	s.accept(asked, s.collects.decide.Ask(asked, s.follower.Ask()))
+	s.accept(asked, s.collects.decide.Ask(asked, s.follower.Ask()))
+}
+
 // learn tells the rules what the settings are.
 func (s *service) learn() {
 	if news, ok := s.settings.News(); ok {
@@ -188,8 +195,7 @@
 		return
 	}
 	s.learn()
-	asked := s.now()
-	s.accept(asked, s.collects.decide.Ask(asked, s.follower.Ask()))
+	s.renewSelf()
 	s.releaseAll()
 	s.tend()
 }
