--- /dev/null
+++ b/emulate/load/records.go
@@ -0,0 +1,71 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"github.com/flamingobeam/flamingobeam/coord/result"
+	"github.com/flamingobeam/flamingobeam/emulate/service"
+	"github.com/flamingobeam/flamingobeam/emulate/store"
+)
+
+// readRecords adds to the totals what the stand-ins recorded.
+func (r *runner) readRecords(ctx context.Context, totals *Totals) error {
+	runs := make(map[string]int)
+	for _, address := range r.experiment.Services {
+		var list []service.Run
+		if err := r.read(ctx, http.MethodGet, address, service.PathRuns, &list); err != nil {
+			return err
+		}
+		for _, run := range list {
+			runs[run.Key]++
+		}
+	}
+	r.compareRuns(runs, totals)
+	if r.experiment.Store != "" {
+		var counts store.Counts
+		if err := r.read(ctx, http.MethodPost, r.experiment.Store, store.PathCounts, &counts); err != nil {
+			return err
+		}
+		totals.StoreWrites, totals.StoreReads = int64(counts.Writes), int64(counts.Reads)
+	}
+	return nil
+}
+
+// compareRuns holds what callers were told against what ran.
+func (r *runner) compareRuns(runs map[string]int, totals *Totals) {
+	for _, count := range runs {
+		if count > 1 {
+			totals.DoubledRuns++
+		}
+	}
+	for key, told := range r.tally.submissions {
+		ran := runs[key] > 0
+		if told.outcome == result.Answered && !ran {
+			totals.LostAnswers++
+		}
+		if told.outcome == result.NotRun && ran {
+			totals.WrongAnswers++
+		}
+	}
+}
+
+func (r *runner) read(ctx context.Context, method, address, path string, into any) error {
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader([]byte("{}")))
+	if err != nil {
+		return errors.Wrap(err, "record")
+	}
+	response, err := r.balancer.client.Do(request)
+	if err != nil {
+		return errors.Wrap(err, "record")
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return errors.Errorf("record of %s: status %d", address, response.StatusCode)
+	}
+	return errors.Wrap(json.NewDecoder(response.Body).Decode(into), "record")
+}
