Add mutual TLS, tokens and checks of the settings file

Cause: until now any process on the host could give orders to a daemon. With certificates in the settings file daemons talk over mutual TLS 1.3, callers over TLS, and operators show a certificate and a token. Tokens are kept as hashes and may expire. Without certificates a daemon refuses to listen on anything but loopback.

Ruled out: host names in certificates, because the hosts talk by IP numbers; one listener for both roles, because callers have no certificate.

--- a/cmd/flamingobeam/client.go
+++ b/cmd/flamingobeam/client.go
@@ -3,12 +3,16 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 
 	"github.com/flamingobeam/flamingobeam/coord/result"
@@ -19,21 +23,77 @@
 
 // client calls a daemon's HTTP interface.
 type client struct {
-	base string
-	http *http.Client
+	base  string
+	token string
+	http  *http.Client
 }
 
-func daemonFlag() cli.Flag {
-	return &cli.StringFlag{
-		Name:     "daemon",
-		Usage:    "`ADDRESS` of a daemon, an IP number and port",
-		Sources:  cli.EnvVars("FLAMINGOBEAM_DAEMON"),
-		Required: true,
+// daemonFlags name the daemon to call and what to show it.
+func daemonFlags(more ...cli.Flag) []cli.Flag {
+	return append([]cli.Flag{
+		&cli.StringFlag{
+			Name:     flagDaemon,
+			Usage:    "`ADDRESS` of a daemon, an IP number and port",
+			Sources:  cli.EnvVars("FLAMINGOBEAM_DAEMON"),
+			Required: true,
+		},
+		&cli.StringFlag{Name: flagToken, Usage: "operator's `TOKEN`", Sources: cli.EnvVars("FLAMINGOBEAM_TOKEN")},
+		&cli.StringFlag{Name: flagAuthority, Usage: "PEM `FILE` of the authority; turns TLS on", Sources: cli.EnvVars("FLAMINGOBEAM_AUTHORITY")},
+		&cli.StringFlag{Name: flagCertificate, Usage: "PEM `FILE` of the operator's certificate", Sources: cli.EnvVars("FLAMINGOBEAM_CERTIFICATE")},
+		&cli.StringFlag{Name: flagKey, Usage: "PEM `FILE` of the operator's key", Sources: cli.EnvVars("FLAMINGOBEAM_KEY")},
+	}, more...)
+}
+
+const (
+	flagDaemon      = "daemon"
+	flagToken       = "token"
+	flagAuthority   = "authority"
+	flagCertificate = "certificate"
+	flagKey         = "key"
+)
+
+func clientOf(command *cli.Command) (*client, error) {
+	c := &client{
+		base:  "http://" + command.String(flagDaemon),
+		token: command.String(flagToken),
+		http:  &http.Client{Timeout: callTimeout},
+	}
+	if command.String(flagAuthority) == "" {
+		return c, nil
+	}
+	settings, err := tlsOf(command)
+	if err != nil {
+		return nil, result.Wrap(result.TLSInvalid, err)
+	}
+	c.base = "https://" + command.String(flagDaemon)
+	c.http.Transport = &http.Transport{TLSClientConfig: settings}
+	return c, nil
+}
+
+func tlsOf(command *cli.Command) (*tls.Config, error) {
+	authority, err := os.ReadFile(command.String(flagAuthority))
+	if err != nil {
+		return nil, err
+	}
+	settings := &tls.Config{MinVersion: tls.VersionTLS13, RootCAs: x509.NewCertPool()}
+	if !settings.RootCAs.AppendCertsFromPEM(authority) {
+		return nil, errors.Errorf("%s holds no certificate", command.String(flagAuthority))
+	}
+	if command.String(flagCertificate) == "" {
+		return settings, nil
 	}
+	certificate, err := tls.LoadX509KeyPair(command.String(flagCertificate), command.String(flagKey))
+	settings.Certificates = []tls.Certificate{certificate}
+	return settings, err
 }
 
-func clientOf(command *cli.Command) *client {
-	return &client{base: "http://" + command.String("daemon"), http: &http.Client{Timeout: callTimeout}}
+// callDaemon calls the daemon that the flags name.
+func callDaemon(ctx context.Context, command *cli.Command, method, path string, message, answer any) error {
+	c, err := clientOf(command)
+	if err != nil {
+		return err
+	}
+	return c.call(ctx, method, path, message, answer)
 }
 
 // call sends a message and decodes the answer. A refusal becomes an error
@@ -48,6 +108,9 @@
 	if err != nil {
 		return result.Wrap(result.BadRequest, err)
 	}
+	if c.token != "" {
+		request.Header.Set("Authorization", "Bearer "+c.token)
+	}
 	response, err := c.http.Do(request)
 	if err != nil {
 		return unanswered(method, err)
--- a/cmd/flamingobeam/operate.go
+++ b/cmd/flamingobeam/operate.go
@@ -62,7 +62,7 @@
 		Usage:     "write the first document of zones, templates and workspaces",
 		UsageText: "flamingobeam create --daemon 127.0.0.1:8101 examples/akuaba/document.yaml",
 		ArgsUsage: "FILE",
-		Flags:     []cli.Flag{daemonFlag()},
+		Flags:     daemonFlags(),
 		Action: func(ctx context.Context, command *cli.Command) error {
 			source, err := readArgument(command)
 			if err != nil {
@@ -72,7 +72,7 @@
 			if err != nil {
 				return err
 			}
-			return clientOf(command).call(ctx, http.MethodPost, contract.PathDocument, document, &struct{}{})
+			return callDaemon(ctx, command, http.MethodPost, contract.PathDocument, document, &struct{}{})
 		},
 	}
 }
@@ -84,13 +84,12 @@
 		UsageText: "flamingobeam apply --daemon 127.0.0.1:8101 --workspace assessor group_size=8\n" +
 			"flamingobeam apply --daemon 127.0.0.1:8101 --id 7f3c --template scoring 'lookup_due=300ms'",
 		ArgsUsage: "PARAMETER=VALUE ...",
-		Flags: []cli.Flag{
-			daemonFlag(),
+		Flags: daemonFlags(
 			outputFlag(),
 			&cli.StringFlag{Name: "workspace", Usage: "the workspace to change"},
 			&cli.StringFlag{Name: "template", Usage: "the template to change"},
 			&cli.StringFlag{Name: "id", Usage: "change `ID`; give the same one to learn what became of a change"},
-		},
+		),
 		Action: apply,
 	}
 }
@@ -101,7 +100,7 @@
 		return err
 	}
 	var outcome contract.ChangeOutcome
-	if err := clientOf(command).call(ctx, http.MethodPost, contract.PathChanges, change, &outcome); err != nil {
+	if err := callDaemon(ctx, command, http.MethodPost, contract.PathChanges, change, &outcome); err != nil {
 		return err
 	}
 	return show(command, outcome, fmt.Sprintf("Change %s is in force everywhere as revision %d, after %.2f s.",
@@ -143,10 +142,10 @@
 		Name:      "status",
 		Usage:     "show a daemon's control state",
 		UsageText: "flamingobeam status --daemon 127.0.0.1:8101 --output json",
-		Flags:     []cli.Flag{daemonFlag(), outputFlag()},
+		Flags:     daemonFlags(outputFlag()),
 		Action: func(ctx context.Context, command *cli.Command) error {
 			var status contract.Status
-			if err := clientOf(command).call(ctx, http.MethodGet, contract.PathStatus, nil, &status); err != nil {
+			if err := callDaemon(ctx, command, http.MethodGet, contract.PathStatus, nil, &status); err != nil {
 				return err
 			}
 			return show(command, status, statusText(status))
@@ -177,10 +176,7 @@
 		Usage:     "declare that the hosts of an availability zone are stopped",
 		UsageText: "flamingobeam suspend --daemon 127.0.0.1:8101 volta-a\nflamingobeam suspend --daemon 127.0.0.1:8101 --end volta-a",
 		ArgsUsage: "ZONE",
-		Flags: []cli.Flag{
-			daemonFlag(),
-			&cli.BoolFlag{Name: "end", Usage: "the zone's hosts run again"},
-		},
+		Flags:     daemonFlags(&cli.BoolFlag{Name: "end", Usage: "the zone's hosts run again"}),
 		Action: func(ctx context.Context, command *cli.Command) error {
 			if command.Args().Len() != 1 {
 				return result.New(result.BadRequest, "name one availability zone")
@@ -189,7 +185,7 @@
 				Zone:    structs.ZoneName(command.Args().First()),
 				Stopped: !command.Bool("end"),
 			}
-			return clientOf(command).call(ctx, http.MethodPost, contract.PathZones, suspension, &contract.Suspension{})
+			return callDaemon(ctx, command, http.MethodPost, contract.PathZones, suspension, &contract.Suspension{})
 		},
 	}
 }
--- a/daemon/config/config.go
+++ b/daemon/config/config.go
@@ -30,6 +30,7 @@
 	Log        Log    `yaml:"log"`
 	Limits     Limits `yaml:"limits"`
 	Lease      Lease  `yaml:"lease"`
+	Trust      Trust  `yaml:"trust"`
 }
 
 // Listen holds the addresses that a daemon listens on.
@@ -40,6 +41,39 @@
 	Peers string `yaml:"peers" validate:"hostport"`
 }
 
+// Trust says whom the daemon believes. Without certificates it may listen on
+// loopback only.
+type Trust struct {
+	// Certificate, Key and Authority are PEM files: the daemon's certificate
+	// with its IP number, its key, and the authority that signs all of them.
+	Certificate string `yaml:"certificate" validate:"required_with=Key Authority"`
+	Key         string `yaml:"key" validate:"required_with=Certificate Authority"`
+	Authority   string `yaml:"authority" validate:"required_with=Certificate Key"`
+	// Tokens are those that operators and trainers show. A role without any
+	// is open to every caller that TLS lets in.
+	Tokens []Token `yaml:"tokens" validate:"unique=SHA256,dive"`
+}
+
+// Role says what the bearer of a token may do.
+type Role string
+
+// The roles.
+const (
+	// RoleOperator may change settings and see the daemons' state.
+	RoleOperator Role = "operator"
+	// RoleTrainer may take steps.
+	RoleTrainer Role = "trainer"
+)
+
+// Token is a secret that is kept as its hash.
+type Token struct {
+	Role Role `yaml:"role" validate:"oneof=operator trainer"`
+	// SHA256 is the hash of the token in hexadecimal.
+	SHA256 string `yaml:"sha256" validate:"len=64,hexadecimal"`
+	// Expires is when the token is refused; the zero time means never.
+	Expires time.Time `yaml:"expires"`
+}
+
 // Log says what is logged and how.
 type Log struct {
 	Level  string `yaml:"level" validate:"oneof=debug info warning error"`
--- a/daemon/contract/contract.go
+++ b/daemon/contract/contract.go
@@ -4,12 +4,14 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"time"
 
 	"github.com/flamingobeam/flamingobeam/coord/change"
 	"github.com/flamingobeam/flamingobeam/coord/settings"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/coord/zone"
+	"github.com/flamingobeam/flamingobeam/daemon/config"
 	"github.com/flamingobeam/flamingobeam/kernel"
 	"github.com/flamingobeam/flamingobeam/platform"
 )
@@ -18,6 +20,8 @@
 const (
 	// NameClients offers Clients.
 	NameClients kernel.Name = "platform.clients"
+	// NameTrust offers Trust.
+	NameTrust kernel.Name = "platform.trust"
 	// NameHosts offers Hosts.
 	NameHosts kernel.Name = "control.hosts"
 	// NameSettings offers Settings and Operator.
@@ -52,6 +56,19 @@
 	Platform() platform.Clients
 }
 
+// Trust gives what a daemon needs to know whom it talks to. All methods may be
+// called from any goroutine.
+type Trust interface {
+	// PeerServer and PeerClient are the mutual TLS between daemons, and
+	// CallerServer the TLS towards callers; nil without certificates.
+	PeerServer() *tls.Config
+	PeerClient() *tls.Config
+	CallerServer() *tls.Config
+	// Allow checks a token for a role at a time and fails with code
+	// Unauthorized.
+	Allow(role config.Role, token string, now time.Time) error
+}
+
 // HostView is the immutable snapshot of the host list and of what this daemon
 // has itself seen of the hosts.
 type HostView struct {
--- a/daemon/services/front/front.go
+++ b/daemon/services/front/front.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -41,6 +42,7 @@
 	kernel.Base
 	config    config.Daemon
 	log       *logrus.Entry
+	trust     contract.Trust
 	endpoints []endpoint
 	server    *http.Server
 	group     conc.WaitGroup
@@ -53,6 +55,9 @@
 	if s.config, err = kernel.ConfigOf[config.Daemon](ctx); err != nil {
 		return err
 	}
+	if s.trust, err = kernel.Find[contract.Trust](ctx, contract.NameTrust); err != nil {
+		return err
+	}
 	s.log = ctx.Log()
 	s.endpoints = []endpoint{
 		&lookups{},
@@ -72,6 +77,9 @@
 	if err != nil {
 		return result.Wrap(result.AddressTaken, err)
 	}
+	if settings := s.trust.CallerServer(); settings != nil {
+		listener = tls.NewListener(listener, settings)
+	}
 	s.server = &http.Server{
 		Handler:           s.routes(),
 		ReadHeaderTimeout: readHeaderTimeout,
--- a/daemon/services/front/operators.go
+++ b/daemon/services/front/operators.go
@@ -24,6 +24,7 @@
 	settings contract.Settings
 	operator contract.Operator
 	zone     contract.Zone
+	guard    guard
 }
 
 func (o *operators) provision(ctx *kernel.Context) error {
@@ -37,16 +38,18 @@
 	if o.operator, err = kernel.Find[contract.Operator](ctx, contract.NameSettings); err != nil {
 		return err
 	}
-	o.zone, err = kernel.Find[contract.Zone](ctx, contract.NameZone)
+	if o.zone, err = kernel.Find[contract.Zone](ctx, contract.NameZone); err != nil {
+		return err
+	}
 	o.clock = ctx.Clock()
-	return err
+	return o.guard.provision(ctx)
 }
 
 func (o *operators) routes(router *httprouter.Router) {
-	router.GET(contract.PathStatus, o.status)
-	router.POST(contract.PathDocument, o.create)
-	router.POST(contract.PathChanges, o.apply)
-	router.POST(contract.PathZones, o.suspend)
+	router.GET(contract.PathStatus, o.guard.only(config.RoleOperator, o.status))
+	router.POST(contract.PathDocument, o.guard.only(config.RoleOperator, o.create))
+	router.POST(contract.PathChanges, o.guard.only(config.RoleOperator, o.apply))
+	router.POST(contract.PathZones, o.guard.only(config.RoleOperator, o.suspend))
 }
 
 func (o *operators) status(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
--- a/daemon/services/peers/peers.go
+++ b/daemon/services/peers/peers.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/rpc"
 	"sync"
@@ -18,18 +19,15 @@
 
 func init() {
 	kernel.Register(contract.NamePeers, func() kernel.Service {
-		return &service{clients: make(map[string]*rpc.Client), dial: net.DialTimeout}
+		return &service{clients: make(map[string]*rpc.Client)}
 	})
 }
 
 const dialTimeout = 500 * time.Millisecond
 
-// dialFunc opens a connection within a time.
-type dialFunc func(network, address string, timeout time.Duration) (net.Conn, error)
-
 type service struct {
 	kernel.Base
-	dial dialFunc
+	trust contract.Trust
 
 	mu      sync.Mutex
 	clients map[string]*rpc.Client
@@ -37,6 +35,22 @@
 
 var _ contract.Peers = (*service)(nil)
 
+// Provision implements kernel.Service.
+func (s *service) Provision(ctx *kernel.Context) error {
+	var err error
+	s.trust, err = kernel.Find[contract.Trust](ctx, contract.NameTrust)
+	return err
+}
+
+// dial opens a connection, with mutual TLS when there are certificates.
+func (s *service) dial(address string) (net.Conn, error) {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	if settings := s.trust.PeerClient(); settings != nil {
+		return tls.DialWithDialer(dialer, "tcp", address, settings)
+	}
+	return dialer.Dial("tcp", address)
+}
+
 // Call implements contract.Peers.
 func (s *service) Call(ctx context.Context, address, method string, args, reply any) error {
 	client, err := s.client(address)
@@ -77,7 +91,7 @@
 	if ok {
 		return client, nil
 	}
-	conn, err := s.dial("tcp", address, dialTimeout)
+	conn, err := s.dial(address)
 	if err != nil {
 		return nil, err
 	}
--- a/daemon/services/rpcserver/rpcserver.go
+++ b/daemon/services/rpcserver/rpcserver.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/rpc"
 	"sync"
@@ -27,6 +28,7 @@
 	kernel.Base
 	server   *rpc.Server
 	address  string
+	trust    contract.Trust
 	listener net.Listener
 	log      *logrus.Entry
 	group    conc.WaitGroup
@@ -43,6 +45,9 @@
 	if err != nil {
 		return err
 	}
+	if s.trust, err = kernel.Find[contract.Trust](ctx, contract.NameTrust); err != nil {
+		return err
+	}
 	s.address = daemon.Listen.Peers
 	s.log = ctx.Log()
 	return nil
@@ -59,6 +64,9 @@
 	if err != nil {
 		return result.Wrap(result.AddressTaken, err)
 	}
+	if settings := s.trust.PeerServer(); settings != nil {
+		listener = tls.NewListener(listener, settings)
+	}
 	s.listener = listener
 	s.log.Infof("Listening for daemons on %s.", listener.Addr())
 	s.group.Go(s.accept)
