--- /dev/null
+++ b/coord/result/page_test.go
@@ -0,0 +1,55 @@
+package result
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+var update = flag.Bool("update", false, "write the page of result codes anew")
+
+const pageHead = `# Result codes
+
+Every refusal and failure has a number, a name, one of three outcomes and a
+sentence. "answered" means that the whole answer was given. "not run" means
+that no byte of the request left for a backend server; the same request may be
+sent again. "unknown outcome" means that the request may have run; a submission
+is sent again with the same Idempotency-Key, a change with the same change id.
+
+Codes from 1000 are successes, from 2000 refusals because of the request, from
+3000 refusals because of the system's state, from 4000 unknown outcomes, from
+5000 those of changes of the settings, from 6000 those of a process.
+
+Over HTTP the code stands in the header Flamingobeam-Code, the outcome in
+Flamingobeam-Outcome, and a refusal's body is JSON with the fields code, name,
+outcome and message.
+
+| code | name | outcome | HTTP status | sentence |
+|---|---|---|---|---|
+`
+
+func page() string {
+	var text strings.Builder
+	text.WriteString(pageHead)
+	for _, e := range Table() {
+		fmt.Fprintf(&text, "| %d | %s | %s | %d | %s |\n", e.Code, e.Name, e.Outcome, e.Status, e.Sentence)
+	}
+	return text.String()
+}
+
+// TestPage_EqualsTheTable fails when docs/RESULT-CODES.md and the table
+// differ; "go test ./coord/result -update" writes the page.
+func TestPage_EqualsTheTable(t *testing.T) {
+	path := filepath.Join("..", "..", "docs", "RESULT-CODES.md")
+	if *update {
+		must.NoError(t, os.WriteFile(path, []byte(page()), 0o644))
+	}
+	written, err := os.ReadFile(path)
+	must.NoError(t, err)
+	must.Eq(t, page(), string(written))
+}
