Hand the host list to a zone's daemons through its collector

Cause: every daemon waited on the platform's host list and read all of it at each change.

Now the collector reads the list, and the others get what changed with the answers to their asks. Other control state can be shared the same way: a service gives a Part to the zone service. A daemon that has no list and hears of no collector reads the platform's itself.

Ruled out: reading the own zone's hosts only, because look-ups must find another zone's servers when the own ones are gone.

Shown by a property test: followers that are handed differences at random moments, some twice, have the collector's list.

--- /dev/null
+++ b/coord/fleet/fleet.go
@@ -0,0 +1,143 @@
+// Package fleet keeps the platform's list of hosts and works out what changed,
+// so that a daemon that has an older list is handed the difference alone.
+package fleet
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/flamingobeam/flamingobeam/coord/structs"
+)
+
+// Version numbers the states of the platform's list; it only grows.
+type Version uint64
+
+// Delta turns the list of one version into that of a later one.
+type Delta struct {
+	// Whole says that Set is the whole list, whatever was known before.
+	Whole bool    `json:"whole,omitempty"`
+	From  Version `json:"from"`
+	To    Version `json:"to"`
+	// Set are new or altered hosts, Removed those no longer listed.
+	Set     []structs.BackendServer `json:"set,omitempty"`
+	Removed []structs.HostName      `json:"removed,omitempty"`
+}
+
+// keptDeltas is the count of differences kept for daemons that lag behind.
+const keptDeltas = 256
+
+// Fleet is a list of hosts with its newest differences. It is not safe for
+// concurrent use.
+type Fleet struct {
+	version Version
+	hosts   map[structs.HostName]structs.BackendServer
+	deltas  []Delta
+}
+
+// New returns an empty list of version zero.
+func New() *Fleet {
+	return &Fleet{hosts: make(map[structs.HostName]structs.BackendServer)}
+}
+
+// Version is the one of the newest list known.
+func (f *Fleet) Version() Version { return f.version }
+
+// List returns the hosts in order of their names.
+func (f *Fleet) List() []structs.BackendServer {
+	list := make([]structs.BackendServer, 0, len(f.hosts))
+	for _, host := range f.hosts {
+		list = append(list, host)
+	}
+	slices.SortFunc(list, func(a, b structs.BackendServer) int { return cmp.Compare(a.Name, b.Name) })
+	return list
+}
+
+// Replace takes the platform's whole list of a version and reports whether it
+// is newer than the one known.
+func (f *Fleet) Replace(version Version, list []structs.BackendServer) bool {
+	if version <= f.version {
+		return false
+	}
+	delta := Delta{From: f.version, To: version}
+	present := make(map[structs.HostName]bool, len(list))
+	for _, host := range list {
+		present[host.Name] = true
+		if known, ok := f.hosts[host.Name]; !ok || known != host {
+			delta.Set = append(delta.Set, host)
+		}
+	}
+	for name := range f.hosts {
+		if !present[name] {
+			delta.Removed = append(delta.Removed, name)
+		}
+	}
+	slices.Sort(delta.Removed)
+	f.apply(delta)
+	return true
+}
+
+// Since returns the difference to a version, or the whole list when the
+// differences since are no longer kept.
+func (f *Fleet) Since(version Version) Delta {
+	first := slices.IndexFunc(f.deltas, func(d Delta) bool { return d.From == version })
+	if version == f.version {
+		return Delta{From: version, To: version}
+	}
+	if first < 0 {
+		return Delta{Whole: true, To: f.version, Set: f.List()}
+	}
+	return join(f.deltas[first:])
+}
+
+// Merge applies a difference and reports whether the list is newer than
+// before. A difference from another version than the one known is ignored.
+func (f *Fleet) Merge(delta Delta) bool {
+	if delta.To <= f.version || !delta.Whole && delta.From != f.version {
+		return false
+	}
+	if delta.Whole {
+		return f.Replace(delta.To, delta.Set)
+	}
+	f.apply(delta)
+	return true
+}
+
+func (f *Fleet) apply(delta Delta) {
+	for _, host := range delta.Set {
+		f.hosts[host.Name] = host
+	}
+	for _, name := range delta.Removed {
+		delete(f.hosts, name)
+	}
+	f.version = delta.To
+	f.deltas = append(f.deltas, delta)
+	if len(f.deltas) > keptDeltas {
+		f.deltas = slices.Clone(f.deltas[1:])
+	}
+}
+
+// join makes one difference of several that follow each other.
+func join(deltas []Delta) Delta {
+	joined := Delta{From: deltas[0].From, To: deltas[len(deltas)-1].To}
+	set := make(map[structs.HostName]structs.BackendServer)
+	removed := make(map[structs.HostName]bool)
+	for _, delta := range deltas {
+		for _, host := range delta.Set {
+			set[host.Name] = host
+			delete(removed, host.Name)
+		}
+		for _, name := range delta.Removed {
+			removed[name] = true
+			delete(set, name)
+		}
+	}
+	for _, host := range set {
+		joined.Set = append(joined.Set, host)
+	}
+	for name := range removed {
+		joined.Removed = append(joined.Removed, name)
+	}
+	slices.SortFunc(joined.Set, func(a, b structs.BackendServer) int { return cmp.Compare(a.Name, b.Name) })
+	slices.Sort(joined.Removed)
+	return joined
+}
--- /dev/null
+++ b/coord/fleet/fleet_test.go
@@ -0,0 +1,54 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/flamingobeam/flamingobeam/coord/structs"
+)
+
+func drawList(t *rapid.T) []structs.BackendServer {
+	var list []structs.BackendServer
+	for i := range 6 {
+		if rapid.Bool().Draw(t, "listed") {
+			list = append(list, structs.BackendServer{
+				Name:    structs.HostName(fmt.Sprint("host-", i)),
+				Leaving: rapid.Bool().Draw(t, "leaving"),
+			})
+		}
+	}
+	return list
+}
+
+// TestFleet_FollowersHaveTheCollectorsList hands differences to a follower at
+// random moments, some of them twice, and compares the lists.
+func TestFleet_FollowersHaveTheCollectorsList(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		collector, follower := New(), New()
+		version := Version(0)
+		for range rapid.IntRange(1, 300).Draw(t, "changes") {
+			version += Version(rapid.IntRange(1, 3).Draw(t, "step"))
+			collector.Replace(version, drawList(t))
+			if rapid.IntRange(0, 3).Draw(t, "ask") == 0 {
+				delta := collector.Since(follower.Version())
+				follower.Merge(delta)
+				follower.Merge(delta)
+				must.Eq(t, collector.List(), follower.List())
+				must.Eq(t, collector.Version(), follower.Version())
+			}
+		}
+		follower.Merge(collector.Since(follower.Version()))
+		must.Eq(t, collector.List(), follower.List())
+	})
+}
+
+func TestFleet_OlderListsChangeNothing(t *testing.T) {
+	f := New()
+	must.True(t, f.Replace(5, []structs.BackendServer{{Name: "a"}}))
+	must.False(t, f.Replace(4, nil))
+	must.False(t, f.Merge(Delta{From: 3, To: 9, Removed: []structs.HostName{"a"}}))
+	must.Eq(t, 1, len(f.List()))
+}
--- a/daemon/contract/contract.go
+++ b/daemon/contract/contract.go
@@ -166,6 +166,30 @@
 type Zone interface {
 	// Standing returns the snapshot; it may be called from any goroutine.
 	Standing() *kernel.Snapshot[Standing]
+	// Share adds a part of the control state that the collector hands to its
+	// followers. It must be called while services are provisioned.
+	Share(part Part)
+	// OnRole adds a function to call on the control goroutine when this
+	// daemon becomes the collector or ceases to be it. It must be called
+	// while services are provisioned.
+	OnRole(call func(collects bool))
+	// Announce tells the followers of news of a part. It must be called on
+	// the control goroutine.
+	Announce()
+}
+
+// Part is a piece of control state that reaches a zone's daemons through its
+// collector, so that the platform is asked once for each zone. All methods are
+// called on the control goroutine.
+type Part interface {
+	// PartName tells the parts apart.
+	PartName() string
+	// PartVersion is the newest version known; it only grows.
+	PartVersion() uint64
+	// Since encodes what a follower of a version lacks.
+	Since(version uint64) ([]byte, error)
+	// Merge applies what a collector encoded.
+	Merge(encoded []byte) error
 }
 
 // Standing is a daemon's place in its availability zone.
--- a/daemon/services/hosts/hosts.go
+++ b/daemon/services/hosts/hosts.go
@@ -1,13 +1,17 @@
 // Package hosts is the service "control.hosts": it follows the platform's host
-// list, which lags, and corrects it by what traffic sees of the hosts.
+// list, which lags, and corrects it by what traffic sees of the hosts. The
+// zone's collector reads the list and hands the other daemons what changed; a
+// daemon that hears of no collector reads it itself.
 package hosts
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/flamingobeam/flamingobeam/coord/fleet"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
 	"github.com/flamingobeam/flamingobeam/kernel"
@@ -23,6 +27,9 @@
 	retryDelay     = time.Second
 	signalCapacity = 4096
 	replyCapacity  = 4
+	// readAnyway is how long a daemon that has no list waits for the
+	// collector's before it reads the platform's.
+	readAnyway = 5 * time.Second
 	// suspectFor is how long a server gets no new work after a failed
 	// connect.
 	suspectFor = 2 * time.Second
@@ -34,14 +41,15 @@
 	workers *kernel.Workers
 	log     *logrus.Entry
 	clients contract.Clients
+	zone    contract.Zone
 	view    *kernel.Snapshot[contract.HostView]
 	replies *kernel.Mailbox[kernel.Reply[platform.HostChanges]]
 	signals *kernel.Latest[structs.HostName, contract.Signal]
 
 	// The fields below belong to the control goroutine.
-	listed   []structs.BackendServer
-	through  uint64
-	known    bool
+	fleet    *fleet.Fleet
+	reads    bool
+	asking   bool
 	suspects map[structs.HostName]time.Time
 	leaving  map[structs.HostName]bool
 }
@@ -54,14 +62,20 @@
 	if err != nil {
 		return err
 	}
+	if s.zone, err = kernel.Find[contract.Zone](ctx, contract.NameZone); err != nil {
+		return err
+	}
 	s.clients = clients
+	s.fleet = fleet.New()
 	s.loop, s.workers, s.log = ctx.Loop(), ctx.Workers(), ctx.Log()
 	s.view = kernel.NewSnapshot(&contract.HostView{})
 	s.suspects = make(map[structs.HostName]time.Time)
 	s.leaving = make(map[structs.HostName]bool)
 	s.replies = kernel.NewMailbox(s.loop, replyCapacity, s.onList)
 	s.signals = kernel.NewLatest(s.loop, signalCapacity, s.onSignal)
-	s.loop.After(0, s.ask)
+	s.zone.Share(s)
+	s.zone.OnRole(s.onRole)
+	s.loop.After(readAnyway, s.readUnlessKnown)
 	return nil
 }
 
@@ -73,9 +87,28 @@
 	_ = s.signals.Post(server, signal)
 }
 
+// onRole reads the platform's list while this daemon collects.
+func (s *service) onRole(collects bool) {
+	s.reads = collects
+	s.ask()
+}
+
+// readUnlessKnown reads the platform's list until there is one.
+func (s *service) readUnlessKnown() {
+	if s.fleet.Version() > 0 {
+		return
+	}
+	s.ask()
+	s.loop.After(readAnyway, s.readUnlessKnown)
+}
+
 // ask waits on a worker for a newer list.
 func (s *service) ask() {
-	after := s.through
+	if s.asking || !s.reads && s.fleet.Version() > 0 {
+		return
+	}
+	s.asking = true
+	after := uint64(s.fleet.Version())
 	list := s.clients.Platform().Hosts
 	kernel.Async(s.workers, 0, s.replies, func(ctx context.Context) (platform.HostChanges, error) {
 		return list.Hosts(ctx, "", after, listWait)
@@ -83,22 +116,51 @@
 }
 
 func (s *service) onList(reply kernel.Reply[platform.HostChanges]) {
+	s.asking = false
 	if reply.Err != nil {
 		s.log.WithError(reply.Err).Debug("The host list could not be read.")
 		s.loop.After(retryDelay, s.ask)
 		return
 	}
-	if reply.Value.Through != s.through || !s.known {
-		s.listed, s.through, s.known = reply.Value.Servers, reply.Value.Through, true
-		s.forgetAbsent()
-		s.publish()
+	if s.fleet.Replace(fleet.Version(reply.Value.Through), reply.Value.Servers) {
+		s.changed()
 	}
 	s.ask()
 }
 
+// changed publishes a newer list and hands it on.
+func (s *service) changed() {
+	s.forgetAbsent()
+	s.publish()
+	s.zone.Announce()
+}
+
+// PartName implements contract.Part.
+func (s *service) PartName() string { return "hosts" }
+
+// PartVersion implements contract.Part.
+func (s *service) PartVersion() uint64 { return uint64(s.fleet.Version()) }
+
+// Since implements contract.Part.
+func (s *service) Since(version uint64) ([]byte, error) {
+	return json.Marshal(s.fleet.Since(fleet.Version(version)))
+}
+
+// Merge implements contract.Part.
+func (s *service) Merge(encoded []byte) error {
+	var delta fleet.Delta
+	if err := json.Unmarshal(encoded, &delta); err != nil {
+		return err
+	}
+	if s.fleet.Merge(delta) {
+		s.changed()
+	}
+	return nil
+}
+
 func (s *service) forgetAbsent() {
-	present := make(map[structs.HostName]bool, len(s.listed))
-	for _, server := range s.listed {
+	present := make(map[structs.HostName]bool)
+	for _, server := range s.fleet.List() {
 		present[server.Name] = true
 	}
 	for name := range s.leaving {
@@ -141,9 +203,9 @@
 func (s *service) publish() {
 	view := &contract.HostView{
 		Services: make(map[structs.ServiceName][]structs.BackendServer),
-		Known:    s.known,
+		Known:    s.fleet.Version() > 0,
 	}
-	for _, server := range s.listed {
+	for _, server := range s.fleet.List() {
 		if server.Kind == structs.KindDaemon {
 			view.Daemons = append(view.Daemons, server)
 			continue
--- a/daemon/services/zone/collect.go
+++ b/daemon/services/zone/collect.go
@@ -101,6 +101,7 @@
 	s.log.Infof("Collecting for %s in term %d.", s.config.Place.Zone, role.record.term)
 	s.settings.Lead(role.record.term)
 	s.publish()
+	s.tellRole(true)
 	s.loop.After(s.ttl/holdShare, func() { s.keepAlive(role.record.term) })
 	s.askSelf()
 }
@@ -116,6 +117,7 @@
 	s.settings.Unlead()
 	s.log.Info("No longer collecting.")
 	s.publish()
+	s.tellRole(false)
 	for _, waiting := range held {
 		s.loop.Cancel(waiting.timer)
 		waiting.call.answer <- AskReply{}
--- a/daemon/services/zone/follow.go
+++ b/daemon/services/zone/follow.go
@@ -28,7 +28,11 @@
 func (s *service) rosterKey() string    { return "zones/" + string(s.config.Place.Zone) + "/roster" }
 
 // AskArgs are the arguments of Zone.Ask.
-type AskArgs struct{ Ask zone.Ask }
+type AskArgs struct {
+	Ask zone.Ask
+	// Have are the versions of the shared parts that the follower knows.
+	Have []HavePart
+}
 
 // AskReply is the reply of Zone.Ask.
 type AskReply struct {
@@ -37,6 +41,8 @@
 	Reply    zone.Reply
 	// Carry is a contract.Carry in JSON, because gob loses pointers to zero.
 	Carry []byte
+	// Parts are the shared parts that the follower lacks.
+	Parts []SharedPart
 }
 
 // answer is the reply to an ask with the instant at which it was sent.
@@ -55,7 +61,7 @@
 		s.askSelf()
 		return
 	}
-	args, asked, address := AskArgs{Ask: s.follower.Ask()}, s.now(), s.known.Address
+	args, asked, address := AskArgs{Ask: s.follower.Ask(), Have: s.have()}, s.now(), s.known.Address
 	limit := s.span / askShare
 	kernel.Async(s.workers, limit, s.answers, func(ctx context.Context) (answer, error) {
 		got := answer{asked: asked}
@@ -87,6 +93,7 @@
 
 // take applies what an answer carries before it counts as a grant.
 func (s *service) take(got answer) error {
+	s.mergeShared(got.reply.Parts)
 	if len(got.reply.Carry) > 0 && got.reply.Reply.Term >= s.follower.Term() {
 		var carry contract.Carry
 		if err := json.Unmarshal(got.reply.Carry, &carry); err != nil {
--- a/daemon/services/zone/receive.go
+++ b/daemon/services/zone/receive.go
@@ -14,6 +14,7 @@
 // askCall is a follower's ask on its way to the control goroutine.
 type askCall struct {
 	ask    zone.Ask
+	have   []HavePart
 	answer chan AskReply
 }
 
@@ -25,7 +26,7 @@
 
 // Ask answers a follower, at once when there is news for it.
 func (r *Receiver) Ask(args *AskArgs, reply *AskReply) error {
-	call := askCall{ask: args.Ask, answer: make(chan AskReply, 1)}
+	call := askCall{ask: args.Ask, have: args.Have, answer: make(chan AskReply, 1)}
 	if err := r.service.asks.Post(call); err != nil {
 		return result.Wrap(result.Overloaded, err)
 	}
@@ -50,17 +51,23 @@
 	}
 	if !cs.decide.Roster().Has(call.ask.Member) {
 		s.join(call.ask.Member)
-		s.hold(call)
+		s.answerOrHold(call, s.lacks(call.have))
 		s.tend()
 		return
 	}
-	reply := cs.decide.Ask(s.now(), call.ask)
-	if s.isNews(call.ask) {
+	s.answerOrHold(call, s.isNews(call.ask) || s.lacks(call.have))
+	s.tend()
+}
+
+// answerOrHold answers an ask for which there is news, and else keeps it
+// until there is.
+func (s *service) answerOrHold(call askCall, isNews bool) {
+	reply := s.collects.decide.Ask(s.now(), call.ask)
+	if isNews {
 		s.answer(call, reply)
-	} else {
-		s.hold(call)
+		return
 	}
-	s.tend()
+	s.hold(call)
 }
 
 // isNews reports whether a follower lacks something, or has not yet echoed a
@@ -108,7 +115,7 @@
 
 // answer sends a reply with what the follower lacks.
 func (s *service) answer(call askCall, reply zone.Reply) {
-	answer := AskReply{Collects: true, Reply: reply}
+	answer := AskReply{Collects: true, Reply: reply, Parts: s.shareWith(call.have)}
 	if _, ok := s.settings.News(); ok {
 		carry, err := json.Marshal(s.settings.Carry(call.ask.Revision))
 		if err != nil {
--- a/daemon/services/zone/zone.go
+++ b/daemon/services/zone/zone.go
@@ -65,6 +65,10 @@
 	known    record
 	collects *collects
 	stopping bool
+
+	// parts and onRole are set while services are provisioned.
+	parts  []contract.Part
+	onRole []func(collects bool)
 }
 
 var _ contract.Zone = (*service)(nil)
