Decide the steps of a workspace: pool, head and segments

Cause: samples have to reach a trainer exactly once, never stale. The pool is a pure package: offers, the chosen samples and the head to write are values.

Ruled out: dropping ids by the staleness age alone, because the age is a parameter and may be raised, and because clocks differ between hosts. The head has a floor instead: the newest birth among the samples of dropped segments. A sample not younger than the floor is never sealed.

Ruled out: repeating the same write after a lost answer, because the samples may have become stale meanwhile. Each attempt has its own operation number and the same expected revision, so that at most one takes effect.

--- /dev/null
+++ b/coord/step/pool.go
@@ -0,0 +1,302 @@
+package step
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/flamingobeam/flamingobeam/coord/result"
+	"github.com/flamingobeam/flamingobeam/coord/structs"
+)
+
+// maxWaiting bounds the samples that wait to be sealed.
+const maxWaiting = 1 << 18
+
+// State says what became of an offered sample.
+type State uint8
+
+// The states of a sample.
+const (
+	// Waiting means that the sample can be sealed.
+	Waiting State = iota
+	// Sealed means that the sample is in a step that is still kept.
+	Sealed
+	// Stale means that the sample will never be sealed.
+	Stale
+	// Refused means that the pool is full; the sample may be offered again.
+	Refused
+)
+
+// Standing is the state of a sample, with its step when it is sealed.
+type Standing struct {
+	State State
+	Step  uint64
+}
+
+// Bounds are the parameters of a workspace that the sealing depends on.
+type Bounds struct {
+	// Versions is how many weight versions a sample may lie behind.
+	Versions int
+	// Age is how old the oldest token of a sample may be.
+	Age time.Duration
+	// Samples is the count of samples in a step.
+	Samples int
+}
+
+// Dropped counts samples that were too stale to be sealed.
+type Dropped struct {
+	// ByVersion, ByAge and ByFloor count them by the first bound broken.
+	ByVersion, ByAge, ByFloor uint64
+}
+
+// Attempt is a change of the head that may or may not have been written. A
+// list with entries is to be written as a segment before the head.
+type Attempt struct {
+	Head Head
+	List List
+}
+
+// Pool holds the samples of a workspace that wait to be sealed, and the lists
+// of the steps that are kept. It is not safe for concurrent use.
+type Pool struct {
+	head     Head
+	lists    map[uint64]List
+	sealed   map[structs.SampleID]uint64
+	waiting  map[structs.SampleID]Offer
+	attempts map[uint64]Attempt
+	// operation is the last operation number used in this term.
+	operation uint64
+	dropped   Dropped
+}
+
+// NewPool returns the pool of a new owner: head is the one that it wrote to
+// take over, lists are those of the kept segments.
+func NewPool(head Head, lists []List) *Pool {
+	p := &Pool{
+		head:      head,
+		lists:     make(map[uint64]List, len(lists)),
+		sealed:    make(map[structs.SampleID]uint64),
+		waiting:   make(map[structs.SampleID]Offer),
+		attempts:  make(map[uint64]Attempt),
+		operation: head.Operation,
+	}
+	for _, list := range lists {
+		p.keep(list)
+	}
+	return p
+}
+
+func (p *Pool) keep(list List) {
+	p.lists[list.Step] = list
+	for _, entry := range list.Entries {
+		p.sealed[entry.ID] = list.Step
+		delete(p.waiting, entry.ID)
+	}
+}
+
+// Head returns the newest head known to be written.
+func (p *Pool) Head() Head { return p.head }
+
+// Waiting counts the samples that wait to be sealed.
+func (p *Pool) Waiting() int { return len(p.waiting) }
+
+// Dropped counts the samples that were too stale to be sealed.
+func (p *Pool) Dropped() Dropped { return p.dropped }
+
+// Offer takes in samples and says what became of each.
+func (p *Pool) Offer(now time.Time, age time.Duration, offers []Offer) []Standing {
+	standings := make([]Standing, len(offers))
+	for i, offer := range offers {
+		standings[i] = p.offer(now, age, offer)
+	}
+	return standings
+}
+
+func (p *Pool) offer(now time.Time, age time.Duration, offer Offer) Standing {
+	if step, ok := p.sealed[offer.ID]; ok {
+		return Standing{State: Sealed, Step: step}
+	}
+	if !offer.Born.After(p.head.Floor) || now.Sub(offer.Born) > age {
+		return Standing{State: Stale}
+	}
+	if _, known := p.waiting[offer.ID]; !known && len(p.waiting) >= maxWaiting {
+		return Standing{State: Refused}
+	}
+	p.waiting[offer.ID] = offer
+	return Standing{State: Waiting}
+}
+
+// Find returns the list of a sealed step. For the step after the newest it
+// fails with code StepNotReady, for one beyond with StepTooFarAhead and for
+// one that is no longer kept with StepForgotten.
+func (p *Pool) Find(step uint64) (List, error) {
+	switch {
+	case step == 0:
+		return List{}, result.New(result.BadRequest, "steps are numbered from 1")
+	case step > p.head.Sealed+1:
+		return List{}, result.New(result.StepTooFarAhead, "the newest sealed step is %d", p.head.Sealed)
+	case step == p.head.Sealed+1:
+		return List{}, result.New(result.StepNotReady, "%d samples wait", len(p.waiting))
+	}
+	list, ok := p.lists[step]
+	if !ok {
+		return List{}, result.New(result.StepForgotten, "the oldest step kept is %d", p.head.FirstKept())
+	}
+	return list, nil
+}
+
+// Propose chooses the samples of the next step for a trainer that holds a
+// weight version, and drops those that are stale. It fails with code
+// StepNotReady when there are not enough samples.
+func (p *Pool) Propose(now time.Time, holds structs.WeightVersion, bounds Bounds) (Attempt, error) {
+	head, of, need := p.head, uint64(0), bounds.Samples
+	if len(head.Owed) > 0 {
+		of, need = head.Owed[0].Of, head.Owed[0].Samples
+		head.Owed = slices.Clone(head.Owed[1:])
+	}
+	if len(p.waiting) < need {
+		return Attempt{}, p.notReady(need)
+	}
+	p.dropStale(now, holds, bounds)
+	if len(p.waiting) < need {
+		return Attempt{}, p.notReady(need)
+	}
+	chosen := p.oldest(need)
+	p.operation++
+	version := Version{Step: head.Sealed + 1, Term: head.Term, Operation: p.operation}
+	segment := Segment{Version: version, Of: of, Newest: newest(chosen), Sealed: now}
+	return p.attempt(head.seal(segment, bounds.Age), List{Version: version, Of: of, Entries: listOf(chosen)}), nil
+}
+
+func (p *Pool) notReady(need int) error {
+	return result.New(result.StepNotReady, "%d of %d samples wait", len(p.waiting), need)
+}
+
+// dropStale drops the samples that break a bound.
+func (p *Pool) dropStale(now time.Time, holds structs.WeightVersion, bounds Bounds) {
+	for id, offer := range p.waiting {
+		switch {
+		case !offer.Born.After(p.head.Floor):
+			p.dropped.ByFloor++
+		case holds > offer.Oldest && holds-offer.Oldest > structs.WeightVersion(bounds.Versions):
+			p.dropped.ByVersion++
+		case now.Sub(offer.Born) > bounds.Age:
+			p.dropped.ByAge++
+		default:
+			continue
+		}
+		delete(p.waiting, id)
+	}
+}
+
+// oldest returns the samples that would become stale first.
+func (p *Pool) oldest(count int) []Offer {
+	offers := make([]Offer, 0, len(p.waiting))
+	for _, offer := range p.waiting {
+		offers = append(offers, offer)
+	}
+	slices.SortFunc(offers, func(a, b Offer) int {
+		return cmp.Or(cmp.Compare(a.Oldest, b.Oldest), a.Born.Compare(b.Born), compareIDs(a.ID, b.ID))
+	})
+	return offers[:count]
+}
+
+func newest(offers []Offer) time.Time {
+	var born time.Time
+	for _, offer := range offers {
+		born = later(born, offer.Born)
+	}
+	return born
+}
+
+// attempt remembers a change of the head. All attempts since the last Commit
+// are made against one revision of the head, so that at most one of them can
+// take effect.
+func (p *Pool) attempt(head Head, list List) Attempt {
+	head.Operation = p.operation
+	made := Attempt{Head: head, List: list}
+	p.attempts[p.operation] = made
+	return made
+}
+
+// Lose marks samples of a step as lost and owes as many to the trainer. It
+// reports false when there is nothing to write, because all were marked
+// before, and fails like Find.
+func (p *Pool) Lose(step uint64, ids []structs.SampleID) (Attempt, bool, error) {
+	list, err := p.Find(step)
+	if err != nil {
+		return Attempt{}, false, err
+	}
+	list, fresh := list.lose(ids)
+	if fresh == 0 {
+		return Attempt{}, false, nil
+	}
+	p.operation++
+	list.Version = Version{Step: step, Term: p.head.Term, Operation: p.operation}
+	head := p.head.owe(Debt{Of: cmp.Or(list.Of, step), Samples: fresh})
+	head.Kept = slices.Clone(head.Kept)
+	head.Kept[head.find(step)].Version = list.Version
+	return p.attempt(head, list), true, nil
+}
+
+// Verdict says what a head that was read back means for its reader.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// Overtaken means that another owner wrote the head.
+	Overtaken Verdict = iota
+	// Unchanged means that no attempt has taken effect so far.
+	Unchanged
+	// Committed means that an attempt has taken effect.
+	Committed
+)
+
+// Commit takes in a head that is known to be written. When it is that of an
+// attempt, the attempt becomes the present state, and Commit returns the
+// segments that the head no longer points to.
+func (p *Pool) Commit(written Head) (Verdict, []Version) {
+	made, ok := p.attempts[written.Operation]
+	if ok && made.Head.SameWrite(written) {
+		before := p.head
+		p.head = made.Head
+		p.keep(made.List)
+		return Committed, append(p.abandon(written.Operation), p.forget(before)...)
+	}
+	if p.head.SameWrite(written) {
+		return Unchanged, nil
+	}
+	return Overtaken, nil
+}
+
+// abandon forgets all attempts and returns the segments of those that can no
+// longer take effect.
+func (p *Pool) abandon(committed uint64) []Version {
+	var unused []Version
+	for operation, made := range p.attempts {
+		if operation != committed {
+			unused = append(unused, made.List.Version)
+		}
+	}
+	clear(p.attempts)
+	return unused
+}
+
+// forget drops the lists that the head no longer points to.
+func (p *Pool) forget(before Head) []Version {
+	var unused []Version
+	for _, old := range before.Kept {
+		if i := p.head.find(old.Step); i >= 0 {
+			if p.head.Kept[i].Version != old.Version {
+				unused = append(unused, old.Version)
+			}
+			continue
+		}
+		unused = append(unused, old.Version)
+		for _, entry := range p.lists[old.Step].Entries {
+			delete(p.sealed, entry.ID)
+		}
+		delete(p.lists, old.Step)
+	}
+	return unused
+}
