Serve steps: two copies of each sample, seals by compare-and-swap

Cause: the service traffic.steps was named in the contract and missing. A daemon holds bodies and offers them to the owner of their workspace; any daemon may become the owner, by a head of a higher term.

Ruled out: sharing a held net/rpc call's context with the trainer's request: a request that is given up would close the connection that others use. Calls outlive their request.

--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -22,6 +22,7 @@
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/plain"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/rpcserver"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/settings"
+	_ "github.com/flamingobeam/flamingobeam/daemon/services/steps"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/zone"
 )
 
--- /dev/null
+++ b/daemon/services/front/steps.go
@@ -0,0 +1,85 @@
+package front
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"github.com/flamingobeam/flamingobeam/coord/result"
+	"github.com/flamingobeam/flamingobeam/coord/structs"
+	"github.com/flamingobeam/flamingobeam/daemon/config"
+	"github.com/flamingobeam/flamingobeam/daemon/contract"
+	"github.com/flamingobeam/flamingobeam/kernel"
+)
+
+const (
+	// queryWait is how long a trainer waits for a step that is not ready.
+	queryWait       = "wait"
+	defaultStepWait = 10 * time.Second
+	maxStepWait     = 30 * time.Second
+)
+
+// steps stands before the steps of trainers.
+type steps struct {
+	config config.Daemon
+	steps  contract.Steps
+}
+
+func (st *steps) provision(ctx *kernel.Context) error {
+	var err error
+	if st.config, err = kernel.ConfigOf[config.Daemon](ctx); err != nil {
+		return err
+	}
+	st.steps, err = kernel.Find[contract.Steps](ctx, contract.NameSteps)
+	return err
+}
+
+func (st *steps) routes(router *httprouter.Router) {
+	router.POST(contract.PathSteps, st.step)
+}
+
+func (st *steps) step(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
+	number, err := strconv.ParseUint(params.ByName("step"), 10, 64)
+	if err != nil {
+		writeError(w, result.Wrap(result.BadRequest, err))
+		return
+	}
+	wait, err := waitOf(r)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	var body contract.StepBody
+	if !decode(w, r, st.config.Limits.MaxBody, &body) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), wait)
+	defer cancel()
+	reply, err := st.steps.Step(ctx, contract.StepRequest{
+		Workspace: structs.WorkspaceName(params.ByName("workspace")),
+		Step:      number,
+		Holds:     body.Holds,
+	})
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	entry, _ := result.Lookup(result.OK)
+	writeJSON(w, entry, reply)
+}
+
+// waitOf reads how long a trainer waits, at most maxStepWait.
+func waitOf(r *http.Request) (time.Duration, error) {
+	text := r.URL.Query().Get(queryWait)
+	if text == "" {
+		return defaultStepWait, nil
+	}
+	wait, err := time.ParseDuration(text)
+	if err != nil || wait < 0 {
+		return 0, result.New(result.BadRequest, "the wait %q is not a span", text)
+	}
+	return min(wait, maxStepWait), nil
+}
--- /dev/null
+++ b/daemon/services/steps/encode.go
@@ -0,0 +1,110 @@
+package steps
+
+import (
+	"bytes"
+	"encoding/gob"
+	"encoding/json"
+
+	"github.com/pkg/errors"
+
+	"github.com/flamingobeam/flamingobeam/coord/step"
+	"github.com/flamingobeam/flamingobeam/coord/structs"
+)
+
+// errMalformed is returned for a segment that cannot be what this package
+// wrote.
+var errMalformed = errors.New("steps: malformed segment")
+
+func encodeHead(head step.Head) ([]byte, error) { return json.Marshal(head) }
+
+func decodeHead(value []byte) (step.Head, error) {
+	var head step.Head
+	err := json.Unmarshal(value, &head)
+	return head, errors.Wrap(err, "head of the steps")
+}
+
+// columns is a step.List by columns: origins and hosts stand once in tables,
+// and gob writes the indexes and differences as variable-length numbers.
+type columns struct {
+	Version step.Version
+	Of      uint64
+	Origins []structs.Incarnation
+	Hosts   []structs.HostName
+	// Origin holds indexes of Origins, and First and Second of Hosts.
+	Origin, First, Second []uint
+	// Number holds the differences to the entry before, modulo 2^64.
+	Number []uint64
+	Lost   []bool
+}
+
+// table gives each distinct value an index.
+type table[T comparable] struct {
+	values  []T
+	indexes map[T]uint
+}
+
+func (t *table[T]) index(value T) uint {
+	if index, ok := t.indexes[value]; ok {
+		return index
+	}
+	if t.indexes == nil {
+		t.indexes = make(map[T]uint)
+	}
+	index := uint(len(t.values))
+	t.indexes[value] = index
+	t.values = append(t.values, value)
+	return index
+}
+
+func encodeList(list step.List) ([]byte, error) {
+	var origins table[structs.Incarnation]
+	var hosts table[structs.HostName]
+	c := columns{Version: list.Version, Of: list.Of}
+	last := uint64(0)
+	for _, entry := range list.Entries {
+		c.Origin = append(c.Origin, origins.index(entry.ID.Origin))
+		c.First = append(c.First, hosts.index(entry.Holders[0]))
+		c.Second = append(c.Second, hosts.index(entry.Holders[1]))
+		c.Number = append(c.Number, entry.ID.Number-last)
+		c.Lost = append(c.Lost, entry.Lost)
+		last = entry.ID.Number
+	}
+	c.Origins, c.Hosts = origins.values, hosts.values
+	var out bytes.Buffer
+	err := gob.NewEncoder(&out).Encode(c)
+	return out.Bytes(), errors.Wrap(err, "segment")
+}
+
+func decodeList(value []byte) (step.List, error) {
+	var c columns
+	if err := gob.NewDecoder(bytes.NewReader(value)).Decode(&c); err != nil {
+		return step.List{}, errors.Wrap(errMalformed, err.Error())
+	}
+	count := len(c.Origin)
+	if len(c.First) != count || len(c.Second) != count || len(c.Number) != count || len(c.Lost) != count {
+		return step.List{}, errors.Wrap(errMalformed, "columns differ in length")
+	}
+	list := step.List{Version: c.Version, Of: c.Of, Entries: make([]step.Entry, count)}
+	last := uint64(0)
+	for i := range list.Entries {
+		entry, err := c.entry(i, &last)
+		if err != nil {
+			return step.List{}, err
+		}
+		list.Entries[i] = entry
+	}
+	return list, nil
+}
+
+func (c *columns) entry(i int, last *uint64) (step.Entry, error) {
+	hosts := uint(len(c.Hosts))
+	if c.Origin[i] >= uint(len(c.Origins)) || c.First[i] >= hosts || c.Second[i] >= hosts {
+		return step.Entry{}, errors.Wrap(errMalformed, "index outside its table")
+	}
+	*last += c.Number[i]
+	return step.Entry{
+		ID:      structs.SampleID{Origin: c.Origins[c.Origin[i]], Number: *last},
+		Holders: [step.HolderCount]structs.HostName{c.Hosts[c.First[i]], c.Hosts[c.Second[i]]},
+		Lost:    c.Lost[i],
+	}, nil
+}
--- /dev/null
+++ b/daemon/services/steps/harness_test.go
@@ -0,0 +1,290 @@
+package steps
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/rpc"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/shoenig/test/must"
+	"github.com/sirupsen/logrus"
+
+	"github.com/flamingobeam/flamingobeam/coord/result"
+	"github.com/flamingobeam/flamingobeam/coord/settings"
+	"github.com/flamingobeam/flamingobeam/coord/structs"
+	"github.com/flamingobeam/flamingobeam/daemon/config"
+	"github.com/flamingobeam/flamingobeam/daemon/contract"
+	"github.com/flamingobeam/flamingobeam/emulate/store"
+	"github.com/flamingobeam/flamingobeam/kernel"
+	"github.com/flamingobeam/flamingobeam/platform"
+)
+
+const workspace structs.WorkspaceName = "claims"
+
+// cluster runs daemons in one process, with gob between them. Its tests run in
+// synctest bubbles, so that time is virtual.
+type cluster struct {
+	t          *testing.T
+	store      *store.Store
+	parameters settings.Resolved
+	nodes      []*node
+	starts     atomic.Uint64
+}
+
+// node is one daemon with the faults that can be switched on for it.
+type node struct {
+	*service
+	cluster *cluster
+	host    structs.HostName
+	start   uint64
+	endLoop context.CancelFunc
+	dead    atomic.Bool
+	// gate is closed while the node runs; a frozen node waits for a new one.
+	mu   sync.Mutex
+	gate chan struct{}
+	// beforeSwap, when set, is called before each compare-and-swap, and
+	// afterSwap may replace its answer.
+	beforeSwap func(key string)
+	afterSwap  func(key string, err error) error
+}
+
+func inCluster(t *testing.T, count int, run func(c *cluster)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &cluster{
+			t:     t,
+			store: store.New(store.Limits{Writes: 1e6, Reads: 1e6}, 1),
+			parameters: settings.Resolved{
+				StalenessVersions: 2, StalenessAge: 10 * time.Minute, StepSamples: 4,
+			},
+		}
+		for i := range count {
+			c.start(structs.HostName(fmt.Sprintf("host-%d", i)))
+		}
+		defer c.stop()
+		run(c)
+	})
+}
+
+func (c *cluster) stop() {
+	for _, n := range c.nodes {
+		n.thaw()
+		n.kill()
+	}
+	synctest.Wait()
+}
+
+// start runs a daemon; one of the same host name is replaced.
+func (c *cluster) start(host structs.HostName) *node {
+	n := &node{cluster: c, host: host, gate: make(chan struct{})}
+	close(n.gate)
+	c.build(n)
+	for i, old := range c.nodes {
+		if old.host == host {
+			c.nodes[i] = n
+			return n
+		}
+	}
+	c.nodes = append(c.nodes, n)
+	return n
+}
+
+func (c *cluster) build(n *node) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	n.service = &service{
+		config:  config.Daemon{Host: n.host, Listen: config.Listen{Peers: string(n.host)}, Place: structs.Place{Zone: "z"}},
+		clock:   clockwork.NewRealClock(),
+		loop:    kernel.NewLoop(clockwork.NewRealClock()),
+		workers: kernel.NewWorkers(64),
+		log:     logrus.NewEntry(log),
+		clients: n, hosts: n, peers: n, zone: n,
+		settings: &fakeSettings{cluster: c}, metrics: noMetrics{},
+	}
+	n.start = c.starts.Add(1)
+	must.NoError(c.t, n.prepare())
+	ctx, cancel := context.WithCancel(context.Background())
+	n.endLoop = cancel
+	go n.loop.Run(ctx)
+	must.NoError(c.t, n.Start())
+}
+
+// kill ends a daemon as a crash would: nothing more leaves it.
+func (n *node) kill() {
+	if n.dead.Swap(true) {
+		return
+	}
+	must.NoError(n.cluster.t, n.Stop(context.Background()))
+	n.workers.Stop()
+	n.endLoop()
+	<-n.loop.Done()
+}
+
+func (n *node) freeze() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.gate = make(chan struct{})
+}
+
+func (n *node) thaw() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	select {
+	case <-n.gate:
+	default:
+		close(n.gate)
+	}
+}
+
+// pass waits while the node is frozen.
+func (n *node) pass(ctx context.Context) error {
+	n.mu.Lock()
+	gate := n.gate
+	n.mu.Unlock()
+	select {
+	case <-gate:
+		return ctx.Err()
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Call implements contract.Peers over net/rpc on a pipe.
+func (n *node) Call(ctx context.Context, address, method string, args, reply any) error {
+	var to *node
+	for _, other := range n.cluster.nodes {
+		if string(other.host) == address {
+			to = other
+		}
+	}
+	if n.dead.Load() || to == nil || to.dead.Load() {
+		return result.New(result.PeerUnreachable, "%s", address)
+	}
+	if err := to.pass(ctx); err != nil {
+		return result.Wrap(result.OutcomeUnknown, err)
+	}
+	here, there := net.Pipe()
+	server := rpc.NewServer()
+	_ = server.RegisterName(rpcName, &Receiver{service: to.service})
+	go server.ServeConn(there)
+	client := rpc.NewClient(here)
+	defer client.Close()
+	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
+	select {
+	case <-call.Done:
+		return call.Error
+	case <-ctx.Done():
+		return result.Wrap(result.OutcomeUnknown, ctx.Err())
+	}
+}
+
+// Platform implements contract.Clients.
+func (n *node) Platform() platform.Clients {
+	return platform.Clients{Store: &nodeStore{Store: n.cluster.store, node: n}}
+}
+
+// nodeStore is the key-value service as one daemon reaches it.
+type nodeStore struct {
+	platform.Store
+	node *node
+}
+
+func (ns *nodeStore) Get(ctx context.Context, key string) (platform.Entry, error) {
+	if ns.node.pass(ctx) != nil || ns.node.dead.Load() {
+		return platform.Entry{}, platform.ErrUnavailable
+	}
+	return ns.Store.Get(ctx, key)
+}
+
+func (ns *nodeStore) CompareAndSwap(ctx context.Context, key string, expected platform.Revision, value []byte, lease platform.LeaseID) (platform.Revision, error) {
+	if ns.node.beforeSwap != nil {
+		ns.node.beforeSwap(key)
+	}
+	// A write that a frozen process had in hand leaves once it is thawed.
+	if ns.node.pass(context.WithoutCancel(ctx)) != nil || ns.node.dead.Load() {
+		return 0, platform.ErrUnavailable
+	}
+	revision, err := ns.Store.CompareAndSwap(ctx, key, expected, value, lease)
+	if ns.node.afterSwap != nil {
+		err = ns.node.afterSwap(key, err)
+	}
+	return revision, err
+}
+
+// View implements contract.Hosts.
+func (n *node) View() *kernel.Snapshot[contract.HostView] {
+	view := &contract.HostView{Known: true}
+	for _, other := range n.cluster.nodes {
+		view.Daemons = append(view.Daemons, structs.BackendServer{
+			Name: other.host, Address: string(other.host), Place: structs.Place{Zone: "z"},
+		})
+	}
+	return kernel.NewSnapshot(view)
+}
+
+// Report implements contract.Hosts.
+func (n *node) Report(structs.HostName, contract.Signal) {}
+
+// fakeSettings implements contract.Settings.
+type fakeSettings struct {
+	contract.Settings
+	cluster *cluster
+}
+
+func (f *fakeSettings) Acquire(context.Context, structs.WorkspaceName) (settings.Resolved, error) {
+	return f.cluster.parameters, nil
+}
+
+func (f *fakeSettings) Peek(structs.WorkspaceName) (settings.Resolved, error) {
+	return f.cluster.parameters, nil
+}
+
+// Standing implements contract.Zone.
+func (n *node) Standing() *kernel.Snapshot[contract.Standing] {
+	return kernel.NewSnapshot(&contract.Standing{Self: structs.Incarnation{Host: n.host, Start: n.start}})
+}
+
+// noMetrics implements contract.Metrics.
+type noMetrics struct{}
+
+func (noMetrics) Count(string, int64)                               {}
+func (noMetrics) Gauge(string, int64)                               {}
+func (noMetrics) Time(string, time.Duration)                        {}
+func (noMetrics) Served(structs.WorkspaceName, structs.Class, bool) {}
+
+// add takes count samples of a version in at a node.
+func (n *node) add(count int, version structs.WeightVersion) []structs.SampleID {
+	samples := make([]structs.Sample, count)
+	for i := range samples {
+		samples[i] = structs.Sample{
+			Workspace: workspace, Born: time.Now(), Body: []byte("t0@1 "),
+			Spans: []structs.VersionSpan{{Version: version, Tokens: 1}},
+		}
+	}
+	must.NoError(n.cluster.t, n.Add(context.Background(), samples))
+	return sampleIDs(samples)
+}
+
+// ask asks a node for a step and waits up to a span of virtual time.
+func (n *node) ask(number uint64, holds structs.WeightVersion, wait time.Duration) (contract.StepReply, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
+	defer cancel()
+	return n.Step(ctx, contract.StepRequest{Workspace: workspace, Step: number, Holds: holds})
+}
+
+// must asks for a step that has to come.
+func (n *node) must(number uint64, holds structs.WeightVersion) contract.StepReply {
+	n.cluster.t.Helper()
+	reply, err := n.ask(number, holds, time.Minute)
+	must.NoError(n.cluster.t, err)
+	must.Eq(n.cluster.t, number, reply.Step)
+	return reply
+}
+
+func idsIn(reply contract.StepReply) []structs.SampleID { return sampleIDs(reply.Samples) }
--- /dev/null
+++ b/daemon/services/steps/holdings.go
@@ -0,0 +1,237 @@
+package steps
+
+import (
+	"sync"
+	"time"
+
+	"github.com/flamingobeam/flamingobeam/coord/result"
+	"github.com/flamingobeam/flamingobeam/coord/step"
+	"github.com/flamingobeam/flamingobeam/coord/structs"
+)
+
+// maxMemory bounds what a daemon without a data folder holds, in bytes.
+const maxMemory = 256 << 20
+
+// sampleOverhead is what a held sample takes beside its body, in bytes.
+const sampleOverhead = 512
+
+// bodies keeps the samples themselves. Implementations are safe for concurrent
+// use.
+type bodies interface {
+	// put keeps records; it returns when they would survive what the
+	// implementation promises to survive.
+	put(records []record) error
+	// get returns a sample and reports whether it is there.
+	get(id structs.SampleID) (structs.Sample, bool)
+	// remove forgets samples.
+	remove(ids []structs.SampleID) error
+	// each calls visit for every record, without its body.
+	each(visit func(record)) error
+	close() error
+}
+
+// record is a sample and the hosts that hold it. The first of them took the
+// sample in.
+type record struct {
+	Sample  structs.Sample
+	Holders [step.HolderCount]structs.HostName
+}
+
+// held is what a holder knows of a sample beside its body.
+type held struct {
+	offer     step.Offer
+	workspace structs.WorkspaceName
+	bytes     int64
+	// offered is the term of the owner that took the offer, or zero.
+	offered structs.Term
+	// step is the one that the sample was sealed in, or zero.
+	step uint64
+	// pending is set until the second copy is known to be there. A holder of
+	// a second copy knows it from the start.
+	pending bool
+}
+
+// holdings are the samples that this daemon holds.
+type holdings struct {
+	bodies bodies
+	self   structs.HostName
+	// limit bounds bytes.
+	limit int64
+
+	mu    sync.Mutex
+	byID  map[structs.SampleID]*held
+	bytes int64
+}
+
+func newHoldings(bodies bodies, self structs.HostName, limit int64) *holdings {
+	return &holdings{bodies: bodies, self: self, limit: limit, byID: make(map[structs.SampleID]*held)}
+}
+
+func (r record) describe(self structs.HostName) *held {
+	return &held{
+		workspace: r.Sample.Workspace,
+		bytes:     int64(len(r.Sample.Body)) + sampleOverhead,
+		pending:   r.Holders[0] == self,
+		offer: step.Offer{
+			ID:      r.Sample.ID,
+			Oldest:  r.Sample.OldestVersion(),
+			Born:    r.Sample.Born,
+			Holders: r.Holders,
+		},
+	}
+}
+
+// keep holds samples; those already held are left as they are. It fails with
+// code Overloaded when there is no room.
+func (h *holdings) keep(records []record) error {
+	fresh, err := h.reserve(records)
+	if err != nil {
+		return err
+	}
+	if err := h.bodies.put(fresh); err != nil {
+		h.drop(idsOf(fresh))
+		return result.Wrap(result.Overloaded, err)
+	}
+	return nil
+}
+
+// reserve enters the records that are not held yet.
+func (h *holdings) reserve(records []record) ([]record, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var fresh []record
+	var bytes int64
+	for _, r := range records {
+		if h.byID[r.Sample.ID] == nil {
+			fresh = append(fresh, r)
+			bytes += r.describe(h.self).bytes
+		}
+	}
+	if h.bytes+bytes > h.limit {
+		return nil, result.New(result.Overloaded, "samples fill the %d bytes set aside for them", h.limit)
+	}
+	for _, r := range fresh {
+		h.byID[r.Sample.ID] = r.describe(h.self)
+	}
+	h.bytes += bytes
+	return fresh, nil
+}
+
+// confirm says that samples taken in here have their second copy.
+func (h *holdings) confirm(samples []structs.Sample, holders [step.HolderCount]structs.HostName) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for i := range samples {
+		if known := h.byID[samples[i].ID]; known != nil {
+			known.offer.Holders = holders
+			known.pending = false
+		}
+	}
+}
+
+func idsOf(records []record) []structs.SampleID {
+	ids := make([]structs.SampleID, len(records))
+	for i, r := range records {
+		ids[i] = r.Sample.ID
+	}
+	return ids
+}
+
+// drop forgets samples.
+func (h *holdings) drop(ids []structs.SampleID) {
+	h.mu.Lock()
+	for _, id := range ids {
+		if known := h.byID[id]; known != nil {
+			h.bytes -= known.bytes
+			delete(h.byID, id)
+		}
+	}
+	h.mu.Unlock()
+	_ = h.bodies.remove(ids)
+}
+
+// fetch returns those of the samples of a sealed step that are held here.
+func (h *holdings) fetch(number uint64, ids []structs.SampleID) []structs.Sample {
+	samples := make([]structs.Sample, 0, len(ids))
+	for _, id := range ids {
+		if sample, ok := h.bodies.get(id); ok {
+			samples = append(samples, sample)
+		}
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, id := range ids {
+		if known := h.byID[id]; known != nil {
+			known.step = number
+		}
+	}
+	return samples
+}
+
+// unsettled returns the offers of a workspace that the owner of a term does
+// not know yet, or whose samples are past their age and of unknown fate. The
+// replicas that another host offers are left out unless all is set.
+func (h *holdings) unsettled(workspace structs.WorkspaceName, term structs.Term, oldest time.Time, all bool) []step.Offer {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var offers []step.Offer
+	for _, known := range h.byID {
+		if known.workspace != workspace || known.step != 0 {
+			continue
+		}
+		if (known.pending || known.offered == term) && known.offer.Born.After(oldest) {
+			continue
+		}
+		if all || known.offer.Holders[0] == h.self {
+			offers = append(offers, known.offer)
+		}
+	}
+	return offers
+}
+
+// settle takes in what the owner of a term said of offers.
+func (h *holdings) settle(term structs.Term, offers []step.Offer, standings []step.Standing) {
+	var stale []structs.SampleID
+	h.mu.Lock()
+	for i, standing := range standings {
+		known := h.byID[offers[i].ID]
+		if known == nil {
+			continue
+		}
+		switch standing.State {
+		case step.Waiting:
+			known.offered = term
+		case step.Sealed:
+			known.step = standing.Step
+		case step.Stale:
+			stale = append(stale, offers[i].ID)
+		}
+	}
+	h.mu.Unlock()
+	h.drop(stale)
+}
+
+// forget drops the samples of steps that are no longer kept.
+func (h *holdings) forget(workspace structs.WorkspaceName, firstKept uint64) {
+	var past []structs.SampleID
+	h.mu.Lock()
+	for id, known := range h.byID {
+		if known.workspace == workspace && known.step != 0 && known.step < firstKept {
+			past = append(past, id)
+		}
+	}
+	h.mu.Unlock()
+	h.drop(past)
+}
+
+// has reports whether samples of a workspace are held.
+func (h *holdings) has(workspace structs.WorkspaceName) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, known := range h.byID {
+		if known.workspace == workspace {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/daemon/services/steps/step.go
@@ -0,0 +1,124 @@
+package steps
+
+import (
+	"context"
+	"time"
+
+	"github.com/flamingobeam/flamingobeam/coord/result"
+	"github.com/flamingobeam/flamingobeam/coord/step"
+	"github.com/flamingobeam/flamingobeam/coord/structs"
+	"github.com/flamingobeam/flamingobeam/daemon/contract"
+)
+
+// maxOwners is how many owners in a row a request may find unreachable.
+const maxOwners = 3
+
+// Step implements contract.Steps. It waits for samples until ctx ends.
+func (s *service) Step(ctx context.Context, request contract.StepRequest) (contract.StepReply, error) {
+	if _, err := s.settings.Peek(request.Workspace); err != nil {
+		return contract.StepReply{}, err
+	}
+	list, err := s.list(ctx, request)
+	if err != nil {
+		return contract.StepReply{}, err
+	}
+	samples, missing := s.collect(ctx, list)
+	if len(missing) > 0 {
+		if list, err = s.lose(ctx, request, missing); err != nil {
+			return contract.StepReply{}, err
+		}
+	}
+	return replyOf(list, samples), nil
+}
+
+// replyOf hands over the samples that are not marked as lost, in the list's
+// order.
+func replyOf(list step.List, samples map[structs.SampleID]structs.Sample) contract.StepReply {
+	reply := contract.StepReply{Step: list.Step, Of: list.Of, Samples: make([]structs.Sample, 0, len(list.Entries))}
+	for _, entry := range list.Entries {
+		if entry.Lost {
+			reply.Lost = append(reply.Lost, entry.ID)
+			continue
+		}
+		reply.Samples = append(reply.Samples, samples[entry.ID])
+	}
+	return reply
+}
+
+// list returns the list of a step from its owner, which seals it when it is
+// the next one.
+func (s *service) list(ctx context.Context, request contract.StepRequest) (step.List, error) {
+	for {
+		list, err := s.atOwner(ctx, request.Workspace, func(owner ownership) (ListReply, step.List, error) {
+			return s.askList(ctx, owner, request)
+		})
+		if result.CodeOf(err) != result.StepNotReady || ctx.Err() != nil || !hasDeadline(ctx) {
+			return list, err
+		}
+	}
+}
+
+func hasDeadline(ctx context.Context) bool {
+	_, has := ctx.Deadline()
+	return has
+}
+
+// lose marks samples as lost at the owner.
+func (s *service) lose(ctx context.Context, request contract.StepRequest, ids []structs.SampleID) (step.List, error) {
+	return s.atOwner(ctx, request.Workspace, func(owner ownership) (ListReply, step.List, error) {
+		if owner.sealer != nil {
+			list, err := owner.sealer.lose(ctx, request.Step, ids)
+			return ListReply{Owner: !owner.sealer.isClosed()}, list, err
+		}
+		args := &LoseArgs{Workspace: request.Workspace, Step: request.Step, IDs: ids}
+		return s.callList(ctx, owner, "Lose", args, writeLimit+holdGrace)
+	})
+}
+
+// askList asks an owner for a list, for as long as it may hold a request.
+func (s *service) askList(ctx context.Context, owner ownership, request contract.StepRequest) (ListReply, step.List, error) {
+	hold := holdLimit
+	if deadline, ok := ctx.Deadline(); ok {
+		hold = max(0, min(hold, time.Until(deadline)))
+	}
+	if owner.sealer != nil {
+		holdCtx, cancel := context.WithTimeout(ctx, hold)
+		defer cancel()
+		list, err := owner.sealer.step(holdCtx, request.Step, request.Holds)
+		return ListReply{Owner: !owner.sealer.isClosed()}, list, err
+	}
+	args := &SealArgs{Workspace: request.Workspace, Step: request.Step, Holds: request.Holds, Hold: hold}
+	return s.callList(ctx, owner, "Seal", args, hold+writeLimit+holdGrace)
+}
+
+func (s *service) callList(ctx context.Context, owner ownership, method string, args any, limit time.Duration) (ListReply, step.List, error) {
+	var reply ListReply
+	if err := s.callWithin(ctx, limit, owner.owner.Address, method, args, &reply); err != nil {
+		return reply, step.List{}, err
+	}
+	if err := reply.Failure.err(); err != nil || !reply.Owner {
+		return reply, step.List{}, err
+	}
+	list, err := decodeList(reply.List)
+	return reply, list, err
+}
+
+// atOwner runs ask with the owner of a workspace. An owner that cannot be
+// reached or no longer is one is replaced, by this daemon if need be.
+func (s *service) atOwner(ctx context.Context, workspace structs.WorkspaceName, ask func(ownership) (ListReply, step.List, error)) (step.List, error) {
+	var suspect structs.Term
+	var last error
+	for range maxOwners {
+		owner, err := s.locate(ctx, workspace, suspect, true)
+		if err != nil {
+			return step.List{}, err
+		}
+		reply, list, err := ask(owner)
+		if reply.Owner || ctx.Err() != nil {
+			return list, err
+		}
+		suspect = owner.term
+		last = err
+	}
+	return step.List{}, result.New(result.PeerUnreachable, "the steps of %s changed owners: %v", workspace, last)
+}
