Let a stopping daemon report itself unready before it closes

Cause: a daemon that was told to stop closed its listener at once. The balancer checks readiness every few seconds, so new connections could still arrive and be reset, and a reset request has no truthful answer.

Now the daemon is unready first, serves on for limits.unready_for (3 s), asks callers not to reuse connections, and then waits for what is in flight.

Ruled out: refusing new requests with code 3007 from the start, because a caller behind a balancer that has not noticed would be refused in vain.

Shown by TestShutdown_CutsOffNoRequest: a look-up in flight gets its whole answer after the stop began, and only then does the daemon end.

--- /dev/null
+++ b/daemon/agent/shutdown_test.go
@@ -0,0 +1,136 @@
+package agent
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/sirupsen/logrus"
+
+	"github.com/flamingobeam/flamingobeam/coord/settings"
+	"github.com/flamingobeam/flamingobeam/coord/structs"
+	"github.com/flamingobeam/flamingobeam/daemon/config"
+	"github.com/flamingobeam/flamingobeam/daemon/contract"
+	"github.com/flamingobeam/flamingobeam/emulate/store"
+	"github.com/flamingobeam/flamingobeam/kernel"
+)
+
+// freeAddress returns an address that nobody listens on at the moment.
+func freeAddress(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	must.NoError(t, listener.Close())
+	return listener.Addr().String()
+}
+
+// portal is a plain service whose look-ups wait until they are let go.
+type portal struct {
+	entered chan struct{}
+	release chan struct{}
+}
+
+func (p *portal) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	p.entered <- struct{}{}
+	<-p.release
+	_, _ = io.WriteString(w, "whole answer")
+}
+
+// startOne starts a daemon with a portal behind it and returns its kernel and
+// its address for callers.
+func startOne(t *testing.T, p http.Handler) (*kernel.Kernel, string) {
+	place := structs.Place{Zone: "ashanti-a", Region: "ashanti"}
+	backend := httptest.NewServer(p)
+	t.Cleanup(backend.Close)
+	fleet := store.NewFleet(0)
+	fleet.Set(structs.BackendServer{
+		Name: "portal-1", Place: place, Kind: structs.KindService, Service: "portal",
+		Address: backend.Listener.Addr().String(),
+	})
+	platform := httptest.NewServer(store.Handler(store.New(store.DefaultLimits(), 1), fleet))
+	t.Cleanup(platform.Close)
+	daemon := config.Default()
+	daemon.Host, daemon.Place = "ashanti-1", place
+	daemon.Listen = config.Listen{Callers: freeAddress(t), Peers: freeAddress(t)}
+	daemon.Store = platform.Listener.Addr().String()
+	daemon.Limits.UnreadyFor = settings.Duration(time.Millisecond)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	k := New(daemon, log)
+	must.NoError(t, k.Start(t.Context()))
+	return k, daemon.Listen.Callers
+}
+
+// create writes a document with one workspace and waits until the daemon
+// serves by it.
+func create(t *testing.T, k *kernel.Kernel) {
+	service := structs.ServiceName("portal")
+	due := settings.Duration(time.Hour)
+	document := &settings.Document{
+		Zones:      []structs.Place{{Zone: "ashanti-a", Region: "ashanti"}},
+		Templates:  []settings.Template{{Name: "plain", Parameters: settings.Parameters{Service: &service, LookupDue: &due}}},
+		Workspaces: []settings.Workspace{{Name: "audit", Template: "plain"}},
+	}
+	operator, err := kernel.Loaded[contract.Operator](k, contract.NameSettings)
+	must.NoError(t, err)
+	must.NoError(t, operator.Create(t.Context(), document))
+	known, err := kernel.Loaded[contract.Settings](k, contract.NameSettings)
+	must.NoError(t, err)
+	await(known.View(), func(v *contract.SettingsView) bool { return v.Document != nil && !v.GrantEnds.IsZero() })
+	hosts, err := kernel.Loaded[contract.Hosts](k, contract.NameHosts)
+	must.NoError(t, err)
+	await(hosts.View(), func(v *contract.HostView) bool { return len(v.Services[service]) > 0 })
+}
+
+// await waits until a snapshot meets a condition.
+func await[T any](snapshot *kernel.Snapshot[T], met func(*T) bool) {
+	for {
+		value, replaced := snapshot.Watch()
+		if met(value) {
+			return
+		}
+		<-replaced
+	}
+}
+
+// TestShutdown_CutsOffNoRequest stops a daemon while a look-up is in flight:
+// the caller gets the whole answer, and only then does the daemon end.
+func TestShutdown_CutsOffNoRequest(t *testing.T) {
+	p := &portal{entered: make(chan struct{}), release: make(chan struct{})}
+	k, address := startOne(t, p)
+	create(t, k)
+	type reply struct {
+		body []byte
+		err  error
+	}
+	replies := make(chan reply, 1)
+	go func() {
+		got, err := http.Get("http://" + address + "/v1/workspaces/audit/service/records/1")
+		if err != nil {
+			replies <- reply{err: err}
+			return
+		}
+		defer got.Body.Close()
+		body, err := io.ReadAll(got.Body)
+		replies <- reply{body: body, err: err}
+	}()
+	<-p.entered
+	stopped := make(chan error, 1)
+	go func() { stopped <- k.Stop(context.Background()) }()
+	select {
+	case err := <-stopped:
+		t.Fatalf("the daemon ended before its request: %v", err)
+	case got := <-replies:
+		t.Fatalf("answered before the backend server did: %s %v", got.body, got.err)
+	case <-time.After(20 * time.Millisecond):
+	}
+	close(p.release)
+	got := <-replies
+	must.NoError(t, got.err)
+	must.Eq(t, "whole answer", string(got.body))
+	must.NoError(t, <-stopped)
+}
--- a/daemon/config/config.go
+++ b/daemon/config/config.go
@@ -84,6 +84,9 @@
 type Limits struct {
 	// MaxBody is the largest request body, in bytes.
 	MaxBody int64 `yaml:"max_body" validate:"min=1,max=67108864"`
+	// UnreadyFor is how long a daemon that stops still takes requests, so that
+	// the balancer can see that it is no longer ready.
+	UnreadyFor settings.Duration `yaml:"unready_for" validate:"min=0,max=3600000000000"`
 	// StopWithin is how long a graceful shutdown waits for requests in flight.
 	StopWithin settings.Duration `yaml:"stop_within" validate:"min=0,max=86400000000000"`
 }
@@ -102,8 +105,12 @@
 // Default returns the values that a file need not give.
 func Default() Daemon {
 	return Daemon{
-		Log:    Log{Level: "info", Format: "text"},
-		Limits: Limits{MaxBody: 1 << 20, StopWithin: settings.Duration(30 * time.Second)},
+		Log: Log{Level: "info", Format: "text"},
+		Limits: Limits{
+			MaxBody:    1 << 20,
+			UnreadyFor: settings.Duration(3 * time.Second),
+			StopWithin: settings.Duration(30 * time.Second),
+		},
 		Lease: Lease{
 			Store:  settings.Duration(3 * time.Second),
 			Grant:  settings.Duration(3 * time.Second),
--- a/daemon/services/front/front.go
+++ b/daemon/services/front/front.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/julienschmidt/httprouter"
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
@@ -42,6 +43,7 @@
 	kernel.Base
 	config    config.Daemon
 	log       *logrus.Entry
+	clock     clockwork.Clock
 	trust     contract.Trust
 	endpoints []endpoint
 	server    *http.Server
@@ -58,7 +60,7 @@
 	if s.trust, err = kernel.Find[contract.Trust](ctx, contract.NameTrust); err != nil {
 		return err
 	}
-	s.log = ctx.Log()
+	s.log, s.clock = ctx.Log(), ctx.Clock()
 	s.endpoints = []endpoint{
 		&lookups{},
 		&operators{},
@@ -91,15 +93,30 @@
 	return nil
 }
 
-// Stop implements kernel.Service: it reports itself unready and waits for the
+// Stop implements kernel.Service: the daemon reports itself unready, goes on
+// serving until the balancer can have seen that, and then waits for the
 // requests in flight.
 func (s *service) Stop(ctx context.Context) error {
 	s.leaving.Store(true)
+	s.server.SetKeepAlivesEnabled(false)
+	s.awaitBalancer(ctx)
 	err := s.server.Shutdown(ctx)
+	if err != nil {
+		s.log.WithError(err).Warn("Requests were still in flight when the time to stop was up.")
+	}
 	s.group.Wait()
 	return err
 }
 
+func (s *service) awaitBalancer(ctx context.Context) {
+	timer := s.clock.NewTimer(time.Duration(s.config.Limits.UnreadyFor))
+	defer timer.Stop()
+	select {
+	case <-timer.Chan():
+	case <-ctx.Done():
+	}
+}
+
 func (s *service) routes() http.Handler {
 	router := httprouter.New()
 	router.NotFound = refuse(result.NotFound)
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -204,18 +204,33 @@
 // Find returns the service registered under a name, loading it first when
 // needed. It fails with ErrUnknownService, ErrCycle or ErrWrongType.
 func Find[T any](c *Context, name Name) (T, error) {
-	var none T
 	service, err := c.kernel.load(name)
 	if err != nil {
+		var none T
 		return none, err
 	}
+	return as[T](name, service)
+}
+
+func as[T any](name Name, service Service) (T, error) {
 	wanted, ok := service.(T)
 	if !ok {
-		return none, errors.Wrapf(ErrWrongType, "%s is a %T", name, service)
+		return wanted, errors.Wrapf(ErrWrongType, "%s is a %T", name, service)
 	}
 	return wanted, nil
 }
 
+// Loaded returns a service of a kernel that has been started. It fails with
+// ErrUnknownService when it was not loaded, or ErrWrongType.
+func Loaded[T any](k *Kernel, name Name) (T, error) {
+	service, ok := k.loaded[name]
+	if !ok {
+		var none T
+		return none, errors.Wrap(ErrUnknownService, string(name))
+	}
+	return as[T](name, service)
+}
+
 // ConfigOf returns the configuration of the process as a T and fails with
 // ErrWrongType when it is something else.
 func ConfigOf[T any](c *Context) (T, error) {
