Grant nothing before the collector has read the head in its own term

Cause: a new collector granted by what it knew as a follower until its first read of the store. A follower whose grant had run out when its zone acknowledged a round could so become the collector and serve, and let others serve, under the revision before.

A follower in doubt also says so now: after a withdrawal it has the newest round and revision and would else have heard of the decision only when its ask ran out.

Asks are held for T/2 instead of T/3, and carry the settings only when there is news. T stays at 3 s and the deadline is 11 s, within the 16 s that the users allow.

--- a/coord/zone/collector.go
+++ b/coord/zone/collector.go
@@ -56,6 +56,7 @@
 	proposed   Roster
 	members    map[structs.Incarnation]*standing
 	news       News
+	learned    bool
 }
 
 // NewCollector returns a collector of a term that has just begun. The span is
@@ -83,8 +84,10 @@
 // StoreLive reports whether the lease in the store is live.
 func (c *Collector) StoreLive(now Instant) bool { return now < c.storeUntil }
 
-// Learn takes the newest state of the settings from the store.
-func (c *Collector) Learn(news News) { c.news = news }
+// Learn takes the newest state of the settings, read from the store in this
+// term. Before that the collector grants nothing: the round that its
+// predecessor acknowledged may have passed it by.
+func (c *Collector) Learn(news News) { c.news, c.learned = news, true }
 
 // Ask answers a follower. One that has not followed this term before only
 // learns of the term, because until it has, a former collector may count on
@@ -107,7 +110,7 @@
 		return reply
 	}
 	c.confirm(member, now, ask)
-	if c.Authority(now) {
+	if c.learned && c.Authority(now) {
 		reply.Granted = true
 		member.granted = now + c.span
 	}
@@ -176,7 +179,7 @@
 // be live, so that a successor reads the head after this decision and grants
 // nothing without the round.
 func (c *Collector) MayAcknowledge(now Instant, round change.Round) bool {
-	if !c.StoreLive(now) {
+	if !c.learned || !c.StoreLive(now) {
 		return false
 	}
 	strangers := 0
--- a/coord/zone/doc.go
+++ b/coord/zone/doc.go
@@ -9,7 +9,8 @@
 //     the highest term that it has seen and never goes back.
 //   - A grant lasts for a span T from when the follower asked for it, by the
 //     follower's clock, and carries the newest revision and round that the
-//     collector knows.
+//     collector knows. A collector grants nothing before it has read the head
+//     from the store in its own term.
 //   - A collector grants while its store lease is live, or while more than
 //     half of the roster has confirmed its term within T. A confirmation is
 //     dated by the collector's own clock at the reply that the follower
--- a/daemon/config/config.go
+++ b/daemon/config/config.go
@@ -114,7 +114,7 @@
 		Lease: Lease{
 			Store:  settings.Duration(3 * time.Second),
 			Grant:  settings.Duration(3 * time.Second),
-			Decide: settings.Duration(8 * time.Second),
+			Decide: settings.Duration(11 * time.Second),
 		},
 	}
 }
--- a/daemon/contract/contract.go
+++ b/daemon/contract/contract.go
@@ -148,7 +148,8 @@
 	Lead(term structs.Term)
 	// Unlead ends it.
 	Unlead()
-	// News is the newest state known, and false before there is any.
+	// News is the newest state known, and false before there is any. A daemon
+	// that leads has none before it has read the store in its term.
 	News() (zone.News, bool)
 	// Carry is what a follower of a revision lacks.
 	Carry(since settings.Revision) Carry
--- a/daemon/services/settings/settings.go
+++ b/daemon/services/settings/settings.go
@@ -128,6 +128,9 @@
 
 // News implements contract.SettingsControl.
 func (s *service) News() (zone.News, bool) {
+	if s.lead != nil && s.lead.headAt == 0 {
+		return zone.News{}, false
+	}
 	return zone.News{Round: s.round, Undecided: len(s.staged) > 0, Revision: s.revision}, s.document != nil
 }
 
--- a/daemon/services/zone/collect.go
+++ b/daemon/services/zone/collect.go
@@ -102,7 +102,7 @@
 	s.settings.Lead(role.record.term)
 	s.publish()
 	s.tellRole(true)
-	s.loop.After(s.ttl/holdShare, func() { s.keepAlive(role.record.term) })
+	s.loop.After(s.ttl/keepAliveShare, func() { s.keepAlive(role.record.term) })
 	s.askSelf()
 }
 
@@ -154,7 +154,7 @@
 		s.collects.decide.StoreLease(reply.Value.until)
 		s.tend()
 	}
-	s.loop.After(s.ttl/holdShare, func() { s.keepAlive(reply.Value.term) })
+	s.loop.After(s.ttl/keepAliveShare, func() { s.keepAlive(reply.Value.term) })
 }
 
 // askSelf lets the collector be its own follower.
@@ -169,7 +169,7 @@
 		s.join(s.self)
 	}
 	s.tend()
-	s.loop.After(s.span/holdShare, func() {
+	s.loop.After(s.part(holdParts), func() {
 		if s.collects != nil && s.collects.decide.Term() == term {
 			s.askSelf()
 		}
--- a/daemon/services/zone/follow.go
+++ b/daemon/services/zone/follow.go
@@ -32,6 +32,8 @@
 	Ask zone.Ask
 	// Have are the versions of the shared parts that the follower knows.
 	Have []HavePart
+	// InDoubt says that the follower waits for the decision of a round.
+	InDoubt bool
 }
 
 // AskReply is the reply of Zone.Ask.
@@ -61,8 +63,10 @@
 		s.askSelf()
 		return
 	}
-	args, asked, address := AskArgs{Ask: s.follower.Ask(), Have: s.have()}, s.now(), s.known.Address
-	limit := s.span / askShare
+	news, _ := s.settings.News()
+	args := AskArgs{Ask: s.follower.Ask(), Have: s.have(), InDoubt: news.Undecided}
+	asked, address := s.now(), s.known.Address
+	limit := s.part(askParts)
 	kernel.Async(s.workers, limit, s.answers, func(ctx context.Context) (answer, error) {
 		got := answer{asked: asked}
 		err := s.peers.Call(ctx, address, rpcName+".Ask", &args, &got.reply)
--- a/daemon/services/zone/receive.go
+++ b/daemon/services/zone/receive.go
@@ -13,8 +13,7 @@
 
 // askCall is a follower's ask on its way to the control goroutine.
 type askCall struct {
-	ask    zone.Ask
-	have   []HavePart
+	AskArgs
 	answer chan AskReply
 }
 
@@ -26,7 +25,7 @@
 
 // Ask answers a follower, at once when there is news for it.
 func (r *Receiver) Ask(args *AskArgs, reply *AskReply) error {
-	call := askCall{ask: args.Ask, have: args.Have, answer: make(chan AskReply, 1)}
+	call := askCall{AskArgs: *args, answer: make(chan AskReply, 1)}
 	if err := r.service.asks.Post(call); err != nil {
 		return result.Wrap(result.Overloaded, err)
 	}
@@ -43,26 +42,26 @@
 		call.answer <- AskReply{}
 		return
 	}
-	if call.ask.Term > cs.decide.Term() {
-		s.log.Infof("%s follows term %d.", call.ask.Member.Host, call.ask.Term)
+	if call.Ask.Term > cs.decide.Term() {
+		s.log.Infof("%s follows term %d.", call.Ask.Member.Host, call.Ask.Term)
 		call.answer <- AskReply{}
 		s.stepDown()
 		return
 	}
-	if !cs.decide.Roster().Has(call.ask.Member) {
-		s.join(call.ask.Member)
-		s.answerOrHold(call, s.lacks(call.have))
+	if !cs.decide.Roster().Has(call.Ask.Member) {
+		s.join(call.Ask.Member)
+		s.answerOrHold(call, s.lacks(call.Have))
 		s.tend()
 		return
 	}
-	s.answerOrHold(call, s.isNews(call.ask) || s.lacks(call.have))
+	s.answerOrHold(call, s.isNews(call.AskArgs) || s.lacks(call.Have))
 	s.tend()
 }
 
 // answerOrHold answers an ask for which there is news, and else keeps it
 // until there is.
 func (s *service) answerOrHold(call askCall, isNews bool) {
-	reply := s.collects.decide.Ask(s.now(), call.ask)
+	reply := s.collects.decide.Ask(s.now(), call.Ask)
 	if isNews {
 		s.answer(call, reply)
 		return
@@ -70,19 +69,21 @@
 	s.hold(call)
 }
 
-// isNews reports whether a follower lacks something, or has not yet echoed a
-// reply of this term.
-func (s *service) isNews(ask zone.Ask) bool {
+// isNews reports whether a follower lacks something of the settings, or has
+// not yet echoed a reply of this term.
+func (s *service) isNews(args AskArgs) bool {
 	news, ok := s.settings.News()
 	if !ok {
 		return false
 	}
-	return ask.Echo == 0 || ask.Term < s.collects.decide.Term() || ask.Revision < news.Revision || ask.Staged < news.Round
+	ask := args.Ask
+	return ask.Echo == 0 || ask.Term < s.collects.decide.Term() ||
+		ask.Revision < news.Revision || ask.Staged < news.Round || args.InDoubt != news.Undecided
 }
 
 func (s *service) hold(call askCall) {
 	held := &heldAsk{call: call}
-	held.timer = s.loop.After(s.span/holdShare, func() { s.release(held) })
+	held.timer = s.loop.After(s.part(holdParts), func() { s.release(held) })
 	s.collects.held = append(s.collects.held, held)
 }
 
@@ -100,7 +101,7 @@
 			break
 		}
 	}
-	s.answer(held.call, cs.decide.Ask(s.now(), held.call.ask))
+	s.answer(held.call, cs.decide.Ask(s.now(), held.call.Ask))
 }
 
 // releaseAll answers all held asks because there is news.
@@ -109,22 +110,24 @@
 	s.collects.held = nil
 	for _, waiting := range held {
 		s.loop.Cancel(waiting.timer)
-		s.answer(waiting.call, s.collects.decide.Ask(s.now(), waiting.call.ask))
+		s.answer(waiting.call, s.collects.decide.Ask(s.now(), waiting.call.Ask))
 	}
 }
 
 // answer sends a reply with what the follower lacks.
 func (s *service) answer(call askCall, reply zone.Reply) {
-	answer := AskReply{Collects: true, Reply: reply, Parts: s.shareWith(call.have)}
-	if _, ok := s.settings.News(); ok {
-		carry, err := json.Marshal(s.settings.Carry(call.ask.Revision))
+	answer := AskReply{Collects: true, Reply: reply, Parts: s.shareWith(call.Have)}
+	news, known := s.settings.News()
+	switch {
+	case !known:
+		answer.Reply.Granted = false
+	case s.isNews(call.AskArgs) || news.Undecided:
+		carry, err := json.Marshal(s.settings.Carry(call.Ask.Revision))
 		if err != nil {
 			s.log.WithError(err).Error("The settings could not be encoded.")
 			answer.Reply.Granted = false
 		}
 		answer.Carry = carry
-	} else {
-		answer.Reply.Granted = false
 	}
 	call.answer <- answer
 }
--- a/daemon/services/zone/zone.go
+++ b/daemon/services/zone/zone.go
@@ -24,11 +24,14 @@
 const (
 	askCapacity   = 4096
 	replyCapacity = 64
-	// holdShare and askShare divide the span T of a grant: a collector
-	// without news holds an ask for T/holdShare, and a follower gives an ask
-	// up after T/askShare.
-	holdShare = 3
-	askShare  = 2
+	// holdParts and askParts are parts of the span T of a grant, in quarters:
+	// a collector without news holds an ask for two of them, and a follower
+	// gives an ask up after three.
+	spanParts = 4
+	holdParts = 2
+	askParts  = 3
+	// keepAliveShare divides the time to live of the lease in the store.
+	keepAliveShare = 3
 	// retryDelay is the pause of a follower that reached no collector.
 	retryDelay = 200 * time.Millisecond
 	// silentSpans is the count of spans T after which a member that does not
@@ -118,6 +121,9 @@
 // Standing implements contract.Zone.
 func (s *service) Standing() *kernel.Snapshot[contract.Standing] { return s.standing }
 
+// part returns a number of quarters of the span T.
+func (s *service) part(parts time.Duration) time.Duration { return s.span * parts / spanParts }
+
 // now reads the clock as the protocol does.
 func (s *service) now() zone.Instant { return s.clock.Since(s.started) }
 
