--- a/coord/result/result.go
+++ b/coord/result/result.go
@@ -32,6 +32,8 @@
 const (
 	OK       Code = 1000
 	Repeated Code = 1001
+	// AnswerNotKept also stands for success: the request ran once.
+	AnswerNotKept Code = 1002
 
 	BadRequest           Code = 2000
 	UnknownWorkspace     Code = 2001
@@ -100,6 +102,7 @@
 var table = []Entry{
 	{OK, "ok", Answered, 200, "The answer is whole."},
 	{Repeated, "repeated", Answered, 200, "The recorded answer of the first request with this key is given again."},
+	{AnswerNotKept, "answer-not-kept", Answered, 410, "The first request with this key was answered; the answer was too large to be kept."},
 	{BadRequest, "bad-request", NotRun, 400, "The request is malformed."},
 	{UnknownWorkspace, "unknown-workspace", NotRun, 404, "There is no workspace of this name."},
 	{UnknownService, "unknown-service", NotRun, 404, "There is no service of this name."},
--- a/daemon/services/front/front.go
+++ b/daemon/services/front/front.go
@@ -56,6 +56,7 @@
 	s.log = ctx.Log()
 	s.endpoints = []endpoint{
 		&lookups{},
+		&submissions{},
 		&operators{},
 	}
 	for _, each := range s.endpoints {
--- /dev/null
+++ b/daemon/services/journal/fakes_test.go
@@ -0,0 +1,280 @@
+package journal
+
+import (
+	"context"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/flamingobeam/flamingobeam/coord/result"
+	"github.com/flamingobeam/flamingobeam/coord/settings"
+	"github.com/flamingobeam/flamingobeam/coord/structs"
+	"github.com/flamingobeam/flamingobeam/daemon/contract"
+	"github.com/flamingobeam/flamingobeam/kernel"
+	"github.com/flamingobeam/flamingobeam/platform"
+)
+
+// gate stops the input and output of one daemon: while it is frozen calls
+// wait, and after it was killed they fail.
+type gate struct {
+	mu     sync.Mutex
+	frozen chan struct{}
+	once   sync.Once
+	killed chan struct{}
+}
+
+func newGate() *gate { return &gate{killed: make(chan struct{})} }
+
+func (g *gate) freeze() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.frozen = make(chan struct{})
+}
+
+func (g *gate) thaw() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	close(g.frozen)
+	g.frozen = nil
+}
+
+func (g *gate) kill() { g.once.Do(func() { close(g.killed) }) }
+
+func (g *gate) isKilled() bool {
+	select {
+	case <-g.killed:
+		return true
+	default:
+		return false
+	}
+}
+
+// pass waits while the daemon is frozen and reports false once it is dead.
+func (g *gate) pass() bool {
+	g.mu.Lock()
+	frozen := g.frozen
+	g.mu.Unlock()
+	if frozen != nil {
+		select {
+		case <-frozen:
+		case <-g.killed:
+		}
+	}
+	return !g.isKilled()
+}
+
+// gatedStore is the store as one daemon reaches it. Each hook is called
+// before or after a compare-and-swap; before may refuse it and after may lose
+// its answer.
+type gatedStore struct {
+	platform.Store
+	gate   *gate
+	mu     sync.Mutex
+	before func(key string) error
+	after  func(key string) error
+}
+
+func (g *gatedStore) hooks() (func(string) error, func(string) error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.before, g.after
+}
+
+func (g *gatedStore) hook(before, after func(string) error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.before, g.after = before, after
+}
+
+func (g *gatedStore) Get(ctx context.Context, key string) (platform.Entry, error) {
+	if !g.gate.pass() {
+		return platform.Entry{}, platform.ErrUnavailable
+	}
+	return g.Store.Get(ctx, key)
+}
+
+func (g *gatedStore) CompareAndSwap(ctx context.Context, key string, expected platform.Revision, value []byte, lease platform.LeaseID) (platform.Revision, error) {
+	before, after := g.hooks()
+	if before != nil {
+		if err := before(key); err != nil {
+			return 0, err
+		}
+	}
+	if !g.gate.pass() {
+		return 0, platform.ErrUnavailable
+	}
+	revision, err := g.Store.CompareAndSwap(ctx, key, expected, value, lease)
+	if after != nil && err == nil {
+		err = after(key)
+	}
+	return revision, err
+}
+
+// gatedPlain is the backend server as one daemon reaches it.
+type gatedPlain struct {
+	platform.PlainService
+	gate   *gate
+	mu     sync.Mutex
+	before func()
+	after  func()
+}
+
+func (g *gatedPlain) hook(before, after func()) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.before, g.after = before, after
+}
+
+func (g *gatedPlain) Do(ctx context.Context, address string, call platform.Call) (platform.Answer, error) {
+	g.mu.Lock()
+	before, after := g.before, g.after
+	g.mu.Unlock()
+	if before != nil {
+		before()
+	}
+	if !g.gate.pass() {
+		return platform.Answer{}, result.New(result.NoBackend, "killed")
+	}
+	answer, err := g.PlainService.Do(ctx, address, call)
+	if after != nil {
+		after()
+	}
+	if !g.gate.pass() {
+		return platform.Answer{}, result.New(result.BackendBroke, "killed")
+	}
+	return answer, err
+}
+
+// network carries net/rpc calls between daemons over pipes.
+type network struct {
+	mu      sync.Mutex
+	servers map[string]*rpc.Server
+	gates   map[string]*gate
+	// lose counts the replies to lose of each address.
+	lose map[string]int
+}
+
+func newNetwork() *network {
+	return &network{servers: map[string]*rpc.Server{}, gates: map[string]*gate{}, lose: map[string]int{}}
+}
+
+// loseReplies loses the replies of the next submissions to an address.
+func (n *network) loseReplies(address string, count int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.lose[address] = count
+}
+
+func (n *network) takeLoss(address, method string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if method != rpcName+".Submit" || n.lose[address] == 0 {
+		return false
+	}
+	n.lose[address]--
+	return true
+}
+
+func (n *network) call(ctx context.Context, address, method string, args, reply any) error {
+	n.mu.Lock()
+	server, remote := n.servers[address], n.gates[address]
+	n.mu.Unlock()
+	if server == nil || remote.isKilled() {
+		return result.New(result.PeerUnreachable, "%s", address)
+	}
+	near, far := net.Pipe()
+	go func() {
+		if remote.pass() {
+			server.ServeConn(far)
+		}
+	}()
+	client := rpc.NewClient(near)
+	defer client.Close()
+	done := make(chan error, 1)
+	go func() { done <- client.Call(method, args, reply) }()
+	select {
+	case err := <-done:
+		if err != nil || n.takeLoss(address, method) {
+			return result.New(result.OutcomeUnknown, "the connection broke")
+		}
+		return nil
+	case <-remote.killed:
+		return result.New(result.OutcomeUnknown, "the connection broke")
+	case <-ctx.Done():
+		return result.Wrap(result.OutcomeUnknown, ctx.Err())
+	}
+}
+
+// fakePeers is one daemon's end of the network.
+type fakePeers struct {
+	kernel.Base
+	network *network
+	gate    *gate
+}
+
+func (f *fakePeers) Call(ctx context.Context, address, method string, args, reply any) error {
+	if !f.gate.pass() {
+		return result.New(result.PeerUnreachable, "killed")
+	}
+	return f.network.call(ctx, address, method, args, reply)
+}
+
+// fakeRPC registers receivers with the network.
+type fakeRPC struct {
+	kernel.Base
+	network *network
+	address string
+	gate    *gate
+}
+
+func (f *fakeRPC) Register(name string, receiver any) error {
+	server := rpc.NewServer()
+	f.network.mu.Lock()
+	defer f.network.mu.Unlock()
+	f.network.servers[f.address], f.network.gates[f.address] = server, f.gate
+	return server.RegisterName(name, receiver)
+}
+
+type fakeClients struct {
+	kernel.Base
+	clients platform.Clients
+}
+
+func (f *fakeClients) Platform() platform.Clients { return f.clients }
+
+// fakeSettings gives every workspace the same parameters.
+type fakeSettings struct {
+	kernel.Base
+	window, due time.Duration
+}
+
+func (f *fakeSettings) View() *kernel.Snapshot[contract.SettingsView] { return nil }
+
+func (f *fakeSettings) Acquire(_ context.Context, workspace structs.WorkspaceName) (settings.Resolved, error) {
+	return f.Peek(workspace)
+}
+
+func (f *fakeSettings) Peek(structs.WorkspaceName) (settings.Resolved, error) {
+	resolved := settings.Resolved{Service: "portal", KeyWindow: f.window}
+	resolved.Due[structs.ClassSubmission] = f.due
+	return resolved, nil
+}
+
+// fakeBalancer knows one backend server.
+type fakeBalancer struct {
+	kernel.Base
+	address string
+}
+
+func (f *fakeBalancer) Pick(context.Context, contract.PickRequest) (contract.Ticket, error) {
+	server := structs.BackendServer{Name: "portal-1", Address: f.address}
+	return contract.Ticket{Server: server, Finish: func(contract.TicketOutcome) {}}, nil
+}
+
+type fakeMetrics struct{ kernel.Base }
+
+func (fakeMetrics) Count(string, int64)                               {}
+func (fakeMetrics) Gauge(string, int64)                               {}
+func (fakeMetrics) Time(string, time.Duration)                        {}
+func (fakeMetrics) Served(structs.WorkspaceName, structs.Class, bool) {}
--- /dev/null
+++ b/daemon/services/journal/journal.go
@@ -0,0 +1,137 @@
+// Package journal is the service "traffic.journal": it runs submissions at
+// most once. Which buckets this daemon owns is control state; committing the
+// records of a bucket is traffic, with a goroutine for each owned bucket.
+package journal
+
+import (
+	"context"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"github.com/flamingobeam/flamingobeam/coord/journal"
+	"github.com/flamingobeam/flamingobeam/coord/structs"
+	"github.com/flamingobeam/flamingobeam/daemon/config"
+	"github.com/flamingobeam/flamingobeam/daemon/contract"
+	"github.com/flamingobeam/flamingobeam/kernel"
+)
+
+func init() {
+	kernel.Register(contract.NameJournal, func() kernel.Service {
+		return &service{strategy: journal.GroupCommit(), spans: defaultSpans()}
+	})
+}
+
+const (
+	wantCapacity  = 4096
+	replyCapacity = 2 * journal.Buckets
+	rpcName       = "Journal"
+)
+
+type service struct {
+	kernel.Base
+	strategy journal.Strategy
+	spans    spans
+	clock    clockwork.Clock
+	loop     *kernel.Loop
+	workers  *kernel.Workers
+	log      *logrus.Entry
+	clients  contract.Clients
+	settings contract.Settings
+	balancer contract.Balancer
+	peers    contract.Peers
+	metrics  contract.Metrics
+	address  string
+	self     structs.Incarnation
+	view     *kernel.Snapshot[view]
+	calls    *kernel.Calls
+	wants    *kernel.Mailbox[want]
+	found    *kernel.Mailbox[kernel.Reply[finding]]
+	losses   *kernel.Mailbox[*committer]
+	// committers are the goroutines of the owned buckets, which end with
+	// committing.
+	forwards      conc.WaitGroup
+	committers    conc.WaitGroup
+	committing    context.Context
+	endCommitting context.CancelFunc
+
+	// The fields below belong to the control goroutine.
+	waiting  [journal.Buckets][]want
+	stopping bool
+}
+
+var _ contract.Journal = (*service)(nil)
+
+// Provision implements kernel.Service.
+func (s *service) Provision(ctx *kernel.Context) error {
+	daemon, err := kernel.ConfigOf[config.Daemon](ctx)
+	if err != nil {
+		return err
+	}
+	if err := s.find(ctx); err != nil {
+		return err
+	}
+	server, err := kernel.Find[contract.RPC](ctx, contract.NameRPC)
+	if err != nil {
+		return err
+	}
+	s.clock, s.loop, s.workers, s.log = ctx.Clock(), ctx.Loop(), ctx.Workers(), ctx.Log()
+	s.address = daemon.Listen.Peers
+	s.self = structs.Incarnation{Host: daemon.Host, Start: uint64(s.clock.Now().UnixNano())}
+	s.view = kernel.NewSnapshot(&view{})
+	s.calls = kernel.NewCalls(s.loop)
+	s.wants = kernel.NewMailbox(s.loop, wantCapacity, s.onWant)
+	s.found = kernel.NewMailbox(s.loop, replyCapacity, s.onFound)
+	s.losses = kernel.NewMailbox(s.loop, replyCapacity, s.onLoss)
+	s.committing, s.endCommitting = context.WithCancel(context.Background())
+	return server.Register(rpcName, &Receiver{service: s})
+}
+
+// find finds the services that the journal uses.
+func (s *service) find(ctx *kernel.Context) error {
+	var err error
+	if s.clients, err = kernel.Find[contract.Clients](ctx, contract.NameClients); err != nil {
+		return err
+	}
+	if s.settings, err = kernel.Find[contract.Settings](ctx, contract.NameSettings); err != nil {
+		return err
+	}
+	if s.balancer, err = kernel.Find[contract.Balancer](ctx, contract.NameBalance); err != nil {
+		return err
+	}
+	if s.peers, err = kernel.Find[contract.Peers](ctx, contract.NamePeers); err != nil {
+		return err
+	}
+	s.metrics, err = kernel.Find[contract.Metrics](ctx, contract.NameMetrics)
+	return err
+}
+
+func (s *service) records() *records { return &records{store: s.clients.Platform().Store} }
+
+// Stop implements kernel.Service: it finishes what is in flight and hands the
+// buckets back, so that the next owner need not wait to find this one gone.
+func (s *service) Stop(ctx context.Context) error {
+	defer s.forwards.Wait()
+	defer s.committers.Wait()
+	defer s.endCommitting()
+	var owned []*committer
+	err := s.calls.Do(ctx, func() {
+		s.stopping = true
+		owned = s.view.Load().owned()
+	})
+	if err != nil {
+		return err
+	}
+	for _, each := range owned {
+		each.drains <- struct{}{}
+	}
+	for _, each := range owned {
+		select {
+		case <-each.done:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/daemon/services/journal/journal_test.go
@@ -0,0 +1,55 @@
+package journal
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/flamingobeam/flamingobeam/coord/result"
+)
+
+func TestSubmit_RunsOnceAndRepeatsTheAnswer(t *testing.T) {
+	b := newBench(t)
+	first, second := b.start("a"), b.start("b")
+	reply, err := first.Submit(t.Context(), b.request("k"))
+	must.NoError(t, err)
+	must.False(t, reply.Repeated)
+	must.Eq(t, receipt("k"), string(reply.Answer.Body))
+	for _, d := range []*daemon{first, second} {
+		reply, err = d.Submit(t.Context(), b.request("k"))
+		must.NoError(t, err)
+		must.True(t, reply.Repeated)
+		must.Eq(t, receipt("k"), string(reply.Answer.Body))
+	}
+	must.Eq(t, 1, b.runs("k"))
+}
+
+func TestSubmit_RefusesAKeyOfAnotherRequest(t *testing.T) {
+	b := newBench(t)
+	d := b.start("a")
+	_, err := d.Submit(t.Context(), b.request("k"))
+	must.NoError(t, err)
+	other := b.request("k")
+	other.Body = []byte("another claim")
+	_, err = d.Submit(t.Context(), other)
+	must.Eq(t, result.KeyReused, result.CodeOf(err))
+	must.Eq(t, 1, b.runs("k"))
+}
+
+// TestSubmit_SurvivesAPlannedStop hands buckets back and finds the recorded
+// answers at the next owner.
+func TestSubmit_SurvivesAPlannedStop(t *testing.T) {
+	b := newBench(t)
+	first, second := b.start("a"), b.start("b")
+	for i := range 50 {
+		_, err := first.Submit(t.Context(), b.request(keyOf(i)))
+		must.NoError(t, err)
+	}
+	first.stop()
+	for i := range 50 {
+		reply, err := second.Submit(t.Context(), b.request(keyOf(i)))
+		must.NoError(t, err)
+		must.True(t, reply.Repeated)
+		must.Eq(t, 1, b.runs(keyOf(i)))
+	}
+}
--- /dev/null
+++ b/daemon/services/journal/run.go
@@ -0,0 +1,198 @@
+package journal
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/flamingobeam/flamingobeam/coord/journal"
+	"github.com/flamingobeam/flamingobeam/coord/result"
+	"github.com/flamingobeam/flamingobeam/coord/settings"
+	"github.com/flamingobeam/flamingobeam/coord/structs"
+	"github.com/flamingobeam/flamingobeam/daemon/contract"
+	"github.com/flamingobeam/flamingobeam/platform"
+)
+
+// maxAttempts is on how many backend servers a submission is tried while no
+// byte of it has left.
+const maxAttempts = 3
+
+// submission is a request at the daemon that owns its bucket.
+type submission struct {
+	contract.SubmitRequest
+	// again is set when the request may have been sent here before; it then
+	// waits for the outcome of that one.
+	again bool
+}
+
+func (s *submission) journal() journal.Request {
+	return journal.Request{
+		Key:         journal.Key{Workspace: s.Workspace, Name: s.Key},
+		Fingerprint: journal.FingerprintOf(s.Path, s.Body),
+	}
+}
+
+// run runs a submission on the owner of its bucket. It fails with errLost when
+// the bucket was lost before any byte was sent.
+func (s *service) run(ctx context.Context, owned *committer, request submission) (contract.SubmitReply, error) {
+	entry := request.journal()
+	got, err := owned.ask(ctx, entry, true)
+	if err != nil {
+		return contract.SubmitReply{}, unreached(err)
+	}
+	if got.verdict != journal.Run {
+		return s.repeat(ctx, got, request.again)
+	}
+	parameters, err := s.settings.Acquire(ctx, request.Workspace)
+	if err != nil {
+		return contract.SubmitReply{}, err
+	}
+	entry.Window = parameters.KeyWindow
+	entry.Due = parameters.Due[structs.ClassSubmission]
+	if got, err = owned.ask(ctx, entry, false); err != nil {
+		return contract.SubmitReply{}, unreached(err)
+	}
+	if got.verdict != journal.Run {
+		return s.repeat(ctx, got, request.again)
+	}
+	return s.execute(ctx, owned, got.run, request, parameters)
+}
+
+// unreached gives a failure to commit an intent its code.
+func unreached(err error) error {
+	if errors.Is(err, errLost) {
+		return err
+	}
+	return result.Wrap(result.JournalUnreached, err)
+}
+
+// execute waits until the intent is committed, then sends the request.
+func (s *service) execute(ctx context.Context, owned *committer, r *run, request submission, parameters settings.Resolved) (contract.SubmitReply, error) {
+	defer close(r.finished)
+	select {
+	case <-r.committed:
+	case <-owned.done:
+		r.err = errLost
+		return r.reply, r.err
+	case <-ctx.Done():
+		r.err = unreached(ctx.Err())
+		owned.settle(r, journal.StateNotRun, nil)
+		return r.reply, r.err
+	}
+	r.reply.Answer, r.err = s.send(ctx, request.SubmitRequest, parameters)
+	state, answer := stateOf(r.reply.Answer, r.err)
+	owned.settle(r, state, answer)
+	return r.reply, r.err
+}
+
+// stateOf is what the journal keeps of an outcome.
+func stateOf(answer platform.Answer, err error) (journal.State, *journal.Answer) {
+	switch {
+	case err == nil:
+		return journal.StateAnswered, journal.NewAnswer(answer.Status, answer.ContentType, answer.Body)
+	case result.OutcomeOf(err) == result.NotRun:
+		return journal.StateNotRun, nil
+	default:
+		return journal.StateUnknown, nil
+	}
+}
+
+// send sends a request to a backend server. It tries another one only while no
+// byte can have left.
+func (s *service) send(ctx context.Context, request contract.SubmitRequest, parameters settings.Resolved) (platform.Answer, error) {
+	due, _ := ctx.Deadline()
+	pick := contract.PickRequest{
+		Service:   parameters.Service,
+		Workspace: request.Workspace,
+		Class:     structs.ClassSubmission,
+		Due:       due,
+	}
+	var last error
+	for range maxAttempts {
+		ticket, err := s.balancer.Pick(ctx, pick)
+		if err != nil && last != nil {
+			return platform.Answer{}, last
+		}
+		if err != nil {
+			return platform.Answer{}, err
+		}
+		answer, err := s.attempt(ctx, ticket, request)
+		if result.OutcomeOf(err) != result.NotRun {
+			return answer, err
+		}
+		last = err
+		pick.Avoid = append(pick.Avoid, ticket.Server.Name)
+	}
+	return platform.Answer{}, last
+}
+
+func (s *service) attempt(ctx context.Context, ticket contract.Ticket, request contract.SubmitRequest) (platform.Answer, error) {
+	begun := s.clock.Now()
+	if ctx.Err() != nil {
+		ticket.Finish(contract.TicketOutcome{})
+		return platform.Answer{}, result.Wrap(result.DueTimePassed, ctx.Err())
+	}
+	call := platform.Call{Method: http.MethodPost, Path: request.Path, Key: request.Key, Body: request.Body}
+	answer, err := s.clients.Platform().Plain.Do(ctx, ticket.Server.Address, call)
+	ticket.Finish(contract.TicketOutcome{Err: finished(ticket, answer, err), Latency: s.clock.Now().Sub(begun)})
+	return answer, err
+}
+
+// finished is what the balancer learns of an attempt: a server that answers
+// with status 503 refuses new work.
+func finished(ticket contract.Ticket, answer platform.Answer, err error) error {
+	if err == nil && answer.Status == http.StatusServiceUnavailable {
+		return result.New(result.BackendRefused, "%s", ticket.Server.Name)
+	}
+	return err
+}
+
+// repeat answers a request whose key was used before.
+func (s *service) repeat(ctx context.Context, got admitted, again bool) (contract.SubmitReply, error) {
+	switch got.verdict {
+	case journal.Repeat:
+		return repeated(got.record)
+	case journal.Running:
+		if again && got.run != nil {
+			return join(ctx, got.run)
+		}
+		return contract.SubmitReply{}, result.New(result.StillRunning, "since %s", got.record.At.Format(time.RFC3339))
+	default:
+		return contract.SubmitReply{}, result.New(codes[got.verdict], "")
+	}
+}
+
+// codes are the results of the verdicts that give no answer.
+var codes = map[journal.Verdict]result.Code{
+	journal.Unknown:    result.OutcomeUnknown,
+	journal.TakenOver:  result.JournalTakeover,
+	journal.Reused:     result.KeyReused,
+	journal.TooOld:     result.KeyTooOld,
+	journal.FromFuture: result.BadRequest,
+	journal.Full:       result.Overloaded,
+}
+
+// repeated gives a recorded answer.
+func repeated(record journal.Record) (contract.SubmitReply, error) {
+	answer := record.Answer
+	if !answer.Kept() {
+		return contract.SubmitReply{}, result.New(result.AnswerNotKept, "status %d, %d bytes, SHA-256 %s", answer.Status, answer.Length, answer.Digest)
+	}
+	return contract.SubmitReply{
+		Answer:   platform.Answer{Status: answer.Status, ContentType: answer.ContentType, Body: answer.Body},
+		Repeated: true,
+	}, nil
+}
+
+// join waits for the outcome of a run that an earlier call of the same caller
+// began.
+func join(ctx context.Context, r *run) (contract.SubmitReply, error) {
+	select {
+	case <-r.finished:
+		return r.reply, r.err
+	case <-ctx.Done():
+		return contract.SubmitReply{}, result.Wrap(result.StillRunning, ctx.Err())
+	}
+}
