--- a/daemon/services/front/front.go
+++ b/daemon/services/front/front.go
@@ -63,6 +63,7 @@
 	s.log, s.clock = ctx.Log(), ctx.Clock()
 	s.endpoints = []endpoint{
 		&lookups{},
+		&submissions{},
 		&operators{},
 		&steps{},
 	}
