Choose a backend server by prefix affinity bounded by load

Cause: two random choices spread the requests of one prompt over all engines, so that each computes the same prefix anew.

Ruled out: rendezvous hashing over all servers, which reads 10,000 hashes for each decision; a ring with many points for each server, which takes longer to sort than the control thread may spend on a publication. One point for each server and seven probes for each key even the parts out instead.

--- /dev/null
+++ b/coord/route/baseline.go
@@ -0,0 +1,21 @@
+package route
+
+// TwoChoices is a baseline for measurements: the less loaded of two random
+// servers of the nearest tier, without affinity or limits.
+func (t *Table) TwoChoices(random uint64, loads Loads) int {
+	members := t.tiers[0].Members
+	random = mix(random)
+	first := int(members[reduce(random, len(members))])
+	second := int(members[reduce(random<<32, len(members))])
+	if loads.Load(second) < loads.Load(first) {
+		return second
+	}
+	return first
+}
+
+// RoundRobin is a baseline for measurements: the servers of the nearest tier
+// in turn. The caller counts the requests.
+func (t *Table) RoundRobin(count uint64) int {
+	members := t.tiers[0].Members
+	return int(members[count%uint64(len(members))])
+}
--- /dev/null
+++ b/coord/route/table.go
@@ -0,0 +1,219 @@
+// Package route chooses the backend server for a request among up to ten
+// thousand. A request that shares a prompt prefix with earlier ones goes to
+// the server that has the prefix in its cache, unless that server has more
+// than its part of the load; other requests go to the less loaded of two
+// random servers. Near servers come before far ones.
+//
+// A Table is immutable. The loads, which change with each request, are read
+// through the interface Loads; randomness comes in with the request.
+package route
+
+import (
+	"cmp"
+	"math/bits"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/flamingobeam/flamingobeam/coord/structs"
+)
+
+// FullShare is the Share of a server that takes all of its traffic, in
+// thousandths.
+const FullShare = 1000
+
+// Server is a backend server as the router sees it.
+type Server struct {
+	Name  structs.HostName
+	Place structs.Place
+	// Version is the weight version that the server runs, or zero.
+	Version structs.WeightVersion
+	// Share is the part of its traffic that the server gets, in thousandths:
+	// zero while it is ejected, less than FullShare while it returns.
+	Share uint16
+}
+
+// Tier is a set of servers at the same distance.
+type Tier struct {
+	Region structs.RegionName
+	// Local is set for tiers inside the own region.
+	Local bool
+	// Price is the cost of a GiB to and from the tier.
+	Price float64
+	// Members are indices of servers.
+	Members []int32
+
+	ring ring
+}
+
+// Table holds the servers of one service, grouped by distance: the own zone,
+// the own region, then each other region by rising price.
+type Table struct {
+	servers []Server
+	tiers   []Tier
+	tierOf  []uint8
+}
+
+// NewTable builds a table for a daemon that stands at a place.
+func NewTable(self structs.Place, servers []Server, prices Prices) *Table {
+	t := &Table{servers: servers, tierOf: make([]uint8, len(servers))}
+	t.group(self, prices)
+	for i := range t.tiers {
+		t.tiers[i].ring = newRing(servers, t.tiers[i].Members)
+		for _, member := range t.tiers[i].Members {
+			t.tierOf[member] = uint8(i)
+		}
+	}
+	return t
+}
+
+// WithServers returns a table whose servers have other versions and shares.
+// The names, places and order must be those of t, whose rings it reuses.
+func (t *Table) WithServers(servers []Server) *Table {
+	return &Table{servers: servers, tiers: t.tiers, tierOf: t.tierOf}
+}
+
+// Servers returns the servers; they must not be changed.
+func (t *Table) Servers() []Server { return t.servers }
+
+// Tiers returns the tiers, the nearest first; they must not be changed.
+func (t *Table) Tiers() []Tier { return t.tiers }
+
+// TierOf returns the index of a server's tier.
+func (t *Table) TierOf(server int) int { return int(t.tierOf[server]) }
+
+// tierKey orders tiers: the own zone, the own region, other regions.
+type tierKey struct {
+	distance int
+	region   structs.RegionName
+}
+
+const (
+	distanceZone = iota
+	distanceRegion
+	distanceElsewhere
+)
+
+func keyOf(self, place structs.Place) tierKey {
+	switch {
+	case place == self:
+		return tierKey{distance: distanceZone, region: place.Region}
+	case place.Region == self.Region:
+		return tierKey{distance: distanceRegion, region: place.Region}
+	default:
+		return tierKey{distance: distanceElsewhere, region: place.Region}
+	}
+}
+
+// group fills the tiers.
+func (t *Table) group(self structs.Place, prices Prices) {
+	members := make(map[structs.Place]int)
+	indices := make(map[tierKey]int)
+	var keys []tierKey
+	for i, server := range t.servers {
+		tier, ok := members[server.Place]
+		if !ok {
+			key := keyOf(self, server.Place)
+			if tier, ok = indices[key]; !ok {
+				tier = len(t.tiers)
+				indices[key] = tier
+				keys = append(keys, key)
+				t.tiers = append(t.tiers, Tier{
+					Region: key.region,
+					Local:  key.distance != distanceElsewhere,
+					Price:  prices.Of(self.Region, key.region),
+				})
+			}
+			members[server.Place] = tier
+		}
+		t.tiers[tier].Members = append(t.tiers[tier].Members, int32(i))
+	}
+	t.sortTiers(keys)
+}
+
+func (t *Table) sortTiers(keys []tierKey) {
+	order := make([]int, len(keys))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortFunc(order, func(a, b int) int {
+		return cmp.Or(
+			cmp.Compare(keys[a].distance, keys[b].distance),
+			cmp.Compare(t.tiers[a].Price, t.tiers[b].Price),
+			cmp.Compare(keys[a].region, keys[b].region))
+	})
+	sorted := make([]Tier, len(order))
+	for i, from := range order {
+		sorted[i] = t.tiers[from]
+	}
+	t.tiers = sorted
+}
+
+// point is the place of a server on a ring.
+type point struct {
+	hash   uint64
+	server int32
+}
+
+// ring is a consistent hash ring with one point for each server. starts maps
+// the high bits of a hash to the first point at or after them.
+type ring struct {
+	points []point
+	starts []int32
+	shift  uint
+}
+
+func newRing(servers []Server, members []int32) ring {
+	points := make([]point, len(members))
+	for i, member := range members {
+		points[i] = point{hash: xxhash.Sum64String(string(servers[member].Name)), server: member}
+	}
+	slices.SortFunc(points, func(a, b point) int { return cmp.Compare(a.hash, b.hash) })
+	width := bits.Len(uint(len(points)))
+	r := ring{points: points, starts: make([]int32, 1<<width), shift: uint(64 - width)}
+	next := 0
+	for bucket := range r.starts {
+		for next < len(points) && points[next].hash>>r.shift < uint64(bucket) {
+			next++
+		}
+		r.starts[bucket] = int32(next)
+	}
+	return r
+}
+
+// probes is how many points of the ring a key looks at; the nearest server
+// wins. It evens out the parts of the ring as many virtual points would, and
+// keeps the ring small enough to rebuild in a millisecond.
+const probes = 7
+
+// home returns the server to which a key belongs.
+func (r *ring) home(key uint64) int {
+	best, distance := int32(0), ^uint64(0)
+	for range probes {
+		key = mix(key)
+		p := r.successor(key)
+		if d := p.hash - key; d <= distance {
+			best, distance = p.server, d
+		}
+	}
+	return int(best)
+}
+
+func (r *ring) successor(hash uint64) point {
+	i := int(r.starts[hash>>r.shift])
+	for i < len(r.points) && r.points[i].hash < hash {
+		i++
+	}
+	if i == len(r.points) {
+		i = 0
+	}
+	return r.points[i]
+}
+
+// mix is the finalizer of splitmix64.
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
