Admit requests by class, due time and fair share

Cause: every request was sent at once, so that a burst of rollouts of one workspace delayed the look-ups of all.

Ruled out: one queue ordered by due time alone, in which rollouts due early pass look-ups; fixed parts for each workspace, which leave places empty; a limit set by hand for each server, which is wrong after each change of model.

One place in eight of the classes after submissions goes to the longest wait, so that none starves.

--- /dev/null
+++ b/coord/limit/gate.go
@@ -0,0 +1,316 @@
+package limit
+
+import (
+	"math"
+	"time"
+
+	"github.com/flamingobeam/flamingobeam/coord/result"
+	"github.com/flamingobeam/flamingobeam/coord/structs"
+)
+
+// Ask is a request that wants a place.
+type Ask struct {
+	Workspace structs.WorkspaceName
+	Class     structs.Class
+	// Share is the workspace's weight; zero counts as one.
+	Share float64
+	// Due is when the answer must be there; zero means never.
+	Due time.Time
+}
+
+// Action says what becomes of an ask.
+type Action uint8
+
+// The actions.
+const (
+	// Run means that the request has its place.
+	Run Action = iota
+	// Wait means that it waits for one.
+	Wait
+	// Refuse means that it gets none.
+	Refuse
+)
+
+// Verdict is the decision about an ask.
+type Verdict[T any] struct {
+	Action Action
+	// Waiter is set when the request waits.
+	Waiter *Waiter[T]
+	// Code and RetryAfter are set when it is refused.
+	Code       result.Code
+	RetryAfter time.Duration
+}
+
+// Waiter is a request in the queue.
+type Waiter[T any] struct {
+	Ask Ask
+	// Value is the caller's own.
+	Value T
+
+	flow   *flow
+	since  time.Time
+	tag    float64
+	number uint64
+	index  int
+}
+
+const notWaiting = -1
+
+// flow is the state of one workspace in one class. Its requests are ordered
+// against those of other workspaces by start tags, as in start-time fair
+// queueing: each request moves the next tag on by one over the share.
+type flow struct {
+	finish  float64
+	share   float64
+	waiting int
+}
+
+type flowKey struct {
+	workspace structs.WorkspaceName
+	class     structs.Class
+}
+
+// lane is the queue of one class.
+type lane[T any] struct {
+	heap waiterHeap[T]
+	// virtual is the tag of the request served last.
+	virtual float64
+	// shares sums the shares of the workspaces that wait.
+	shares float64
+	// service is the mean time that a request takes.
+	service time.Duration
+}
+
+// headroom is the part of the places that a class may fill. What it leaves
+// free is there at once for the classes before it.
+var headroom = [structs.ClassCount]float64{
+	structs.ClassLookup:     1,
+	structs.ClassSubmission: 1,
+	structs.ClassDossier:    0.95,
+	structs.ClassDraft:      0.9,
+	structs.ClassRollout:    0.8,
+	structs.ClassInternal:   0.6,
+}
+
+const (
+	// queueFactor is the bound of a class's queue, in places.
+	queueFactor = 4
+	// minQueue is the least bound of a class's queue, in requests.
+	minQueue = 16
+	// agingTurn gives every so-manieth place of the classes after submissions
+	// to the request that waits longest, so that none waits forever.
+	agingTurn = 8
+	// serviceWeight is the weight of a new service time in the mean.
+	serviceWeight = 0.05
+	// minRetryAfter is the shortest time after which to try again.
+	minRetryAfter = time.Second
+)
+
+// Gate admits requests to a bounded count of places. T is what the caller
+// keeps with each waiting request.
+type Gate[T any] struct {
+	capacity int
+	running  int
+	lanes    [structs.ClassCount]lane[T]
+	flows    map[flowKey]*flow
+	number   uint64
+	turn     int
+}
+
+// NewGate returns a gate with a count of places.
+func NewGate[T any](capacity int) *Gate[T] {
+	return &Gate[T]{capacity: capacity, flows: make(map[flowKey]*flow)}
+}
+
+// SetCapacity changes the count of places; see Next.
+func (g *Gate[T]) SetCapacity(capacity int) { g.capacity = capacity }
+
+// Running returns the count of places taken.
+func (g *Gate[T]) Running() int { return g.running }
+
+// Waiting returns the length of a class's queue.
+func (g *Gate[T]) Waiting(class structs.Class) int { return len(g.lanes[class].heap) }
+
+// Admit decides about a request.
+func (g *Gate[T]) Admit(now time.Time, ask Ask) Verdict[T] {
+	if !ask.Due.IsZero() && !now.Before(ask.Due) {
+		return Verdict[T]{Action: Refuse, Code: result.DueTimePassed}
+	}
+	if ask.Share <= 0 {
+		ask.Share = 1
+	}
+	if g.running < g.room(ask.Class) && g.waitingUpTo(ask.Class) == 0 {
+		g.running++
+		return Verdict[T]{Action: Run}
+	}
+	wait := g.expectedWait(ask.Class)
+	if !ask.Due.IsZero() && now.Add(wait).After(ask.Due) {
+		return refusal[T](result.Overloaded, wait-ask.Due.Sub(now))
+	}
+	f := g.flow(ask)
+	if code := g.bound(ask, f); code != result.OK {
+		return refusal[T](code, wait)
+	}
+	return Verdict[T]{Action: Wait, Waiter: g.enqueue(now, ask, f)}
+}
+
+func refusal[T any](code result.Code, after time.Duration) Verdict[T] {
+	return Verdict[T]{Action: Refuse, Code: code, RetryAfter: max(after, minRetryAfter)}
+}
+
+// room is the count of places that a class may see taken and still get one.
+func (g *Gate[T]) room(class structs.Class) int {
+	if g.capacity == 0 {
+		return 0
+	}
+	return max(1, int(float64(g.capacity)*headroom[class]))
+}
+
+// waitingUpTo counts the requests that wait in a class and those before it.
+func (g *Gate[T]) waitingUpTo(class structs.Class) int {
+	count := 0
+	for i := range g.lanes[:class+1] {
+		count += len(g.lanes[i].heap)
+	}
+	return count
+}
+
+// expectedWait estimates the time until a new request of a class would run.
+func (g *Gate[T]) expectedWait(class structs.Class) time.Duration {
+	var work time.Duration
+	for i := range g.lanes[:class+1] {
+		work += time.Duration(len(g.lanes[i].heap)) * g.lanes[i].service
+	}
+	return work / time.Duration(max(1, g.room(class)))
+}
+
+func (g *Gate[T]) flow(ask Ask) *flow {
+	key := flowKey{workspace: ask.Workspace, class: ask.Class}
+	f, ok := g.flows[key]
+	if !ok {
+		f = &flow{}
+		g.flows[key] = f
+	}
+	if f.waiting == 0 {
+		f.share = ask.Share
+	}
+	return f
+}
+
+// bound refuses a request whose workspace fills its part of the queue.
+func (g *Gate[T]) bound(ask Ask, f *flow) result.Code {
+	l := &g.lanes[ask.Class]
+	others := l.shares
+	if f.waiting > 0 {
+		others -= f.share
+	}
+	limit := float64(max(minQueue, g.capacity*queueFactor))
+	part := max(1, math.Ceil(limit*f.share/(f.share+others)))
+	if float64(f.waiting) < part {
+		return result.OK
+	}
+	if len(l.heap) > f.waiting {
+		return result.FairShareExceeded
+	}
+	return result.Overloaded
+}
+
+func (g *Gate[T]) enqueue(now time.Time, ask Ask, f *flow) *Waiter[T] {
+	l := &g.lanes[ask.Class]
+	if f.waiting == 0 {
+		l.shares += f.share
+	}
+	f.waiting++
+	g.number++
+	w := &Waiter[T]{Ask: ask, flow: f, since: now, number: g.number, tag: max(l.virtual, f.finish)}
+	f.finish = w.tag + 1/f.share
+	l.heap.push(w)
+	return w
+}
+
+// Release gives a place back. The span is how long the request ran.
+func (g *Gate[T]) Release(class structs.Class, span time.Duration) {
+	g.running--
+	l := &g.lanes[class]
+	if l.service == 0 {
+		l.service = span
+		return
+	}
+	l.service += time.Duration(serviceWeight * float64(span-l.service))
+}
+
+// Cancel takes a request out of the queue, and reports false when it has its
+// place or its refusal already.
+func (g *Gate[T]) Cancel(w *Waiter[T]) bool {
+	if w.index == notWaiting {
+		return false
+	}
+	g.take(w)
+	return true
+}
+
+// Next takes the next request out of the queue and reports whether it runs;
+// one that does not was due too soon. It returns nil when none can be served
+// now. Call it until then after Release, Cancel and SetCapacity.
+func (g *Gate[T]) Next(now time.Time) (w *Waiter[T], runs bool) {
+	w = g.choose()
+	if w == nil {
+		return nil, false
+	}
+	g.take(w)
+	if !w.Ask.Due.IsZero() && !now.Before(w.Ask.Due) {
+		return w, false
+	}
+	g.lanes[w.Ask.Class].virtual = w.tag
+	g.running++
+	return w, true
+}
+
+// choose returns the request whose turn it is: the first class that waits,
+// but now and then the longest wait among the classes after submissions.
+func (g *Gate[T]) choose() *Waiter[T] {
+	for class := structs.ClassLookup; class <= structs.ClassSubmission; class++ {
+		if w := g.head(class); w != nil {
+			return w
+		}
+	}
+	var first, oldest *Waiter[T]
+	for class := structs.ClassDossier; int(class) < structs.ClassCount; class++ {
+		w := g.head(class)
+		if w == nil {
+			continue
+		}
+		if first == nil {
+			first = w
+		}
+		if oldest == nil || w.since.Before(oldest.since) {
+			oldest = w
+		}
+	}
+	if first == nil {
+		return nil
+	}
+	if g.turn++; g.turn%agingTurn == 0 {
+		return oldest
+	}
+	return first
+}
+
+// head returns the next request of a class, or nil when it may not run now.
+func (g *Gate[T]) head(class structs.Class) *Waiter[T] {
+	heap := g.lanes[class].heap
+	if len(heap) == 0 || g.running >= g.room(class) {
+		return nil
+	}
+	return heap[0]
+}
+
+// take removes a waiter from its queue.
+func (g *Gate[T]) take(w *Waiter[T]) {
+	l := &g.lanes[w.Ask.Class]
+	l.heap.remove(w.index)
+	w.flow.waiting--
+	if w.flow.waiting == 0 {
+		l.shares -= w.flow.share
+	}
+}
--- /dev/null
+++ b/coord/limit/limit_test.go
@@ -0,0 +1,228 @@
+package limit
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/flamingobeam/flamingobeam/coord/result"
+	"github.com/flamingobeam/flamingobeam/coord/structs"
+)
+
+var epoch = time.Unix(0, 0)
+
+// fill takes all places with look-ups.
+func fill(t *testing.T, g *Gate[int], count int) {
+	t.Helper()
+	for range count {
+		must.Eq(t, Run, g.Admit(epoch, Ask{Workspace: "filler"}).Action)
+	}
+}
+
+func queue(t *testing.T, g *Gate[int], ask Ask, value int) {
+	t.Helper()
+	verdict := g.Admit(epoch, ask)
+	must.Eq(t, Wait, verdict.Action)
+	verdict.Waiter.Value = value
+}
+
+func TestGate_ServesClassesInOrder(t *testing.T) {
+	g := NewGate[int](1)
+	fill(t, g, 1)
+	for class := structs.ClassCount - 1; class >= 0; class-- {
+		queue(t, g, Ask{Workspace: "a", Class: structs.Class(class)}, class)
+	}
+	for class := range structs.ClassCount {
+		g.Release(structs.ClassLookup, time.Millisecond)
+		w, runs := g.Next(epoch)
+		must.True(t, runs)
+		must.Eq(t, class, w.Value)
+	}
+}
+
+func TestGate_KeepsPlacesFreeForLookups(t *testing.T) {
+	g := NewGate[int](10)
+	for range 8 {
+		must.Eq(t, Run, g.Admit(epoch, Ask{Workspace: "a", Class: structs.ClassRollout}).Action)
+	}
+	must.Eq(t, Wait, g.Admit(epoch, Ask{Workspace: "a", Class: structs.ClassRollout}).Action)
+	must.Eq(t, Run, g.Admit(epoch, Ask{Workspace: "b", Class: structs.ClassLookup}).Action)
+	must.Eq(t, Run, g.Admit(epoch, Ask{Workspace: "b", Class: structs.ClassLookup}).Action)
+}
+
+func TestGate_AgingServesLowClassesNowAndThen(t *testing.T) {
+	g := NewGate[int](1)
+	fill(t, g, 1)
+	queue(t, g, Ask{Workspace: "small", Class: structs.ClassInternal}, -1)
+	for i := range 16 {
+		verdict := g.Admit(epoch.Add(time.Second), Ask{Workspace: "large", Class: structs.ClassDraft})
+		verdict.Waiter.Value = i
+	}
+	served := -1
+	for i := range agingTurn {
+		g.Release(structs.ClassLookup, time.Millisecond)
+		if w, _ := g.Next(epoch); w.Value == -1 {
+			served = i
+		}
+	}
+	must.NotEq(t, -1, served)
+}
+
+func TestGate_SharesPlacesByWeight(t *testing.T) {
+	g := NewGate[int](100)
+	fill(t, g, 100)
+	for range 200 {
+		queue(t, g, Ask{Workspace: "large", Class: structs.ClassRollout, Share: 1}, 0)
+	}
+	for range 20 {
+		queue(t, g, Ask{Workspace: "small", Class: structs.ClassRollout, Share: 3}, 1)
+	}
+	for range 21 {
+		g.Release(structs.ClassLookup, time.Millisecond)
+	}
+	got := [2]int{}
+	for range 24 {
+		w, runs := g.Next(epoch)
+		if w == nil {
+			g.Release(structs.ClassLookup, time.Millisecond)
+			w, runs = g.Next(epoch)
+		}
+		must.True(t, runs)
+		got[w.Value]++
+	}
+	must.Between(t, 17, got[1], 19)
+}
+
+func TestGate_BoundsTheQueueOfAWorkspace(t *testing.T) {
+	g := NewGate[int](1)
+	fill(t, g, 1)
+	for range minQueue {
+		queue(t, g, Ask{Workspace: "large", Class: structs.ClassRollout}, 0)
+	}
+	verdict := g.Admit(epoch, Ask{Workspace: "large", Class: structs.ClassRollout})
+	must.Eq(t, result.Overloaded, verdict.Code)
+	must.Positive(t, verdict.RetryAfter)
+	queue(t, g, Ask{Workspace: "small", Class: structs.ClassRollout}, 1)
+	verdict = g.Admit(epoch, Ask{Workspace: "large", Class: structs.ClassRollout})
+	must.Eq(t, result.FairShareExceeded, verdict.Code)
+}
+
+func TestGate_RefusesEarlyWhatWouldBeLate(t *testing.T) {
+	g := NewGate[int](1)
+	fill(t, g, 1)
+	g.Release(structs.ClassLookup, 100*time.Millisecond)
+	fill(t, g, 1)
+	for range 6 {
+		queue(t, g, Ask{Workspace: "a", Due: epoch.Add(time.Second)}, 0)
+	}
+	verdict := g.Admit(epoch, Ask{Workspace: "a", Due: epoch.Add(500 * time.Millisecond)})
+	must.Eq(t, Refuse, verdict.Action)
+	must.Eq(t, result.Overloaded, verdict.Code)
+	verdict = g.Admit(epoch, Ask{Workspace: "a", Due: epoch})
+	must.Eq(t, result.DueTimePassed, verdict.Code)
+	g.Release(structs.ClassLookup, 100*time.Millisecond)
+	w, runs := g.Next(epoch.Add(2 * time.Second))
+	must.NotNil(t, w)
+	must.False(t, runs)
+	must.Zero(t, g.Running())
+}
+
+// TestGate_NeverLosesAPlace drives a gate at random and checks that the places
+// taken are those given and not returned, and that no queue passes its bound.
+func TestGate_NeverLosesAPlace(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		capacity := rapid.IntRange(0, 5).Draw(r, "capacity")
+		g := NewGate[int](capacity)
+		var running []structs.Class
+		var waiting []*Waiter[int]
+		now := epoch
+		for range rapid.IntRange(1, 200).Draw(r, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 50).Draw(r, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 2).Draw(r, "step") {
+			case 0:
+				ask := Ask{
+					Workspace: structs.WorkspaceName(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(r, "workspace")),
+					Class:     structs.Class(rapid.IntRange(0, structs.ClassCount-1).Draw(r, "class")),
+					Due:       now.Add(time.Duration(rapid.IntRange(0, 500).Draw(r, "due")) * time.Millisecond),
+				}
+				switch verdict := g.Admit(now, ask); verdict.Action {
+				case Run:
+					running = append(running, ask.Class)
+				case Wait:
+					waiting = append(waiting, verdict.Waiter)
+				case Refuse:
+					must.NotEq(r, result.OK, verdict.Code)
+				}
+			case 1:
+				if len(running) > 0 {
+					g.Release(running[0], 20*time.Millisecond)
+					running = running[1:]
+				}
+			case 2:
+				if len(waiting) > 0 {
+					g.Cancel(waiting[0])
+					waiting = waiting[1:]
+				}
+			}
+			for w, runs := g.Next(now); w != nil; w, runs = g.Next(now) {
+				if runs {
+					running = append(running, w.Ask.Class)
+				}
+			}
+			must.Eq(r, len(running), g.Running())
+			must.LessEq(r, max(capacity, 0), g.Running())
+			for class := range structs.ClassCount {
+				must.LessEq(r, 2*max(minQueue, capacity*queueFactor), g.Waiting(structs.Class(class)))
+			}
+		}
+	})
+}
+
+func TestAdaptive_FollowsLatency(t *testing.T) {
+	a := NewAdaptive()
+	for range 50 {
+		a.Observe(Window{Finished: 100, Latency: 100 * 10 * time.Millisecond, Peak: a.Limit()})
+	}
+	grown := a.Limit()
+	must.Greater(t, InitialLimit, grown)
+	for range 30 {
+		a.Observe(Window{Finished: 100, Latency: 100 * 100 * time.Millisecond, Peak: a.Limit()})
+	}
+	must.Less(t, grown/4, a.Limit())
+	must.GreaterEq(t, MinLimit, a.Limit())
+	idle := NewAdaptive()
+	idle.Observe(Window{Finished: 10, Latency: 10 * time.Millisecond, Peak: 3})
+	must.Eq(t, InitialLimit, idle.Limit())
+	idle.Observe(Window{Refused: 1})
+	must.Less(t, InitialLimit, idle.Limit())
+}
+
+func BenchmarkAdmit(b *testing.B) {
+	g := NewGate[int](64)
+	ask := Ask{Workspace: "assessor", Class: structs.ClassLookup, Due: epoch.Add(time.Second), Share: 1}
+	b.Run("free", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			g.Admit(epoch, ask)
+			g.Release(ask.Class, time.Millisecond)
+		}
+	})
+	b.Run("queued", func(b *testing.B) {
+		full := NewGate[int](64)
+		for range 64 {
+			full.Admit(epoch, ask)
+		}
+		names := []structs.WorkspaceName{"a", "b", "c", "d", "e", "f", "g", "h"}
+		for i := range 200 {
+			full.Admit(epoch, Ask{Workspace: names[i%8], Class: structs.ClassLookup})
+		}
+		b.ReportAllocs()
+		for i := 0; b.Loop(); i++ {
+			full.Admit(epoch, Ask{Workspace: names[i%8], Class: structs.ClassLookup})
+			full.Release(structs.ClassLookup, time.Millisecond)
+			full.Next(epoch)
+		}
+	})
+}
