Bound retries by a budget and eject failing servers

Cause: each look-up was tried on three servers whatever the others did, so that the outage of a zone tripled the load on the rest.

Conclusion: a retry is one in ten first attempts; a request that is not idempotent is tried again only when it has not run.

--- /dev/null
+++ b/coord/retry/retry_test.go
@@ -0,0 +1,98 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/flamingobeam/flamingobeam/coord/result"
+)
+
+var epoch = time.Unix(0, 0)
+
+func always() bool { return true }
+
+func TestDecide(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		failure Failure
+		retry   bool
+		code    result.Code
+	}{
+		{"not run", Failure{Attempt: 1, Code: result.NoBackend}, true, 0},
+		{"broke, not idempotent", Failure{Attempt: 1, Code: result.BackendBroke}, false, result.BackendBroke},
+		{"cut, not idempotent", Failure{Attempt: 1, Code: result.AnswerCut}, false, result.AnswerCut},
+		{"broke, idempotent", Failure{Attempt: 1, Code: result.BackendBroke, Idempotent: true}, true, 0},
+		{"overloaded", Failure{Attempt: 1, Code: result.Overloaded, Idempotent: true}, false, result.Overloaded},
+		{"quarantined", Failure{Attempt: 1, Code: result.Quarantined, Idempotent: true}, false, result.Quarantined},
+		{"too often", Failure{Attempt: MaxAttempts, Code: result.NoBackend}, false, result.NoBackend},
+		{"late", Failure{Attempt: 3, Code: result.NoBackend, Due: epoch.Add(time.Millisecond)}, false, result.NoBackend},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			budget := NewBudget(epoch)
+			decision := Decide(epoch, test.failure, &budget, 5_000_000)
+			must.Eq(t, test.retry, decision.Retry)
+			must.Eq(t, test.code, decision.Code)
+		})
+	}
+}
+
+func TestDecide_BudgetSpentNeverSaysNotRunOfWhatMayHaveRun(t *testing.T) {
+	empty := Budget{seen: epoch}
+	decision := Decide(epoch, Failure{Attempt: 1, Code: result.BackendRefused, Idempotent: true}, &empty, 0)
+	must.Eq(t, result.RetryBudgetSpent, decision.Code)
+	decision = Decide(epoch, Failure{Attempt: 1, Code: result.BackendBroke, Idempotent: true}, &empty, 0)
+	must.Eq(t, result.BackendBroke, decision.Code)
+}
+
+func TestBudget_BoundsRetriesToAPartOfRequests(t *testing.T) {
+	budget := NewBudget(epoch)
+	retries := 0
+	for range 1000 {
+		budget.Deposit(epoch)
+		if budget.Withdraw(epoch) {
+			retries++
+		}
+	}
+	must.Between(t, 95, retries, 105)
+}
+
+func TestHealth_EjectsAndReturnsSlowly(t *testing.T) {
+	var h Health
+	must.False(t, h.Failed(epoch, always))
+	h.Answered()
+	must.False(t, h.Failed(epoch, always))
+	must.False(t, h.Failed(epoch, always))
+	must.True(t, h.Failed(epoch, always))
+	share, next := h.Share(epoch)
+	must.Zero(t, share)
+	last := uint16(0)
+	for !next.IsZero() {
+		now := next
+		share, next = h.Share(now)
+		must.Greater(t, last, share)
+		last = share
+	}
+	must.Eq(t, fullShare, last)
+}
+
+func TestHealth_FailedReturnDoublesTheEjection(t *testing.T) {
+	var h Health
+	for range ejectAfter {
+		h.Failed(epoch, always)
+	}
+	_, until := h.Share(epoch)
+	must.True(t, h.Failed(until, always))
+	_, again := h.Share(until)
+	must.Eq(t, 2*until.Sub(epoch), again.Sub(until))
+}
+
+func TestHealth_KeepsServersWhenTooManyFail(t *testing.T) {
+	var h Health
+	for range 10 {
+		must.False(t, h.Failed(epoch, func() bool { return false }))
+	}
+	share, _ := h.Share(epoch)
+	must.Eq(t, fullShare, share)
+}
