Find the requests that crash backend servers

Cause: a request that crashes each server that runs it is sent again by its caller, and takes one server after the other.

Ruled out: quarantine of all that was in flight twice, which takes innocent requests along; a count at each daemon alone, since the caller may come back through another one; counting during an outage, when retried look-ups meet several dying servers.

Conclusion: the second crash quarantines the one request that was at the most crashes; a tie waits for a third; an answer, or a quarantined request that explains the crash, clears the others; crashes of many servers at once that no request has in common count as an outage. Held by a property test.

--- /dev/null
+++ b/coord/quarantine/book.go
@@ -0,0 +1,265 @@
+// Package quarantine finds the requests that crash the backend servers they
+// run on. A request in flight on a server that crashed is suspect. When it is
+// there at a second crash, its fingerprint is quarantined: no server gets it
+// any more. Requests that only shared the server are cleared, by an answer or
+// because the quarantined one explains the crash.
+//
+// All daemons of an availability zone tell each other of the crashes, since a
+// caller may send its request again through another daemon.
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/flamingobeam/flamingobeam/coord/structs"
+)
+
+// Fingerprint identifies equal requests: a hash of what the server gets.
+type Fingerprint uint64
+
+// FingerprintOf hashes the parts of a request. It is never zero, which stands
+// for a request without a fingerprint.
+func FingerprintOf(parts ...string) Fingerprint {
+	var digest xxhash.Digest
+	digest.Reset()
+	for _, part := range parts {
+		_, _ = digest.WriteString(part)
+		_, _ = digest.Write([]byte{0})
+	}
+	return Fingerprint(max(1, digest.Sum64()))
+}
+
+// Crash says which requests were in flight on a server when it crashed.
+type Crash struct {
+	Server structs.HostName
+	// At is when the first of the requests broke.
+	At       time.Time
+	Suspects []Fingerprint
+}
+
+const (
+	// quarantineAt is how many crashes quarantine a request that none of the
+	// others in flight equals, and quarantineTied how many quarantine all
+	// that were there each time.
+	quarantineAt   = 2
+	quarantineTied = 3
+	// mergeWindow is the time within which reports of a server's crash are
+	// about one crash.
+	mergeWindow = 3 * time.Second
+	// massWindow and massServers tell an outage: so many servers crash within
+	// the time, and no request was on most of them.
+	massWindow  = 3 * time.Second
+	massServers = 3
+	// KeepSuspects is how long a crash is remembered, and KeepQuarantined how
+	// long a fingerprint stays quarantined.
+	KeepSuspects    = 10 * time.Minute
+	KeepQuarantined = time.Hour
+	// maxSuspects bounds the suspects of a crash that are remembered.
+	maxSuspects = 256
+)
+
+// Book holds the crashes, suspects and quarantined fingerprints. It is not
+// safe for concurrent use.
+type Book struct {
+	crashes     []Crash
+	answered    map[Fingerprint]time.Time
+	quarantined map[Fingerprint]time.Time
+}
+
+// NewBook returns an empty book.
+func NewBook() *Book {
+	return &Book{
+		answered:    make(map[Fingerprint]time.Time),
+		quarantined: make(map[Fingerprint]time.Time),
+	}
+}
+
+// Crashed takes in a crash, or more about one, and returns the fingerprints
+// that are quarantined because of it.
+func (b *Book) Crashed(now time.Time, crash Crash) []Fingerprint {
+	b.Expire(now)
+	merged := b.merge(crash)
+	if b.isOutage(merged.At) {
+		b.forgetOutage(merged.At)
+		return nil
+	}
+	if b.isExplained(*merged) {
+		return nil
+	}
+	guilty := b.guilty(*merged)
+	for _, f := range guilty {
+		b.quarantined[f] = now.Add(KeepQuarantined)
+	}
+	return guilty
+}
+
+// merge adds a crash, or its suspects to an earlier report of it.
+func (b *Book) merge(crash Crash) *Crash {
+	index := slices.IndexFunc(b.crashes, func(known Crash) bool {
+		return known.Server == crash.Server && crash.At.Sub(known.At).Abs() <= mergeWindow
+	})
+	if index < 0 {
+		index = len(b.crashes)
+		b.crashes = append(b.crashes, Crash{Server: crash.Server, At: crash.At})
+	}
+	known := &b.crashes[index]
+	for _, f := range crash.Suspects {
+		wasAnswered := b.answered[f].After(crash.At)
+		if f != 0 && !wasAnswered && len(known.Suspects) < maxSuspects && !slices.Contains(known.Suspects, f) {
+			known.Suspects = append(known.Suspects, f)
+		}
+	}
+	return known
+}
+
+// guilty returns the suspects of a crash that were at the most crashes.
+func (b *Book) guilty(crash Crash) []Fingerprint {
+	var worst []Fingerprint
+	most := 0
+	for _, f := range crash.Suspects {
+		count := b.count(f)
+		if count > most {
+			worst, most = worst[:0], count
+		}
+		if count == most {
+			worst = append(worst, f)
+		}
+	}
+	if most >= quarantineTied || (most >= quarantineAt && len(worst) == 1) {
+		return worst
+	}
+	return nil
+}
+
+// count is the number of unexplained crashes that a request was at.
+func (b *Book) count(f Fingerprint) int {
+	count := 0
+	for _, crash := range b.crashes {
+		if slices.Contains(crash.Suspects, f) && !b.isExplained(crash) {
+			count++
+		}
+	}
+	return count
+}
+
+// isExplained reports whether a quarantined request was at a crash.
+func (b *Book) isExplained(crash Crash) bool {
+	return slices.ContainsFunc(crash.Suspects, func(f Fingerprint) bool {
+		_, ok := b.quarantined[f]
+		return ok
+	})
+}
+
+// isOutage reports whether so many servers crashed about a time that it was
+// not the doing of a request.
+func (b *Book) isOutage(at time.Time) bool {
+	count := 0
+	seen := make(map[Fingerprint]int)
+	for _, crash := range b.crashes {
+		if !isAbout(crash, at) {
+			continue
+		}
+		count++
+		for _, f := range crash.Suspects {
+			seen[f]++
+		}
+	}
+	if count <= massServers {
+		return false
+	}
+	for _, on := range seen {
+		if on*2 > count {
+			return false
+		}
+	}
+	return true
+}
+
+func isAbout(crash Crash, at time.Time) bool { return at.Sub(crash.At).Abs() <= massWindow }
+
+// forgetOutage clears the suspects of an outage, and releases those that were
+// quarantined before it was known for one.
+func (b *Book) forgetOutage(at time.Time) {
+	for i := range b.crashes {
+		if !isAbout(b.crashes[i], at) {
+			continue
+		}
+		for _, f := range b.crashes[i].Suspects {
+			delete(b.quarantined, f)
+		}
+		b.crashes[i].Suspects = nil
+	}
+}
+
+// Answered clears a request that a server answered in full, and reports
+// whether it was suspect or quarantined.
+func (b *Book) Answered(now time.Time, f Fingerprint) bool {
+	b.answered[f] = now
+	_, cleared := b.quarantined[f]
+	delete(b.quarantined, f)
+	for i := range b.crashes {
+		crash := &b.crashes[i]
+		if at := slices.Index(crash.Suspects, f); at >= 0 {
+			crash.Suspects = slices.Delete(crash.Suspects, at, at+1)
+			cleared = true
+		}
+	}
+	return cleared
+}
+
+// Quarantine takes over a fingerprint that another daemon quarantined.
+func (b *Book) Quarantine(now time.Time, f Fingerprint) {
+	b.quarantined[f] = now.Add(KeepQuarantined)
+}
+
+// Expire forgets what is old.
+func (b *Book) Expire(now time.Time) {
+	b.crashes = slices.DeleteFunc(b.crashes, func(c Crash) bool { return now.Sub(c.At) > KeepSuspects })
+	for f, until := range b.quarantined {
+		if !now.Before(until) {
+			delete(b.quarantined, f)
+		}
+	}
+	for f, at := range b.answered {
+		if now.Sub(at) > mergeWindow {
+			delete(b.answered, f)
+		}
+	}
+}
+
+// View is an immutable copy for traffic.
+type View struct {
+	Suspects    map[Fingerprint]bool
+	Quarantined map[Fingerprint]bool
+}
+
+// View returns the fingerprints that are suspect and quarantined now.
+func (b *Book) View() View {
+	view := View{Suspects: make(map[Fingerprint]bool), Quarantined: make(map[Fingerprint]bool)}
+	for f := range b.quarantined {
+		view.Quarantined[f] = true
+	}
+	for _, crash := range b.crashes {
+		if b.isExplained(crash) {
+			continue
+		}
+		for _, f := range crash.Suspects {
+			view.Suspects[f] = true
+		}
+	}
+	return view
+}
+
+// Quarantined lists the quarantined fingerprints in order.
+func (b *Book) Quarantined() []Fingerprint {
+	list := make([]Fingerprint, 0, len(b.quarantined))
+	for f := range b.quarantined {
+		list = append(list, f)
+	}
+	slices.SortFunc(list, cmp.Compare[Fingerprint])
+	return list
+}
--- /dev/null
+++ b/coord/quarantine/quarantine_test.go
@@ -0,0 +1,123 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/flamingobeam/flamingobeam/coord/structs"
+)
+
+var epoch = time.Unix(1000, 0)
+
+func at(seconds int) time.Time { return epoch.Add(time.Duration(seconds) * time.Second) }
+
+func crash(server string, seconds int, suspects ...Fingerprint) Crash {
+	return Crash{Server: structs.HostName(server), At: at(seconds), Suspects: suspects}
+}
+
+const poison, innocent, other Fingerprint = 1, 2, 3
+
+func TestBook_QuarantinesAfterTheSecondCrashAndClearsTheInnocent(t *testing.T) {
+	b := NewBook()
+	must.SliceEmpty(t, b.Crashed(at(0), crash("a", 0, poison, innocent)))
+	must.MapLen(t, 2, b.View().Suspects)
+	must.Eq(t, []Fingerprint{poison}, b.Crashed(at(10), crash("b", 10, poison, other)))
+	must.MapEmpty(t, b.View().Suspects)
+	must.Eq(t, map[Fingerprint]bool{poison: true}, b.View().Quarantined)
+}
+
+func TestBook_ReportsOfOneCrashCountOnce(t *testing.T) {
+	b := NewBook()
+	b.Crashed(at(0), crash("a", 0, poison))
+	must.SliceEmpty(t, b.Crashed(at(1), crash("a", 1, poison, innocent)))
+	must.MapLen(t, 2, b.View().Suspects)
+}
+
+func TestBook_AnswerClears(t *testing.T) {
+	b := NewBook()
+	b.Crashed(at(0), crash("a", 0, innocent))
+	must.True(t, b.Answered(at(1), innocent))
+	must.SliceEmpty(t, b.Crashed(at(20), crash("b", 20, innocent)))
+	must.False(t, b.Answered(at(21), other))
+	// The answer was there before the crash was confirmed.
+	must.SliceEmpty(t, b.Crashed(at(22), crash("c", 20, other)))
+	must.MapNotContainsKey(t, b.View().Suspects, other)
+}
+
+func TestBook_TieWaitsForAThirdCrash(t *testing.T) {
+	b := NewBook()
+	b.Crashed(at(0), crash("a", 0, poison, innocent))
+	must.SliceEmpty(t, b.Crashed(at(10), crash("b", 10, poison, innocent)))
+	must.Eq(t, []Fingerprint{poison}, b.Crashed(at(20), crash("c", 20, poison)))
+	must.MapNotContainsKey(t, b.View().Suspects, innocent)
+}
+
+func TestBook_OutageQuarantinesNobody(t *testing.T) {
+	b := NewBook()
+	b.Crashed(at(0), crash("a", 0, innocent, 10))
+	b.Crashed(at(0), crash("b", 0, innocent, 11))
+	must.MapContainsKey(t, b.View().Quarantined, innocent)
+	for i := range 4 {
+		b.Crashed(at(1), crash(fmt.Sprint("c", i), 1, Fingerprint(20+i)))
+	}
+	must.MapEmpty(t, b.View().Quarantined)
+	must.MapEmpty(t, b.View().Suspects)
+}
+
+func TestBook_OneRequestOnManyServersIsNoOutage(t *testing.T) {
+	b := NewBook()
+	for i := range 5 {
+		b.Crashed(at(0), crash(fmt.Sprint("a", i), 0, poison, Fingerprint(100+i)))
+	}
+	must.Eq(t, map[Fingerprint]bool{poison: true}, b.View().Quarantined)
+}
+
+func TestBook_Forgets(t *testing.T) {
+	b := NewBook()
+	b.Crashed(at(0), crash("a", 0, poison))
+	b.Quarantine(at(0), other)
+	late := at(0).Add(KeepQuarantined + time.Second)
+	b.Expire(late)
+	must.MapEmpty(t, b.View().Suspects)
+	must.SliceEmpty(t, b.Quarantined())
+}
+
+// TestBook_FindsThePoison runs a poison among innocent requests, with suspects
+// kept apart as the balancer does, and checks that only it is quarantined and
+// that it crashed no more than two servers.
+func TestBook_FindsThePoison(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		b := NewBook()
+		crashes := 0
+		for !b.View().Quarantined[poison] {
+			crashes++
+			must.LessEq(r, quarantineAt, crashes)
+			suspects := []Fingerprint{poison}
+			for i := range rapid.IntRange(0, 20).Draw(r, "shared") {
+				f := Fingerprint(crashes*1000 + i)
+				if !b.View().Suspects[f] {
+					suspects = append(suspects, f)
+				}
+			}
+			b.Crashed(at(60*crashes), crash(fmt.Sprint("s", crashes), 60*crashes, suspects...))
+		}
+		must.MapLen(r, 1, b.View().Quarantined)
+		must.MapEmpty(r, b.View().Suspects)
+	})
+}
+
+func TestBreaks_GathersUntilSettled(t *testing.T) {
+	bs := NewBreaks()
+	must.True(t, bs.Broke(at(0), "a", poison))
+	must.False(t, bs.Broke(at(1), "a", innocent))
+	got, ok := bs.Settle("a")
+	must.True(t, ok)
+	must.Eq(t, crash("a", 0, poison, innocent), got)
+	_, ok = bs.Settle("a")
+	must.False(t, ok)
+	must.NotEq(t, FingerprintOf("ab", "c"), FingerprintOf("a", "bc"))
+}
