Balance on the pure decisions, with an immutable table for traffic

Cause: the balancer took the less loaded of two random servers and knew no limits, classes, shares, zones, versions, ejections or quarantine.

Requests wait for a place by channel. Daemons of a zone tell each other of crashes over net/rpc; a daemon that starts asks three others for what is quarantined. Refusals carry Retry-After.

--- a/coord/limit/gate.go
+++ b/coord/limit/gate.go
@@ -110,6 +110,7 @@
 // keeps with each waiting request.
 type Gate[T any] struct {
 	capacity int
+	local    int
 	running  int
 	lanes    [structs.ClassCount]lane[T]
 	flows    map[flowKey]*flow
@@ -119,11 +120,12 @@
 
 // NewGate returns a gate with a count of places.
 func NewGate[T any](capacity int) *Gate[T] {
-	return &Gate[T]{capacity: capacity, flows: make(map[flowKey]*flow)}
+	return &Gate[T]{capacity: capacity, local: capacity, flows: make(map[flowKey]*flow)}
 }
 
-// SetCapacity changes the count of places; see Next.
-func (g *Gate[T]) SetCapacity(capacity int) { g.capacity = capacity }
+// SetCapacity changes the count of places, and how many of them are in the own
+// region, where rollouts and internal checks stay; see Next.
+func (g *Gate[T]) SetCapacity(capacity, local int) { g.capacity, g.local = capacity, local }
 
 // Running returns the count of places taken.
 func (g *Gate[T]) Running() int { return g.running }
@@ -160,10 +162,14 @@
 
 // room is the count of places that a class may see taken and still get one.
 func (g *Gate[T]) room(class structs.Class) int {
-	if g.capacity == 0 {
+	places := g.capacity
+	if class >= structs.ClassRollout {
+		places = g.local
+	}
+	if places == 0 {
 		return 0
 	}
-	return max(1, int(float64(g.capacity)*headroom[class]))
+	return max(1, int(float64(places)*headroom[class]))
 }
 
 // waitingUpTo counts the requests that wait in a class and those before it.
--- a/coord/result/result.go
+++ b/coord/result/result.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"slices"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -166,7 +167,9 @@
 	Code Code
 	// Detail adds to the code's sentence and may be empty.
 	Detail string
-	cause  error
+	// RetryAfter is when to try again, or zero.
+	RetryAfter time.Duration
+	cause      error
 }
 
 // New returns an error with a code and a detail.
--- a/coord/route/pick.go
+++ b/coord/route/pick.go
@@ -22,7 +22,8 @@
 	Class structs.Class
 	// Affinity is the hash of the prompt's prefix, or zero.
 	Affinity uint64
-	// Version is the lowest weight version wanted.
+	// Version is the lowest weight version wanted. Servers whose version is
+	// not known count as having it.
 	Version structs.WeightVersion
 	// Avoid are servers already tried.
 	Avoid []structs.HostName
@@ -163,7 +164,7 @@
 // takes reports whether a server may get the request.
 func (p *picker) takes(server int) bool {
 	s := &p.table.servers[server]
-	if s.Version < p.request.Version {
+	if s.Version != 0 && s.Version < p.request.Version {
 		return false
 	}
 	if s.Share < FullShare && mix(p.request.Random^uint64(server))%FullShare >= uint64(s.Share) {
--- a/coord/route/route_test.go
+++ b/coord/route/route_test.go
@@ -104,6 +104,9 @@
 
 func TestPick_VersionShareAndAvoid(t *testing.T) {
 	servers := fleet(home, 300)
+	for i := range servers {
+		servers[i].Version = 6
+	}
 	servers[299].Version = 7
 	table, loads := tableOf(servers)
 	for random := range uint64(100) {
--- a/coord/route/table.go
+++ b/coord/route/table.go
@@ -35,6 +35,8 @@
 
 // Tier is a set of servers at the same distance.
 type Tier struct {
+	// Zone is set for the tier of the own zone.
+	Zone   structs.ZoneName
 	Region structs.RegionName
 	// Local is set for tiers inside the own region.
 	Local bool
@@ -85,6 +87,7 @@
 // tierKey orders tiers: the own zone, the own region, other regions.
 type tierKey struct {
 	distance int
+	zone     structs.ZoneName
 	region   structs.RegionName
 }
 
@@ -97,7 +100,7 @@
 func keyOf(self, place structs.Place) tierKey {
 	switch {
 	case place == self:
-		return tierKey{distance: distanceZone, region: place.Region}
+		return tierKey{distance: distanceZone, zone: place.Zone, region: place.Region}
 	case place.Region == self.Region:
 		return tierKey{distance: distanceRegion, region: place.Region}
 	default:
@@ -119,6 +122,7 @@
 				indices[key] = tier
 				keys = append(keys, key)
 				t.tiers = append(t.tiers, Tier{
+					Zone:   key.zone,
 					Region: key.region,
 					Local:  key.distance != distanceElsewhere,
 					Price:  prices.Of(self.Region, key.region),
@@ -163,20 +167,31 @@
 	shift  uint
 }
 
+// newRing sorts by buckets, as hashes are spread evenly.
 func newRing(servers []Server, members []int32) ring {
-	points := make([]point, len(members))
+	width := bits.Len(uint(len(members)))
+	r := ring{
+		points: make([]point, len(members)),
+		starts: make([]int32, 1<<width+1),
+		shift:  uint(64 - width),
+	}
+	hashes := make([]uint64, len(members))
 	for i, member := range members {
-		points[i] = point{hash: xxhash.Sum64String(string(servers[member].Name)), server: member}
+		hashes[i] = xxhash.Sum64String(string(servers[member].Name))
+		r.starts[hashes[i]>>r.shift+1]++
+	}
+	for bucket := range 1 << width {
+		r.starts[bucket+1] += r.starts[bucket]
 	}
-	slices.SortFunc(points, func(a, b point) int { return cmp.Compare(a.hash, b.hash) })
-	width := bits.Len(uint(len(points)))
-	r := ring{points: points, starts: make([]int32, 1<<width), shift: uint(64 - width)}
-	next := 0
-	for bucket := range r.starts {
-		for next < len(points) && points[next].hash>>r.shift < uint64(bucket) {
-			next++
+	next := slices.Clone(r.starts)
+	for i, member := range members {
+		bucket := hashes[i] >> r.shift
+		at := next[bucket]
+		next[bucket]++
+		for ; at > r.starts[bucket] && r.points[at-1].hash > hashes[i]; at-- {
+			r.points[at] = r.points[at-1]
 		}
-		r.starts[bucket] = int32(next)
+		r.points[at] = point{hash: hashes[i], server: member}
 	}
 	return r
 }
--- a/daemon/config/config.go
+++ b/daemon/config/config.go
@@ -30,6 +30,8 @@
 	Log        Log    `yaml:"log"`
 	Limits     Limits `yaml:"limits"`
 	Lease      Lease  `yaml:"lease"`
+	// Routing holds the prices of traffic between regions.
+	Routing Routing `yaml:"routing"`
 }
 
 // Listen holds the addresses that a daemon listens on.
@@ -40,6 +42,22 @@
 	Peers string `yaml:"peers" validate:"hostport"`
 }
 
+// Routing holds the prices of traffic between regions.
+type Routing struct {
+	// RegionPrice is the price of a GiB between regions that Links does not
+	// name.
+	RegionPrice float64 `yaml:"region_price" validate:"min=0"`
+	// Links holds the prices of single links, each for both directions.
+	Links []RegionLink `yaml:"links" validate:"dive"`
+}
+
+// RegionLink is the price of a GiB between two regions.
+type RegionLink struct {
+	From  structs.RegionName `yaml:"from" validate:"required"`
+	To    structs.RegionName `yaml:"to" validate:"required"`
+	Price float64            `yaml:"price" validate:"min=0"`
+}
+
 // Log says what is logged and how.
 type Log struct {
 	Level  string `yaml:"level" validate:"oneof=debug info warning error"`
--- a/daemon/contract/traffic.go
+++ b/daemon/contract/traffic.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/flamingobeam/flamingobeam/coord/quarantine"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/platform"
 )
@@ -21,6 +22,9 @@
 	Version structs.WeightVersion
 	// Avoid are servers already tried.
 	Avoid []structs.HostName
+	// Fingerprint identifies equal requests, to find those that crash
+	// servers; zero means none.
+	Fingerprint quarantine.Fingerprint
 }
 
 // Ticket is a place on a backend server. Finish must be called once.
@@ -31,14 +35,24 @@
 
 // TicketOutcome says how a request on a backend server ended.
 type TicketOutcome struct {
+	// Err is nil after a whole answer, and of package result otherwise.
 	Err     error
 	Latency time.Duration
+	// Units is the work done, such as tokens made; the latency for each unit
+	// sets the server's limit. Zero counts as one.
+	Units int
+	// Bytes counts what was sent and received, for the price of traffic
+	// between regions.
+	Bytes int64
+	// Version is the weight version that the server reported, or zero.
+	Version structs.WeightVersion
 }
 
 // Balancer admits requests and chooses backend servers for them.
 type Balancer interface {
 	// Pick waits for a place, within the request's due time. It fails with
-	// code NoBackend, Overloaded, DueTimePassed or FairShareExceeded.
+	// code NoBackend, Overloaded, DueTimePassed, FairShareExceeded or
+	// Quarantined.
 	Pick(ctx context.Context, request PickRequest) (Ticket, error)
 }
 
--- a/daemon/services/balance/balance.go
+++ b/daemon/services/balance/balance.go
@@ -1,28 +1,57 @@
-// Package balance is the service "traffic.balance": it chooses a backend
-// server for each request and counts the requests in flight on each.
+// Package balance is the service "traffic.balance": it admits requests,
+// chooses a backend server for each and keeps failing servers and requests
+// that crash servers out.
+//
+// The control goroutine owns the table of servers, their limits, ejections and
+// the quarantine, and publishes immutable snapshots. Traffic goroutines pick
+// from a snapshot; what changes with each request are atomic counters of the
+// servers and, under a short lock, the gate of the service.
 package balance
 
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
-	"sync"
-	"sync/atomic"
+	"time"
 
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+
+	"github.com/flamingobeam/flamingobeam/coord/limit"
+	"github.com/flamingobeam/flamingobeam/coord/quarantine"
 	"github.com/flamingobeam/flamingobeam/coord/result"
+	"github.com/flamingobeam/flamingobeam/coord/route"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
+	"github.com/flamingobeam/flamingobeam/daemon/config"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
 	"github.com/flamingobeam/flamingobeam/kernel"
 )
 
 func init() {
-	kernel.Register(contract.NameBalance, func() kernel.Service { return &service{} })
+	kernel.Register(contract.NameBalance, func() kernel.Service { return &service{probe: connect} })
 }
 
 type service struct {
 	kernel.Base
+	config   config.Daemon
+	clock    clockwork.Clock
+	log      *logrus.Entry
+	loop     *kernel.Loop
+	workers  *kernel.Workers
+	clients  contract.Clients
 	hosts    contract.Hosts
-	inFlight sync.Map
+	settings contract.Settings
+	metrics  contract.Metrics
+	peers    contract.Peers
+	probe    probeFunc
+
+	snapshot *kernel.Snapshot[snapshot]
+	control  control
+}
+
+// snapshot is what traffic goroutines pick from. It is immutable.
+type snapshot struct {
+	services map[structs.ServiceName]*view
+	requests quarantine.View
 }
 
 var _ contract.Balancer = (*service)(nil)
@@ -30,52 +59,98 @@
 // Provision implements kernel.Service.
 func (s *service) Provision(ctx *kernel.Context) error {
 	var err error
-	s.hosts, err = kernel.Find[contract.Hosts](ctx, contract.NameHosts)
-	return err
+	if s.config, err = kernel.ConfigOf[config.Daemon](ctx); err != nil {
+		return err
+	}
+	if s.clients, err = kernel.Find[contract.Clients](ctx, contract.NameClients); err != nil {
+		return err
+	}
+	if s.hosts, err = kernel.Find[contract.Hosts](ctx, contract.NameHosts); err != nil {
+		return err
+	}
+	if s.settings, err = kernel.Find[contract.Settings](ctx, contract.NameSettings); err != nil {
+		return err
+	}
+	if s.metrics, err = kernel.Find[contract.Metrics](ctx, contract.NameMetrics); err != nil {
+		return err
+	}
+	if s.peers, err = kernel.Find[contract.Peers](ctx, contract.NamePeers); err != nil {
+		return err
+	}
+	server, err := kernel.Find[contract.RPC](ctx, contract.NameRPC)
+	if err != nil {
+		return err
+	}
+	s.clock, s.log, s.loop, s.workers = ctx.Clock(), ctx.Log(), ctx.Loop(), ctx.Workers()
+	s.prepare()
+	return server.Register(rpcName, &Receiver{service: s})
 }
 
-// Pick implements contract.Balancer: the less loaded of two random servers.
-func (s *service) Pick(_ context.Context, request contract.PickRequest) (contract.Ticket, error) {
-	servers := without(s.hosts.View().Load().Services[request.Service], request.Avoid)
-	if len(servers) == 0 {
+// Pick implements contract.Balancer.
+func (s *service) Pick(ctx context.Context, request contract.PickRequest) (contract.Ticket, error) {
+	current := s.snapshot.Load()
+	if current.requests.Quarantined[request.Fingerprint] {
+		s.metrics.Count("balance.refused.quarantined", 1)
+		return contract.Ticket{}, result.New(result.Quarantined, "")
+	}
+	from := current.services[request.Service]
+	if from == nil {
 		return contract.Ticket{}, result.New(result.NoBackend, "service %s", request.Service)
 	}
-	first, second := servers[rand.IntN(len(servers))], servers[rand.IntN(len(servers))]
-	chosen := first
-	if s.counter(second.Name).Load() < s.counter(first.Name).Load() {
-		chosen = second
+	ask := limit.Ask{Workspace: request.Workspace, Class: request.Class, Share: s.share(request.Workspace), Due: request.Due}
+	if err := from.pool.enter(ctx, s.clock, ask); err != nil {
+		s.metrics.Count("balance.refused."+codeName(err), 1)
+		return contract.Ticket{}, err
+	}
+	// The servers may have changed during the wait.
+	current = s.snapshot.Load()
+	if newer := current.services[request.Service]; newer != nil {
+		from = newer
 	}
-	return s.ticket(chosen), nil
+	return s.choose(from, &request, current.requests.Suspects[request.Fingerprint])
 }
 
-func (s *service) ticket(server structs.BackendServer) contract.Ticket {
-	counter := s.counter(server.Name)
-	counter.Add(1)
-	return contract.Ticket{Server: server, Finish: func(outcome contract.TicketOutcome) {
-		counter.Add(-1)
-		if result.CodeOf(outcome.Err) == result.NoBackend {
-			s.hosts.Report(server.Name, contract.SignalFailedConnect)
-		}
-	}}
+// choose takes a place on a server for an admitted request.
+func (s *service) choose(from *view, request *contract.PickRequest, suspect bool) (contract.Ticket, error) {
+	wanted := route.Request{
+		Class:    request.Class,
+		Affinity: request.Affinity,
+		Version:  request.Version,
+		Avoid:    request.Avoid,
+		Random:   rand.Uint64(),
+	}
+	var loads route.Loads = from
+	if suspect {
+		loads = isolated{from}
+	}
+	choice, ok := from.table.Pick(&wanted, loads)
+	if !ok {
+		from.pool.leave(s.clock.Now(), request.Class, 0)
+		return contract.Ticket{}, result.New(result.NoBackend, "service %s", request.Service)
+	}
+	held := &ticket{
+		service: s,
+		view:    from,
+		place:   from.places[choice.Server],
+		tier:    choice.Tier,
+		class:   request.Class,
+		print:   request.Fingerprint,
+		suspect: suspect,
+		retried: len(request.Avoid) > 0,
+		begun:   s.clock.Now(),
+	}
+	held.take()
+	return contract.Ticket{Server: from.servers[choice.Server], Finish: held.finish}, nil
 }
 
-func (s *service) counter(name structs.HostName) *atomic.Int64 {
-	if known, ok := s.inFlight.Load(name); ok {
-		return known.(*atomic.Int64)
-	}
-	known, _ := s.inFlight.LoadOrStore(name, new(atomic.Int64))
-	return known.(*atomic.Int64)
+func (s *service) share(workspace structs.WorkspaceName) float64 {
+	return s.settings.View().Load().Resolved[workspace].Share
 }
 
-func without(servers []structs.BackendServer, avoid []structs.HostName) []structs.BackendServer {
-	if len(avoid) == 0 {
-		return servers
-	}
-	kept := make([]structs.BackendServer, 0, len(servers))
-	for _, server := range servers {
-		if !slices.Contains(avoid, server.Name) {
-			kept = append(kept, server)
-		}
-	}
-	return kept
+func codeName(err error) string {
+	entry, _ := result.Lookup(result.CodeOf(err))
+	return entry.Name
 }
+
+// now reads the clock on the control goroutine.
+func (s *service) now() time.Time { return s.loop.Now() }
--- a/daemon/services/front/write.go
+++ b/daemon/services/front/write.go
@@ -2,8 +2,10 @@
 
 import (
 	"encoding/json"
+	"math"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -19,8 +21,9 @@
 	headerLength  = "Content-Length"
 	headerRetry   = "Retry-After"
 	typeJSON      = "application/json"
-	// retryAfterSeconds is what a caller that was refused for load is told.
-	retryAfterSeconds = "1"
+	// minRetryAfter is the least that a caller that was refused for load is
+	// told.
+	minRetryAfter = time.Second
 )
 
 // writeError answers with the code of an error.
@@ -31,13 +34,18 @@
 	}
 	entry := coded.Entry()
 	if entry.Status == http.StatusTooManyRequests || entry.Status == http.StatusServiceUnavailable {
-		w.Header().Set(headerRetry, retryAfterSeconds)
+		w.Header().Set(headerRetry, retryAfter(coded.RetryAfter))
 	}
 	writeJSON(w, entry, contract.Refusal{
 		Code: int(entry.Code), Name: entry.Name, Outcome: string(entry.Outcome), Message: coded.Error(),
 	})
 }
 
+// retryAfter writes a time as whole seconds, rounded up.
+func retryAfter(span time.Duration) string {
+	return strconv.Itoa(int(math.Ceil(max(span, minRetryAfter).Seconds())))
+}
+
 // writeJSON answers with a whole JSON body and its length.
 func writeJSON(w http.ResponseWriter, entry result.Entry, body any) {
 	encoded, err := json.Marshal(body)
