Retry look-ups within a budget and hedge those that hang

Cause: a look-up was tried on three servers in a row whatever the load, a server that hung used up its whole due time, and after a broken attempt and a failed connect the caller was told 'not run', which was not true.

Ruled out: a deadline for each attempt, which would cut off answers that come in time when all servers are slow; the hedge leaves the first request running.

Conclusion: retries and hedges come out of the workspace's budget for the class. The error for the caller says not run only if that is true of all attempts.

--- a/daemon/contract/contract.go
+++ b/daemon/contract/contract.go
@@ -32,6 +32,8 @@
 	NameRPC kernel.Name = "rpc.server"
 	// NameBalance offers Balancer.
 	NameBalance kernel.Name = "traffic.balance"
+	// NameRetries offers Retries.
+	NameRetries kernel.Name = "traffic.retries"
 	// NamePlain offers Plain.
 	NamePlain kernel.Name = "traffic.plain"
 	// NameJournal offers Journal.
--- a/daemon/contract/traffic.go
+++ b/daemon/contract/traffic.go
@@ -56,6 +56,34 @@
 	Pick(ctx context.Context, request PickRequest) (Ticket, error)
 }
 
+// RetryRequest describes a request that may be tried again.
+type RetryRequest struct {
+	Workspace structs.WorkspaceName
+	Class     structs.Class
+	// Due is when the answer must be there.
+	Due time.Time
+	// Idempotent says that the request may run more than once.
+	Idempotent bool
+}
+
+// Retrier follows the attempts of one request. It is for one goroutine.
+type Retrier interface {
+	// Again takes in the error of a failed attempt. It returns nil, after a
+	// back-off, when the request is to be tried again, and otherwise the
+	// error for the caller: its code says not run only if that is true of
+	// all attempts.
+	Again(ctx context.Context, err error) error
+	// Spend takes one retry out of the budget, for an attempt beside the
+	// first one, and reports whether there was one.
+	Spend() bool
+}
+
+// Retries keeps the retry budgets of all workspaces and classes.
+type Retries interface {
+	// Begin records the first attempt of a request.
+	Begin(request RetryRequest) Retrier
+}
+
 // LookupRequest is an idempotent request to a plain service.
 type LookupRequest struct {
 	Workspace structs.WorkspaceName
--- a/daemon/services/plain/plain.go
+++ b/daemon/services/plain/plain.go
@@ -1,6 +1,7 @@
 // Package plain is the service "traffic.plain": look-ups on plain services.
-// They are idempotent, so that one that fails is tried on another server while
-// its due time allows.
+// They are idempotent, so that one that fails is tried on another server, and
+// one that takes long is sent to a second server, within the retry budget and
+// its due time.
 package plain
 
 import (
@@ -8,6 +9,9 @@
 	"net/http"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
+	"github.com/flamingobeam/flamingobeam/coord/quarantine"
 	"github.com/flamingobeam/flamingobeam/coord/result"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
@@ -19,16 +23,14 @@
 	kernel.Register(contract.NamePlain, func() kernel.Service { return &service{} })
 }
 
-// maxAttempts is how many servers a look-up is tried on.
-const maxAttempts = 3
-
 type service struct {
 	kernel.Base
 	clients  contract.Clients
 	settings contract.Settings
 	balancer contract.Balancer
+	retries  contract.Retries
 	metrics  contract.Metrics
-	now      func() time.Time
+	clock    clockwork.Clock
 }
 
 var _ contract.Plain = (*service)(nil)
@@ -45,8 +47,11 @@
 	if s.balancer, err = kernel.Find[contract.Balancer](ctx, contract.NameBalance); err != nil {
 		return err
 	}
+	if s.retries, err = kernel.Find[contract.Retries](ctx, contract.NameRetries); err != nil {
+		return err
+	}
 	s.metrics, err = kernel.Find[contract.Metrics](ctx, contract.NameMetrics)
-	s.now = ctx.Now
+	s.clock = ctx.Clock()
 	return err
 }
 
@@ -56,50 +61,70 @@
 	if err != nil {
 		return platform.Answer{}, err
 	}
-	due := s.now().Add(parameters.Due[request.Class])
-	ctx, cancel := context.WithDeadline(ctx, due)
+	span := parameters.Due[request.Class]
+	due := s.clock.Now().Add(span)
+	ctx, cancel := context.WithTimeout(ctx, span)
 	defer cancel()
 	answer, err := s.attempts(ctx, contract.PickRequest{
-		Service:   parameters.Service,
-		Workspace: request.Workspace,
-		Class:     request.Class,
-		Due:       due,
+		Service:     parameters.Service,
+		Workspace:   request.Workspace,
+		Class:       request.Class,
+		Due:         due,
+		Fingerprint: quarantine.FingerprintOf(string(parameters.Service), http.MethodGet, request.Path),
 	}, request.Path)
-	s.metrics.Served(request.Workspace, request.Class, err == nil && !s.now().After(due))
+	good := err == nil && answer.Status < http.StatusInternalServerError && !s.clock.Now().After(due)
+	s.metrics.Served(request.Workspace, request.Class, good)
 	return answer, err
 }
 
+// attempts tries servers one after the other.
 func (s *service) attempts(ctx context.Context, pick contract.PickRequest, path string) (platform.Answer, error) {
-	var last error
-	for range maxAttempts {
-		answer, server, err := s.attempt(ctx, pick, path)
+	retrier := s.retries.Begin(contract.RetryRequest{
+		Workspace: pick.Workspace, Class: pick.Class, Due: pick.Due, Idempotent: true,
+	})
+	for {
+		tried, err := s.hedged(ctx, &pick, path, retrier)
 		if err == nil {
-			return answer, nil
-		}
-		if server == "" && last != nil {
-			return platform.Answer{}, last
+			return tried, nil
 		}
-		if server == "" || ctx.Err() != nil {
+		if err = retrier.Again(ctx, err); err != nil {
 			return platform.Answer{}, err
 		}
-		last = err
-		pick.Avoid = append(pick.Avoid, server)
 	}
-	return platform.Answer{}, last
 }
 
-// attempt tries one server and names it, or names none when none was had.
-func (s *service) attempt(ctx context.Context, pick contract.PickRequest, path string) (platform.Answer, structs.HostName, error) {
-	ticket, err := s.balancer.Pick(ctx, pick)
-	if err != nil {
-		return platform.Answer{}, "", err
-	}
-	begun := s.now()
+// attempt is one answer or failure of a server; server is empty when none was
+// had.
+type attempt struct {
+	answer platform.Answer
+	server structs.HostName
+	err    error
+	// hedge marks the second of two servers.
+	hedge bool
+}
+
+// try sends a look-up to one server.
+func (s *service) try(ctx context.Context, ticket contract.Ticket, path string) attempt {
+	begun := s.clock.Now()
 	call := platform.Call{Method: http.MethodGet, Path: path}
 	answer, err := s.clients.Platform().Plain.Do(ctx, ticket.Server.Address, call)
 	if err == nil && answer.Status == http.StatusServiceUnavailable {
 		err = result.New(result.BackendRefused, "%s", ticket.Server.Name)
 	}
-	ticket.Finish(contract.TicketOutcome{Err: err, Latency: s.now().Sub(begun)})
-	return answer, ticket.Server.Name, err
+	err = failure(ctx, err)
+	ticket.Finish(contract.TicketOutcome{
+		Err:     err,
+		Latency: s.clock.Since(begun),
+		Bytes:   int64(len(path) + len(answer.Body)),
+	})
+	return attempt{answer: answer, server: ticket.Server.Name, err: err}
+}
+
+// hedgePart is the part of the time left after which a look-up without an
+// answer is sent to a second server.
+const hedgePart = 3
+
+// hedgeAfter is how long the first server is waited for.
+func (s *service) hedgeAfter(due time.Time) time.Duration {
+	return due.Sub(s.clock.Now()) / hedgePart
 }
--- /dev/null
+++ b/daemon/services/retries/retries.go
@@ -0,0 +1,103 @@
+// Package retries is the service "traffic.retries": it keeps the retry budgets
+// of all workspaces and classes, and makes requests wait before they are tried
+// again. The budgets belong to traffic; a short lock guards them.
+package retries
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/flamingobeam/flamingobeam/coord/result"
+	"github.com/flamingobeam/flamingobeam/coord/retry"
+	"github.com/flamingobeam/flamingobeam/daemon/contract"
+	"github.com/flamingobeam/flamingobeam/kernel"
+)
+
+func init() {
+	kernel.Register(contract.NameRetries, func() kernel.Service { return &service{} })
+}
+
+type service struct {
+	kernel.Base
+	clock   clockwork.Clock
+	metrics contract.Metrics
+
+	mu      sync.Mutex
+	budgets *retry.Budgets
+}
+
+var _ contract.Retries = (*service)(nil)
+
+// Provision implements kernel.Service.
+func (s *service) Provision(ctx *kernel.Context) error {
+	var err error
+	s.metrics, err = kernel.Find[contract.Metrics](ctx, contract.NameMetrics)
+	s.clock = ctx.Clock()
+	s.budgets = retry.NewBudgets()
+	return err
+}
+
+// Begin implements contract.Retries.
+func (s *service) Begin(request contract.RetryRequest) contract.Retrier {
+	now := s.clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	budget := s.budgets.Of(retry.Key{Workspace: request.Workspace, Class: request.Class}, now)
+	budget.Deposit(now)
+	return &retrier{service: s, request: request, budget: budget}
+}
+
+// retrier implements contract.Retrier.
+type retrier struct {
+	service *service
+	request contract.RetryRequest
+	budget  *retry.Budget
+	history retry.History
+}
+
+// Again implements contract.Retrier.
+func (r *retrier) Again(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		r.history.Failed(err)
+		return r.history.Verdict(err)
+	}
+	decision := r.decide(err)
+	if !decision.Retry {
+		if decision.Code != result.CodeOf(err) {
+			err = result.Wrap(decision.Code, err)
+		}
+		return r.history.Verdict(err)
+	}
+	r.service.metrics.Count("retries.made", 1)
+	timer := r.service.clock.NewTimer(decision.Delay)
+	defer timer.Stop()
+	select {
+	case <-timer.Chan():
+		return nil
+	case <-ctx.Done():
+		return r.history.Verdict(err)
+	}
+}
+
+func (r *retrier) decide(err error) retry.Decision {
+	now := r.service.clock.Now()
+	failure := retry.Failure{
+		Attempt:    r.history.Failed(err),
+		Code:       result.CodeOf(err),
+		Idempotent: r.request.Idempotent,
+		Due:        r.request.Due,
+	}
+	r.service.mu.Lock()
+	defer r.service.mu.Unlock()
+	return retry.Decide(now, failure, r.budget, rand.Uint64())
+}
+
+// Spend implements contract.Retrier.
+func (r *retrier) Spend() bool {
+	r.service.mu.Lock()
+	defer r.service.mu.Unlock()
+	return r.budget.Withdraw(r.service.clock.Now())
+}
