Report the burn of error budgets, and mend the format of two files

Cause: the counts of requests served had no time, so that nobody could tell how fast a budget goes.

Alarms look at a short and a long window.

--- /dev/null
+++ b/coord/burn/report.go
@@ -0,0 +1,121 @@
+package burn
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/flamingobeam/flamingobeam/coord/structs"
+)
+
+// Alarm names a pair of windows that are looked at together: the long one
+// shows that the burn matters, the short one that it goes on.
+type Alarm struct {
+	Name        string
+	Short, Long time.Duration
+	// Rate is the burn rate from which the alarm is raised, over both
+	// windows.
+	Rate float64
+}
+
+// Alarms lists the alarms, the fastest first. The fast one is raised when a
+// fifth of the period's budget would be gone in an hour.
+func Alarms() []Alarm {
+	return []Alarm{
+		{Name: "fast", Short: 5 * time.Minute, Long: time.Hour, Rate: 14.4},
+		{Name: "medium", Short: 30 * time.Minute, Long: 6 * time.Hour, Rate: 6},
+		{Name: "slow", Short: 6 * time.Hour, Long: Period, Rate: 1},
+	}
+}
+
+// Window is the burn over a span of time.
+type Window struct {
+	// Seconds is the span.
+	Seconds float64 `json:"seconds"`
+	Count
+	// Rate is the part of bad requests over the part that the objective
+	// allows: at 1 the budget lasts exactly for the period.
+	Rate float64 `json:"rate"`
+}
+
+// Status is the standing of one alarm.
+type Status struct {
+	Name   string  `json:"name"`
+	Short  Window  `json:"short"`
+	Long   Window  `json:"long"`
+	Limit  float64 `json:"limit"`
+	Raised bool    `json:"raised"`
+}
+
+// Row is the burn of one workspace and class.
+type Row struct {
+	Workspace structs.WorkspaceName `json:"workspace"`
+	Class     structs.Class         `json:"class"`
+	Objective float64               `json:"objective"`
+	Alarms    []Status              `json:"alarms"`
+	// BudgetLeft is the part of the period's error budget that is left; it is
+	// negative once the budget is overdrawn.
+	BudgetLeft float64 `json:"budget_left"`
+	// ExhaustedIn is in how many seconds the budget is used up at the rate of
+	// the last hour: zero when it is already, and nil when it never is.
+	ExhaustedIn *float64 `json:"exhausted_in,omitempty"`
+}
+
+// Report is the burn of all workspaces and classes.
+type Report struct {
+	At time.Time `json:"at"`
+	// PeriodSeconds is the period of the error budget.
+	PeriodSeconds float64 `json:"period_seconds"`
+	Rows          []Row   `json:"rows"`
+}
+
+// Sort puts the rows into the order of workspaces and classes.
+func (r *Report) Sort() {
+	slices.SortFunc(r.Rows, func(a, b Row) int {
+		return cmp.Or(cmp.Compare(a.Workspace, b.Workspace), cmp.Compare(a.Class, b.Class))
+	})
+}
+
+// RowOf reports on a series.
+func RowOf(now time.Time, workspace structs.WorkspaceName, class structs.Class, objective float64, series *Series) Row {
+	row := Row{Workspace: workspace, Class: class, Objective: objective}
+	for _, alarm := range Alarms() {
+		short, long := windowOf(now, alarm.Short, objective, series), windowOf(now, alarm.Long, objective, series)
+		row.Alarms = append(row.Alarms, Status{
+			Name:   alarm.Name,
+			Short:  short,
+			Long:   long,
+			Limit:  alarm.Rate,
+			Raised: short.Rate >= alarm.Rate && long.Rate >= alarm.Rate,
+		})
+	}
+	used := windowOf(now, Period, objective, series).Rate
+	row.BudgetLeft = 1 - used
+	row.ExhaustedIn = exhaustion(row.BudgetLeft, windowOf(now, time.Hour, objective, series).Rate)
+	return row
+}
+
+func windowOf(now time.Time, span time.Duration, objective float64, series *Series) Window {
+	count := series.Over(now, span)
+	return Window{Seconds: span.Seconds(), Count: count, Rate: rate(count, objective)}
+}
+
+func rate(count Count, objective float64) float64 {
+	allowed := 1 - objective
+	if count.total() == 0 || allowed <= 0 {
+		return 0
+	}
+	return float64(count.Bad) / float64(count.total()) / allowed
+}
+
+// exhaustion is the time in seconds until the budget is used up at a rate.
+func exhaustion(left, rate float64) *float64 {
+	if left > 0 && rate <= 0 {
+		return nil
+	}
+	seconds := 0.0
+	if left > 0 {
+		seconds = left * Period.Seconds() / rate
+	}
+	return &seconds
+}
--- a/daemon/services/balance/suspects.go
+++ b/daemon/services/balance/suspects.go
@@ -247,4 +247,3 @@
 	}
 	return nil
 }
-
--- a/daemon/services/plain/plain_test.go
+++ b/daemon/services/plain/plain_test.go
@@ -31,7 +31,6 @@
 	kernel.Base
 	contract.Metrics
 	plain   platform.PlainService
-	due     time.Duration
 	servers []structs.BackendServer
 
 	mu       sync.Mutex
