Serve the burn report and the metrics, and print and plot them

Cause: operators need a report on service-level burn from running daemons and from a saved run.

Ruled out: one more method on contract.Metrics, which each fake of it would have to carry; a report of one daemon only, since callers come to all of them (the tool adds several up).

--- a/cmd/flamingobeam/main.go
+++ b/cmd/flamingobeam/main.go
@@ -51,6 +51,7 @@
 			applyCommand(),
 			statusCommand(),
 			suspendCommand(),
+			reportCommand(),
 			emulateCommand(),
 		},
 	}
--- /dev/null
+++ b/cmd/flamingobeam/report_test.go
@@ -0,0 +1,50 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/flamingobeam/flamingobeam/coord/burn"
+	"github.com/flamingobeam/flamingobeam/coord/structs"
+)
+
+func TestReportBurn_FromASavedRun(t *testing.T) {
+	var series burn.Series
+	now := time.Unix(1_700_000_000, 0)
+	series.AddCount(now, burn.Count{Good: 90, Bad: 10})
+	row := burn.RowOf(now, "assessor", structs.ClassLookup, 0.999, &series)
+	saved, err := json.Marshal(burn.Report{At: now, Rows: []burn.Row{row}})
+	must.NoError(t, err)
+	folder := t.TempDir()
+	from, svg, png := filepath.Join(folder, "run.json"), filepath.Join(folder, "burn.svg"), filepath.Join(folder, "burn.png")
+	must.NoError(t, os.WriteFile(from, saved, 0o600))
+	for _, path := range []string{svg, png} {
+		out := &bytes.Buffer{}
+		app := command()
+		app.Writer = out
+		must.NoError(t, app.Run(t.Context(), []string{"flamingobeam", "report", "slo-burn", "--from", from, "--plot", path}))
+		must.StrContains(t, out.String(), "100.00/100.00 ALARM")
+		must.StrContains(t, out.String(), "spent")
+	}
+	drawn, err := os.ReadFile(svg)
+	must.NoError(t, err)
+	must.True(t, strings.Contains(string(drawn), "assessor lookup"))
+	drawn, err = os.ReadFile(png)
+	must.NoError(t, err)
+	must.True(t, bytes.HasPrefix(drawn, []byte("\x89PNG")))
+
+	out := &bytes.Buffer{}
+	app := command()
+	app.Writer = out
+	must.NoError(t, app.Run(t.Context(), []string{"flamingobeam", "report", "slo-burn", "--from", from, "--output", "json"}))
+	var again burn.Report
+	must.NoError(t, json.Unmarshal(out.Bytes(), &again))
+	must.Eq(t, row, again.Rows[0])
+}
--- a/coord/burn/burn_test.go
+++ b/coord/burn/burn_test.go
@@ -58,6 +58,19 @@
 	must.Eq(t, 1.0, row.BudgetLeft)
 }
 
+func TestMerge_AddsDaemonsUp(t *testing.T) {
+	var one, two, both Series
+	one.AddCount(epoch, Count{Good: 990, Bad: 10})
+	two.AddCount(epoch, Count{Good: 10})
+	both.AddCount(epoch, Count{Good: 1000, Bad: 10})
+	reports := make([]Report, 2)
+	for i, series := range []*Series{&one, &two} {
+		reports[i] = Report{At: epoch, Rows: []Row{RowOf(epoch, "a", structs.ClassDraft, 0.99, series)}}
+	}
+	merged := Merge(reports)
+	must.Eq(t, []Row{RowOf(epoch, "a", structs.ClassDraft, 0.99, &both)}, merged.Rows)
+}
+
 // TestSeries_SumsWhatLiesInTheWindow compares the rings with a list of all
 // requests, whole slots being counted.
 func TestSeries_SumsWhatLiesInTheWindow(t *testing.T) {
--- a/coord/burn/report.go
+++ b/coord/burn/report.go
@@ -79,9 +79,20 @@
 // RowOf reports on a series.
 func RowOf(now time.Time, workspace structs.WorkspaceName, class structs.Class, objective float64, series *Series) Row {
 	row := Row{Workspace: workspace, Class: class, Objective: objective}
+	row.fill(func(span time.Duration) Count { return series.Over(now, span) })
+	return row
+}
+
+// fill computes a row from the counts over the windows.
+func (r *Row) fill(over func(time.Duration) Count) {
+	window := func(span time.Duration) Window {
+		count := over(span)
+		return Window{Seconds: span.Seconds(), Count: count, Rate: rate(count, r.Objective)}
+	}
+	r.Alarms = nil
 	for _, alarm := range Alarms() {
-		short, long := windowOf(now, alarm.Short, objective, series), windowOf(now, alarm.Long, objective, series)
-		row.Alarms = append(row.Alarms, Status{
+		short, long := window(alarm.Short), window(alarm.Long)
+		r.Alarms = append(r.Alarms, Status{
 			Name:   alarm.Name,
 			Short:  short,
 			Long:   long,
@@ -89,15 +100,53 @@
 			Raised: short.Rate >= alarm.Rate && long.Rate >= alarm.Rate,
 		})
 	}
-	used := windowOf(now, Period, objective, series).Rate
-	row.BudgetLeft = 1 - used
-	row.ExhaustedIn = exhaustion(row.BudgetLeft, windowOf(now, time.Hour, objective, series).Rate)
-	return row
+	r.BudgetLeft = 1 - window(Period).Rate
+	r.ExhaustedIn = exhaustion(r.BudgetLeft, window(time.Hour).Rate)
+}
+
+// over finds the counts of a window in a row, or none.
+func (r *Row) over(span time.Duration) Count {
+	for _, alarm := range r.Alarms {
+		for _, window := range []Window{alarm.Short, alarm.Long} {
+			if window.Seconds == span.Seconds() {
+				return window.Count
+			}
+		}
+	}
+	return Count{}
 }
 
-func windowOf(now time.Time, span time.Duration, objective float64, series *Series) Window {
-	count := series.Over(now, span)
-	return Window{Seconds: span.Seconds(), Count: count, Rate: rate(count, objective)}
+// Merge adds the reports of several daemons up. Each daemon counts only the
+// requests that came to it.
+func Merge(reports []Report) Report {
+	merged := Report{PeriodSeconds: Period.Seconds()}
+	type key struct {
+		workspace structs.WorkspaceName
+		class     structs.Class
+	}
+	rows := make(map[key][]Row)
+	for _, report := range reports {
+		if report.At.After(merged.At) {
+			merged.At = report.At
+		}
+		for _, row := range report.Rows {
+			k := key{workspace: row.Workspace, class: row.Class}
+			rows[k] = append(rows[k], row)
+		}
+	}
+	for k, parts := range rows {
+		row := Row{Workspace: k.workspace, Class: k.class, Objective: parts[0].Objective}
+		row.fill(func(span time.Duration) Count {
+			var sum Count
+			for i := range parts {
+				sum.add(parts[i].over(span))
+			}
+			return sum
+		})
+		merged.Rows = append(merged.Rows, row)
+	}
+	merged.Sort()
+	return merged
 }
 
 func rate(count Count, objective float64) float64 {
--- a/daemon/contract/contract.go
+++ b/daemon/contract/contract.go
@@ -6,6 +6,7 @@
 	"context"
 	"time"
 
+	"github.com/flamingobeam/flamingobeam/coord/burn"
 	"github.com/flamingobeam/flamingobeam/coord/change"
 	"github.com/flamingobeam/flamingobeam/coord/settings"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
@@ -44,7 +45,7 @@
 	NameSteps kernel.Name = "traffic.steps"
 	// NameFront is the HTTP front end.
 	NameFront kernel.Name = "http.front"
-	// NameMetrics offers Metrics.
+	// NameMetrics offers Metrics and Reports.
 	NameMetrics kernel.Name = "ops.metrics"
 )
 
@@ -216,3 +217,13 @@
 	// correctly within its due time.
 	Served(workspace structs.WorkspaceName, class structs.Class, good bool)
 }
+
+// Reports gives what Metrics took in. It is offered under NameMetrics.
+type Reports interface {
+	// All returns the values of every metric by name.
+	All() map[string]map[string]any
+	// Burn returns the burn of the error budgets; objective gives the part of
+	// a workspace's requests that must be served well, and false for a
+	// workspace that is to be left out.
+	Burn(objective func(structs.WorkspaceName) (float64, bool)) burn.Report
+}
--- a/daemon/contract/http.go
+++ b/daemon/contract/http.go
@@ -32,6 +32,8 @@
 	PathDocument = "/v1/operator/document"
 	PathChanges  = "/v1/operator/changes"
 	PathZones    = "/v1/operator/zones"
+	// PathBurn answers with a burn.Report.
+	PathBurn = "/v1/operator/burn"
 )
 
 // Status is a daemon's control state as operators see it.
--- a/daemon/services/metrics/metrics.go
+++ b/daemon/services/metrics/metrics.go
@@ -6,8 +6,10 @@
 	"sync"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	gometrics "github.com/rcrowley/go-metrics"
 
+	"github.com/flamingobeam/flamingobeam/coord/burn"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
 	"github.com/flamingobeam/flamingobeam/kernel"
@@ -22,10 +24,20 @@
 type service struct {
 	kernel.Base
 	registry gometrics.Registry
+	clock    clockwork.Clock
 	served   sync.Map
 }
 
-var _ contract.Metrics = (*service)(nil)
+var (
+	_ contract.Metrics = (*service)(nil)
+	_ contract.Reports = (*service)(nil)
+)
+
+// Provision implements kernel.Service.
+func (s *service) Provision(ctx *kernel.Context) error {
+	s.clock = ctx.Clock()
+	return nil
+}
 
 // servedKey names the counters of one workspace and class.
 type servedKey struct {
@@ -33,8 +45,25 @@
 	class     structs.Class
 }
 
-// servedCounters count requests that were and were not answered in time.
-type servedCounters struct{ good, bad gometrics.Counter }
+// servedCounters count requests that were and were not answered in time, in
+// all and by time slots.
+type servedCounters struct {
+	good, bad gometrics.Counter
+
+	mu     sync.Mutex
+	series burn.Series
+}
+
+func (c *servedCounters) add(now time.Time, good bool) {
+	if good {
+		c.good.Inc(1)
+	} else {
+		c.bad.Inc(1)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.series.Add(now, good)
+}
 
 // Count implements contract.Metrics.
 func (s *service) Count(name string, delta int64) {
@@ -53,26 +82,38 @@
 
 // Served implements contract.Metrics.
 func (s *service) Served(workspace structs.WorkspaceName, class structs.Class, good bool) {
-	counters := s.countersOf(servedKey{workspace: workspace, class: class})
-	if good {
-		counters.good.Inc(1)
-	} else {
-		counters.bad.Inc(1)
-	}
+	s.countersOf(servedKey{workspace: workspace, class: class}).add(s.clock.Now(), good)
 }
 
-func (s *service) countersOf(key servedKey) servedCounters {
+func (s *service) countersOf(key servedKey) *servedCounters {
 	if known, ok := s.served.Load(key); ok {
-		return known.(servedCounters)
+		return known.(*servedCounters)
 	}
 	prefix := "served." + string(key.workspace) + "." + key.class.String()
-	counters := servedCounters{
+	counters := &servedCounters{
 		good: gometrics.GetOrRegisterCounter(prefix+".good", s.registry),
 		bad:  gometrics.GetOrRegisterCounter(prefix+".bad", s.registry),
 	}
 	known, _ := s.served.LoadOrStore(key, counters)
-	return known.(servedCounters)
+	return known.(*servedCounters)
+}
+
+// Burn implements contract.Reports.
+func (s *service) Burn(objective func(structs.WorkspaceName) (float64, bool)) burn.Report {
+	now := s.clock.Now()
+	report := burn.Report{At: now, PeriodSeconds: burn.Period.Seconds()}
+	s.served.Range(func(k, v any) bool {
+		key, counters := k.(servedKey), v.(*servedCounters)
+		if wanted, ok := objective(key.workspace); ok {
+			counters.mu.Lock()
+			defer counters.mu.Unlock()
+			report.Rows = append(report.Rows, burn.RowOf(now, key.workspace, key.class, wanted, &counters.series))
+		}
+		return true
+	})
+	report.Sort()
+	return report
 }
 
-// All returns the values of every metric by name.
+// All implements contract.Reports.
 func (s *service) All() map[string]map[string]any { return s.registry.GetAll() }
