--- a/daemon/config/config.go
+++ b/daemon/config/config.go
@@ -31,6 +31,8 @@
 	Limits     Limits `yaml:"limits"`
 	Lease      Lease  `yaml:"lease"`
 	Trust      Trust  `yaml:"trust"`
+	// Routing holds the prices of traffic between regions.
+	Routing Routing `yaml:"routing"`
 }
 
 // Listen holds the addresses that a daemon listens on.
@@ -74,6 +76,22 @@
 	Expires time.Time `yaml:"expires"`
 }
 
+// Routing holds the prices of traffic between regions.
+type Routing struct {
+	// RegionPrice is the price of a GiB between regions that Links does not
+	// name.
+	RegionPrice float64 `yaml:"region_price" validate:"min=0"`
+	// Links holds the prices of single links, each for both directions.
+	Links []RegionLink `yaml:"links" validate:"dive"`
+}
+
+// RegionLink is the price of a GiB between two regions.
+type RegionLink struct {
+	From  structs.RegionName `yaml:"from" validate:"required"`
+	To    structs.RegionName `yaml:"to" validate:"required"`
+	Price float64            `yaml:"price" validate:"min=0"`
+}
+
 // Log says what is logged and how.
 type Log struct {
 	Level  string `yaml:"level" validate:"oneof=debug info warning error"`
--- a/daemon/contract/traffic.go
+++ b/daemon/contract/traffic.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/flamingobeam/flamingobeam/coord/quarantine"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/platform"
 )
@@ -21,6 +22,9 @@
 	Version structs.WeightVersion
 	// Avoid are servers already tried.
 	Avoid []structs.HostName
+	// Fingerprint identifies equal requests, to find those that crash
+	// servers; zero means none.
+	Fingerprint quarantine.Fingerprint
 }
 
 // Ticket is a place on a backend server. Finish must be called once.
@@ -31,17 +35,55 @@
 
 // TicketOutcome says how a request on a backend server ended.
 type TicketOutcome struct {
+	// Err is nil after a whole answer, and of package result otherwise.
 	Err     error
 	Latency time.Duration
+	// Units is the work done, such as tokens made; the latency for each unit
+	// sets the server's limit. Zero counts as one.
+	Units int
+	// Bytes counts what was sent and received, for the price of traffic
+	// between regions.
+	Bytes int64
+	// Version is the weight version that the server reported, or zero.
+	Version structs.WeightVersion
 }
 
 // Balancer admits requests and chooses backend servers for them.
 type Balancer interface {
 	// Pick waits for a place, within the request's due time. It fails with
-	// code NoBackend, Overloaded, DueTimePassed or FairShareExceeded.
+	// code NoBackend, Overloaded, DueTimePassed, FairShareExceeded or
+	// Quarantined.
 	Pick(ctx context.Context, request PickRequest) (Ticket, error)
 }
 
+// RetryRequest describes a request that may be tried again.
+type RetryRequest struct {
+	Workspace structs.WorkspaceName
+	Class     structs.Class
+	// Due is when the answer must be there.
+	Due time.Time
+	// Idempotent says that the request may run more than once.
+	Idempotent bool
+}
+
+// Retrier follows the attempts of one request. It is for one goroutine.
+type Retrier interface {
+	// Again takes in the error of a failed attempt. It returns nil, after a
+	// back-off, when the request is to be tried again, and otherwise the
+	// error for the caller: its code says not run only if that is true of
+	// all attempts.
+	Again(ctx context.Context, err error) error
+	// Spend takes one retry out of the budget, for an attempt beside the
+	// first one, and reports whether there was one.
+	Spend() bool
+}
+
+// Retries keeps the retry budgets of all workspaces and classes.
+type Retries interface {
+	// Begin records the first attempt of a request.
+	Begin(request RetryRequest) Retrier
+}
+
 // LookupRequest is an idempotent request to a plain service.
 type LookupRequest struct {
 	Workspace structs.WorkspaceName
--- a/daemon/services/front/front.go
+++ b/daemon/services/front/front.go
@@ -66,6 +66,7 @@
 		&submissions{},
 		&operators{},
 		&steps{},
+		&metrics{},
 	}
 	for _, each := range s.endpoints {
 		if err := each.provision(ctx); err != nil {
