Add a stand-in of a model engine

Rollouts and weight swaps had nothing to run against. The stand-in batches streams continuously, caches prompt blocks under an LRU limit, serves lower classes first and swaps weights while streams run.

Tests: go test -race -count=20 ./engine passes; scripts/test.sh passes.

--- a/cmd/flamingobeam/emulate.go
+++ b/cmd/flamingobeam/emulate.go
@@ -29,7 +29,7 @@
 	return &cli.Command{
 		Name:     "emulate",
 		Usage:    "run a stand-in of a system outside, for tests and experiments",
-		Commands: []*cli.Command{emulateStoreCommand(), emulateServiceCommand()},
+		Commands: []*cli.Command{emulateStoreCommand(), emulateServiceCommand(), emulateEngineCommand()},
 	}
 }
 
--- /dev/null
+++ b/cmd/flamingobeam/emulate_engine.go
@@ -0,0 +1,65 @@
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/flamingobeam/flamingobeam/coord/result"
+	"github.com/flamingobeam/flamingobeam/coord/structs"
+	"github.com/flamingobeam/flamingobeam/emulate/engine"
+)
+
+// exitCrashed is the status of a stand-in that a request crashed.
+const exitCrashed = 70
+
+func emulateEngineCommand() *cli.Command {
+	defaults := engine.DefaultOptions()
+	return &cli.Command{
+		Name:      "engine",
+		Usage:     "a model engine with continuous batching, a prefix cache and weight swaps",
+		UsageText: "flamingobeam emulate engine --listen 127.0.0.1:8201 --name assessor-1 --model assessor --fenced",
+		Flags: []cli.Flag{
+			listenFlag(),
+			&cli.StringFlag{Name: "name", Usage: "host `NAME`", Value: string(defaults.Name)},
+			&cli.StringFlag{Name: "model", Usage: "model `NAME`", Value: string(defaults.Model)},
+			&cli.Uint64Flag{Name: "version", Usage: "weight version at the start", Value: uint64(defaults.Version)},
+			&cli.FloatFlag{Name: "tokens", Usage: "tokens a second of one stream", Value: defaults.TokensPerSecond},
+			&cli.FloatFlag{Name: "prefill", Usage: "prompt tokens read in a second", Value: defaults.PrefillPerSecond},
+			&cli.IntFlag{Name: "running", Usage: "streams that advance at once", Value: defaults.MaxRunning},
+			&cli.IntFlag{Name: "cache", Usage: "blocks in the prefix cache", Value: defaults.CacheBlocks},
+			&cli.DurationFlag{Name: "lag", Usage: "age of load reports", Value: defaults.ReportLag},
+			&cli.BoolFlag{Name: "fenced", Usage: "refuse orders with an old term"},
+			&cli.StringFlag{Name: "crash-marker", Usage: "exit on a prompt that contains this `TEXT`"},
+		},
+		Action: func(ctx context.Context, command *cli.Command) error {
+			options, err := engineOptions(command)
+			if err != nil {
+				return err
+			}
+			stand := engine.New(options)
+			stand.SetFaults(engine.Faults{CrashMarker: command.String("crash-marker")})
+			return serve(ctx, command, stand.Handler())
+		},
+	}
+}
+
+func engineOptions(command *cli.Command) (engine.Options, error) {
+	options := engine.Options{
+		Name:             structs.HostName(command.String("name")),
+		Model:            structs.ServiceName(command.String("model")),
+		Version:          structs.WeightVersion(command.Uint64("version")),
+		TokensPerSecond:  command.Float("tokens"),
+		PrefillPerSecond: command.Float("prefill"),
+		MaxRunning:       command.Int("running"),
+		CacheBlocks:      command.Int("cache"),
+		ReportLag:        command.Duration("lag"),
+		Fenced:           command.Bool("fenced"),
+		Crash:            func() { os.Exit(exitCrashed) },
+	}
+	if options.TokensPerSecond <= 0 || options.PrefillPerSecond <= 0 || options.MaxRunning < 1 {
+		return options, result.New(result.BadRequest, "--tokens, --prefill and --running must be above zero")
+	}
+	return options, nil
+}
