Let a service do without another that is not registered

Rollouts hand samples to the steps and ask for the newest weights where the daemon has those services. Matching on ErrUnknownService was ruled out: the same error comes from a registered service that lacks one of its own, and that is a fault. Registry.Has tells the two apart; the test shows both.

--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -216,6 +216,17 @@
 	return wanted, nil
 }
 
+// FindOptional is Find for a service that a process may do without: it reports
+// false when nothing is registered under the name.
+func FindOptional[T any](c *Context, name Name) (T, bool, error) {
+	var none T
+	if !c.kernel.options.Registry.Has(name) {
+		return none, false, nil
+	}
+	service, err := Find[T](c, name)
+	return service, err == nil, err
+}
+
 // ConfigOf returns the configuration of the process as a T and fails with
 // ErrWrongType when it is something else.
 func ConfigOf[T any](c *Context) (T, error) {
--- a/kernel/kernel_test.go
+++ b/kernel/kernel_test.go
@@ -85,3 +85,29 @@
 	k := New(Options{Registry: NewRegistry(), Services: []Name{"nobody"}})
 	must.ErrorIs(t, k.Start(t.Context()), ErrUnknownService)
 }
+
+type optional struct {
+	Base
+	found bool
+	err   error
+}
+
+func (o *optional) Provision(ctx *Context) error {
+	_, o.found, o.err = FindOptional[Service](ctx, "need")
+	return o.err
+}
+
+func TestFindOptional_TellsAbsentFromBroken(t *testing.T) {
+	var log []string
+	absent, present := &optional{}, &optional{}
+	registry := NewRegistry()
+	registry.Register("service", func() Service { return absent })
+	_, err := New(Options{Registry: registry}).load("service")
+	must.NoError(t, err)
+	must.False(t, absent.found)
+
+	registry = registryOf(&log, recorder{name: "need", needs: []Name{"nobody"}})
+	registry.Register("service", func() Service { return present })
+	_, err = New(Options{Registry: registry}).load("service")
+	must.ErrorIs(t, err, ErrUnknownService)
+}
--- a/kernel/registry.go
+++ b/kernel/registry.go
@@ -58,6 +58,14 @@
 	return factory(), nil
 }
 
+// Has reports whether a factory is registered under a name.
+func (r *Registry) Has(name Name) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, ok := r.factories[name]
+	return ok
+}
+
 // Names lists the registered names in order.
 func (r *Registry) Names() []Name {
 	r.mu.Lock()
