Decide how the samples of a group are made

A few slow or broken streams stall a whole step. Package group says when a stream is begun, resumed from its prefix, hedged or given up. Time, chunks and failures come in as values, and starts and stops go out as values.

Ruled out: letting the first of two hedged streams to end win, because that favours short answers; a hedge wins by coming ahead. Beginning all samples at once, because a prompt that crashes engines would then crash as many as the group has samples. Hedging by elapsed time, because a long answer on a healthy engine is no straggler; the rate of tokens is compared.

A new code 4006 says that engines began on a group and did not finish: code 3002 says 'not run', which would not be true.

--- /dev/null
+++ b/coord/group/doc.go
@@ -0,0 +1,110 @@
+// Package group decides how the samples of a group are made from one prompt:
+// when a stream on an engine is begun, resumed elsewhere, hedged or given up.
+//
+// Rules:
+//
+//   - The first sample is begun alone. The others follow at its first token,
+//     when the prompt is in the engine's prefix cache, and a prompt that
+//     crashes engines has then crashed one and not as many as there are
+//     samples.
+//   - A stream that breaks or falls silent is resumed on another server from
+//     its last whole chunk. A prefix that is too stale is left behind.
+//   - Once half of the samples are whole, a stream that makes tokens at less
+//     than a share of their median rate is hedged: a second stream goes on
+//     from its last chunk, and replaces the slow one when it has come ahead of
+//     it. Which one ends first does not count, because that would favour short
+//     answers.
+//   - Hedges have a budget for the group. Servers on which streams broke are
+//     counted as well, so that a prompt cannot wear down a whole zone.
+//   - Spans are what engines said of their own chunks.
+package group
+
+import (
+	"time"
+
+	"github.com/flamingobeam/flamingobeam/coord/result"
+	"github.com/flamingobeam/flamingobeam/coord/structs"
+)
+
+// Limits bounds what a group may take.
+type Limits struct {
+	// Size is the count of samples.
+	Size int
+	// Hedges is how many streams may be begun beside a running one.
+	Hedges int
+	// BrokenServers is how many servers may break streams before the group
+	// is given up.
+	BrokenServers int
+	// FruitlessStarts is how many streams of one sample in a row may end
+	// without a token before the group is given up.
+	FruitlessStarts int
+	// FirstToken is how long a server may take until the first chunk, and
+	// Silence how long from one chunk to the next.
+	FirstToken, Silence time.Duration
+	// SlowShare is the share of the median rate below which a stream is
+	// hedged, from 0 to 1.
+	SlowShare float64
+	// Backoff is the pause before a start that follows a fruitless one; it
+	// doubles up to MaxBackoff.
+	Backoff, MaxBackoff time.Duration
+}
+
+// Freshness says which tokens may still become part of a sample.
+type Freshness struct {
+	// Oldest is the lowest weight version that may be carried over.
+	Oldest structs.WeightVersion
+	// Age is how old the oldest token that is carried over may be.
+	Age time.Duration
+}
+
+// AttemptID names one stream of a group.
+type AttemptID uint64
+
+// Start asks for a stream.
+type Start struct {
+	Attempt AttemptID
+	// Sample is the index of the sample in the group.
+	Sample int
+	// Prefix is what was made before, and Tokens its count of tokens.
+	Prefix string
+	Tokens int
+	// Avoid are servers that failed this sample.
+	Avoid []structs.HostName
+	// Delay is to pass before the stream begins.
+	Delay time.Duration
+}
+
+// Finished is a whole sample.
+type Finished struct {
+	// Sample is the index of the sample in the group.
+	Sample int
+	Text   string
+	Spans  []structs.VersionSpan
+	// Born is no later than the making of the oldest token.
+	Born time.Time
+}
+
+// Effects are what a decision asks for, to be carried out in this order.
+type Effects struct {
+	Stops    []AttemptID
+	Starts   []Start
+	Finished []Finished
+	// Failed is the reason why the group is given up, or zero.
+	Failed result.Code
+}
+
+// Chunk is a piece of an engine's answer.
+type Chunk struct {
+	Text    string
+	Tokens  int
+	Version structs.WeightVersion
+	// Last marks the end of the whole answer.
+	Last bool
+}
+
+// Counts says what it took to make the group.
+type Counts struct {
+	// Resumed counts streams that went on elsewhere after a break, Restarted
+	// those among them that began anew, and Hedged the hedges.
+	Resumed, Restarted, Hedged int
+}
--- /dev/null
+++ b/coord/group/group.go
@@ -0,0 +1,300 @@
+package group
+
+import (
+	"slices"
+	"time"
+
+	"github.com/flamingobeam/flamingobeam/coord/result"
+	"github.com/flamingobeam/flamingobeam/coord/structs"
+)
+
+// Group is the state of a group in the making. It is not safe for concurrent
+// use.
+type Group struct {
+	limits   Limits
+	fresh    Freshness
+	samples  []sample
+	attempts map[AttemptID]*attempt
+	next     AttemptID
+	counts   Counts
+	// primed is set once an engine has made a token of the group.
+	primed bool
+	// sent is set once bytes of the group may have reached a server.
+	sent bool
+	// broken are the servers on which streams broke.
+	broken map[structs.HostName]bool
+	// rates are the token rates of the whole samples, a second.
+	rates  []float64
+	failed result.Code
+}
+
+// sample is one place of the group.
+type sample struct {
+	// best is the longest answer of a stream that has ended.
+	best      answer
+	live      []AttemptID
+	fruitless int
+	avoid     []structs.HostName
+	whole     bool
+}
+
+// attempt is one stream.
+type attempt struct {
+	id     AttemptID
+	sample int
+	answer answer
+	// carried is the count of tokens that the stream began with.
+	carried int
+	server  structs.HostName
+	placed  bool
+	// begun is when it got its server, and heard when it last made a chunk.
+	begun, heard time.Time
+}
+
+// New returns a group that has not begun.
+func New(limits Limits, fresh Freshness) *Group {
+	return &Group{
+		limits:   limits,
+		fresh:    fresh,
+		samples:  make([]sample, limits.Size),
+		attempts: make(map[AttemptID]*attempt),
+		broken:   make(map[structs.HostName]bool),
+	}
+}
+
+// Begin starts the first sample.
+func (g *Group) Begin() Effects {
+	var effects Effects
+	g.start(&effects, 0, answer{}, 0)
+	return effects
+}
+
+// Freshen replaces the bounds on what is carried over.
+func (g *Group) Freshen(fresh Freshness) { g.fresh = fresh }
+
+// Done reports whether every sample is whole.
+func (g *Group) Done() bool { return len(g.rates) == len(g.samples) }
+
+// Sent reports whether bytes of the group may have reached a server.
+func (g *Group) Sent() bool {
+	for _, at := range g.attempts {
+		if at.placed {
+			return true
+		}
+	}
+	return g.sent
+}
+
+// Counts returns what it took so far.
+func (g *Group) Counts() Counts { return g.counts }
+
+// Placed tells that a stream was given a server, to which it now goes.
+func (g *Group) Placed(now time.Time, id AttemptID, server structs.HostName) {
+	at := g.attempts[id]
+	if at == nil {
+		return
+	}
+	at.server, at.placed, at.begun, at.heard = server, true, now, now
+}
+
+// Chunk tells of a piece of a stream's answer.
+func (g *Group) Chunk(now time.Time, id AttemptID, chunk Chunk) Effects {
+	var effects Effects
+	at := g.attempts[id]
+	if at == nil || g.failed != 0 {
+		return effects
+	}
+	g.sent = true
+	if !chunk.attributed() {
+		// Nobody could say which weights made these tokens.
+		effects.Stops = append(effects.Stops, id)
+		g.broke(&effects, now, at, result.BackendBroke)
+		return effects
+	}
+	at.heard = now
+	at.answer.add(chunk, at.begun)
+	if chunk.Tokens > 0 {
+		g.samples[at.sample].fruitless = 0
+		g.prime(&effects)
+	}
+	g.settleHedge(&effects, at, chunk.Last)
+	return effects
+}
+
+// prime begins the other samples.
+func (g *Group) prime(effects *Effects) {
+	if g.primed {
+		return
+	}
+	g.primed = true
+	for i := 1; i < len(g.samples); i++ {
+		g.start(effects, i, answer{}, 0)
+	}
+}
+
+// settleHedge keeps a hedge that has come ahead of the stream it was begun
+// beside, and ends the sample with the last chunk of a stream that is not
+// behind.
+func (g *Group) settleHedge(effects *Effects, at *attempt, last bool) {
+	for _, id := range slices.Clone(g.samples[at.sample].live) {
+		rival := g.attempts[id]
+		ahead := at.answer.tokens > rival.answer.tokens || last && at.answer.tokens == rival.answer.tokens
+		switch {
+		case rival == at:
+		case ahead && id < at.id, ahead && last:
+			effects.Stops = append(effects.Stops, id)
+			g.remove(rival)
+		case last:
+			g.remove(at)
+			return
+		}
+	}
+	if last {
+		g.finish(effects, at)
+	}
+}
+
+func (g *Group) finish(effects *Effects, at *attempt) {
+	g.remove(at)
+	g.samples[at.sample].whole = true
+	seconds := at.heard.Sub(at.begun).Seconds()
+	g.rates = append(g.rates, float64(at.answer.tokens-at.carried)/max(seconds, shortest.Seconds()))
+	effects.Finished = append(effects.Finished, Finished{
+		Sample: at.sample,
+		Text:   string(at.answer.text),
+		Spans:  at.answer.spans,
+		Born:   at.answer.born,
+	})
+}
+
+// shortest keeps a rate finite.
+const shortest = time.Millisecond
+
+// Broke tells that a stream ended before its last chunk, on a server or, when
+// that is empty, without having got one.
+func (g *Group) Broke(now time.Time, id AttemptID, server structs.HostName, code result.Code) Effects {
+	var effects Effects
+	at := g.attempts[id]
+	if at == nil || g.failed != 0 {
+		return effects
+	}
+	if server != "" {
+		at.server = server
+	}
+	g.broke(&effects, now, at, code)
+	return effects
+}
+
+// broke ends a stream and resumes its sample, unless a hedge still runs.
+func (g *Group) broke(effects *Effects, now time.Time, at *attempt, code result.Code) {
+	g.remove(at)
+	sm := &g.samples[at.sample]
+	if at.answer.tokens > sm.best.tokens {
+		sm.best = at.answer
+	}
+	if at.answer.tokens == at.carried {
+		sm.fruitless++
+	}
+	g.blame(sm, at.server, code)
+	if len(sm.live) > 0 {
+		return
+	}
+	if g.hopeless(sm, code) {
+		g.fail(effects, code)
+		return
+	}
+	g.counts.Resumed++
+	g.start(effects, at.sample, g.carry(now, sm), g.delay(sm))
+}
+
+// blame remembers where a stream broke, so that the sample avoids it.
+func (g *Group) blame(sm *sample, server structs.HostName, code result.Code) {
+	if mayHaveRun(code) {
+		g.sent = true
+	}
+	if server == "" {
+		if code == result.NoBackend {
+			// Nobody else is left; those avoided so far may have recovered.
+			sm.avoid = nil
+		}
+		return
+	}
+	if !slices.Contains(sm.avoid, server) {
+		sm.avoid = append(sm.avoid, server)
+	}
+	if mayHaveRun(code) && code != result.BackendRefused {
+		g.broken[server] = true
+	}
+}
+
+// mayHaveRun reports whether bytes may have reached a server. A server that
+// refused has read the request.
+func mayHaveRun(code result.Code) bool {
+	entry, known := result.Lookup(code)
+	return !known || entry.Outcome != result.NotRun || code == result.BackendRefused
+}
+
+// hopeless reports whether a sample cannot be finished.
+func (g *Group) hopeless(sm *sample, code result.Code) bool {
+	switch code {
+	case result.NoBackend, result.Overloaded, result.FairShareExceeded, result.BackendRefused,
+		result.AnswerCut, result.BackendBroke, result.OutcomeUnknown:
+		return len(g.broken) >= g.limits.BrokenServers || sm.fruitless >= g.limits.FruitlessStarts
+	default:
+		return true
+	}
+}
+
+// fail gives the group up.
+func (g *Group) fail(effects *Effects, reason result.Code) {
+	g.failed, g.sent = reason, g.Sent()
+	effects.Failed = reason
+	effects.Starts = nil
+	for id := range g.attempts {
+		effects.Stops = append(effects.Stops, id)
+	}
+	slices.Sort(effects.Stops)
+	clear(g.attempts)
+}
+
+// carry returns what a sample's next stream goes on from.
+func (g *Group) carry(now time.Time, sm *sample) answer {
+	if sm.best.tokens > 0 && !sm.best.freshAt(now, g.fresh) {
+		g.counts.Restarted++
+		sm.best = answer{}
+	}
+	return sm.best
+}
+
+func (g *Group) delay(sm *sample) time.Duration {
+	if sm.fruitless == 0 {
+		return 0
+	}
+	delay := g.limits.Backoff
+	for i := 1; i < sm.fruitless && delay < g.limits.MaxBackoff; i++ {
+		delay *= 2
+	}
+	return min(delay, g.limits.MaxBackoff)
+}
+
+func (g *Group) start(effects *Effects, index int, from answer, delay time.Duration) {
+	g.next++
+	at := &attempt{id: g.next, sample: index, answer: from.clone(), carried: from.tokens}
+	g.attempts[at.id] = at
+	sm := &g.samples[index]
+	sm.live = append(sm.live, at.id)
+	effects.Starts = append(effects.Starts, Start{
+		Attempt: at.id,
+		Sample:  index,
+		Prefix:  string(from.text),
+		Tokens:  from.tokens,
+		Avoid:   slices.Clone(sm.avoid),
+		Delay:   delay,
+	})
+}
+
+func (g *Group) remove(at *attempt) {
+	delete(g.attempts, at.id)
+	sm := &g.samples[at.sample]
+	sm.live = slices.DeleteFunc(sm.live, func(id AttemptID) bool { return id == at.id })
+}
--- /dev/null
+++ b/coord/group/group_test.go
@@ -0,0 +1,264 @@
+package group
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/flamingobeam/flamingobeam/coord/result"
+	"github.com/flamingobeam/flamingobeam/coord/structs"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func limits(size int) Limits {
+	return Limits{
+		Size: size, Hedges: 1, BrokenServers: 3, FruitlessStarts: 4,
+		FirstToken: 10 * time.Second, Silence: 2 * time.Second, SlowShare: 0.5,
+		Backoff: 100 * time.Millisecond, MaxBackoff: time.Second,
+	}
+}
+
+func piece(text string, version structs.WeightVersion, last bool) Chunk {
+	return Chunk{Text: text, Tokens: 1, Version: version, Last: last}
+}
+
+func TestGroup_FirstTokenBeginsTheOthers(t *testing.T) {
+	g := New(limits(3), Freshness{})
+	must.SliceLen(t, 1, g.Begin().Starts)
+	g.Placed(start, 1, "a")
+	must.SliceLen(t, 2, g.Chunk(start, 1, piece("x", 1, false)).Starts)
+	must.SliceEmpty(t, g.Chunk(start, 1, piece("y", 1, false)).Starts)
+}
+
+func TestGroup_BrokenStreamGoesOnElsewhereAndNamesBothVersions(t *testing.T) {
+	g := New(limits(1), Freshness{})
+	g.Begin()
+	g.Placed(start, 1, "a")
+	g.Chunk(start, 1, piece("x", 4, false))
+	effects := g.Broke(start, 1, "a", result.AnswerCut)
+	must.Eq(t, []Start{{Attempt: 2, Prefix: "x", Tokens: 1, Avoid: []structs.HostName{"a"}}}, effects.Starts)
+	g.Placed(start, 2, "b")
+	done := g.Chunk(start, 2, piece("y", 5, true))
+	must.Eq(t, []Finished{{
+		Text:  "xy",
+		Spans: []structs.VersionSpan{{Version: 4, Tokens: 1}, {Version: 5, Tokens: 1}},
+		Born:  start,
+	}}, done.Finished)
+	must.True(t, g.Done())
+}
+
+func TestGroup_StalePrefixIsLeftBehind(t *testing.T) {
+	for name, fresh := range map[string]Freshness{"version": {Oldest: 5}, "age": {Age: time.Second}} {
+		t.Run(name, func(t *testing.T) {
+			g := New(limits(1), Freshness{})
+			g.Begin()
+			g.Placed(start, 1, "a")
+			g.Chunk(start, 1, piece("x", 4, false))
+			g.Freshen(fresh)
+			effects := g.Broke(start.Add(2*time.Second), 1, "a", result.AnswerCut)
+			must.Eq(t, 0, effects.Starts[0].Tokens)
+			must.Eq(t, Counts{Resumed: 1, Restarted: 1}, g.Counts())
+		})
+	}
+}
+
+func TestGroup_PromptThatBreaksServersIsGivenUp(t *testing.T) {
+	g := New(limits(8), Freshness{})
+	effects := g.Begin()
+	for _, server := range []structs.HostName{"a", "b", "c"} {
+		must.SliceLen(t, 1, effects.Starts)
+		id := effects.Starts[0].Attempt
+		g.Placed(start, id, server)
+		effects = g.Broke(start, id, server, result.BackendBroke)
+	}
+	must.Eq(t, result.BackendBroke, effects.Failed)
+	must.SliceEmpty(t, effects.Starts)
+	must.True(t, g.Sent())
+}
+
+func TestGroup_NothingSentWhileNobodyTakesIt(t *testing.T) {
+	g := New(limits(2), Freshness{})
+	effects := g.Begin()
+	for range limits(2).FruitlessStarts {
+		must.SliceLen(t, 1, effects.Starts)
+		effects = g.Broke(start, effects.Starts[0].Attempt, "", result.NoBackend)
+	}
+	must.Eq(t, result.NoBackend, effects.Failed)
+	must.False(t, g.Sent())
+}
+
+func TestGroup_SilentStreamIsStoppedAndResumed(t *testing.T) {
+	g := New(limits(1), Freshness{})
+	g.Begin()
+	g.Placed(start, 1, "a")
+	g.Chunk(start, 1, piece("x", 1, false))
+	due, ok := g.NextCheck()
+	must.True(t, ok)
+	must.SliceEmpty(t, g.Check(due.Add(-1)).Starts)
+	effects := g.Check(due)
+	must.Eq(t, []AttemptID{1}, effects.Stops)
+	must.Eq(t, "x", effects.Starts[0].Prefix)
+	must.SliceEmpty(t, g.Chunk(due, 1, piece("late", 1, true)).Finished)
+}
+
+func TestGroup_HedgeStaysOnlyOnceAhead(t *testing.T) {
+	g := New(limits(2), Freshness{})
+	g.Begin()
+	g.Placed(start, 1, "a")
+	g.Chunk(start, 1, piece("x", 1, false))
+	g.Placed(start, 2, "b")
+	g.Chunk(start.Add(10*time.Millisecond), 1, piece("x", 1, true))
+	g.Chunk(start.Add(1900*time.Millisecond), 2, piece("y", 1, false))
+	due, _ := g.NextCheck()
+	hedge := g.Check(due)
+	must.Eq(t, []Start{{Attempt: 3, Sample: 1, Prefix: "y", Tokens: 1, Avoid: []structs.HostName{"b"}}}, hedge.Starts)
+	g.Placed(due, 3, "a")
+	g.Chunk(due, 2, piece("z", 1, false))
+	must.SliceEmpty(t, g.Chunk(due, 3, piece("Z", 2, false)).Stops)
+	must.Eq(t, []AttemptID{2}, g.Chunk(due, 3, piece("Y", 2, false)).Stops)
+	must.Eq(t, "yZYX", g.Chunk(due, 3, piece("X", 2, true)).Finished[0].Text)
+}
+
+// TestGroup_StateMachine drives a group with streams that move, break, fall
+// silent and change versions, and checks every finished sample against the
+// tokens that the streams really made.
+func TestGroup_StateMachine(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMachine(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"token":  m.token,
+			"break":  m.breakOff,
+			"silent": m.silence,
+			"":       m.check,
+		})
+	})
+}
+
+const answerTokens = 6
+
+type machine struct {
+	group    *Group
+	now      time.Time
+	live     map[AttemptID]Start
+	made     map[AttemptID]int
+	finished map[int]bool
+	failed   bool
+	size     int
+}
+
+func newMachine(t *rapid.T) *machine {
+	m := &machine{
+		now: start, live: map[AttemptID]Start{}, made: map[AttemptID]int{}, finished: map[int]bool{},
+		size: rapid.IntRange(1, 4).Draw(t, "size"),
+	}
+	m.group = New(limits(m.size), Freshness{})
+	m.apply(t, m.group.Begin())
+	return m
+}
+
+func (m *machine) apply(t *rapid.T, effects Effects) {
+	for _, id := range effects.Stops {
+		delete(m.live, id)
+	}
+	for _, begun := range effects.Starts {
+		m.live[begun.Attempt], m.made[begun.Attempt] = begun, begun.Tokens
+		must.Eq(t, begun.Tokens, len(strings.Fields(begun.Prefix)))
+		m.group.Placed(m.now, begun.Attempt, structs.HostName(fmt.Sprint("h", begun.Attempt%2)))
+	}
+	for _, done := range effects.Finished {
+		must.False(t, m.finished[done.Sample])
+		m.finished[done.Sample] = true
+		m.checkFinished(t, done)
+	}
+	m.failed = m.failed || effects.Failed != 0
+}
+
+// checkFinished recomputes the spans from the text.
+func (m *machine) checkFinished(t *rapid.T, done Finished) {
+	var spans []structs.VersionSpan
+	for place, token := range strings.Fields(done.Text) {
+		var index int
+		var version structs.WeightVersion
+		_, err := fmt.Sscanf(token, "t%d@%d", &index, &version)
+		must.NoError(t, err)
+		must.Eq(t, place, index)
+		if last := len(spans) - 1; last >= 0 && spans[last].Version == version {
+			spans[last].Tokens++
+			continue
+		}
+		spans = append(spans, structs.VersionSpan{Version: version, Tokens: 1})
+	}
+	must.Eq(t, spans, done.Spans)
+	must.SliceLen(t, answerTokens, strings.Fields(done.Text))
+}
+
+// pick draws a running stream, or zero when none runs; rapid wants an action
+// that is always possible.
+func (m *machine) pick(t *rapid.T) AttemptID {
+	ids := make([]AttemptID, 0, len(m.live))
+	for id := range m.live {
+		ids = append(ids, id)
+	}
+	if len(ids) == 0 {
+		return 0
+	}
+	slices.Sort(ids)
+	return rapid.SampledFrom(ids).Draw(t, "attempt")
+}
+
+func (m *machine) token(t *rapid.T) {
+	id := m.pick(t)
+	if id == 0 {
+		return
+	}
+	version := structs.WeightVersion(rapid.IntRange(1, 3).Draw(t, "version"))
+	text := fmt.Sprintf("t%d@%d ", m.made[id], version)
+	m.made[id]++
+	last := m.made[id] == answerTokens
+	if last {
+		delete(m.live, id)
+	}
+	m.now = m.now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond)
+	m.apply(t, m.group.Chunk(m.now, id, piece(text, version, last)))
+}
+
+func (m *machine) breakOff(t *rapid.T) {
+	id := m.pick(t)
+	if id == 0 {
+		return
+	}
+	delete(m.live, id)
+	code := rapid.SampledFrom([]result.Code{result.AnswerCut, result.BackendRefused, result.BackendBroke}).Draw(t, "code")
+	m.apply(t, m.group.Broke(m.now, id, "", code))
+}
+
+func (m *machine) silence(t *rapid.T) {
+	due, ok := m.group.NextCheck()
+	if !ok {
+		return
+	}
+	if due.After(m.now) {
+		m.now = due
+	}
+	m.apply(t, m.group.Check(m.now))
+}
+
+func (m *machine) check(t *rapid.T) {
+	perSample := map[int]int{}
+	for _, begun := range m.live {
+		perSample[begun.Sample]++
+		must.Between(t, 1, perSample[begun.Sample], 2)
+		must.False(t, m.finished[begun.Sample])
+	}
+	must.LessEq(t, limits(1).Hedges, m.group.Counts().Hedged)
+	if !m.failed {
+		must.Eq(t, len(m.finished) == m.size, m.group.Done())
+		must.Eq(t, m.group.Done(), len(m.live) == 0)
+	}
+}
--- a/coord/result/result.go
+++ b/coord/result/result.go
@@ -69,6 +69,9 @@
 	BackendBroke    Code = 4003
 	SealUnknown     Code = 4004
 	JournalTakeover Code = 4005
+	// GroupUnfinished stands apart from DueTimePassed because engines may have
+	// worked for the request.
+	GroupUnfinished Code = 4006
 
 	ChangeConflict  Code = 5000
 	ChangeInvalid   Code = 5001
@@ -134,6 +137,7 @@
 	{BackendBroke, "backend-broke", Unknown, 502, "The backend server failed while it ran the request."},
 	{SealUnknown, "seal-unknown", Unknown, 503, "The step may have been sealed; ask for it again."},
 	{JournalTakeover, "journal-takeover", Unknown, 502, "The request was begun by a daemon that has since been replaced."},
+	{GroupUnfinished, "group-unfinished", Unknown, 504, "Engines began on the samples or the Draft and did not finish; nothing was delivered."},
 	{ChangeConflict, "change-conflict", NotRun, 409, "Another change was made first."},
 	{ChangeInvalid, "change-invalid", NotRun, 422, "The change would make the settings invalid."},
 	{ChangeWithdrawn, "change-withdrawn", NotRun, 409, "The change was withdrawn because an availability zone did not acknowledge it."},
