Make rollouts and Drafts on model engines

Service traffic.rollout runs one goroutine for each group, which owns the group's state, and one for each stream; they are joined before the request returns. Engines are picked through the balancer by the hash of the prompt's prefix, samples are judged as they become whole, and the group is handed to the steps whole or not at all.

Ruled out: waiting for an engine to confirm that a stopped stream has ended, since a hung engine would hold up the whole group; the closed connection ends it and a cancel is sent on a worker. Giving the time of the first chunk as a sample's birth, since the token may be older; the time at which the stream was sent errs on the safe side.

--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -20,6 +20,7 @@
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/metrics"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/peers"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/plain"
+	_ "github.com/flamingobeam/flamingobeam/daemon/services/rollout"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/rpcserver"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/settings"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/zone"
--- a/daemon/services/front/front.go
+++ b/daemon/services/front/front.go
@@ -57,6 +57,7 @@
 	s.endpoints = []endpoint{
 		&lookups{},
 		&operators{},
+		&rollouts{},
 	}
 	for _, each := range s.endpoints {
 		if err := each.provision(ctx); err != nil {
--- /dev/null
+++ b/daemon/services/rollout/harness_test.go
@@ -0,0 +1,176 @@
+package rollout
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/flamingobeam/flamingobeam/coord/group"
+	"github.com/flamingobeam/flamingobeam/coord/result"
+	"github.com/flamingobeam/flamingobeam/coord/settings"
+	"github.com/flamingobeam/flamingobeam/coord/structs"
+	"github.com/flamingobeam/flamingobeam/daemon/contract"
+	"github.com/flamingobeam/flamingobeam/emulate/engine"
+	plain "github.com/flamingobeam/flamingobeam/emulate/service"
+	"github.com/flamingobeam/flamingobeam/kernel"
+	"github.com/flamingobeam/flamingobeam/platform"
+	"github.com/flamingobeam/flamingobeam/platform/httpclient"
+)
+
+const (
+	model     structs.ServiceName   = "assessor"
+	judgeName structs.ServiceName   = "claims-judge"
+	workspace structs.WorkspaceName = "subsidy-assessor"
+	groupSize                       = 4
+	prompt                          = "Is this fertiliser claim eligible?"
+)
+
+// bench runs the service on real connections to stand-ins; what it needs of
+// the daemon are doubles.
+type bench struct {
+	kernel.Base
+	t       *testing.T
+	engines []*engine.Engine
+	servers []*httptest.Server
+	judge   *plain.Service
+	hosts   map[structs.ServiceName][]structs.BackendServer
+	rollout contract.Rollouts
+	// onChunk is called for each chunk before the service sees it.
+	onChunk func(address string, chunk platform.Chunk)
+	// newest is the newest published version.
+	newest structs.WeightVersion
+
+	mu    sync.Mutex
+	added []structs.Sample
+	bad   int
+}
+
+func newBench(t *testing.T, engines int, limits group.Limits) *bench {
+	b := &bench{t: t, hosts: map[structs.ServiceName][]structs.BackendServer{}, judge: plain.New("judge-1")}
+	for i := range engines {
+		options := engine.DefaultOptions()
+		options.TokensPerSecond, options.Version = 1000, structs.WeightVersion(i+1)
+		b.engines = append(b.engines, engine.New(options))
+		b.servers = append(b.servers, b.listen(model, fmt.Sprint("engine-", i), httptest.NewServer(b.engines[i].Handler())))
+	}
+	b.listen(judgeName, "judge-1", httptest.NewServer(b.judge.Handler()))
+	b.load(limits)
+	return b
+}
+
+func (b *bench) listen(name structs.ServiceName, host string, server *httptest.Server) *httptest.Server {
+	b.t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	b.hosts[name] = append(b.hosts[name], structs.BackendServer{
+		Name: structs.HostName(host), Service: name, Address: server.Listener.Addr().String(),
+	})
+	return server
+}
+
+func (b *bench) load(limits group.Limits) {
+	registry := kernel.NewRegistry()
+	for _, name := range []kernel.Name{contract.NameClients, contract.NameSettings, contract.NameBalance,
+		contract.NameZone, contract.NameMetrics, contract.NameWeights, contract.NameSteps} {
+		registry.Register(name, func() kernel.Service { return b })
+	}
+	made := &service{limits: limits}
+	registry.Register(contract.NameRollout, func() kernel.Service { return made })
+	k := kernel.New(kernel.Options{Registry: registry, Services: []kernel.Name{contract.NameRollout}})
+	must.NoError(b.t, k.Start(b.t.Context()))
+	b.t.Cleanup(func() { must.NoError(b.t, k.Stop(context.Background())) })
+	b.rollout = made
+}
+
+// Platform implements contract.Clients.
+func (b *bench) Platform() platform.Clients {
+	backend := httpclient.NewBackend(nil)
+	return platform.Clients{Plain: backend, Engine: watched{Engine: backend, bench: b}}
+}
+
+// watched is an engine client whose chunks the bench sees.
+type watched struct {
+	platform.Engine
+	bench *bench
+}
+
+func (w watched) Generate(ctx context.Context, address string, generation platform.Generation, each func(platform.Chunk) error) error {
+	return w.Engine.Generate(ctx, address, generation, func(chunk platform.Chunk) error {
+		if w.bench.onChunk != nil {
+			w.bench.onChunk(address, chunk)
+		}
+		return each(chunk)
+	})
+}
+
+// View implements contract.Settings.
+func (b *bench) View() *kernel.Snapshot[contract.SettingsView] { return nil }
+
+// Acquire implements contract.Settings.
+func (b *bench) Acquire(context.Context, structs.WorkspaceName) (settings.Resolved, error) {
+	resolved := settings.Resolved{Model: model, Judge: judgeName, GroupSize: groupSize, StalenessVersions: 1, StalenessAge: time.Hour}
+	resolved.Due[structs.ClassRollout], resolved.Due[structs.ClassDraft] = time.Minute, time.Minute
+	return resolved, nil
+}
+
+// Peek implements contract.Settings.
+func (b *bench) Peek(name structs.WorkspaceName) (settings.Resolved, error) {
+	return b.Acquire(context.Background(), name)
+}
+
+// Pick implements contract.Balancer: the first server that is not to be
+// avoided.
+func (b *bench) Pick(_ context.Context, request contract.PickRequest) (contract.Ticket, error) {
+	for _, server := range b.hosts[request.Service] {
+		if !slices.Contains(request.Avoid, server.Name) {
+			return contract.Ticket{Server: server, Finish: func(contract.TicketOutcome) {}}, nil
+		}
+	}
+	return contract.Ticket{}, result.New(result.NoBackend, "")
+}
+
+// Standing implements contract.Zone.
+func (b *bench) Standing() *kernel.Snapshot[contract.Standing] {
+	return kernel.NewSnapshot(&contract.Standing{Self: structs.Incarnation{Host: "entry-1", Start: 1}})
+}
+
+// Count implements contract.Metrics.
+func (b *bench) Count(string, int64) {}
+
+// Gauge implements contract.Metrics.
+func (b *bench) Gauge(string, int64) {}
+
+// Time implements contract.Metrics.
+func (b *bench) Time(string, time.Duration) {}
+
+// Served implements contract.Metrics.
+func (b *bench) Served(_ structs.WorkspaceName, _ structs.Class, good bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !good {
+		b.bad++
+	}
+}
+
+// Newest implements contract.Weights.
+func (b *bench) Newest(structs.ServiceName) structs.WeightVersion { return b.newest }
+
+// Add implements contract.Steps.
+func (b *bench) Add(_ context.Context, samples []structs.Sample) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.added = append(b.added, samples...)
+	return nil
+}
+
+// Step implements contract.Steps.
+func (b *bench) Step(context.Context, contract.StepRequest) (contract.StepReply, error) {
+	return contract.StepReply{}, result.New(result.StepNotReady, "")
+}
--- /dev/null
+++ b/daemon/services/rollout/rollout_test.go
@@ -0,0 +1,172 @@
+package rollout
+
+import (
+	"context"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/flamingobeam/flamingobeam/coord/result"
+	"github.com/flamingobeam/flamingobeam/coord/structs"
+	"github.com/flamingobeam/flamingobeam/daemon/contract"
+	"github.com/flamingobeam/flamingobeam/emulate/engine"
+	"github.com/flamingobeam/flamingobeam/platform"
+)
+
+func request(class structs.Class) contract.RolloutRequest {
+	return contract.RolloutRequest{Workspace: workspace, Class: class, Group: "g1", Prompt: prompt, MaxTokens: 40}
+}
+
+// lengthOf is how many tokens a sample of request has.
+func lengthOf(sample int) int {
+	asked := request(structs.ClassRollout)
+	return engine.LengthOf(platform.Generation{Prompt: prompt, MaxTokens: asked.MaxTokens, Seed: seedOf(asked, sample)})
+}
+
+// checkSamples recomputes each sample's spans from its body.
+func (b *bench) checkSamples(samples []structs.Sample) {
+	must.SliceLen(b.t, groupSize, samples)
+	ids := map[structs.SampleID]bool{}
+	for i, sample := range samples {
+		spans, err := engine.SpansOf(string(sample.Body))
+		must.NoError(b.t, err)
+		must.Eq(b.t, spans, sample.Spans)
+		total := 0
+		for _, span := range spans {
+			total += span.Tokens
+		}
+		must.Eq(b.t, lengthOf(i), total)
+		must.Positive(b.t, sample.Reward)
+		ids[sample.ID] = true
+	}
+	must.MapLen(b.t, groupSize, ids)
+	must.Eq(b.t, samples, b.added)
+}
+
+func TestRollout_SwapInMidStreamIsNamed(t *testing.T) {
+	b := newBench(t, 1, defaultLimits)
+	b.engines[0].SetFaults(engine.Faults{StallAfter: 5})
+	var seen atomic.Int64
+	b.onChunk = func(_ string, chunk platform.Chunk) {
+		if seen.Add(int64(chunk.Tokens)) != 5*groupSize {
+			return
+		}
+		_, err := b.engines[0].Order(context.Background(), platform.Order{Version: 2, Term: 1})
+		must.NoError(t, err)
+		b.engines[0].SetFaults(engine.Faults{})
+	}
+	reply, err := b.rollout.Rollout(t.Context(), request(structs.ClassRollout))
+	must.NoError(t, err)
+	b.checkSamples(reply.Samples)
+	for i, sample := range reply.Samples {
+		must.Eq(t, []structs.VersionSpan{{Version: 1, Tokens: 5}, {Version: 2, Tokens: lengthOf(i) - 5}}, sample.Spans)
+	}
+}
+
+func TestRollout_CutStreamIsResumedAndBothPartsNamed(t *testing.T) {
+	b := newBench(t, 2, defaultLimits)
+	b.engines[0].SetFaults(engine.Faults{CutAfter: 7})
+	reply, err := b.rollout.Rollout(t.Context(), request(structs.ClassRollout))
+	must.NoError(t, err)
+	b.checkSamples(reply.Samples)
+	for i, sample := range reply.Samples {
+		must.Eq(t, []structs.VersionSpan{{Version: 1, Tokens: 7}, {Version: 2, Tokens: lengthOf(i) - 7}}, sample.Spans)
+	}
+	for _, record := range b.engines[1].Records() {
+		must.Eq(t, 7, record.PrefixTokens)
+	}
+}
+
+func TestRollout_StalePrefixIsMadeAnew(t *testing.T) {
+	b := newBench(t, 2, defaultLimits)
+	b.newest = 3
+	b.engines[0].SetFaults(engine.Faults{CutAfter: 7})
+	reply, err := b.rollout.Rollout(t.Context(), request(structs.ClassRollout))
+	must.NoError(t, err)
+	b.checkSamples(reply.Samples)
+	for _, sample := range reply.Samples {
+		must.Eq(t, 2, sample.OldestVersion())
+	}
+}
+
+func TestRollout_KilledEngineLosesNoSample(t *testing.T) {
+	b := newBench(t, 2, defaultLimits)
+	b.engines[0].SetFaults(engine.Faults{StallAfter: 3})
+	var seen atomic.Int64
+	b.onChunk = func(_ string, chunk platform.Chunk) {
+		if seen.Add(int64(chunk.Tokens)) == 3*groupSize {
+			b.engines[0].Crash()
+			b.servers[0].Listener.Close()
+		}
+	}
+	reply, err := b.rollout.Rollout(t.Context(), request(structs.ClassRollout))
+	must.NoError(t, err)
+	b.checkSamples(reply.Samples)
+	for _, sample := range reply.Samples {
+		must.Eq(t, structs.VersionSpan{Version: 1, Tokens: 3}, sample.Spans[0])
+	}
+}
+
+func TestRollout_HungEngineIsLeft(t *testing.T) {
+	limits := defaultLimits
+	limits.Silence, limits.BrokenServers, limits.FruitlessStarts = 50*time.Millisecond, 1<<20, 1<<20
+	b := newBench(t, 2, limits)
+	b.engines[0].SetFaults(engine.Faults{StallAfter: 3})
+	reply, err := b.rollout.Rollout(t.Context(), request(structs.ClassRollout))
+	must.NoError(t, err)
+	b.checkSamples(reply.Samples)
+}
+
+func TestRollout_PromptThatCrashesEnginesSparesTheRest(t *testing.T) {
+	limits := defaultLimits
+	limits.BrokenServers = 2
+	b := newBench(t, 3, limits)
+	for _, e := range b.engines {
+		e.SetFaults(engine.Faults{CrashMarker: "fertiliser"})
+	}
+	_, err := b.rollout.Rollout(t.Context(), request(structs.ClassRollout))
+	must.Eq(t, result.GroupUnfinished, result.CodeOf(err))
+	must.SliceEmpty(t, b.added)
+	_, err = b.Platform().Engine.Load(t.Context(), b.hosts[model][2].Address)
+	must.NoError(t, err)
+}
+
+func TestRollout_RefusalIsNotRunOnlyWhenNothingWasSent(t *testing.T) {
+	limits := defaultLimits
+	limits.Backoff, limits.MaxBackoff = time.Millisecond, time.Millisecond
+	b := newBench(t, 0, limits)
+	_, err := b.rollout.Rollout(t.Context(), request(structs.ClassRollout))
+	must.Eq(t, result.NoBackend, result.CodeOf(err))
+
+	b = newBench(t, 1, limits)
+	b.engines[0].SetFaults(engine.Faults{Leaving: true})
+	_, err = b.rollout.Rollout(t.Context(), request(structs.ClassRollout))
+	must.Eq(t, result.GroupUnfinished, result.CodeOf(err))
+	must.Eq(t, 1, b.bad)
+}
+
+func TestRollout_WithoutJudgementNothingIsDelivered(t *testing.T) {
+	b := newBench(t, 1, defaultLimits)
+	b.hosts[judgeName] = nil
+	for _, host := range []string{"bad-1", "bad-2", "bad-3"} {
+		b.listen(judgeName, host, httptest.NewServer(engine.New(engine.DefaultOptions()).Handler()))
+	}
+	_, err := b.rollout.Rollout(t.Context(), request(structs.ClassRollout))
+	must.Eq(t, result.GroupUnfinished, result.CodeOf(err))
+	must.SliceEmpty(t, b.added)
+}
+
+func TestDraft_IsWholeAndNoSampleOfAStep(t *testing.T) {
+	b := newBench(t, 2, defaultLimits)
+	b.engines[0].SetFaults(engine.Faults{CutAfter: 7})
+	draft, err := b.rollout.Draft(t.Context(), request(structs.ClassDraft))
+	must.NoError(t, err)
+	spans, err := engine.SpansOf(string(draft.Body))
+	must.NoError(t, err)
+	must.Eq(t, spans, draft.Spans)
+	must.SliceLen(t, 2, spans)
+	must.SliceEmpty(t, b.added)
+}
--- /dev/null
+++ b/daemon/services/rollout/stream.go
@@ -0,0 +1,155 @@
+package rollout
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/flamingobeam/flamingobeam/coord/group"
+	"github.com/flamingobeam/flamingobeam/coord/result"
+	"github.com/flamingobeam/flamingobeam/coord/structs"
+	"github.com/flamingobeam/flamingobeam/daemon/contract"
+	"github.com/flamingobeam/flamingobeam/platform"
+)
+
+// cancelTimeout bounds the call that ends a stream on its engine.
+const cancelTimeout = time.Second
+
+// stream is one attempt at a sample, on a goroutine of its own.
+type stream struct {
+	run   *run
+	ctx   context.Context
+	start group.Start
+	// oldest is the lowest weight version wanted of the engine.
+	oldest structs.WeightVersion
+	// whole is set once the last chunk has come.
+	whole bool
+}
+
+// placed says that a stream goes to a server.
+type placed struct {
+	attempt group.AttemptID
+	server  structs.HostName
+}
+
+func (e placed) apply(r *run) { r.group.Placed(r.service.clock.Now(), e.attempt, e.server) }
+
+// chunked says that a stream made a piece of its answer.
+type chunked struct {
+	attempt group.AttemptID
+	chunk   group.Chunk
+}
+
+func (e chunked) apply(r *run) {
+	r.carryOut(r.group.Chunk(r.service.clock.Now(), e.attempt, e.chunk))
+}
+
+// broken says that a stream ended before its last chunk.
+type broken struct {
+	attempt group.AttemptID
+	server  structs.HostName
+	err     error
+}
+
+func (e broken) apply(r *run) {
+	r.service.log.WithError(e.err).Debugf("A stream of group %s on %q broke.", r.request.Group, e.server)
+	r.carryOut(r.group.Broke(r.service.clock.Now(), e.attempt, e.server, result.CodeOf(e.err)))
+}
+
+// work waits out the delay, gets a server and reads its answer.
+func (st *stream) work() {
+	if !st.run.service.pause(st.ctx, st.start.Delay) {
+		return
+	}
+	ticket, err := st.pick()
+	if err != nil {
+		st.tell(broken{attempt: st.start.Attempt, err: err})
+		return
+	}
+	st.tell(placed{attempt: st.start.Attempt, server: ticket.Server.Name})
+	clock := st.run.service.clock
+	begun := clock.Now()
+	err = st.generate(ticket.Server)
+	stopped := st.ctx.Err() != nil
+	if stopped {
+		// Nothing is known against a server whose stream was stopped here.
+		err = nil
+	}
+	ticket.Finish(contract.TicketOutcome{Err: err, Latency: clock.Since(begun)})
+	if err != nil {
+		st.tell(broken{attempt: st.start.Attempt, server: ticket.Server.Name, err: err})
+	}
+}
+
+func (st *stream) pick() (contract.Ticket, error) {
+	r := st.run
+	return r.service.balancer.Pick(st.ctx, contract.PickRequest{
+		Service:   r.parameters.Model,
+		Workspace: r.request.Workspace,
+		Class:     r.request.Class,
+		Due:       r.due,
+		Affinity:  affinityOf(r.request.Prompt),
+		Version:   st.oldest,
+		Avoid:     st.start.Avoid,
+	})
+}
+
+// generate reads the answer of an engine.
+func (st *stream) generate(server structs.BackendServer) error {
+	s := st.run.service
+	engine, wanted := s.clients.Platform().Engine, st.generation()
+	err := engine.Generate(st.ctx, server.Address, wanted, func(chunk platform.Chunk) error {
+		st.whole = chunk.Last
+		st.tell(chunked{attempt: st.start.Attempt, chunk: group.Chunk(chunk)})
+		return st.ctx.Err()
+	})
+	if st.whole {
+		return nil
+	}
+	if st.ctx.Err() != nil {
+		s.cancel(server.Address, wanted.ID)
+	}
+	return err
+}
+
+// cancel ends a stream on its engine, which may not have noticed that the
+// connection is closed. Nobody waits for it: the engine may hang.
+func (s *service) cancel(address, id string) {
+	engine := s.clients.Platform().Engine
+	s.workers.Go(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
+		defer cancel()
+		_ = engine.Cancel(ctx, address, id)
+	})
+}
+
+func (st *stream) generation() platform.Generation {
+	s, r := st.run.service, st.run
+	self := s.zone.Standing().Load().Self
+	return platform.Generation{
+		ID:           fmt.Sprintf("%s-%d-%d", self.Host, self.Start, s.streams.Add(1)),
+		Prompt:       r.request.Prompt,
+		MaxTokens:    r.request.MaxTokens,
+		Seed:         seedOf(r.request, st.start.Sample),
+		Priority:     r.request.Class,
+		Prefix:       st.start.Prefix,
+		PrefixTokens: st.start.Tokens,
+	}
+}
+
+// pause waits and reports whether ctx still goes on.
+func (s *service) pause(ctx context.Context, delay time.Duration) bool {
+	if delay <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := s.clock.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.Chan():
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (st *stream) tell(happened event) { st.run.tell(st.ctx, happened) }
