--- a/cmd/flamingobeam/emulate.go
+++ b/cmd/flamingobeam/emulate.go
@@ -27,9 +27,14 @@
 
 func emulateCommand() *cli.Command {
 	return &cli.Command{
-		Name:     "emulate",
-		Usage:    "run a stand-in of a system outside, for tests and experiments",
-		Commands: []*cli.Command{emulateStoreCommand(), emulateServiceCommand(), emulateTrainerCommand()},
+		Name:  "emulate",
+		Usage: "run a stand-in of a system outside, for tests and experiments",
+		Commands: []*cli.Command{
+			emulateStoreCommand(),
+			emulateServiceCommand(),
+			emulateEngineCommand(),
+			emulateTrainerCommand(),
+		},
 	}
 }
 
--- a/daemon/contract/contract.go
+++ b/daemon/contract/contract.go
@@ -27,7 +27,7 @@
 	NameHosts kernel.Name = "control.hosts"
 	// NameSettings offers Settings and Operator.
 	NameSettings kernel.Name = "control.settings"
-	// NameZone offers Zone.
+	// NameZone offers Zone and ZoneControl.
 	NameZone kernel.Name = "control.zone"
 	// NameWeights offers Weights.
 	NameWeights kernel.Name = "control.weights"
@@ -170,6 +170,11 @@
 type Zone interface {
 	// Standing returns the snapshot; it may be called from any goroutine.
 	Standing() *kernel.Snapshot[Standing]
+}
+
+// ZoneControl is the part of the zone that other owners of control state use.
+type ZoneControl interface {
+	Zone
 	// Share adds a part of the control state that the collector hands to its
 	// followers. It must be called while services are provisioned.
 	Share(part Part)
--- a/daemon/services/front/front.go
+++ b/daemon/services/front/front.go
@@ -67,6 +67,7 @@
 		&operators{},
 		&steps{},
 		&metrics{},
+		&rollouts{},
 	}
 	for _, each := range s.endpoints {
 		if err := each.provision(ctx); err != nil {
--- a/daemon/services/hosts/hosts.go
+++ b/daemon/services/hosts/hosts.go
@@ -41,7 +41,7 @@
 	workers *kernel.Workers
 	log     *logrus.Entry
 	clients contract.Clients
-	zone    contract.Zone
+	zone    contract.ZoneControl
 	view    *kernel.Snapshot[contract.HostView]
 	replies *kernel.Mailbox[kernel.Reply[platform.HostChanges]]
 	signals *kernel.Latest[structs.HostName, contract.Signal]
@@ -62,7 +62,7 @@
 	if err != nil {
 		return err
 	}
-	if s.zone, err = kernel.Find[contract.Zone](ctx, contract.NameZone); err != nil {
+	if s.zone, err = kernel.Find[contract.ZoneControl](ctx, contract.NameZone); err != nil {
 		return err
 	}
 	s.clients = clients
--- a/daemon/services/zone/zone.go
+++ b/daemon/services/zone/zone.go
@@ -74,7 +74,7 @@
 	onRole []func(collects bool)
 }
 
-var _ contract.Zone = (*service)(nil)
+var _ contract.ZoneControl = (*service)(nil)
 
 // Provision implements kernel.Service.
 func (s *service) Provision(ctx *kernel.Context) error {
