Let nothing start on stopped workers

Cause: the kernel stops the workers before the control loop, so that a handler could still call Workers.Go while Stop waited.

Ruled out: stopping the loop first, because the replies of workers are handled there.

--- a/kernel/workers.go
+++ b/kernel/workers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -14,6 +15,9 @@
 	cancel context.CancelFunc
 	turns  chan struct{}
 	group  conc.WaitGroup
+
+	mu      sync.Mutex
+	stopped bool
 }
 
 // NewWorkers returns a pool that runs at most limit calls at once.
@@ -23,8 +27,14 @@
 }
 
 // Go runs work on a goroutine of its own once there is a turn. It never
-// blocks. The context given to work ends when the pool stops.
+// blocks. The context given to work ends when the pool stops; work that is
+// given to a stopped pool does not run.
 func (w *Workers) Go(work func(ctx context.Context)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.stopped {
+		return
+	}
 	w.group.Go(func() {
 		select {
 		case w.turns <- struct{}{}:
@@ -38,6 +48,9 @@
 
 // Stop ends the context of all work and waits for it.
 func (w *Workers) Stop() {
+	w.mu.Lock()
+	w.stopped = true
+	w.mu.Unlock()
 	w.cancel()
 	w.group.Wait()
 }
--- /dev/null
+++ b/kernel/workers_test.go
@@ -0,0 +1,23 @@
+package kernel
+
+import (
+	"context"
+	"sync"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+func TestWorkers_NothingRunsAfterStop(t *testing.T) {
+	workers := NewWorkers(4)
+	var givers sync.WaitGroup
+	for range 8 {
+		givers.Go(func() { workers.Go(func(ctx context.Context) { <-ctx.Done() }) })
+	}
+	workers.Stop()
+	givers.Wait()
+	ran := make(chan struct{}, 1)
+	workers.Go(func(context.Context) { ran <- struct{}{} })
+	workers.Stop()
+	must.Eq(t, 0, len(ran))
+}
