Keep samples in the data folder and bring the failures about

Cause: samples were in memory only, and a reply of net/rpc that was given up could still be written to while its caller read it (found by the race detector in the first test that killed holders).

A host with a data folder keeps samples in bbolt and reads them after a restart; they keep their ids and are found by host name. Samples whose other holder has left the host list are copied to another one.

Ruled out: offering a sample before its second copy is known. The first copy is written first, so that whoever has the second knows of both; a first copy whose second is in doubt is not offered.

Conclusion: calls get a reply of their own for each attempt.

--- a/daemon/services/steps/add.go
+++ b/daemon/services/steps/add.go
@@ -16,6 +16,8 @@
 		return err
 	}
 	s.assignIDs(samples)
+	// A call that was given up may read the samples later than the caller.
+	samples = slices.Clone(samples)
 	if err := s.keep(&KeepArgs{Samples: samples, Holders: [step.HolderCount]structs.HostName{s.config.Host}}); err != nil {
 		return err
 	}
@@ -65,30 +67,17 @@
 // holds a second copy therefore knows that there are two. When no daemon can
 // have taken the second copy, the first is dropped.
 func (s *service) replicate(ctx context.Context, samples []structs.Sample) error {
-	last := result.New(result.PeerUnreachable, "no other daemon is known")
-	definite := true
-	for _, mate := range s.mates() {
-		args := &KeepArgs{Samples: samples, Holders: [step.HolderCount]structs.HostName{s.config.Host, mate.Name}}
-		var reply KeepReply
-		err := s.call(ctx, mate.Address, "Keep", args, &reply)
-		if err == nil && reply.Failure.err() == nil {
-			s.holdings.confirm(samples, args.Holders)
-			return nil
-		}
-		if ctx.Err() != nil {
-			return result.Wrap(result.OutcomeUnknown, ctx.Err())
-		}
-		if err == nil {
-			err = reply.Failure.err()
-		}
-		definite = definite && result.OutcomeOf(err) == result.NotRun
-		last = result.Wrap(result.CodeOf(err), err)
-	}
-	if definite {
+	holders, definite, err := s.copyOut(ctx, samples)
+	switch {
+	case err == nil:
+		s.holdings.confirm(samples, holders)
+		return nil
+	case definite:
 		s.holdings.drop(sampleIDs(samples))
-		return last
+		return err
+	default:
+		return result.Wrap(result.OutcomeUnknown, err)
 	}
-	return result.Wrap(result.OutcomeUnknown, last)
 }
 
 func sampleIDs(samples []structs.Sample) []structs.SampleID {
--- a/daemon/services/steps/collect.go
+++ b/daemon/services/steps/collect.go
@@ -106,19 +106,24 @@
 		c.take(s.holdings.fetch(c.list.Step, ids))
 		return
 	}
-	var reply FetchReply
-	address, ok := s.addressOf(host)
-	if ok {
-		args := &FetchArgs{Step: c.list.Step, IDs: ids}
-		ok = s.callWithin(ctx, fetchLimit, address, "Fetch", args, &reply) == nil
-	}
+	samples, ok := s.fetchFrom(ctx, host, &FetchArgs{Step: c.list.Step, IDs: ids})
 	if !ok {
 		c.mu.Lock()
 		c.silent = true
 		c.mu.Unlock()
 		return
 	}
-	c.take(reply.Samples)
+	c.take(samples)
+}
+
+// fetchFrom asks another daemon and reports whether it answered.
+func (s *service) fetchFrom(ctx context.Context, host structs.HostName, args *FetchArgs) ([]structs.Sample, bool) {
+	address, ok := s.addressOf(host)
+	if !ok {
+		return nil, false
+	}
+	reply, err := callWithin[FetchReply](ctx, s, fetchLimit, address, "Fetch", args)
+	return reply.Samples, err == nil
 }
 
 func (c *collection) take(samples []structs.Sample) {
--- a/daemon/services/steps/holdings.go
+++ b/daemon/services/steps/holdings.go
@@ -49,6 +49,8 @@
 	// pending is set until the second copy is known to be there. A holder of
 	// a second copy knows it from the start.
 	pending bool
+	// recovered is set for a pending sample that was read after a restart.
+	recovered bool
 }
 
 // holdings are the samples that this daemon holds.
@@ -81,14 +83,41 @@
 	}
 }
 
-// keep holds samples; those already held are left as they are. It fails with
-// code Overloaded when there is no room.
+// recover takes in what the body store still has after a restart. Whether the
+// second copy of a sample taken in here is still there is not known then.
+func (h *holdings) recover() error {
+	return h.bodies.each(func(r record) {
+		described := r.describe(h.self)
+		described.recovered = described.pending
+		h.byID[r.Sample.ID] = described
+		h.bytes += described.bytes
+	})
+}
+
+// workspaces lists the workspaces of the samples held.
+func (h *holdings) workspaces() []structs.WorkspaceName {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	seen := make(map[structs.WorkspaceName]bool)
+	var names []structs.WorkspaceName
+	for _, known := range h.byID {
+		if !seen[known.workspace] {
+			seen[known.workspace] = true
+			names = append(names, known.workspace)
+		}
+	}
+	return names
+}
+
+// keep holds samples and returns once the body store has them, also those
+// that another call is keeping right now. It fails with code Overloaded when
+// there is no room.
 func (h *holdings) keep(records []record) error {
 	fresh, err := h.reserve(records)
 	if err != nil {
 		return err
 	}
-	if err := h.bodies.put(fresh); err != nil {
+	if err := h.bodies.put(records); err != nil {
 		h.drop(idsOf(fresh))
 		return result.Wrap(result.Overloaded, err)
 	}
@@ -124,9 +153,38 @@
 	for i := range samples {
 		if known := h.byID[samples[i].ID]; known != nil {
 			known.offer.Holders = holders
-			known.pending = false
+			known.pending, known.recovered, known.offered = false, false, 0
+		}
+	}
+}
+
+// alone lists the samples of a workspace, not known to be sealed, that have no
+// second holder among the listed hosts.
+func (h *holdings) alone(workspace structs.WorkspaceName, listed map[structs.HostName]bool) []structs.SampleID {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var ids []structs.SampleID
+	for id, known := range h.byID {
+		if known.workspace != workspace || known.step != 0 || (known.pending && !known.recovered) {
+			continue
+		}
+		holders := known.offer.Holders
+		if known.recovered || !listed[holders[0]] || !listed[holders[1]] {
+			ids = append(ids, id)
 		}
 	}
+	return ids
+}
+
+// samples returns those of the samples that are held here.
+func (h *holdings) samples(ids []structs.SampleID) []structs.Sample {
+	samples := make([]structs.Sample, 0, len(ids))
+	for _, id := range ids {
+		if sample, ok := h.bodies.get(id); ok {
+			samples = append(samples, sample)
+		}
+	}
+	return samples
 }
 
 func idsOf(records []record) []structs.SampleID {
@@ -152,12 +210,7 @@
 
 // fetch returns those of the samples of a sealed step that are held here.
 func (h *holdings) fetch(number uint64, ids []structs.SampleID) []structs.Sample {
-	samples := make([]structs.Sample, 0, len(ids))
-	for _, id := range ids {
-		if sample, ok := h.bodies.get(id); ok {
-			samples = append(samples, sample)
-		}
-	}
+	samples := h.samples(ids)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, id := range ids {
--- a/daemon/services/steps/offer.go
+++ b/daemon/services/steps/offer.go
@@ -31,7 +31,8 @@
 	failed time.Time
 }
 
-// offererOf returns the offerer of a workspace and starts it at first use.
+// offererOf returns the offerer of a workspace and starts it at first use,
+// unless the service stops.
 func (s *service) offererOf(workspace structs.WorkspaceName) *offerer {
 	s.offerersMu.Lock()
 	defer s.offerersMu.Unlock()
@@ -44,8 +45,10 @@
 		news:      make(chan struct{}, 1),
 		renewed:   make(chan struct{}, 1),
 	}
-	s.offerers[workspace] = o
-	s.group.Go(o.run)
+	if s.ctx.Err() == nil {
+		s.offerers[workspace] = o
+		s.group.Go(o.run)
+	}
 	return o
 }
 
@@ -89,6 +92,9 @@
 	if err != nil || !s.holdings.has(o.workspace) {
 		return
 	}
+	if all {
+		s.mend(ctx, o.workspace)
+	}
 	owner, ok := o.owner(ctx, all)
 	if !ok {
 		return
@@ -127,8 +133,8 @@
 	var reply OfferReply
 	if owner.sealer != nil {
 		reply = s.takeOffers(args)
-	} else if err := s.call(ctx, owner.owner.Address, "Offer", args, &reply); err != nil {
-		reply = OfferReply{}
+	} else {
+		reply, _ = callWithin[OfferReply](ctx, s, callLimit, owner.owner.Address, "Offer", args)
 	}
 	if !reply.Owner || len(reply.Standings) != len(batch) {
 		_ = s.losses.Post(loss{workspace: o.workspace, term: owner.term})
@@ -159,18 +165,12 @@
 		if daemon.Name == s.config.Host {
 			continue
 		}
-		calls.Go(func() { _ = s.call(ctx, daemon.Address, "Announce", args, &AnnounceReply{}) })
+		calls.Go(func() { _, _ = callWithin[AnnounceReply](ctx, s, callLimit, daemon.Address, "Announce", args) })
 	}
 	calls.Wait()
 }
 
 // heard takes in the news of an owner.
 func (s *service) heard(args *AnnounceArgs) {
-	s.offerersMu.Lock()
-	known := s.offerers[args.Workspace]
-	s.offerersMu.Unlock()
-	if known == nil {
-		return
-	}
 	_ = s.announced.Post(args.Workspace, ownership{owner: args.Owner, term: args.Term})
 }
--- a/daemon/services/steps/owners.go
+++ b/daemon/services/steps/owners.go
@@ -127,7 +127,12 @@
 // here offered to it.
 func (s *service) onAnnounced(workspace structs.WorkspaceName, found ownership) {
 	s.adopt(workspace, found)
-	s.offererOf(workspace).renew()
+	s.offerersMu.Lock()
+	known := s.offerers[workspace]
+	s.offerersMu.Unlock()
+	if known != nil {
+		known.renew()
+	}
 }
 
 // onLoss forgets an owner, so that the head is read again.
--- a/daemon/services/steps/step.go
+++ b/daemon/services/steps/step.go
@@ -92,8 +92,8 @@
 }
 
 func (s *service) callList(ctx context.Context, owner ownership, method string, args any, limit time.Duration) (ListReply, step.List, error) {
-	var reply ListReply
-	if err := s.callWithin(ctx, limit, owner.owner.Address, method, args, &reply); err != nil {
+	reply, err := callWithin[ListReply](ctx, s, limit, owner.owner.Address, method, args)
+	if err != nil {
 		return reply, step.List{}, err
 	}
 	if err := reply.Failure.err(); err != nil || !reply.Owner {
--- a/daemon/services/steps/steps.go
+++ b/daemon/services/steps/steps.go
@@ -132,15 +132,33 @@
 	s.owners = kernel.NewSnapshot(&owners{})
 	s.waiting = make(map[structs.WorkspaceName][]want)
 	s.offerers = make(map[structs.WorkspaceName]*offerer)
-	s.holdings = newHoldings(newMemory(), s.config.Host, maxMemory)
+	if s.config.DataFolder == "" {
+		s.holdings = newHoldings(newMemory(), s.config.Host, maxMemory)
+		return nil
+	}
+	kept, err := openDisk(s.config.DataFolder)
+	if err != nil {
+		return err
+	}
+	s.holdings = newHoldings(kept, s.config.Host, maxDisk)
+	return s.holdings.recover()
+}
+
+// Start implements kernel.Service.
+func (s *service) Start() error {
+	for _, workspace := range s.holdings.workspaces() {
+		s.offererOf(workspace).renew()
+	}
 	return nil
 }
 
 // Stop implements kernel.Service.
 func (s *service) Stop(context.Context) error {
+	s.offerersMu.Lock()
 	s.cancel()
+	s.offerersMu.Unlock()
 	s.group.Wait()
-	return nil
+	return s.holdings.bodies.close()
 }
 
 // self names this run of the daemon as an owner.
