Offer samples to an owner as soon as one is known

Cause: a holder that had looked for an owner in vain did not offer fresh samples for 10 s, even when an owner was announced meanwhile. Two of six trial runs of four daemons with a trainer showed it: the pool stayed at 320 of 1024 samples.

Ruled out: a lost announcement; all four daemons heard it each time.

Conclusion: the test fails without the change. Add on a stopped daemon is now refused as such.

--- a/daemon/services/steps/add.go
+++ b/daemon/services/steps/add.go
@@ -12,6 +12,9 @@
 
 // Add implements contract.Steps. It gives an id to the samples that have none.
 func (s *service) Add(ctx context.Context, samples []structs.Sample) error {
+	if s.ctx.Err() != nil {
+		return result.New(result.Stopping, "")
+	}
 	if err := s.check(samples); err != nil {
 		return err
 	}
--- a/daemon/services/steps/offer.go
+++ b/daemon/services/steps/offer.go
@@ -115,6 +115,9 @@
 // owner returns the owner to offer to. When there is none, the store is not
 // asked again for each fresh sample.
 func (o *offerer) owner(ctx context.Context, all bool) (ownership, bool) {
+	if known, ok := (*o.service.owners.Load())[o.workspace]; ok {
+		return known, true
+	}
 	now := o.service.clock.Now()
 	if !all && now.Sub(o.failed) < offerEvery {
 		return ownership{}, false
--- a/daemon/services/steps/steps_test.go
+++ b/daemon/services/steps/steps_test.go
@@ -40,6 +40,17 @@
 	})
 }
 
+func TestStep_SamplesBeforeAndAfterTheFirstOwner(t *testing.T) {
+	inCluster(t, 3, func(c *cluster) {
+		c.nodes[1].add(2, 1)
+		_, err := c.nodes[0].ask(1, 1, time.Second)
+		must.Eq(t, result.StepNotReady, result.CodeOf(err))
+		c.nodes[1].add(2, 1)
+		_, err = c.nodes[0].ask(1, 1, offerEvery/2)
+		must.NoError(t, err)
+	})
+}
+
 func TestStep_OwnerDiesBetweenSegmentAndHead(t *testing.T) {
 	inCluster(t, 4, func(c *cluster) {
 		owner := c.nodes[0]
