--- a/emulate/load/records.go
+++ b/emulate/load/records.go
@@ -11,6 +11,7 @@
 	"github.com/flamingobeam/flamingobeam/coord/result"
 	"github.com/flamingobeam/flamingobeam/emulate/service"
 	"github.com/flamingobeam/flamingobeam/emulate/store"
+	"github.com/flamingobeam/flamingobeam/emulate/trainer"
 )
 
 // readRecords adds to the totals what the stand-ins recorded.
@@ -26,6 +27,9 @@
 		}
 	}
 	r.compareRuns(runs, totals)
+	if err := r.readTrainers(ctx, totals); err != nil {
+		return err
+	}
 	if r.experiment.Store != "" {
 		var counts store.Counts
 		if err := r.read(ctx, http.MethodPost, r.experiment.Store, store.PathCounts, &counts); err != nil {
@@ -36,6 +40,27 @@
 	return nil
 }
 
+// readTrainers adds up what the trainers were given.
+func (r *runner) readTrainers(ctx context.Context, totals *Totals) error {
+	var idle, total float64
+	for _, address := range r.experiment.Trainers {
+		var seen trainer.Report
+		if err := r.read(ctx, http.MethodGet, address, trainer.PathReport, &seen); err != nil {
+			return err
+		}
+		totals.SamplesDelivered += int64(seen.Samples)
+		totals.SamplesDoubled += int64(seen.Doubled)
+		totals.SamplesStale += int64(seen.StaleVersions + seen.StaleAge)
+		totals.SamplesMisattributed += int64(seen.Misattributed)
+		idle += seen.IdleSeconds
+		total += seen.TotalSeconds
+	}
+	if total > 0 {
+		totals.TrainerIdleFraction = idle / total
+	}
+	return nil
+}
+
 // compareRuns holds what callers were told against what ran.
 func (r *runner) compareRuns(runs map[string]int, totals *Totals) {
 	for _, count := range runs {
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -57,14 +57,28 @@
 daemon 7 volta-1 volta-a
 daemon 8 volta-2 volta-a
 zones=(ashanti-a northern-a volta-a)
+engines=(1 2 3 4 5 6 7 8 9 10)
 for i in 1 2 3 4 5; do
   server "portal-$i" "${zones[$((i % 3))]}" service claims-portal "127.0.0.1:1830$i" false
 done
+for i in "${engines[@]}"; do
+  # Every other engine refuses orders of an old term; the others ignore it.
+  server "engine-$i" "${zones[$((i % 3))]}" engine assessor "127.0.0.1:$((18400 + i))" "$([ $((i % 2)) = 0 ] && echo true || echo false)"
+done
+server judge-1 ashanti-a judge claims-judge 127.0.0.1:18501 false
+server judge-2 volta-a judge claims-judge 127.0.0.1:18502 false
 
 start store "$tool" emulate store --listen "$store" --fleet "$fleet" --lag 500ms
 for i in 1 2 3 4 5; do
   start "portal-$i" "$tool" emulate service --listen "127.0.0.1:1830$i" --name "portal-$i"
 done
+for i in "${engines[@]}"; do
+  start "engine-$i" "$tool" emulate engine --listen "127.0.0.1:$((18400 + i))" --name "engine-$i" \
+    --model assessor $([ $((i % 2)) = 0 ] && echo --fenced)
+done
+for i in 1 2; do
+  start "judge-$i" "$tool" emulate service --listen "127.0.0.1:1850$i" --name "judge-$i"
+done
 for name in ashanti-1 ashanti-2 ashanti-3 northern-1 northern-2 northern-3 volta-1 volta-2; do
   start "$name" bin/flamingobeamd --settings "$out/$name.yaml"
 done
@@ -86,9 +100,16 @@
   retry bash -c "$tool status --daemon 127.0.0.1:1810$i | grep -q 'granted *true'"
 done
 
+daemons=()
+for i in 1 2 3 4 5 6 7 8; do daemons+=(--daemons "127.0.0.1:1810$i"); done
+start trainer-1 "$tool" emulate trainer --listen 127.0.0.1:18601 --workspace subsidy-assessor --model assessor \
+  --store "$store" --train 1s --staleness-versions 2 --staleness-age 20m "${daemons[@]}"
+
 (
   sleep 5
   kill -KILL "$pid_ashanti_1"
+  sleep 2
+  kill -KILL "$pid_engine_3"
 ) &
 killer=$!
 "$tool" load --out "$out/report.json" experiments/demo.yaml
