Decide on a round by the head of the moment of the write

A collector that leaves the first turn to decide to another one sets a timer; when a write of its own failed meanwhile, a second timer took the first one's place without cancelling it. The first then fired on whatever head was there and activated a round that no zone had acknowledged.

Conclusion: there is one timer, and it decides anew when it fires. The load report now describes the first breaches.

--- a/cmd/flamingobeam/load.go
+++ b/cmd/flamingobeam/load.go
@@ -106,6 +106,9 @@
 	for _, figure := range totals {
 		text.row(figure.Name, round(figure.After))
 	}
+	for _, breach := range report.Breaches {
+		text.line("breach: %s", breach)
+	}
 	return text.String()
 }
 
--- a/daemon/services/settings/lead.go
+++ b/daemon/services/settings/lead.go
@@ -199,12 +199,10 @@
 	s.adopt(got.document, ld.head.Revision, ld.head.Round, ld.head.Staged)
 }
 
-// decide activates the undecided round when every zone has acknowledged it,
-// withdraws it when its time is up, and else sets a timer for that.
+// decide sets the time at which this collector writes the decision on the
+// undecided round, or writes it at once when that time has come.
 func (s *service) decide() {
 	ld := s.lead
-	s.loop.Cancel(ld.timer)
-	ld.timer = nil
 	if ld.writing || s.document == nil {
 		return
 	}
@@ -212,36 +210,60 @@
 		s.foldIfLong()
 		return
 	}
-	missing := ld.head.Missing(s.document, ld.acknowledgements())
-	if len(missing) == 0 {
-		s.decideAfter(s.turnDelay(), func() { s.writeHead("activate", ld.head.Activate()) })
-		return
+	delay := s.turnDelay()
+	if len(s.missing()) > 0 {
+		delay += s.timeLeft()
 	}
-	left := ld.stagedSeen.Add(time.Duration(s.config.Lease.Decide)).Sub(s.clock.Now())
-	if left > 0 {
-		s.decideAfter(left, s.decide)
-		return
-	}
-	s.decideAfter(s.turnDelay(), func() {
-		s.log.Warnf("Round %d is withdrawn: no acknowledgement from %v.", ld.head.Round, missing)
-		s.writeHead("withdraw", ld.head.Withdraw(missing))
-	})
+	s.decideAfter(delay)
 }
 
-func (s *service) decideAfter(delay time.Duration, act func()) {
+func (s *service) decideAfter(delay time.Duration) {
 	ld := s.lead
+	s.loop.Cancel(ld.timer)
+	ld.timer = nil
 	if delay <= 0 {
-		act()
+		s.writeDecision()
 		return
 	}
 	ld.timer = s.loop.After(delay, func() {
 		ld.timer = nil
-		if s.lead == ld && !ld.writing {
-			act()
+		if s.lead == ld {
+			s.writeDecision()
 		}
 	})
 }
 
+// writeDecision activates the undecided round when every zone has acknowledged
+// it, and withdraws it when its time is up. It goes by the head of this
+// moment, because that may have changed since the decision was put off.
+func (s *service) writeDecision() {
+	ld := s.lead
+	if ld.writing || s.document == nil || ld.head.Undecided() == 0 {
+		return
+	}
+	missing := s.missing()
+	switch {
+	case len(missing) == 0:
+		s.writeHead("activate", ld.head.Activate())
+	case s.timeLeft() <= 0:
+		s.log.Warnf("Round %d is withdrawn: no acknowledgement from %v.", ld.head.Round, missing)
+		s.writeHead("withdraw", ld.head.Withdraw(missing))
+	default:
+		s.decide()
+	}
+}
+
+// missing lists the zones whose acknowledgement of the round is awaited.
+func (s *service) missing() []structs.ZoneName {
+	return s.lead.head.Missing(s.document, s.lead.acknowledgements())
+}
+
+// timeLeft is how long the undecided round may still wait.
+func (s *service) timeLeft() time.Duration {
+	deadline := s.lead.stagedSeen.Add(time.Duration(s.config.Lease.Decide))
+	return deadline.Sub(s.clock.Now())
+}
+
 // turnDelay gives each zone a turn to write a decision: the one that
 // acknowledged last first, the others only if it does not.
 func (s *service) turnDelay() time.Duration {
@@ -330,9 +352,11 @@
 	}
 	s.log.WithError(reply.Err).Debugf("The write to %s did not succeed.", reply.Value.what)
 	ld.acked = min(ld.acked, ld.acks[s.config.Place.Zone].Round)
-	s.decideAfter(retryDelay, func() {
-		s.decide()
-		s.onNews()
+	s.loop.After(retryDelay, func() {
+		if s.lead == ld {
+			s.decide()
+			s.onNews()
+		}
 	})
 }
 
--- a/emulate/load/report.go
+++ b/emulate/load/report.go
@@ -15,6 +15,8 @@
 	Streams  map[string]StreamReport `json:"streams"`
 	// Codes counts the result codes that were given.
 	Codes map[string]int64 `json:"codes"`
+	// Breaches describes the first breaches of what must always hold.
+	Breaches []string `json:"breaches,omitempty"`
 }
 
 // Totals are the figures of a whole run.
--- a/emulate/load/run.go
+++ b/emulate/load/run.go
@@ -46,6 +46,7 @@
 		Totals:   totals,
 		Streams:  streams,
 		Codes:    codes,
+		Breaches: r.tally.breaches,
 	}, nil
 }
 
--- a/emulate/load/settings.go
+++ b/emulate/load/settings.go
@@ -104,7 +104,7 @@
 	for _, daemon := range s.balancer.daemons {
 		seen, ok := s.status(ctx, daemon)
 		if ok && serves(seen, workspace) && seen.Revision < decided.Revision {
-			s.tally.partial()
+			s.tally.partial("%s served %s by revision %d after %d was accepted", daemon, workspace, seen.Revision, decided.Revision)
 		}
 	}
 }
@@ -138,7 +138,7 @@
 		for _, workspace := range seen.Document.Workspaces {
 			share := workspace.Parameters.Share
 			if share != nil && s.withdrawn[*share] == workspace.Name {
-				s.tally.partial()
+				s.tally.partial("%s has the withdrawn share %g of %s in force", daemon, *share, workspace.Name)
 			}
 		}
 	}
--- a/emulate/load/tally.go
+++ b/emulate/load/tally.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"fmt"
 	"strconv"
 	"sync"
 	"time"
@@ -23,8 +24,12 @@
 	codes       map[string]int64
 	streams     map[string]*streamTally
 	submissions map[string]submission
+	breaches    []string
 }
 
+// keptBreaches is the count of breaches that a report describes.
+const keptBreaches = 20
+
 type streamTally struct {
 	sent, answered int64
 	latency        *hdrhistogram.Histogram
@@ -103,10 +108,18 @@
 	t.totals.SettingsSecondsMax = max(t.totals.SettingsSecondsMax, span.Seconds())
 }
 
-func (t *tally) partial() {
+// partial counts a breach of the settings' promise and keeps what was seen.
+func (t *tally) partial(format string, args ...any) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.totals.SettingsPartial++
+	t.breach(format, args...)
+}
+
+func (t *tally) breach(format string, args ...any) {
+	if len(t.breaches) < keptBreaches {
+		t.breaches = append(t.breaches, fmt.Sprintf(format, args...))
+	}
 }
 
 // report summarises the streams.
