Check a waiting change for the case that the staged round is withdrawn

Cause: Submit tried a change alone and after all undecided ones, but not after the waiting ones alone. With a staged creation and two waiting removals each check passed; after the withdrawal of the creation the removals would have left no workspace, and once activated no daemon could have replayed the head.

--- a/coord/change/head.go
+++ b/coord/change/head.go
@@ -133,21 +133,19 @@
 	return next, nil
 }
 
-// check applies the change alone and after all undecided ones, because they
-// may be accepted or withdrawn.
+// check applies the change alone, after the waiting ones and after all
+// undecided ones, because the staged round may be accepted or withdrawn.
 func (h *Head) check(change settings.Change, document *settings.Document) error {
-	if _, err := document.Apply(change); err != nil {
-		return err
-	}
-	with := document
-	for _, other := range slices.Concat(h.Staged, h.Pending) {
-		var err error
-		if with, err = with.Apply(other); err != nil {
+	for _, before := range [][]settings.Change{nil, h.Pending, slices.Concat(h.Staged, h.Pending)} {
+		with, err := Replay(document, []Accepted{{Changes: before}})
+		if err != nil {
+			return err
+		}
+		if _, err := with.Apply(change); err != nil {
 			return err
 		}
 	}
-	_, err := with.Apply(change)
-	return err
+	return nil
 }
 
 // stage opens the next round when none is undecided and changes wait.
