Grant only by settings read in the collector's own term

Its predecessor might have acknowledged a newer round, so that it served an old revision until its first read of the head. The collector now grants nothing before it has read the head in its own term.

--- a/coord/zone/collector.go
+++ b/coord/zone/collector.go
@@ -56,6 +56,7 @@
 	proposed   Roster
 	members    map[structs.Incarnation]*standing
 	news       News
+	learned    bool
 }
 
 // NewCollector returns a collector of a term that has just begun. The span is
@@ -83,8 +84,14 @@
 // StoreLive reports whether the lease in the store is live.
 func (c *Collector) StoreLive(now Instant) bool { return now < c.storeUntil }
 
-// Learn takes the newest state of the settings from the store.
-func (c *Collector) Learn(news News) { c.news = news }
+// Learn takes the newest state of the settings, read from the store in this
+// term. Before the first call the collector grants nothing: what its daemon
+// knew as a follower may be older than a round that a former collector has
+// acknowledged.
+func (c *Collector) Learn(news News) { c.news, c.learned = news, true }
+
+// Hold stops the grants until the next Learn.
+func (c *Collector) Hold() { c.learned = false }
 
 // Ask answers a follower. One that has not followed this term before only
 // learns of the term, because until it has, a former collector may count on
@@ -92,11 +99,12 @@
 // the role.
 func (c *Collector) Ask(now Instant, ask Ask) Reply {
 	reply := Reply{
-		Term:      c.term,
-		Stamp:     now,
-		Round:     c.news.Round,
-		Undecided: c.news.Undecided,
-		Revision:  c.news.Revision,
+		Term:  c.term,
+		Stamp: now,
+		Cut:   !c.StoreLive(now),
+	}
+	if c.learned {
+		reply.Round, reply.Undecided, reply.Revision = c.news.Round, c.news.Undecided, c.news.Revision
 	}
 	if ask.Term > c.term || !c.known(ask.Member) {
 		return reply
@@ -107,7 +115,7 @@
 		return reply
 	}
 	c.confirm(member, now, ask)
-	if c.Authority(now) {
+	if c.learned && c.Authority(now) {
 		reply.Granted = true
 		member.granted = now + c.span
 	}
--- a/coord/zone/doc.go
+++ b/coord/zone/doc.go
@@ -10,6 +10,9 @@
 //   - A grant lasts for a span T from when the follower asked for it, by the
 //     follower's clock, and carries the newest revision and round that the
 //     collector knows.
+//   - A collector grants nothing before it has read the settings in its own
+//     term: what it knew as a follower may be older than a round that its
+//     predecessor has acknowledged.
 //   - A collector grants while its store lease is live, or while more than
 //     half of the roster has confirmed its term within T. A confirmation is
 //     dated by the collector's own clock at the reply that the follower
--- a/coord/zone/follower.go
+++ b/coord/zone/follower.go
@@ -26,6 +26,9 @@
 	Term structs.Term
 	// Stamp is the collector's clock.
 	Stamp Instant
+	// Cut says that the collector's lease in the store is not live, so that
+	// the follower should look for another collector there.
+	Cut bool
 	// Granted says that the follower may take what the reply carries for the
 	// newest settings.
 	Granted bool
--- a/daemon/contract/contract.go
+++ b/daemon/contract/contract.go
@@ -131,7 +131,9 @@
 	Lead(term structs.Term)
 	// Unlead ends it.
 	Unlead()
-	// News is the newest state known, and false before there is any.
+	// News is the newest state known, and false when it is not enough to
+	// grant by: before there is any, before a collector has read it in its own
+	// term, and while no change waits for the zone.
 	News() (zone.News, bool)
 	// Carry is what a follower of a revision lacks.
 	Carry(since settings.Revision) Carry
--- a/daemon/services/settings/lead.go
+++ b/daemon/services/settings/lead.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -197,6 +198,18 @@
 	}
 	ld.head, ld.headAt = *got.head, got.headAt
 	s.adopt(got.document, ld.head.Revision, ld.head.Round, ld.head.Staged)
+	s.onNews()
+}
+
+// mayGrant reports whether the collector knows the settings well enough to
+// grant: it has read the head in its own term, and changes wait for this zone.
+// A zone that is suspended, or that the document does not list, is not waited
+// for, so that its daemons serve nothing touched.
+func (s *service) mayGrant() bool {
+	here := func(place structs.Place) bool { return place.Zone == s.config.Place.Zone }
+	return s.lead.headAt != 0 &&
+		!slices.Contains(s.lead.head.Suspended, s.config.Place.Zone) &&
+		slices.ContainsFunc(s.document.Zones, here)
 }
 
 // decide activates the undecided round when every zone has acknowledged it,
--- a/daemon/services/settings/operator.go
+++ b/daemon/services/settings/operator.go
@@ -59,6 +59,11 @@
 func (s *service) Apply(ctx context.Context, wanted settings.Change) (contract.ChangeOutcome, error) {
 	begun := s.clock.Now()
 	err := s.update(ctx, func(head *change.Head, document *settings.Document) (change.Head, error) {
+		if wanted.SeenRound == 0 {
+			// A write whose answer was lost must not be made again once its
+			// decision is no longer kept.
+			wanted.SeenRound = uint64(head.Round)
+		}
 		return head.Submit(wanted, document)
 	})
 	if err != nil {
--- a/daemon/services/settings/settings.go
+++ b/daemon/services/settings/settings.go
@@ -128,7 +128,8 @@
 
 // News implements contract.SettingsControl.
 func (s *service) News() (zone.News, bool) {
-	return zone.News{Round: s.round, Undecided: len(s.staged) > 0, Revision: s.revision}, s.document != nil
+	news := zone.News{Round: s.round, Undecided: len(s.staged) > 0, Revision: s.revision}
+	return news, s.document != nil && (s.lead == nil || s.mayGrant())
 }
 
 // SetGrant implements contract.SettingsControl.
@@ -180,7 +181,9 @@
 	}
 	s.document, s.revision, s.round, s.staged = document, revision, round, staged
 	s.publish()
-	s.onNews()
+	if s.lead == nil {
+		s.onNews()
+	}
 }
 
 func (s *service) publish() {
--- a/daemon/services/zone/collect.go
+++ b/daemon/services/zone/collect.go
@@ -23,6 +23,8 @@
 	held     []*heldAsk
 	joining  zone.Roster
 	lapse    *kernel.Timer
+	// began is when the term began here.
+	began zone.Instant
 }
 
 // taken is what a daemon has once it took the role.
@@ -35,13 +37,6 @@
 	rosterAt platform.Revision
 }
 
-// rosterRecord is the roster as it is kept in the store.
-type rosterRecord struct {
-	// Term is the fencing number of the collector that wrote it.
-	Term   structs.Term `json:"term"`
-	Roster zone.Roster  `json:"roster"`
-}
-
 // takeRole makes this daemon the collector in the store. The roster is written
 // again with the new term, so that a late write of a former collector fails.
 func (s *service) takeRole(ctx context.Context, store platform.Store) (*taken, error) {
@@ -81,14 +76,6 @@
 	return err
 }
 
-func writeRoster(ctx context.Context, store platform.Store, key string, expected platform.Revision, roster rosterRecord) (platform.Revision, error) {
-	value, err := json.Marshal(roster)
-	if err != nil {
-		return 0, err
-	}
-	return store.CompareAndSwap(ctx, key, expected, value, 0)
-}
-
 // begin takes up the role on the control goroutine.
 func (s *service) begin(role *taken) {
 	s.known = role.record
@@ -96,6 +83,7 @@
 		decide:   zone.NewCollector(s.self, role.record.term, s.span, role.roster),
 		lease:    role.lease,
 		rosterAt: role.rosterAt,
+		began:    s.now(),
 	}
 	s.collects.decide.StoreLease(role.until)
 	s.log.Infof("Collecting for %s in term %d.", s.config.Place.Zone, role.record.term)
@@ -186,6 +174,8 @@
 func (s *service) learn() {
 	if news, ok := s.settings.News(); ok {
 		s.collects.decide.Learn(news)
+	} else {
+		s.collects.decide.Hold()
 	}
 }
 
@@ -225,92 +215,3 @@
 		cs.lapse = s.loop.After(lapse-now+time.Millisecond, func() { s.tend() })
 	}
 }
-
-// join asks for a place on the roster for a member.
-func (s *service) join(member structs.Incarnation) {
-	if !s.collects.joining.Has(member) {
-		s.collects.joining = append(s.collects.joining, member)
-	}
-}
-
-// rosterWrite is the outcome of a change of the roster.
-type rosterWrite struct {
-	term     structs.Term
-	roster   zone.Roster
-	revision platform.Revision
-}
-
-// tryRoster writes the roster with those who join and without the silent.
-func (s *service) tryRoster() {
-	cs, now := s.collects, s.now()
-	next := cs.decide.Roster()
-	for _, member := range cs.joining {
-		next = next.With(member)
-	}
-	for _, member := range cs.decide.Silent(now, silentSpans*s.span) {
-		if now > silentSpans*s.span {
-			next = next.Without(member)
-		}
-	}
-	changed := len(cs.joining) > 0 || len(next) != len(cs.decide.Roster())
-	if !changed || !cs.decide.Propose(now, next) {
-		return
-	}
-	cs.joining = nil
-	s.writeRoster(next)
-}
-
-func (s *service) writeRoster(next zone.Roster) {
-	cs, store, key := s.collects, s.clients.Platform().Store, s.rosterKey()
-	term, expected := cs.decide.Term(), cs.rosterAt
-	kernel.Async(s.workers, 0, s.rostered, func(ctx context.Context) (rosterWrite, error) {
-		revision, err := writeRoster(ctx, store, key, expected, rosterRecord{Term: term, Roster: next})
-		return rosterWrite{term: term, roster: next, revision: revision}, err
-	})
-}
-
-func (s *service) onRostered(reply kernel.Reply[rosterWrite]) {
-	cs := s.collects
-	if cs == nil || cs.decide.Term() != reply.Value.term {
-		return
-	}
-	if reply.Err != nil {
-		// Whether the roster was written is not known for certain; a new
-		// term begins with what the store then holds.
-		s.log.WithError(reply.Err).Warn("The roster could not be written.")
-		s.readRosterBack(reply.Value)
-		return
-	}
-	s.adoptRoster(reply.Value)
-}
-
-func (s *service) adoptRoster(write rosterWrite) {
-	s.collects.rosterAt = write.revision
-	s.collects.decide.Resolve(write.roster)
-	s.publish()
-	s.releaseAll()
-	s.tend()
-}
-
-// readRosterBack learns what became of a write without an answer. Until then
-// both rosters bind.
-func (s *service) readRosterBack(write rosterWrite) {
-	store, key := s.clients.Platform().Store, s.rosterKey()
-	term := s.collects.decide.Term()
-	s.loop.After(jitter(retryDelay), func() {
-		kernel.Async(s.workers, 0, s.rostered, func(ctx context.Context) (rosterWrite, error) {
-			entry, err := store.Get(ctx, key)
-			if err != nil {
-				return write, err
-			}
-			var kept rosterRecord
-			if err := json.Unmarshal(entry.Value, &kept); err != nil {
-				return write, err
-			}
-			if kept.Term != term {
-				return write, platform.ErrConflict
-			}
-			return rosterWrite{term: term, roster: kept.Roster, revision: entry.Revision}, nil
-		})
-	})
-}
--- a/daemon/services/zone/follow.go
+++ b/daemon/services/zone/follow.go
@@ -39,6 +39,10 @@
 	Carry []byte
 }
 
+// errIncomplete means that a collector's answer names newer settings than it
+// carries.
+var errIncomplete = errors.New("zone: the answer lacks the settings that it names")
+
 // answer is the reply to an ask with the instant at which it was sent.
 type answer struct {
 	asked zone.Instant
@@ -78,6 +82,9 @@
 		s.loop.After(jitter(retryDelay), s.find)
 		return
 	}
+	if reply.Value.reply.Reply.Cut {
+		s.look()
+	}
 	if reply.Value.reply.Reply.Granted || s.follower.Term() > before {
 		s.ask()
 		return
@@ -96,6 +103,9 @@
 			return err
 		}
 	}
+	if news, _ := s.settings.News(); news.Round < got.reply.Reply.Round || news.Revision < got.reply.Reply.Revision {
+		return errIncomplete
+	}
 	s.accept(got.asked, got.reply.Reply)
 	return nil
 }
@@ -125,21 +135,47 @@
 	if s.stopping || s.collects != nil {
 		return
 	}
+	kernel.Async(s.workers, 0, s.found, s.search)
+}
+
+// search runs on a worker.
+func (s *service) search(ctx context.Context) (finding, error) {
 	store := s.clients.Platform().Store
-	kernel.Async(s.workers, 0, s.found, func(ctx context.Context) (finding, error) {
-		entry, err := store.Get(ctx, s.collectorKey())
-		if errors.Is(err, platform.ErrNotFound) {
-			mine, err := s.takeRole(ctx, store)
-			return finding{mine: mine}, err
-		}
-		if err != nil {
-			return finding{}, err
-		}
-		var collector record
-		err = json.Unmarshal(entry.Value, &collector)
-		collector.term = structs.Term(entry.Revision)
-		return finding{collector: collector}, err
-	})
+	entry, err := store.Get(ctx, s.collectorKey())
+	if errors.Is(err, platform.ErrNotFound) {
+		mine, err := s.takeRole(ctx, store)
+		return finding{mine: mine}, err
+	}
+	if err != nil {
+		return finding{}, err
+	}
+	var collector record
+	err = json.Unmarshal(entry.Value, &collector)
+	collector.term = structs.Term(entry.Revision)
+	return finding{collector: collector}, err
+}
+
+// look searches for a collector of a higher term beside the asks to a known
+// one that is cut off from the store: it grants on, but cannot acknowledge.
+func (s *service) look() {
+	if s.looking || s.stopping || s.now() < s.lookAgain {
+		return
+	}
+	s.looking = true
+	kernel.Async(s.workers, 0, s.looked, s.search)
+}
+
+func (s *service) onLooked(reply kernel.Reply[finding]) {
+	s.looking = false
+	s.lookAgain = s.now() + jitter(s.span)
+	if reply.Err != nil || s.stopping || s.collects != nil {
+		return
+	}
+	if reply.Value.mine != nil {
+		s.begin(reply.Value.mine)
+	} else if reply.Value.collector.term > s.follower.Term() {
+		s.known = reply.Value.collector
+	}
 }
 
 func (s *service) onFound(reply kernel.Reply[finding]) {
--- a/daemon/services/zone/zone.go
+++ b/daemon/services/zone/zone.go
@@ -57,6 +57,7 @@
 	asks     *kernel.Mailbox[askCall]
 	answers  *kernel.Mailbox[kernel.Reply[answer]]
 	found    *kernel.Mailbox[kernel.Reply[finding]]
+	looked   *kernel.Mailbox[kernel.Reply[finding]]
 	renewed  *kernel.Mailbox[kernel.Reply[renewal]]
 	rostered *kernel.Mailbox[kernel.Reply[rosterWrite]]
 
@@ -65,6 +66,10 @@
 	known    record
 	collects *collects
 	stopping bool
+	// looking says that a search of look is on its way; lookAgain is when the
+	// next one may begin.
+	looking   bool
+	lookAgain zone.Instant
 }
 
 var _ contract.Zone = (*service)(nil)
@@ -105,6 +110,7 @@
 	s.asks = kernel.NewMailbox(s.loop, askCapacity, s.onAsk)
 	s.answers = kernel.NewMailbox(s.loop, replyCapacity, s.onAnswer)
 	s.found = kernel.NewMailbox(s.loop, replyCapacity, s.onFound)
+	s.looked = kernel.NewMailbox(s.loop, replyCapacity, s.onLooked)
 	s.renewed = kernel.NewMailbox(s.loop, replyCapacity, s.onRenewed)
 	s.rostered = kernel.NewMailbox(s.loop, replyCapacity, s.onRostered)
 	s.settings.OnNews(s.onNews)
