--- a/coord/zone/collector.go
+++ b/coord/zone/collector.go
@@ -85,21 +85,26 @@
 func (c *Collector) StoreLive(now Instant) bool { return now < c.storeUntil }
 
 // Learn takes the newest state of the settings, read from the store in this
-// term. Before that the collector grants nothing: the round that its
-// predecessor acknowledged may have passed it by.
+// term. Before the first call the collector grants nothing: what its daemon
+// knew as a follower may be older than a round that a former collector has
+// acknowledged.
 func (c *Collector) Learn(news News) { c.news, c.learned = news, true }
 
+// Hold stops the grants until the next Learn.
+func (c *Collector) Hold() { c.learned = false }
+
 // Ask answers a follower. One that has not followed this term before only
 // learns of the term, because until it has, a former collector may count on
 // it. One of a higher term gets no grant either; the caller must then give up
 // the role.
 func (c *Collector) Ask(now Instant, ask Ask) Reply {
 	reply := Reply{
-		Term:      c.term,
-		Stamp:     now,
-		Round:     c.news.Round,
-		Undecided: c.news.Undecided,
-		Revision:  c.news.Revision,
+		Term:  c.term,
+		Stamp: now,
+		Cut:   !c.StoreLive(now),
+	}
+	if c.learned {
+		reply.Round, reply.Undecided, reply.Revision = c.news.Round, c.news.Undecided, c.news.Revision
 	}
 	if ask.Term > c.term || !c.known(ask.Member) {
 		return reply
--- a/daemon/services/zone/zone.go
+++ b/daemon/services/zone/zone.go
@@ -60,6 +60,7 @@
 	asks     *kernel.Mailbox[askCall]
 	answers  *kernel.Mailbox[kernel.Reply[answer]]
 	found    *kernel.Mailbox[kernel.Reply[finding]]
+	looked   *kernel.Mailbox[kernel.Reply[finding]]
 	renewed  *kernel.Mailbox[kernel.Reply[renewal]]
 	rostered *kernel.Mailbox[kernel.Reply[rosterWrite]]
 
@@ -72,6 +73,10 @@
 	// parts and onRole are set while services are provisioned.
 	parts  []contract.Part
 	onRole []func(collects bool)
+	// looking says that a search of look is on its way; lookAgain is when the
+	// next one may begin.
+	looking   bool
+	lookAgain zone.Instant
 }
 
 var _ contract.ZoneControl = (*service)(nil)
@@ -112,6 +117,7 @@
 	s.asks = kernel.NewMailbox(s.loop, askCapacity, s.onAsk)
 	s.answers = kernel.NewMailbox(s.loop, replyCapacity, s.onAnswer)
 	s.found = kernel.NewMailbox(s.loop, replyCapacity, s.onFound)
+	s.looked = kernel.NewMailbox(s.loop, replyCapacity, s.onLooked)
 	s.renewed = kernel.NewMailbox(s.loop, replyCapacity, s.onRenewed)
 	s.rostered = kernel.NewMailbox(s.loop, replyCapacity, s.onRostered)
 	s.settings.OnNews(s.onNews)
