--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -28,7 +28,7 @@
 }
 trap stop_all EXIT
 
-store=127.0.0.1:18001
+store=127.0.0.1:17001
 fleet=$out/fleet.yaml
 echo "servers:" >"$fleet"
 
@@ -42,10 +42,10 @@
   cat >"$out/$2.yaml" <<YAML
 host: $2
 place: {zone: $3, region: ${3%-a}}
-listen: {callers: "127.0.0.1:1810$1", peers: "127.0.0.1:1820$1"}
+listen: {callers: "127.0.0.1:1710$1", peers: "127.0.0.1:1720$1"}
 store: "$store"
 YAML
-  server "$2" "$3" daemon flamingobeam "127.0.0.1:1820$1" true
+  server "$2" "$3" daemon flamingobeam "127.0.0.1:1720$1" true
 }
 
 daemon 1 ashanti-1 ashanti-a
@@ -59,25 +59,25 @@
 zones=(ashanti-a northern-a volta-a)
 engines=(1 2 3 4 5 6 7 8 9 10)
 for i in 1 2 3 4 5; do
-  server "portal-$i" "${zones[$((i % 3))]}" service claims-portal "127.0.0.1:1830$i" false
+  server "portal-$i" "${zones[$((i % 3))]}" service claims-portal "127.0.0.1:1730$i" false
 done
 for i in "${engines[@]}"; do
   # Every other engine refuses orders of an old term; the others ignore it.
-  server "engine-$i" "${zones[$((i % 3))]}" engine assessor "127.0.0.1:$((18400 + i))" "$([ $((i % 2)) = 0 ] && echo true || echo false)"
+  server "engine-$i" "${zones[$((i % 3))]}" engine assessor "127.0.0.1:$((17400 + i))" "$([ $((i % 2)) = 0 ] && echo true || echo false)"
 done
-server judge-1 ashanti-a judge claims-judge 127.0.0.1:18501 false
-server judge-2 volta-a judge claims-judge 127.0.0.1:18502 false
+server judge-1 ashanti-a judge claims-judge 127.0.0.1:17501 false
+server judge-2 volta-a judge claims-judge 127.0.0.1:17502 false
 
 start store "$tool" emulate store --listen "$store" --fleet "$fleet" --lag 500ms
 for i in 1 2 3 4 5; do
-  start "portal-$i" "$tool" emulate service --listen "127.0.0.1:1830$i" --name "portal-$i"
+  start "portal-$i" "$tool" emulate service --listen "127.0.0.1:1730$i" --name "portal-$i"
 done
 for i in "${engines[@]}"; do
-  start "engine-$i" "$tool" emulate engine --listen "127.0.0.1:$((18400 + i))" --name "engine-$i" \
+  start "engine-$i" "$tool" emulate engine --listen "127.0.0.1:$((17400 + i))" --name "engine-$i" \
     --model assessor $([ $((i % 2)) = 0 ] && echo --fenced)
 done
 for i in 1 2; do
-  start "judge-$i" "$tool" emulate service --listen "127.0.0.1:1850$i" --name "judge-$i"
+  start "judge-$i" "$tool" emulate service --listen "127.0.0.1:1750$i" --name "judge-$i"
 done
 for name in ashanti-1 ashanti-2 ashanti-3 northern-1 northern-2 northern-3 volta-1 volta-2; do
   start "$name" bin/flamingobeamd --settings "$out/$name.yaml"
@@ -95,14 +95,14 @@
   exit 1
 }
 
-retry "$tool" create --daemon 127.0.0.1:18101 examples/akuaba/document.yaml
+retry "$tool" create --daemon 127.0.0.1:17101 examples/akuaba/document.yaml
 for i in 1 2 3 4 5 6 7 8; do
-  retry bash -c "$tool status --daemon 127.0.0.1:1810$i | grep -q 'granted *true'"
+  retry bash -c "$tool status --daemon 127.0.0.1:1710$i | grep -q 'granted *true'"
 done
 
 daemons=()
-for i in 1 2 3 4 5 6 7 8; do daemons+=(--daemons "127.0.0.1:1810$i"); done
-start trainer-1 "$tool" emulate trainer --listen 127.0.0.1:18601 --workspace subsidy-assessor --model assessor \
+for i in 1 2 3 4 5 6 7 8; do daemons+=(--daemons "127.0.0.1:1710$i"); done
+start trainer-1 "$tool" emulate trainer --listen 127.0.0.1:17601 --workspace subsidy-assessor --model assessor \
   --store "$store" --train 1s --staleness-versions 2 --staleness-age 20m "${daemons[@]}"
 
 (
