Hand samples over at a planned stop; bound what a sealing keeps

Cause, found by reading the code again: - An owner kept every attempt until one was committed, so that a long outage of the store would have filled its memory.

Ruled out: copying sealed samples at a stop as well; their holders are written in the segment, and they are fetched within moments of the sealing.

--- a/coord/step/pool.go
+++ b/coord/step/pool.go
@@ -49,13 +49,6 @@
 	ByVersion, ByAge, ByFloor uint64
 }
 
-// Attempt is a change of the head that may or may not have been written. A
-// list with entries is to be written as a segment before the head.
-type Attempt struct {
-	Head Head
-	List List
-}
-
 // Pool holds the samples of a workspace that wait to be sealed, and the lists
 // of the steps that are kept. It is not safe for concurrent use.
 type Pool struct {
@@ -209,16 +202,6 @@
 	return born
 }
 
-// attempt remembers a change of the head. All attempts since the last Commit
-// are made against one revision of the head, so that at most one of them can
-// take effect.
-func (p *Pool) attempt(head Head, list List) Attempt {
-	head.Operation = p.operation
-	made := Attempt{Head: head, List: list}
-	p.attempts[p.operation] = made
-	return made
-}
-
 // Lose marks samples of a step as lost and owes as many to the trainer. It
 // reports false when there is nothing to write, because all were marked
 // before, and fails like Find.
@@ -238,65 +221,3 @@
 	head.Kept[head.find(step)].Version = list.Version
 	return p.attempt(head, list), true, nil
 }
-
-// Verdict says what a head that was read back means for its reader.
-type Verdict uint8
-
-// The verdicts.
-const (
-	// Overtaken means that another owner wrote the head.
-	Overtaken Verdict = iota
-	// Unchanged means that no attempt has taken effect so far.
-	Unchanged
-	// Committed means that an attempt has taken effect.
-	Committed
-)
-
-// Commit takes in a head that is known to be written. When it is that of an
-// attempt, the attempt becomes the present state, and Commit returns the
-// segments that the head no longer points to.
-func (p *Pool) Commit(written Head) (Verdict, []Version) {
-	made, ok := p.attempts[written.Operation]
-	if ok && made.Head.SameWrite(written) {
-		before := p.head
-		p.head = made.Head
-		p.keep(made.List)
-		return Committed, append(p.abandon(written.Operation), p.forget(before)...)
-	}
-	if p.head.SameWrite(written) {
-		return Unchanged, nil
-	}
-	return Overtaken, nil
-}
-
-// abandon forgets all attempts and returns the segments of those that can no
-// longer take effect.
-func (p *Pool) abandon(committed uint64) []Version {
-	var unused []Version
-	for operation, made := range p.attempts {
-		if operation != committed {
-			unused = append(unused, made.List.Version)
-		}
-	}
-	clear(p.attempts)
-	return unused
-}
-
-// forget drops the lists that the head no longer points to.
-func (p *Pool) forget(before Head) []Version {
-	var unused []Version
-	for _, old := range before.Kept {
-		if i := p.head.find(old.Step); i >= 0 {
-			if p.head.Kept[i].Version != old.Version {
-				unused = append(unused, old.Version)
-			}
-			continue
-		}
-		unused = append(unused, old.Version)
-		for _, entry := range p.lists[old.Step].Entries {
-			delete(p.sealed, entry.ID)
-		}
-		delete(p.lists, old.Step)
-	}
-	return unused
-}
--- a/daemon/services/steps/add.go
+++ b/daemon/services/steps/add.go
@@ -70,7 +70,7 @@
 // holds a second copy therefore knows that there are two. When no daemon can
 // have taken the second copy, the first is dropped.
 func (s *service) replicate(ctx context.Context, samples []structs.Sample) error {
-	holders, definite, err := s.copyOut(ctx, samples)
+	holders, definite, err := s.copyOut(ctx, samples, s.config.Host)
 	switch {
 	case err == nil:
 		s.holdings.confirm(samples, holders)
@@ -94,13 +94,13 @@
 // maxMates is how many daemons are tried for the second copy.
 const maxMates = 8
 
-// mates lists daemons for the second copy: first those of this zone, then the
-// others, each in a random order.
-func (s *service) mates() []structs.BackendServer {
+// mates lists daemons for a copy beside a keeper's: first those of this zone,
+// then the others, each in a random order.
+func (s *service) mates(keeper structs.HostName) []structs.BackendServer {
 	var near, far []structs.BackendServer
 	for _, daemon := range s.hosts.View().Load().Daemons {
 		switch {
-		case daemon.Name == s.config.Host || daemon.Leaving:
+		case daemon.Name == s.config.Host || daemon.Name == keeper || daemon.Leaving:
 		case daemon.Place.Zone == s.config.Place.Zone:
 			near = append(near, daemon)
 		default:
--- /dev/null
+++ b/daemon/services/steps/fakes_test.go
@@ -0,0 +1,118 @@
+package steps
+
+import (
+	"context"
+	"net"
+	"net/rpc"
+	"time"
+
+	"github.com/flamingobeam/flamingobeam/coord/result"
+	"github.com/flamingobeam/flamingobeam/coord/settings"
+	"github.com/flamingobeam/flamingobeam/coord/structs"
+	"github.com/flamingobeam/flamingobeam/daemon/contract"
+	"github.com/flamingobeam/flamingobeam/kernel"
+	"github.com/flamingobeam/flamingobeam/platform"
+)
+
+// Call implements contract.Peers over net/rpc on a pipe.
+func (n *node) Call(ctx context.Context, address, method string, args, reply any) error {
+	var to *node
+	for _, other := range n.cluster.listed() {
+		if string(other.host) == address {
+			to = other
+		}
+	}
+	if n.dead.Load() || to == nil || to.dead.Load() {
+		return result.New(result.PeerUnreachable, "%s", address)
+	}
+	if err := to.pass(ctx); err != nil {
+		return result.Wrap(result.OutcomeUnknown, err)
+	}
+	here, there := net.Pipe()
+	server := rpc.NewServer()
+	_ = server.RegisterName(rpcName, &Receiver{service: to.service})
+	go server.ServeConn(there)
+	client := rpc.NewClient(here)
+	defer client.Close()
+	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
+	select {
+	case <-call.Done:
+		return call.Error
+	case <-ctx.Done():
+		return result.Wrap(result.OutcomeUnknown, ctx.Err())
+	}
+}
+
+// Platform implements contract.Clients.
+func (n *node) Platform() platform.Clients {
+	return platform.Clients{Store: &nodeStore{Store: n.cluster.store, node: n}}
+}
+
+// nodeStore is the key-value service as one daemon reaches it.
+type nodeStore struct {
+	platform.Store
+	node *node
+}
+
+func (ns *nodeStore) Get(ctx context.Context, key string) (platform.Entry, error) {
+	if ns.node.pass(ctx) != nil || ns.node.dead.Load() {
+		return platform.Entry{}, platform.ErrUnavailable
+	}
+	return ns.Store.Get(ctx, key)
+}
+
+func (ns *nodeStore) CompareAndSwap(ctx context.Context, key string, expected platform.Revision, value []byte, lease platform.LeaseID) (platform.Revision, error) {
+	if ns.node.beforeSwap != nil {
+		ns.node.beforeSwap(key)
+	}
+	// A write that a frozen process had in hand leaves once it is thawed.
+	if ns.node.pass(context.WithoutCancel(ctx)) != nil || ns.node.dead.Load() {
+		return 0, platform.ErrUnavailable
+	}
+	revision, err := ns.Store.CompareAndSwap(ctx, key, expected, value, lease)
+	if ns.node.afterSwap != nil {
+		err = ns.node.afterSwap(key, err)
+	}
+	return revision, err
+}
+
+// View implements contract.Hosts.
+func (n *node) View() *kernel.Snapshot[contract.HostView] {
+	view := &contract.HostView{Known: true}
+	for _, other := range n.cluster.listed() {
+		view.Daemons = append(view.Daemons, structs.BackendServer{
+			Name: other.host, Address: string(other.host), Place: structs.Place{Zone: "z"},
+		})
+	}
+	return kernel.NewSnapshot(view)
+}
+
+// Report implements contract.Hosts.
+func (n *node) Report(structs.HostName, contract.Signal) {}
+
+// fakeSettings implements contract.Settings.
+type fakeSettings struct {
+	contract.Settings
+	cluster *cluster
+}
+
+func (f *fakeSettings) Acquire(context.Context, structs.WorkspaceName) (settings.Resolved, error) {
+	return f.cluster.parameters, nil
+}
+
+func (f *fakeSettings) Peek(structs.WorkspaceName) (settings.Resolved, error) {
+	return f.cluster.parameters, nil
+}
+
+// Standing implements contract.Zone.
+func (n *node) Standing() *kernel.Snapshot[contract.Standing] {
+	return kernel.NewSnapshot(&contract.Standing{Self: structs.Incarnation{Host: n.host, Start: n.start}})
+}
+
+// noMetrics implements contract.Metrics.
+type noMetrics struct{}
+
+func (noMetrics) Count(string, int64)                               {}
+func (noMetrics) Gauge(string, int64)                               {}
+func (noMetrics) Time(string, time.Duration)                        {}
+func (noMetrics) Served(structs.WorkspaceName, structs.Class, bool) {}
--- a/daemon/services/steps/faults_test.go
+++ b/daemon/services/steps/faults_test.go
@@ -170,13 +170,25 @@
 	})
 }
 
+func TestStep_PlannedStopHandsSamplesOver(t *testing.T) {
+	inCluster(t, 2, func(c *cluster) {
+		origin, second := c.nodes[0], c.nodes[1]
+		added := origin.add(4, 1)
+		third := c.start("host-2")
+		must.NoError(t, origin.Stop(context.Background()))
+		origin.kill()
+		second.kill()
+		must.SliceContainsAll(t, added, idsIn(third.must(1, 1)))
+	})
+}
+
 func TestAdd_RefusedWithoutASecondHost(t *testing.T) {
 	inCluster(t, 1, func(c *cluster) {
 		samples := []structs.Sample{{Workspace: workspace, Born: time.Now(), Spans: []structs.VersionSpan{{Version: 1, Tokens: 1}}}}
-		err := c.nodes[0].Add(t.Context(), samples)
+		err := c.nodes[0].Add(context.Background(), samples)
 		must.Eq(t, result.PeerUnreachable, result.CodeOf(err))
 		must.Zero(t, c.nodes[0].heldCount())
 		samples[0].Spans = nil
-		must.Eq(t, result.BadRequest, result.CodeOf(c.nodes[0].Add(t.Context(), samples)))
+		must.Eq(t, result.BadRequest, result.CodeOf(c.nodes[0].Add(context.Background(), samples)))
 	})
 }
--- a/daemon/services/steps/history_test.go
+++ b/daemon/services/steps/history_test.go
@@ -16,33 +16,15 @@
 	"github.com/flamingobeam/flamingobeam/emulate/store"
 )
 
-// asked is a request for a step, and given the ids that came, as text.
-type (
-	asked struct{ step uint64 }
-	given struct{ ids string }
-)
-
 // writeOnce is a step as an object: it is unsealed, and once it was handed
 // over it is always handed over with the same samples. An owner that does not
 // know yet that it was replaced may say that a step is not ready, so that such
 // answers are left out of the history.
 var writeOnce = porcupine.Model{
-	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
-		byStep := make(map[uint64][]porcupine.Operation)
-		for _, operation := range history {
-			step := operation.Input.(asked).step
-			byStep[step] = append(byStep[step], operation)
-		}
-		var parts [][]porcupine.Operation
-		for _, part := range byStep {
-			parts = append(parts, part)
-		}
-		return parts
-	},
 	Init: func() any { return "" },
 	Step: func(state, _, output any) (bool, any) {
-		sealed, got := state.(string), output.(given)
-		return sealed == "" || sealed == got.ids, got.ids
+		sealed, got := state.(string), output.(string)
+		return sealed == "" || sealed == got, got
 	},
 }
 
@@ -50,7 +32,7 @@
 type recorder struct {
 	tick    atomic.Int64
 	mu      sync.Mutex
-	history []porcupine.Operation
+	history map[uint64][]porcupine.Operation
 	replies map[uint64]contract.StepReply
 }
 
@@ -64,9 +46,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.replies[number] = reply
-	r.history = append(r.history, porcupine.Operation{
-		ClientId: taker, Input: asked{step: number}, Call: call,
-		Output: given{ids: fmt.Sprint(idsIn(reply))}, Return: r.tick.Add(1),
+	r.history[number] = append(r.history[number], porcupine.Operation{
+		ClientId: taker, Input: number, Call: call,
+		Output: fmt.Sprint(idsIn(reply)), Return: r.tick.Add(1),
 	})
 	return true
 }
@@ -116,7 +98,7 @@
 			c.nodes[4].add(4, 1)
 		}
 		c.store.SetFaults(store.Faults{LoseAnswers: 0.2})
-		r := &recorder{replies: make(map[uint64]contract.StepReply)}
+		r := &recorder{history: make(map[uint64][]porcupine.Operation), replies: make(map[uint64]contract.StepReply)}
 		done := make(chan struct{})
 		var takers, faults sync.WaitGroup
 		faults.Go(func() { disturb(c, rand.New(rand.NewPCG(seed, 1)), done) })
@@ -133,10 +115,11 @@
 		takers.Wait()
 		close(done)
 		faults.Wait()
-		must.True(t, porcupine.CheckOperations(writeOnce, r.history))
+		must.MapLen(t, historySteps, r.history)
 		var replies []contract.StepReply
-		for _, reply := range r.replies {
-			replies = append(replies, reply)
+		for number, history := range r.history {
+			must.True(t, porcupine.CheckOperations(writeOnce, history))
+			replies = append(replies, r.replies[number])
 		}
 		mustBeDisjoint(t, replies...)
 	})
--- a/daemon/services/steps/holdings.go
+++ b/daemon/services/steps/holdings.go
@@ -12,47 +12,6 @@
 // maxMemory bounds what a daemon without a data folder holds, in bytes.
 const maxMemory = 256 << 20
 
-// sampleOverhead is what a held sample takes beside its body, in bytes.
-const sampleOverhead = 512
-
-// bodies keeps the samples themselves. Implementations are safe for concurrent
-// use.
-type bodies interface {
-	// put keeps records; it returns when they would survive what the
-	// implementation promises to survive.
-	put(records []record) error
-	// get returns a sample and reports whether it is there.
-	get(id structs.SampleID) (structs.Sample, bool)
-	// remove forgets samples.
-	remove(ids []structs.SampleID) error
-	// each calls visit for every record, without its body.
-	each(visit func(record)) error
-	close() error
-}
-
-// record is a sample and the hosts that hold it. The first of them took the
-// sample in.
-type record struct {
-	Sample  structs.Sample
-	Holders [step.HolderCount]structs.HostName
-}
-
-// held is what a holder knows of a sample beside its body.
-type held struct {
-	offer     step.Offer
-	workspace structs.WorkspaceName
-	bytes     int64
-	// offered is the term of the owner that took the offer, or zero.
-	offered structs.Term
-	// step is the one that the sample was sealed in, or zero.
-	step uint64
-	// pending is set until the second copy is known to be there. A holder of
-	// a second copy knows it from the start.
-	pending bool
-	// recovered is set for a pending sample that was read after a restart.
-	recovered bool
-}
-
 // holdings are the samples that this daemon holds.
 type holdings struct {
 	bodies bodies
@@ -63,24 +22,13 @@
 	mu    sync.Mutex
 	byID  map[structs.SampleID]*held
 	bytes int64
+	// fresh are the samples taken in here and not yet offered at all.
+	fresh map[structs.WorkspaceName][]structs.SampleID
 }
 
 func newHoldings(bodies bodies, self structs.HostName, limit int64) *holdings {
-	return &holdings{bodies: bodies, self: self, limit: limit, byID: make(map[structs.SampleID]*held)}
-}
-
-func (r record) describe(self structs.HostName) *held {
-	return &held{
-		workspace: r.Sample.Workspace,
-		bytes:     int64(len(r.Sample.Body)) + sampleOverhead,
-		pending:   r.Holders[0] == self,
-		offer: step.Offer{
-			ID:      r.Sample.ID,
-			Oldest:  r.Sample.OldestVersion(),
-			Born:    r.Sample.Born,
-			Holders: r.Holders,
-		},
-	}
+	return &holdings{bodies: bodies, self: self, limit: limit, byID: make(map[structs.SampleID]*held),
+		fresh: make(map[structs.WorkspaceName][]structs.SampleID)}
 }
 
 // recover takes in what the body store still has after a restart. Whether the
@@ -154,6 +102,7 @@
 		if known := h.byID[samples[i].ID]; known != nil {
 			known.offer.Holders = holders
 			known.pending, known.recovered, known.offered = false, false, 0
+			h.fresh[known.workspace] = append(h.fresh[known.workspace], samples[i].ID)
 		}
 	}
 }
@@ -187,14 +136,6 @@
 	return samples
 }
 
-func idsOf(records []record) []structs.SampleID {
-	ids := make([]structs.SampleID, len(records))
-	for i, r := range records {
-		ids[i] = r.Sample.ID
-	}
-	return ids
-}
-
 // drop forgets samples.
 func (h *holdings) drop(ids []structs.SampleID) {
 	h.mu.Lock()
@@ -221,12 +162,26 @@
 	return samples
 }
 
+// takeFresh returns the offers of the samples taken in since the last call.
+func (h *holdings) takeFresh(workspace structs.WorkspaceName) []step.Offer {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var offers []step.Offer
+	for _, id := range h.fresh[workspace] {
+		if known := h.byID[id]; known != nil {
+			offers = append(offers, known.offer)
+		}
+	}
+	delete(h.fresh, workspace)
+	return offers
+}
+
 // unsettled returns the offers of a workspace that the owner of a term does
-// not know yet, or whose samples are past their age and of unknown fate. The
-// replicas that another host offers are left out unless all is set.
-func (h *holdings) unsettled(workspace structs.WorkspaceName, term structs.Term, oldest time.Time, all bool) []step.Offer {
+// not know yet, or whose samples are past their age and of unknown fate.
+func (h *holdings) unsettled(workspace structs.WorkspaceName, term structs.Term, oldest time.Time) []step.Offer {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	delete(h.fresh, workspace)
 	var offers []step.Offer
 	for _, known := range h.byID {
 		if known.workspace != workspace || known.step != 0 {
@@ -235,9 +190,7 @@
 		if (known.pending || known.offered == term) && known.offer.Born.After(oldest) {
 			continue
 		}
-		if all || known.offer.Holders[0] == h.self {
-			offers = append(offers, known.offer)
-		}
+		offers = append(offers, known.offer)
 	}
 	return offers
 }
--- a/daemon/services/steps/mend.go
+++ b/daemon/services/steps/mend.go
@@ -26,7 +26,7 @@
 	ids := s.holdings.alone(workspace, listed)
 	for begin := 0; begin < len(ids); begin += mendBatch {
 		batch := s.holdings.samples(ids[begin:min(begin+mendBatch, len(ids))])
-		holders, _, err := s.copyOut(ctx, batch)
+		holders, _, err := s.copyOut(ctx, batch, s.config.Host)
 		if err != nil {
 			s.log.WithError(err).Debug("Samples could not be copied to a second host.")
 			return
@@ -36,13 +36,13 @@
 	}
 }
 
-// copyOut puts samples that are kept here on another daemon as well and
-// returns both holders. When it fails, definite says that no daemon can have
-// taken them.
-func (s *service) copyOut(ctx context.Context, samples []structs.Sample) (holders [step.HolderCount]structs.HostName, definite bool, err error) {
+// copyOut puts samples that a keeper has on another daemon as well and returns
+// both holders. When it fails, definite says that no daemon can have taken
+// them.
+func (s *service) copyOut(ctx context.Context, samples []structs.Sample, keeper structs.HostName) (holders [step.HolderCount]structs.HostName, definite bool, err error) {
 	definite, err = true, result.New(result.PeerUnreachable, "no other daemon is known")
-	for _, mate := range s.mates() {
-		args := &KeepArgs{Samples: samples, Holders: [step.HolderCount]structs.HostName{s.config.Host, mate.Name}}
+	for _, mate := range s.mates(keeper) {
+		args := &KeepArgs{Samples: samples, Holders: [step.HolderCount]structs.HostName{keeper, mate.Name}}
 		var reply KeepReply
 		reply, err = callWithin[KeepReply](ctx, s, callLimit, mate.Address, "Keep", args)
 		if err == nil {
--- a/daemon/services/steps/offer.go
+++ b/daemon/services/steps/offer.go
@@ -84,8 +84,8 @@
 	}
 }
 
-// round offers what the owner does not know yet, the replicas of other hosts'
-// samples only when all is set.
+// round offers fresh samples, or all that the owner does not know yet, which
+// takes in the replicas of other hosts' samples.
 func (o *offerer) round(ctx context.Context, all bool) {
 	s := o.service
 	parameters, err := s.settings.Peek(o.workspace)
@@ -99,11 +99,22 @@
 	if !ok {
 		return
 	}
-	oldest := s.clock.Now().Add(-parameters.StalenessAge)
-	offers := s.holdings.unsettled(o.workspace, owner.term, oldest, all)
+	var offers []step.Offer
+	if all {
+		oldest := s.clock.Now().Add(-parameters.StalenessAge)
+		offers = s.holdings.unsettled(o.workspace, owner.term, oldest)
+	} else {
+		offers = s.holdings.takeFresh(o.workspace)
+	}
+	o.offer(ctx, owner, offers, all)
+}
+
+// offer sends offers in batches, the first even when it is empty if always is
+// set: the reply tells which samples need not be held any more.
+func (o *offerer) offer(ctx context.Context, owner ownership, offers []step.Offer, always bool) {
 	for begin := 0; begin == 0 || begin < len(offers); begin += offerBatch {
 		batch := offers[begin:min(begin+offerBatch, len(offers))]
-		if len(batch) == 0 && !all {
+		if len(batch) == 0 && !always {
 			return
 		}
 		if !o.send(ctx, owner, batch) {
--- a/daemon/services/steps/seal.go
+++ b/daemon/services/steps/seal.go
@@ -21,14 +21,14 @@
 // fails with code StepNotReady, StoreUnavailable, SealUnknown or that of
 // contract.Settings.Acquire.
 func (sl *sealer) seal(ctx context.Context, number uint64, holds structs.WeightVersion) error {
-	parameters, err := sl.service.settings.Acquire(ctx, sl.workspace)
-	if err != nil {
-		return err
-	}
 	if !sl.acquire(ctx) {
 		return result.New(result.StepNotReady, "another request is sealing")
 	}
 	defer sl.release()
+	parameters, err := sl.service.settings.Acquire(ctx, sl.workspace)
+	if err != nil {
+		return err
+	}
 	made, isSealed, err := sl.propose(number, holds, parameters)
 	if err != nil || isSealed {
 		return err
@@ -96,13 +96,24 @@
 	defer cancel()
 	begun := sl.service.clock.Now()
 	if err := sl.writeSegment(ctx, made.List); err != nil {
+		sl.abandon(made)
 		return result.Wrap(result.StoreUnavailable, err)
 	}
 	err := sl.writeHead(ctx, made.Head)
+	if result.CodeOf(err) == result.StoreUnavailable {
+		sl.abandon(made)
+	}
 	sl.service.metrics.Time("steps.seal", sl.service.clock.Since(begun))
 	return err
 }
 
+// abandon forgets an attempt whose head was certainly not written.
+func (sl *sealer) abandon(made step.Attempt) {
+	sl.mu.Lock()
+	defer sl.mu.Unlock()
+	sl.decide.Abandon(made)
+}
+
 // writeSegment writes a list under a key that no other write uses.
 func (sl *sealer) writeSegment(ctx context.Context, list step.List) error {
 	store, key := sl.service.clients.Platform().Store, segmentKey(sl.workspace, list.Version)
--- a/daemon/services/steps/steps.go
+++ b/daemon/services/steps/steps.go
@@ -153,7 +153,8 @@
 }
 
 // Stop implements kernel.Service.
-func (s *service) Stop(context.Context) error {
+func (s *service) Stop(ctx context.Context) error {
+	s.handOver(ctx)
 	s.offerersMu.Lock()
 	s.cancel()
 	s.offerersMu.Unlock()
--- a/daemon/services/steps/steps_test.go
+++ b/daemon/services/steps/steps_test.go
@@ -1,6 +1,7 @@
 package steps
 
 import (
+	"context"
 	"strings"
 	"testing"
 	"time"
@@ -65,7 +66,7 @@
 		_, _ = owner.ask(1, 1, time.Second)
 		reply := c.nodes[2].must(1, 1)
 		must.SliceContainsAll(t, added, idsIn(reply))
-		entries, err := c.store.List(t.Context(), segmentPrefix(workspace))
+		entries, err := c.store.List(context.Background(), segmentPrefix(workspace))
 		must.NoError(t, err)
 		must.Len(t, 1, entries, must.Sprint("the orphan is deleted"))
 	})
