--- a/cmd/flamingobeam/main.go
+++ b/cmd/flamingobeam/main.go
@@ -51,7 +51,9 @@
 			applyCommand(),
 			statusCommand(),
 			suspendCommand(),
+			reportCommand(),
 			emulateCommand(),
+			loadCommand(),
 		},
 	}
 }
--- a/coord/result/result.go
+++ b/coord/result/result.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"slices"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -32,6 +33,8 @@
 const (
 	OK       Code = 1000
 	Repeated Code = 1001
+	// AnswerNotKept also stands for success: the request ran once.
+	AnswerNotKept Code = 1002
 
 	BadRequest           Code = 2000
 	UnknownWorkspace     Code = 2001
@@ -69,6 +72,9 @@
 	BackendBroke    Code = 4003
 	SealUnknown     Code = 4004
 	JournalTakeover Code = 4005
+	// GroupUnfinished stands apart from DueTimePassed because engines may have
+	// worked for the request.
+	GroupUnfinished Code = 4006
 
 	ChangeConflict  Code = 5000
 	ChangeInvalid   Code = 5001
@@ -100,6 +106,7 @@
 var table = []Entry{
 	{OK, "ok", Answered, 200, "The answer is whole."},
 	{Repeated, "repeated", Answered, 200, "The recorded answer of the first request with this key is given again."},
+	{AnswerNotKept, "answer-not-kept", Answered, 410, "The first request with this key was answered; the answer was too large to be kept."},
 	{BadRequest, "bad-request", NotRun, 400, "The request is malformed."},
 	{UnknownWorkspace, "unknown-workspace", NotRun, 404, "There is no workspace of this name."},
 	{UnknownService, "unknown-service", NotRun, 404, "There is no service of this name."},
@@ -134,6 +141,7 @@
 	{BackendBroke, "backend-broke", Unknown, 502, "The backend server failed while it ran the request."},
 	{SealUnknown, "seal-unknown", Unknown, 503, "The step may have been sealed; ask for it again."},
 	{JournalTakeover, "journal-takeover", Unknown, 502, "The request was begun by a daemon that has since been replaced."},
+	{GroupUnfinished, "group-unfinished", Unknown, 504, "Engines began on the samples or the Draft and did not finish; nothing was delivered."},
 	{ChangeConflict, "change-conflict", NotRun, 409, "Another change was made first."},
 	{ChangeInvalid, "change-invalid", NotRun, 422, "The change would make the settings invalid."},
 	{ChangeWithdrawn, "change-withdrawn", NotRun, 409, "The change was withdrawn because an availability zone did not acknowledge it."},
@@ -166,7 +174,9 @@
 	Code Code
 	// Detail adds to the code's sentence and may be empty.
 	Detail string
-	cause  error
+	// RetryAfter is when to try again, or zero.
+	RetryAfter time.Duration
+	cause      error
 }
 
 // New returns an error with a code and a detail.
--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -17,12 +17,16 @@
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/clients"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/front"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/hosts"
+	_ "github.com/flamingobeam/flamingobeam/daemon/services/journal"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/metrics"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/peers"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/plain"
+	_ "github.com/flamingobeam/flamingobeam/daemon/services/retries"
+	_ "github.com/flamingobeam/flamingobeam/daemon/services/rollout"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/rpcserver"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/settings"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/steps"
+	_ "github.com/flamingobeam/flamingobeam/daemon/services/trust"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/zone"
 )
 
--- a/daemon/config/config.go
+++ b/daemon/config/config.go
@@ -30,6 +30,9 @@
 	Log        Log    `yaml:"log"`
 	Limits     Limits `yaml:"limits"`
 	Lease      Lease  `yaml:"lease"`
+	Trust      Trust  `yaml:"trust"`
+	// Routing holds the prices of traffic between regions.
+	Routing Routing `yaml:"routing"`
 }
 
 // Listen holds the addresses that a daemon listens on.
@@ -40,6 +43,55 @@
 	Peers string `yaml:"peers" validate:"hostport"`
 }
 
+// Trust says whom the daemon believes. Without certificates it may listen on
+// loopback only.
+type Trust struct {
+	// Certificate, Key and Authority are PEM files: the daemon's certificate
+	// with its IP number, its key, and the authority that signs all of them.
+	Certificate string `yaml:"certificate" validate:"required_with=Key Authority"`
+	Key         string `yaml:"key" validate:"required_with=Certificate Authority"`
+	Authority   string `yaml:"authority" validate:"required_with=Certificate Key"`
+	// Tokens are those that operators and trainers show. A role without any
+	// is open to every caller that TLS lets in.
+	Tokens []Token `yaml:"tokens" validate:"unique=SHA256,dive"`
+}
+
+// Role says what the bearer of a token may do.
+type Role string
+
+// The roles.
+const (
+	// RoleOperator may change settings and see the daemons' state.
+	RoleOperator Role = "operator"
+	// RoleTrainer may take steps.
+	RoleTrainer Role = "trainer"
+)
+
+// Token is a secret that is kept as its hash.
+type Token struct {
+	Role Role `yaml:"role" validate:"oneof=operator trainer"`
+	// SHA256 is the hash of the token in hexadecimal.
+	SHA256 string `yaml:"sha256" validate:"len=64,hexadecimal"`
+	// Expires is when the token is refused; the zero time means never.
+	Expires time.Time `yaml:"expires"`
+}
+
+// Routing holds the prices of traffic between regions.
+type Routing struct {
+	// RegionPrice is the price of a GiB between regions that Links does not
+	// name.
+	RegionPrice float64 `yaml:"region_price" validate:"min=0"`
+	// Links holds the prices of single links, each for both directions.
+	Links []RegionLink `yaml:"links" validate:"dive"`
+}
+
+// RegionLink is the price of a GiB between two regions.
+type RegionLink struct {
+	From  structs.RegionName `yaml:"from" validate:"required"`
+	To    structs.RegionName `yaml:"to" validate:"required"`
+	Price float64            `yaml:"price" validate:"min=0"`
+}
+
 // Log says what is logged and how.
 type Log struct {
 	Level  string `yaml:"level" validate:"oneof=debug info warning error"`
@@ -50,6 +102,9 @@
 type Limits struct {
 	// MaxBody is the largest request body, in bytes.
 	MaxBody int64 `yaml:"max_body" validate:"min=1,max=67108864"`
+	// UnreadyFor is how long a daemon that stops still takes requests, so that
+	// the balancer can see that it is no longer ready.
+	UnreadyFor settings.Duration `yaml:"unready_for" validate:"min=0,max=3600000000000"`
 	// StopWithin is how long a graceful shutdown waits for requests in flight.
 	StopWithin settings.Duration `yaml:"stop_within" validate:"min=0,max=86400000000000"`
 }
@@ -68,12 +123,16 @@
 // Default returns the values that a file need not give.
 func Default() Daemon {
 	return Daemon{
-		Log:    Log{Level: "info", Format: "text"},
-		Limits: Limits{MaxBody: 1 << 20, StopWithin: settings.Duration(30 * time.Second)},
+		Log: Log{Level: "info", Format: "text"},
+		Limits: Limits{
+			MaxBody:    1 << 20,
+			UnreadyFor: settings.Duration(3 * time.Second),
+			StopWithin: settings.Duration(30 * time.Second),
+		},
 		Lease: Lease{
 			Store:  settings.Duration(3 * time.Second),
 			Grant:  settings.Duration(3 * time.Second),
-			Decide: settings.Duration(8 * time.Second),
+			Decide: settings.Duration(11 * time.Second),
 		},
 	}
 }
--- a/daemon/contract/contract.go
+++ b/daemon/contract/contract.go
@@ -4,12 +4,15 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"time"
 
+	"github.com/flamingobeam/flamingobeam/coord/burn"
 	"github.com/flamingobeam/flamingobeam/coord/change"
 	"github.com/flamingobeam/flamingobeam/coord/settings"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/coord/zone"
+	"github.com/flamingobeam/flamingobeam/daemon/config"
 	"github.com/flamingobeam/flamingobeam/kernel"
 	"github.com/flamingobeam/flamingobeam/platform"
 )
@@ -18,11 +21,13 @@
 const (
 	// NameClients offers Clients.
 	NameClients kernel.Name = "platform.clients"
+	// NameTrust offers Trust.
+	NameTrust kernel.Name = "platform.trust"
 	// NameHosts offers Hosts.
 	NameHosts kernel.Name = "control.hosts"
 	// NameSettings offers Settings and Operator.
 	NameSettings kernel.Name = "control.settings"
-	// NameZone offers Zone.
+	// NameZone offers Zone and ZoneControl.
 	NameZone kernel.Name = "control.zone"
 	// NameWeights offers Weights.
 	NameWeights kernel.Name = "control.weights"
@@ -32,6 +37,8 @@
 	NameRPC kernel.Name = "rpc.server"
 	// NameBalance offers Balancer.
 	NameBalance kernel.Name = "traffic.balance"
+	// NameRetries offers Retries.
+	NameRetries kernel.Name = "traffic.retries"
 	// NamePlain offers Plain.
 	NamePlain kernel.Name = "traffic.plain"
 	// NameJournal offers Journal.
@@ -42,7 +49,7 @@
 	NameSteps kernel.Name = "traffic.steps"
 	// NameFront is the HTTP front end.
 	NameFront kernel.Name = "http.front"
-	// NameMetrics offers Metrics.
+	// NameMetrics offers Metrics and Reports.
 	NameMetrics kernel.Name = "ops.metrics"
 )
 
@@ -52,6 +59,19 @@
 	Platform() platform.Clients
 }
 
+// Trust gives what a daemon needs to know whom it talks to. All methods may be
+// called from any goroutine.
+type Trust interface {
+	// PeerServer and PeerClient are the mutual TLS between daemons, and
+	// CallerServer the TLS towards callers; nil without certificates.
+	PeerServer() *tls.Config
+	PeerClient() *tls.Config
+	CallerServer() *tls.Config
+	// Allow checks a token for a role at a time and fails with code
+	// Unauthorized.
+	Allow(role config.Role, token string, now time.Time) error
+}
+
 // HostView is the immutable snapshot of the host list and of what this daemon
 // has itself seen of the hosts.
 type HostView struct {
@@ -131,7 +151,8 @@
 	Lead(term structs.Term)
 	// Unlead ends it.
 	Unlead()
-	// News is the newest state known, and false before there is any.
+	// News is the newest state known, and false before there is any. A daemon
+	// that leads has none before it has read the store in its term.
 	News() (zone.News, bool)
 	// Carry is what a follower of a revision lacks.
 	Carry(since settings.Revision) Carry
@@ -151,6 +172,35 @@
 	Standing() *kernel.Snapshot[Standing]
 }
 
+// ZoneControl is the part of the zone that other owners of control state use.
+type ZoneControl interface {
+	Zone
+	// Share adds a part of the control state that the collector hands to its
+	// followers. It must be called while services are provisioned.
+	Share(part Part)
+	// OnRole adds a function to call on the control goroutine when this
+	// daemon becomes the collector or ceases to be it. It must be called
+	// while services are provisioned.
+	OnRole(call func(collects bool))
+	// Announce tells the followers of news of a part. It must be called on
+	// the control goroutine.
+	Announce()
+}
+
+// Part is a piece of control state that reaches a zone's daemons through its
+// collector, so that the platform is asked once for each zone. All methods are
+// called on the control goroutine.
+type Part interface {
+	// PartName tells the parts apart.
+	PartName() string
+	// PartVersion is the newest version known; it only grows.
+	PartVersion() uint64
+	// Since encodes what a follower of a version lacks.
+	Since(version uint64) ([]byte, error)
+	// Merge applies what a collector encoded.
+	Merge(encoded []byte) error
+}
+
 // Standing is a daemon's place in its availability zone.
 type Standing struct {
 	Self structs.Incarnation
@@ -214,3 +264,13 @@
 	// correctly within its due time.
 	Served(workspace structs.WorkspaceName, class structs.Class, good bool)
 }
+
+// Reports gives what Metrics took in. It is offered under NameMetrics.
+type Reports interface {
+	// All returns the values of every metric by name.
+	All() map[string]map[string]any
+	// Burn returns the burn of the error budgets; objective gives the part of
+	// a workspace's requests that must be served well, and false for a
+	// workspace that is to be left out.
+	Burn(objective func(structs.WorkspaceName) (float64, bool)) burn.Report
+}
--- a/daemon/services/front/front.go
+++ b/daemon/services/front/front.go
@@ -5,11 +5,13 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/julienschmidt/httprouter"
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
@@ -41,6 +43,8 @@
 	kernel.Base
 	config    config.Daemon
 	log       *logrus.Entry
+	clock     clockwork.Clock
+	trust     contract.Trust
 	endpoints []endpoint
 	server    *http.Server
 	group     conc.WaitGroup
@@ -53,11 +57,17 @@
 	if s.config, err = kernel.ConfigOf[config.Daemon](ctx); err != nil {
 		return err
 	}
-	s.log = ctx.Log()
+	if s.trust, err = kernel.Find[contract.Trust](ctx, contract.NameTrust); err != nil {
+		return err
+	}
+	s.log, s.clock = ctx.Log(), ctx.Clock()
 	s.endpoints = []endpoint{
 		&lookups{},
+		&submissions{},
 		&operators{},
 		&steps{},
+		&metrics{},
+		&rollouts{},
 	}
 	for _, each := range s.endpoints {
 		if err := each.provision(ctx); err != nil {
@@ -73,6 +83,9 @@
 	if err != nil {
 		return result.Wrap(result.AddressTaken, err)
 	}
+	if settings := s.trust.CallerServer(); settings != nil {
+		listener = tls.NewListener(listener, settings)
+	}
 	s.server = &http.Server{
 		Handler:           s.routes(),
 		ReadHeaderTimeout: readHeaderTimeout,
@@ -83,15 +96,30 @@
 	return nil
 }
 
-// Stop implements kernel.Service: it reports itself unready and waits for the
+// Stop implements kernel.Service: the daemon reports itself unready, goes on
+// serving until the balancer can have seen that, and then waits for the
 // requests in flight.
 func (s *service) Stop(ctx context.Context) error {
 	s.leaving.Store(true)
+	s.server.SetKeepAlivesEnabled(false)
+	s.awaitBalancer(ctx)
 	err := s.server.Shutdown(ctx)
+	if err != nil {
+		s.log.WithError(err).Warn("Requests were still in flight when the time to stop was up.")
+	}
 	s.group.Wait()
 	return err
 }
 
+func (s *service) awaitBalancer(ctx context.Context) {
+	timer := s.clock.NewTimer(time.Duration(s.config.Limits.UnreadyFor))
+	defer timer.Stop()
+	select {
+	case <-timer.Chan():
+	case <-ctx.Done():
+	}
+}
+
 func (s *service) routes() http.Handler {
 	router := httprouter.New()
 	router.NotFound = refuse(result.NotFound)
--- a/daemon/services/steps/fakes_test.go
+++ b/daemon/services/steps/fakes_test.go
@@ -104,9 +104,15 @@
 	return f.cluster.parameters, nil
 }
 
+// nodeZone gives a node's standing; the other methods are not called.
+type nodeZone struct {
+	contract.Zone
+	node *node
+}
+
 // Standing implements contract.Zone.
-func (n *node) Standing() *kernel.Snapshot[contract.Standing] {
-	return kernel.NewSnapshot(&contract.Standing{Self: structs.Incarnation{Host: n.host, Start: n.start}})
+func (nz nodeZone) Standing() *kernel.Snapshot[contract.Standing] {
+	return kernel.NewSnapshot(&contract.Standing{Self: structs.Incarnation{Host: nz.node.host, Start: nz.node.start}})
 }
 
 // noMetrics implements contract.Metrics.
--- a/daemon/services/steps/harness_test.go
+++ b/daemon/services/steps/harness_test.go
@@ -120,7 +120,7 @@
 		loop:    kernel.NewLoop(clockwork.NewRealClock()),
 		workers: kernel.NewWorkers(64),
 		log:     logrus.NewEntry(log),
-		clients: n, hosts: n, peers: n, zone: n,
+		clients: n, hosts: n, peers: n, zone: nodeZone{node: n},
 		settings: &fakeSettings{cluster: c}, metrics: noMetrics{},
 	}
 	n.start = c.starts.Add(1)
--- a/daemon/services/zone/collect.go
+++ b/daemon/services/zone/collect.go
@@ -101,7 +101,8 @@
 	s.log.Infof("Collecting for %s in term %d.", s.config.Place.Zone, role.record.term)
 	s.settings.Lead(role.record.term)
 	s.publish()
-	s.loop.After(s.ttl/holdShare, func() { s.keepAlive(role.record.term) })
+	s.tellRole(true)
+	s.loop.After(s.ttl/keepAliveShare, func() { s.keepAlive(role.record.term) })
 	s.askSelf()
 }
 
@@ -116,6 +117,7 @@
 	s.settings.Unlead()
 	s.log.Info("No longer collecting.")
 	s.publish()
+	s.tellRole(false)
 	for _, waiting := range held {
 		s.loop.Cancel(waiting.timer)
 		waiting.call.answer <- AskReply{}
@@ -152,7 +154,7 @@
 		s.collects.decide.StoreLease(reply.Value.until)
 		s.tend()
 	}
-	s.loop.After(s.ttl/holdShare, func() { s.keepAlive(reply.Value.term) })
+	s.loop.After(s.ttl/keepAliveShare, func() { s.keepAlive(reply.Value.term) })
 }
 
 // askSelf lets the collector be its own follower.
@@ -167,7 +169,7 @@
 		s.join(s.self)
 	}
 	s.tend()
-	s.loop.After(s.span/holdShare, func() {
+	s.loop.After(s.part(holdParts), func() {
 		if s.collects != nil && s.collects.decide.Term() == term {
 			s.askSelf()
 		}
