--- a/daemon/services/zone/zone.go
+++ b/daemon/services/zone/zone.go
@@ -125,7 +125,8 @@
 		Term:      s.follower.Term(),
 	}
 	if s.collects != nil {
-		standing.Collects = true
+		// The daemon follows its own term only once it has asked itself.
+		standing.Collects, standing.Term = true, s.collects.decide.Term()
 		standing.Roster = s.collects.decide.Roster()
 	}
 	s.standing.Publish(standing)
--- a/kernel/loop_test.go
+++ b/kernel/loop_test.go
@@ -87,3 +87,16 @@
 	<-replaced
 	must.Eq(t, 2, *snapshot.Load())
 }
+
+func TestFollow_HandlesTheNewestValue(t *testing.T) {
+	loop := runLoop(t, clockwork.NewRealClock())
+	workers := NewWorkers(1)
+	defer workers.Stop()
+	one, two := 1, 2
+	snapshot := NewSnapshot(&one)
+	seen := make(chan int, 2)
+	Follow(loop, workers, snapshot, func(value *int) { seen <- *value })
+	must.Eq(t, 1, <-seen)
+	snapshot.Publish(&two)
+	must.Eq(t, 2, <-seen)
+}
--- a/kernel/snapshot.go
+++ b/kernel/snapshot.go
@@ -1,6 +1,9 @@
 package kernel
 
-import "sync/atomic"
+import (
+	"context"
+	"sync/atomic"
+)
 
 // Snapshot holds the newest immutable view of some control state. The control
 // goroutine publishes, traffic goroutines load; a loaded value must not be
@@ -37,3 +40,21 @@
 	old := s.current.Swap(&versioned[T]{value: value, replaced: make(chan struct{})})
 	close(old.replaced)
 }
+
+// Follow hands each newest value of a snapshot to a handler on the control
+// goroutine, the present one first. Values that are replaced before the loop
+// gets to them are left out. It ends when the workers stop.
+func Follow[T any](l *Loop, w *Workers, s *Snapshot[T], handle func(*T)) {
+	latest := NewLatest(l, 1, func(_ struct{}, value *T) { handle(value) })
+	w.Go(func(ctx context.Context) {
+		for {
+			value, replaced := s.Watch()
+			_ = latest.Post(struct{}{}, value)
+			select {
+			case <-replaced:
+			case <-ctx.Done():
+				return
+			}
+		}
+	})
+}
