Roll weight versions out from the zone's collector

Service control.weights carries out the plan of coord/weights on the control goroutine. Only the collector waits on the weight store and orders the engines of its zone; the other daemons wait on the collector by net/rpc.

Ruled out: every daemon waiting on the weight store, since 1,100 daemons with 9 models at one call in ten seconds would be 990 calls a second against a limit of 50 in the stand-in. Carrying versions with the zone's grants, since then a change of weights would have to count as news in the settings protocol.

Limits are in the daemon's settings file: 128 orders at once and 100 a second.

--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -23,12 +23,13 @@
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/rollout"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/rpcserver"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/settings"
+	_ "github.com/flamingobeam/flamingobeam/daemon/services/weights"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/zone"
 )
 
 // Services lists what every daemon runs. What these need is loaded as well.
 func Services() []kernel.Name {
-	return []kernel.Name{contract.NameRPC, contract.NameZone, contract.NameFront}
+	return []kernel.Name{contract.NameRPC, contract.NameZone, contract.NameWeights, contract.NameFront}
 }
 
 // New returns the kernel of a daemon, not yet started.
--- a/daemon/config/config.go
+++ b/daemon/config/config.go
@@ -30,6 +30,8 @@
 	Log        Log    `yaml:"log"`
 	Limits     Limits `yaml:"limits"`
 	Lease      Lease  `yaml:"lease"`
+	// Weights bounds the roll-out of weight versions in the zone.
+	Weights Weights `yaml:"weights"`
 }
 
 // Listen holds the addresses that a daemon listens on.
@@ -65,6 +67,17 @@
 	Decide settings.Duration `yaml:"decide" validate:"min=100000000,max=600000000000"`
 }
 
+// Weights bounds how fast a collector lets the engines of its availability zone
+// read the weight store.
+type Weights struct {
+	// Orders is how many engines may swap their weights at once.
+	Orders int `yaml:"orders" validate:"min=1,max=200"`
+	// OrdersPerSecond is how many engines may begin to in a second.
+	OrdersPerSecond float64 `yaml:"orders_per_second" validate:"gt=0,max=10000"`
+	// OrderWithin is how long an engine may take to swap its weights.
+	OrderWithin settings.Duration `yaml:"order_within" validate:"min=100000000,max=3600000000000"`
+}
+
 // Default returns the values that a file need not give.
 func Default() Daemon {
 	return Daemon{
@@ -75,6 +88,7 @@
 			Grant:  settings.Duration(3 * time.Second),
 			Decide: settings.Duration(8 * time.Second),
 		},
+		Weights: Weights{Orders: 128, OrdersPerSecond: 100, OrderWithin: settings.Duration(30 * time.Second)},
 	}
 }
 
