Let Drafts go on from any prefix, and test a hedge on a slow engine

A Draft goes to no trainer, yet one that was resumed after new weights were published began anew when its prefix lay behind the staleness bound, which only made it later. The bound now holds for samples alone.

The hedge is tested with an engine of 8 tokens a second beside one of 1,000. The test first looked for the slow stream's end in the engine's record; the engine may notice the closed connection after the group has returned, so that only the count of its streams is looked at.

--- a/daemon/services/rollout/harness_test.go
+++ b/daemon/services/rollout/harness_test.go
@@ -28,7 +28,10 @@
 	judgeName structs.ServiceName   = "claims-judge"
 	workspace structs.WorkspaceName = "subsidy-assessor"
 	groupSize                       = 4
-	prompt                          = "Is this fertiliser claim eligible?"
+	// fastTokens and slowTokens are the token rates of engines, a second.
+	fastTokens, slowTokens = 1000, 8
+
+	prompt = "Is this fertiliser claim eligible?"
 )
 
 // bench runs the service on real connections to stand-ins; what it needs of
@@ -46,24 +49,43 @@
 	// newest is the newest published version.
 	newest structs.WeightVersion
 
+	// first is the server that a numbered pick of an engine tries first; nil
+	// means always the first one listed.
+	first func(pick int) int
+
 	mu    sync.Mutex
-	added []structs.Sample
-	bad   int
+	picks int
+	// counts are the metrics that were counted.
+	counts map[string]int64
+	added  []structs.Sample
+	bad    int
 }
 
 func newBench(t *testing.T, engines int, limits group.Limits) *bench {
-	b := &bench{t: t, hosts: map[structs.ServiceName][]structs.BackendServer{}, judge: plain.New("judge-1")}
-	for i := range engines {
-		options := engine.DefaultOptions()
-		options.TokensPerSecond, options.Version = 1000, structs.WeightVersion(i+1)
-		b.engines = append(b.engines, engine.New(options))
-		b.servers = append(b.servers, b.listen(model, fmt.Sprint("engine-", i), httptest.NewServer(b.engines[i].Handler())))
+	b := &bench{
+		t:      t,
+		hosts:  map[structs.ServiceName][]structs.BackendServer{},
+		judge:  plain.New("judge-1"),
+		counts: map[string]int64{},
+	}
+	for range engines {
+		b.addEngine(fastTokens)
 	}
 	b.listen(judgeName, "judge-1", httptest.NewServer(b.judge.Handler()))
 	b.load(limits)
 	return b
 }
 
+// addEngine lists an engine with a token rate. The n-th runs version n.
+func (b *bench) addEngine(tokensPerSecond float64) {
+	options := engine.DefaultOptions()
+	options.TokensPerSecond, options.Version = tokensPerSecond, structs.WeightVersion(len(b.engines)+1)
+	added := engine.New(options)
+	host := fmt.Sprint("engine-", len(b.engines))
+	b.engines = append(b.engines, added)
+	b.servers = append(b.servers, b.listen(model, host, httptest.NewServer(added.Handler())))
+}
+
 func (b *bench) listen(name structs.ServiceName, host string, server *httptest.Server) *httptest.Server {
 	b.t.Cleanup(func() {
 		server.CloseClientConnections()
@@ -128,7 +150,15 @@
 // Pick implements contract.Balancer: the first server that is not to be
 // avoided.
 func (b *bench) Pick(_ context.Context, request contract.PickRequest) (contract.Ticket, error) {
-	for _, server := range b.hosts[request.Service] {
+	servers := b.hosts[request.Service]
+	if b.first != nil && request.Service == model {
+		b.mu.Lock()
+		at := b.first(b.picks)
+		b.picks++
+		b.mu.Unlock()
+		servers = slices.Concat(servers[at:], servers[:at])
+	}
+	for _, server := range servers {
 		if !slices.Contains(request.Avoid, server.Name) {
 			return contract.Ticket{Server: server, Finish: func(contract.TicketOutcome) {}}, nil
 		}
@@ -142,7 +172,11 @@
 }
 
 // Count implements contract.Metrics.
-func (b *bench) Count(string, int64) {}
+func (b *bench) Count(name string, delta int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.counts[name] += delta
+}
 
 // Gauge implements contract.Metrics.
 func (b *bench) Gauge(string, int64) {}
--- a/daemon/services/rollout/rollout.go
+++ b/daemon/services/rollout/rollout.go
@@ -156,8 +156,12 @@
 	return samples, nil
 }
 
-// freshness is what may still become part of a sample of a workspace.
-func (s *service) freshness(parameters settings.Resolved) group.Freshness {
+// freshness is what may still become part of a sample of a workspace. A Draft
+// goes to no trainer, so that it has no bound.
+func (s *service) freshness(parameters settings.Resolved, judged bool) group.Freshness {
+	if !judged {
+		return group.Freshness{}
+	}
 	fresh := group.Freshness{Age: parameters.StalenessAge}
 	if s.weights == nil {
 		return fresh
--- a/daemon/services/rollout/rollout_test.go
+++ b/daemon/services/rollout/rollout_test.go
@@ -120,6 +120,25 @@
 	b.checkSamples(reply.Samples)
 }
 
+func TestRollout_SlowStreamIsHedged(t *testing.T) {
+	limits := defaultLimits
+	limits.Silence = time.Second
+	b := newBench(t, 1, limits)
+	b.addEngine(slowTokens)
+	const slowPick = 2
+	b.first = func(pick int) int {
+		if pick == slowPick {
+			return 1
+		}
+		return 0
+	}
+	reply, err := b.rollout.Rollout(t.Context(), request(structs.ClassRollout))
+	must.NoError(t, err)
+	b.checkSamples(reply.Samples)
+	must.Eq(t, 1, b.counts["rollout.hedged"])
+	must.SliceLen(t, 1, b.engines[1].Records())
+}
+
 func TestRollout_PromptThatCrashesEnginesSparesTheRest(t *testing.T) {
 	limits := defaultLimits
 	limits.BrokenServers = 2
@@ -159,6 +178,15 @@
 	must.SliceEmpty(t, b.added)
 }
 
+func TestDraft_GoesOnFromAStalePrefix(t *testing.T) {
+	b := newBench(t, 2, defaultLimits)
+	b.newest = 9
+	b.engines[0].SetFaults(engine.Faults{CutAfter: 7})
+	draft, err := b.rollout.Draft(t.Context(), request(structs.ClassDraft))
+	must.NoError(t, err)
+	must.Eq(t, structs.VersionSpan{Version: 1, Tokens: 7}, draft.Spans[0])
+}
+
 func TestDraft_IsWholeAndNoSampleOfAStep(t *testing.T) {
 	b := newBench(t, 2, defaultLimits)
 	b.engines[0].SetFaults(engine.Faults{CutAfter: 7})
--- a/daemon/services/rollout/run.go
+++ b/daemon/services/rollout/run.go
@@ -49,7 +49,7 @@
 		parameters: parameters,
 		judged:     judged,
 		due:        due,
-		group:      group.New(limits, s.freshness(parameters)),
+		group:      group.New(limits, s.freshness(parameters, judged)),
 		events:     make(chan event),
 		cancels:    make(map[group.AttemptID]context.CancelFunc),
 		samples:    make([]structs.Sample, size),
@@ -68,7 +68,7 @@
 		timer, check := r.nextCheck()
 		select {
 		case happened := <-r.events:
-			r.group.Freshen(r.service.freshness(r.parameters))
+			r.group.Freshen(r.freshness())
 			happened.apply(r)
 		case <-check:
 			r.carryOut(r.group.Check(r.service.clock.Now()))
@@ -81,6 +81,8 @@
 	}
 }
 
+func (r *run) freshness() group.Freshness { return r.service.freshness(r.parameters, r.judged) }
+
 // nextCheck sets a timer for the next straggler check, if there is one.
 func (r *run) nextCheck() (clockwork.Timer, <-chan time.Time) {
 	due, ok := r.group.NextCheck()
@@ -117,7 +119,7 @@
 func (r *run) start(wanted group.Start) {
 	ctx, cancel := context.WithCancel(r.ctx)
 	r.cancels[wanted.Attempt] = cancel
-	st := &stream{run: r, ctx: ctx, start: wanted, oldest: r.service.freshness(r.parameters).Oldest}
+	st := &stream{run: r, ctx: ctx, start: wanted, oldest: r.freshness().Oldest}
 	r.workers.Go(st.work)
 }
 
