--- a/coord/group/doc.go
+++ b/coord/group/doc.go
@@ -9,11 +9,11 @@
 //     samples.
 //   - A stream that breaks or falls silent is resumed on another server from
 //     its last whole chunk. A prefix that is too stale is left behind.
-//   - Once half of the samples are whole, a stream that makes tokens at less
-//     than a share of their median rate is hedged: a second stream goes on
-//     from its last chunk, and replaces the slow one when it has come ahead of
-//     it. Which one ends first does not count, because that would favour short
-//     answers.
+//   - Once the token rates of half of the samples are known, a stream that
+//     makes tokens at less than a share of their median is hedged: a second
+//     stream goes on from its last chunk, and replaces the slow one when it
+//     has come ahead of it. Which one ends first does not count, because that
+//     would favour short answers.
 //   - Hedges have a budget for the group. Servers on which streams broke are
 //     counted as well, so that a prompt cannot wear down a whole zone.
 //   - Spans are what engines said of their own chunks.
--- a/coord/group/group.go
+++ b/coord/group/group.go
@@ -157,8 +157,7 @@
 func (g *Group) finish(effects *Effects, at *attempt) {
 	g.remove(at)
 	g.samples[at.sample].whole = true
-	seconds := at.heard.Sub(at.begun).Seconds()
-	g.rates = append(g.rates, float64(at.answer.tokens-at.carried)/max(seconds, shortest.Seconds()))
+	g.rates = append(g.rates, at.rate())
 	effects.Finished = append(effects.Finished, Finished{
 		Sample: at.sample,
 		Text:   string(at.answer.text),
@@ -167,9 +166,6 @@
 	})
 }
 
-// shortest keeps a rate finite.
-const shortest = time.Millisecond
-
 // Broke tells that a stream ended before its last chunk, on a server or, when
 // that is empty, without having got one.
 func (g *Group) Broke(now time.Time, id AttemptID, server structs.HostName, code result.Code) Effects {
--- a/coord/group/group_test.go
+++ b/coord/group/group_test.go
@@ -125,6 +125,23 @@
 	must.Eq(t, "yZYX", g.Chunk(due, 3, piece("X", 2, true)).Finished[0].Text)
 }
 
+func TestGroup_SlowStreamIsHedgedBeforeAnySampleIsWhole(t *testing.T) {
+	g := New(limits(3), Freshness{})
+	g.Begin()
+	for id := AttemptID(1); id <= 3; id++ {
+		g.Placed(start, id, structs.HostName(fmt.Sprint("h", id)))
+		g.Chunk(start, id, piece("x", 1, false))
+	}
+	for id, tokens := range map[AttemptID]int{1: 100, 2: 100, 3: 1} {
+		g.Chunk(start.Add(2*time.Second), id, Chunk{Text: "y", Tokens: tokens, Version: 1})
+	}
+	effects := g.Check(start.Add(2 * time.Second))
+	must.SliceLen(t, 1, effects.Starts)
+	must.Eq(t, 2, effects.Starts[0].Sample)
+	must.Eq(t, "xy", effects.Starts[0].Prefix)
+	must.SliceEmpty(t, effects.Stops)
+}
+
 // TestGroup_StateMachine drives a group with streams that move, break, fall
 // silent and change versions, and checks every finished sample against the
 // tokens that the streams really made.
--- a/coord/group/straggler.go
+++ b/coord/group/straggler.go
@@ -11,9 +11,9 @@
 // false when it need not be.
 func (g *Group) NextCheck() (time.Time, bool) {
 	var next time.Time
-	found := false
+	found, floor := false, g.rateFloor()
 	for _, at := range g.attempts {
-		due, ok := g.checkAt(at)
+		due, ok := g.checkAt(at, floor)
 		if ok && (!found || due.Before(next)) {
 			next, found = due, true
 		}
@@ -24,6 +24,7 @@
 // Check resumes the samples of silent streams elsewhere and hedges slow ones.
 func (g *Group) Check(now time.Time) Effects {
 	var effects Effects
+	floor := g.rateFloor()
 	ids := make([]AttemptID, 0, len(g.attempts))
 	for id := range g.attempts {
 		ids = append(ids, id)
@@ -39,7 +40,7 @@
 			g.broke(&effects, now, at, result.AnswerCut)
 			continue
 		}
-		if slowAt, ok := g.slowAt(at); ok && !now.Before(slowAt) {
+		if slowAt, ok := g.slowAt(at, floor); ok && !now.Before(slowAt) {
 			g.hedge(&effects, now, at)
 		}
 	}
@@ -47,12 +48,12 @@
 }
 
 // checkAt is when a stream counts as silent or slow, whichever comes first.
-func (g *Group) checkAt(at *attempt) (time.Time, bool) {
+func (g *Group) checkAt(at *attempt, floor float64) (time.Time, bool) {
 	if !at.placed {
 		return time.Time{}, false
 	}
 	due := g.silentAt(at)
-	if slowAt, ok := g.slowAt(at); ok && slowAt.Before(due) {
+	if slowAt, ok := g.slowAt(at, floor); ok && slowAt.Before(due) {
 		due = slowAt
 	}
 	return due, true
@@ -65,23 +66,44 @@
 	return at.heard.Add(g.limits.Silence)
 }
 
-// slowAt is when a stream without another token has fallen below the share of
-// the median rate. It is false while the stream may not be hedged.
-func (g *Group) slowAt(at *attempt) (time.Time, bool) {
-	enough := 2*len(g.rates) >= len(g.samples) && len(g.rates) > 0
+// slowAt is when a stream without another token has fallen below the lowest
+// rate wanted. It is false while the stream may not be hedged.
+func (g *Group) slowAt(at *attempt, floor float64) (time.Time, bool) {
 	alone := len(g.samples[at.sample].live) == 1
-	if !enough || !alone || g.counts.Hedged >= g.limits.Hedges {
-		return time.Time{}, false
-	}
-	rate := g.limits.SlowShare * median(g.rates)
-	if rate <= 0 {
+	if floor <= 0 || !alone || g.counts.Hedged >= g.limits.Hedges {
 		return time.Time{}, false
 	}
 	made := float64(at.answer.tokens - at.carried + 1)
-	span := time.Duration(made / rate * float64(time.Second))
+	span := time.Duration(made / floor * float64(time.Second))
 	return at.begun.Add(max(span, g.limits.Silence)), true
 }
 
+// rateFloor is the token rate, a second, below which a stream is slow. It is
+// zero until the rates of half of the samples are known, from whole samples
+// and from streams that have run for a while.
+func (g *Group) rateFloor() float64 {
+	rates := slices.Clone(g.rates)
+	for _, at := range g.attempts {
+		if at.placed && at.heard.Sub(at.begun) >= g.limits.Silence {
+			rates = append(rates, at.rate())
+		}
+	}
+	if len(rates) == 0 || 2*len(rates) < len(g.samples) {
+		return 0
+	}
+	slices.Sort(rates)
+	return g.limits.SlowShare * rates[len(rates)/2]
+}
+
+// shortest keeps a rate finite.
+const shortest = time.Millisecond
+
+// rate is how many tokens a stream made in a second, up to its last chunk.
+func (at *attempt) rate() float64 {
+	seconds := max(at.heard.Sub(at.begun), shortest).Seconds()
+	return float64(at.answer.tokens-at.carried) / seconds
+}
+
 // hedge begins a second stream from a slow one's last chunk.
 func (g *Group) hedge(effects *Effects, now time.Time, at *attempt) {
 	g.counts.Hedged++
@@ -95,8 +117,3 @@
 	}
 	g.start(effects, at.sample, from, 0)
 }
-
-func median(values []float64) float64 {
-	sorted := slices.Sorted(slices.Values(values))
-	return sorted[len(sorted)/2]
-}
--- a/daemon/services/rollout/rollout.go
+++ b/daemon/services/rollout/rollout.go
@@ -31,7 +31,7 @@
 	// prefix is looked for.
 	affinityBytes = 1 << 10
 	// hedgeShare is how many samples of a group there are for each hedge.
-	hedgeShare = 4
+	hedgeShare = 2
 )
 
 // defaultLimits are those of a group; Size and Hedges follow the settings.
@@ -40,7 +40,7 @@
 	FruitlessStarts: 8,
 	FirstToken:      20 * time.Second,
 	Silence:         5 * time.Second,
-	SlowShare:       0.5,
+	SlowShare:       0.67,
 	Backoff:         50 * time.Millisecond,
 	MaxBackoff:      2 * time.Second,
 }
