--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -27,12 +27,13 @@
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/settings"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/steps"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/trust"
+	_ "github.com/flamingobeam/flamingobeam/daemon/services/weights"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/zone"
 )
 
 // Services lists what every daemon runs. What these need is loaded as well.
 func Services() []kernel.Name {
-	return []kernel.Name{contract.NameRPC, contract.NameZone, contract.NameFront}
+	return []kernel.Name{contract.NameRPC, contract.NameZone, contract.NameWeights, contract.NameFront}
 }
 
 // New returns the kernel of a daemon, not yet started.
