--- a/coord/journal/propose.go
+++ b/coord/journal/propose.go
@@ -9,9 +9,6 @@
 )
 
 const (
-	// foldBytes is the size of the head's records above which they are folded
-	// into a segment.
-	foldBytes = 24 << 10
 	// batchBytes bounds the records that one proposal adds.
 	batchBytes = 256 << 10
 	// segmentBytes is the size up to which segments are merged. With a batch
@@ -46,7 +43,7 @@
 	}
 	proposal := &Proposal{Batch: l.take()}
 	l.prune(now, proposal)
-	if l.recentBytes() > foldBytes {
+	if l.recentBytes() > l.strategy.foldBytes() {
 		l.fold(proposal)
 	}
 	if released && len(l.dirty) == 0 {
--- a/coord/journal/strategy.go
+++ b/coord/journal/strategy.go
@@ -11,6 +11,18 @@
 	// bucket, and thus the longest that a record waits for its batch while
 	// the store answers.
 	Spacing time.Duration
+	// FoldBytes is the size of the head's records above which they are folded
+	// into a segment; zero means defaultFoldBytes.
+	FoldBytes int
+}
+
+const defaultFoldBytes = 24 << 10
+
+func (s *Strategy) foldBytes() int {
+	if s.FoldBytes == 0 {
+		return defaultFoldBytes
+	}
+	return s.FoldBytes
 }
 
 // storeWrites is the count of writes a second that the journal of the whole
