Space the writes of a bucket by a token bucket, and measure them

Cause: strict spacing of 160 ms let the outcome of one submission delay the intent of the next.

Ruled out: letting outcomes wait for the next intent always; an idle bucket would keep an outcome back, and a crash then makes it unknown.

--- a/coord/journal/ledger.go
+++ b/coord/journal/ledger.go
@@ -94,6 +94,16 @@
 // Dirty returns the count of records that wait for a proposal.
 func (l *Ledger) Dirty() int { return len(l.dirty) }
 
+// Urgent reports whether an intent waits for a proposal.
+func (l *Ledger) Urgent() bool {
+	for _, key := range l.dirty {
+		if l.entries[key].latest.State == StateIntent {
+			return true
+		}
+	}
+	return false
+}
+
 // Known returns the verdict and the record of a key that was used before, and
 // false when the key is free.
 func (l *Ledger) Known(key Key, fingerprint Fingerprint) (Verdict, Record, bool) {
--- a/coord/journal/machine_test.go
+++ b/coord/journal/machine_test.go
@@ -87,13 +87,13 @@
 // once, that what was told to be not run never runs, and that repeated answers
 // are those that were given.
 type machine struct {
-	now      time.Time
-	store    *modelStore
-	owners   []*modelOwner
-	delayed  []attempt
-	keys     []Key
-	runs     map[Key][]Record
-	notRun   map[string]bool
+	now     time.Time
+	store   *modelStore
+	owners  []*modelOwner
+	delayed []attempt
+	keys    []Key
+	runs    map[Key][]Record
+	notRun  map[string]bool
 	// promised is until when a run rules out another one.
 	promised map[string]time.Time
 	strategy Strategy
--- a/coord/journal/propose.go
+++ b/coord/journal/propose.go
@@ -34,11 +34,17 @@
 	return head.Term == p.Head.Term && head.Writer == p.Head.Writer && head.Operation == p.Head.Operation
 }
 
+// Waiting reports whether Propose has something to write.
+func (l *Ledger) Waiting() bool {
+	return l.flight == nil && (len(l.dirty) > 0 || l.mustRelease())
+}
+
+func (l *Ledger) mustRelease() bool { return l.releasing && l.head.Owned() }
+
 // Propose returns the next write of the head, and false when there is none:
 // nothing is dirty, or a proposal is being written.
 func (l *Ledger) Propose(now time.Time) (*Proposal, bool) {
-	released := l.releasing && l.head.Owned()
-	if l.flight != nil || (len(l.dirty) == 0 && !released) {
+	if !l.Waiting() {
 		return nil, false
 	}
 	proposal := &Proposal{Batch: l.take()}
@@ -46,7 +52,7 @@
 	if l.recentBytes() > l.strategy.foldBytes() {
 		l.fold(proposal)
 	}
-	if released && len(l.dirty) == 0 {
+	if l.mustRelease() && len(l.dirty) == 0 {
 		l.head.Owner, l.head.Address = structs.Incarnation{}, ""
 	}
 	l.seal(proposal)
--- a/daemon/services/journal/bench_test.go
+++ b/daemon/services/journal/bench_test.go
@@ -38,6 +38,10 @@
 	network *network
 	window  time.Duration
 	due     time.Duration
+	// strategy is that of the daemons to be started.
+	strategy journal.Strategy
+	// plain replaces the client of backend servers when it is set.
+	plain platform.PlainService
 }
 
 func newBench(t testing.TB) *bench {
@@ -53,6 +57,9 @@
 		network: newNetwork(),
 		window:  testWindow,
 		due:     testDue,
+
+		strategy: journal.Strategy{Spacing: time.Millisecond},
+		plain:    httpclient.NewBackend(nil),
 	}
 }
 
@@ -71,7 +78,7 @@
 	b.t.Helper()
 	d := &daemon{name: name, gate: newGate()}
 	d.store = &gatedStore{Store: b.store, gate: d.gate}
-	d.plain = &gatedPlain{PlainService: httpclient.NewBackend(nil), gate: d.gate}
+	d.plain = &gatedPlain{PlainService: b.plain, gate: d.gate}
 	registry := kernel.NewRegistry()
 	offer := func(name kernel.Name, service kernel.Service) {
 		registry.Register(name, func() kernel.Service { return service })
@@ -83,7 +90,7 @@
 	offer(contract.NameRPC, &fakeRPC{network: b.network, address: name, gate: d.gate})
 	offer(contract.NameMetrics, fakeMetrics{})
 	d.service = &service{
-		strategy: journal.Strategy{Spacing: time.Millisecond},
+		strategy: b.strategy,
 		spans:    spans{probeAfter: 50 * time.Millisecond, probeWithin: 50 * time.Millisecond, grace: 250 * time.Millisecond},
 	}
 	offer(contract.NameJournal, d.service)
--- a/daemon/services/journal/committer.go
+++ b/daemon/services/journal/committer.go
@@ -21,7 +21,6 @@
 // ledger belongs to the goroutine of loop.
 type committer struct {
 	bucket  journal.Bucket
-	spacing time.Duration
 	clock   clockwork.Clock
 	records *records
 	log     *logrus.Entry
@@ -38,9 +37,11 @@
 	ledger   *journal.Ledger
 	revision platform.Revision
 	runs     map[journal.Key]*run
+	pacer    *journal.Pacer
 	flight   *journal.Proposal
 	writing  bool
-	nextAt   time.Time
+	// retryAt is when a write that failed may be repeated.
+	retryAt  time.Time
 	draining bool
 	writers  conc.WaitGroup
 }
@@ -93,7 +94,6 @@
 func newCommitter(s *service, claimed *claim) *committer {
 	return &committer{
 		bucket:     claimed.bucket,
-		spacing:    s.strategy.Spacing,
 		clock:      s.clock,
 		records:    s.records(),
 		log:        s.log,
@@ -105,6 +105,7 @@
 		done:       make(chan struct{}),
 		ledger:     claimed.ledger,
 		revision:   claimed.revision,
+		pacer:      journal.NewPacer(s.strategy),
 		runs:       make(map[journal.Key]*run),
 	}
 }
@@ -173,22 +174,30 @@
 	if c.draining && len(c.runs) == 0 {
 		c.ledger.Release()
 	}
-	now := c.clock.Now()
-	if now.Before(c.nextAt) {
-		timer.Reset(c.nextAt.Sub(now))
+	if c.flight == nil && !c.ledger.Waiting() {
+		return
+	}
+	now, next := c.clock.Now(), c.nextWrite()
+	if now.Before(next) {
+		timer.Reset(next.Sub(now))
 		return
 	}
 	if c.flight == nil {
-		proposal, ok := c.ledger.Propose(now)
-		if !ok {
-			return
-		}
-		c.flight = proposal
+		c.flight, _ = c.ledger.Propose(now)
 	}
-	c.nextAt = now.Add(c.spacing)
+	c.pacer.Wrote(now)
 	c.write(ctx, c.flight)
 }
 
+// nextWrite returns the time from which the next write may begin.
+func (c *committer) nextWrite() time.Time {
+	next := c.pacer.Next(c.flight != nil || c.ledger.Urgent() || c.draining)
+	if next.Before(c.retryAt) {
+		return c.retryAt
+	}
+	return next
+}
+
 // write writes a proposal on a goroutine of its own.
 func (c *committer) write(ctx context.Context, proposal *journal.Proposal) {
 	c.writing = true
@@ -218,7 +227,7 @@
 	default:
 		c.log.WithError(w.err).Debugf("A batch of bucket %d was not written.", c.bucket)
 		c.metrics.Count("journal.retries", 1)
-		c.nextAt = c.clock.Now().Add(max(c.spacing, retryDelay))
+		c.retryAt = c.clock.Now().Add(retryDelay)
 		return false
 	}
 }
