--- a/coord/journal/bucket.go
+++ b/coord/journal/bucket.go
@@ -20,7 +20,7 @@
 
 // Buckets is the count of buckets of the whole service. With the spacing of
 // GroupCommit it bounds the writes of all daemons together.
-const Buckets = 32
+const Buckets = 16
 
 // Bucket numbers a bucket, from zero.
 type Bucket uint32
--- a/daemon/services/journal/faults_test.go
+++ b/daemon/services/journal/faults_test.go
@@ -260,3 +260,17 @@
 	must.Eq(t, result.AnswerNotKept, result.CodeOf(err))
 	must.Eq(t, 1, b.runs("k"))
 }
+
+// TestFault_ARanSubmissionIsNeverToldNotRun loses both replies of an owner
+// after the submission ran, and then the store.
+func TestFault_ARanSubmissionIsNeverToldNotRun(t *testing.T) {
+	b := newBench(t)
+	owner, other := b.start("a"), b.start("b")
+	b.own(owner, "k")
+	owner.plain.hook(nil, func() { b.store.SetFaults(store.Faults{Down: true}) })
+	b.network.loseReplies("a", 2)
+	_, err := other.Submit(t.Context(), b.request("k"))
+	must.Eq(t, result.OutcomeUnknown, result.CodeOf(err))
+	must.Eq(t, 1, b.runs("k"))
+	b.store.SetFaults(store.Faults{})
+}
--- a/daemon/services/journal/run.go
+++ b/daemon/services/journal/run.go
@@ -186,12 +186,13 @@
 	}, nil
 }
 
-// join waits for the outcome of a run that an earlier call of the same caller
-// began.
+// join waits for the outcome of a run that an earlier call began, most likely
+// one of the same caller. Its answer counts as repeated, since the call that
+// began the run may give it as well.
 func join(ctx context.Context, r *run) (contract.SubmitReply, error) {
 	select {
 	case <-r.finished:
-		return r.reply, r.err
+		return contract.SubmitReply{Answer: r.reply.Answer, Repeated: true}, r.err
 	case <-ctx.Done():
 		return contract.SubmitReply{}, result.Wrap(result.StillRunning, ctx.Err())
 	}
