End a net/rpc call at its deadline also while it is being sent

Cause: rpc.Client.Go writes the request before it returns. A peer that accepts and does not read, such as a frozen one, held the caller for good once the buffers of the connection were full; seen with 64 MiB of arguments, the test did not return within 10 s. Submissions carry bodies of up to 1 MiB and must find out that an owner is frozen.

Ruled out: a write deadline on the connection, which net/rpc gives no hook for per call. The call now has a goroutine of its own, which ends when the deadline closes the connection; the test returns.

--- a/daemon/services/peers/peers.go
+++ b/daemon/services/peers/peers.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
 
 	"github.com/flamingobeam/flamingobeam/coord/result"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
@@ -29,7 +30,8 @@
 
 type service struct {
 	kernel.Base
-	dial dialFunc
+	dial  dialFunc
+	calls conc.WaitGroup
 
 	mu      sync.Mutex
 	clients map[string]*rpc.Client
@@ -43,10 +45,13 @@
 	if err != nil {
 		return result.Wrap(result.PeerUnreachable, err)
 	}
-	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
+	// Sending blocks while the other side does not read, so it has a goroutine
+	// of its own; closing the connection ends it.
+	done := make(chan error, 1)
+	s.calls.Go(func() { done <- client.Call(method, args, reply) })
 	select {
-	case <-call.Done:
-		return s.outcome(address, client, call.Error)
+	case err := <-done:
+		return s.outcome(address, client, err)
 	case <-ctx.Done():
 		s.forget(address, client)
 		return result.Wrap(result.OutcomeUnknown, ctx.Err())
@@ -104,11 +109,16 @@
 
 // Stop implements kernel.Service.
 func (s *service) Stop(context.Context) error {
+	s.closeAll()
+	s.calls.Wait()
+	return nil
+}
+
+func (s *service) closeAll() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for address, client := range s.clients {
 		_ = client.Close()
 		delete(s.clients, address)
 	}
-	return nil
 }
