--- a/coord/limit/gate.go
+++ b/coord/limit/gate.go
@@ -234,9 +234,13 @@
 	return w
 }
 
-// Release gives a place back. The span is how long the request ran.
+// Release gives a place back. The span is how long the request ran, or zero
+// when it did not.
 func (g *Gate[T]) Release(class structs.Class, span time.Duration) {
 	g.running--
+	if span <= 0 {
+		return
+	}
 	l := &g.lanes[class]
 	if l.service == 0 {
 		l.service = span
--- a/coord/retry/budget.go
+++ b/coord/retry/budget.go
@@ -80,12 +80,3 @@
 	}
 	return budget
 }
-
-// Keep drops the budgets of workspaces for which known is false.
-func (bs *Budgets) Keep(known func(structs.WorkspaceName) bool) {
-	for key := range bs.budgets {
-		if !known(key.Workspace) {
-			delete(bs.budgets, key)
-		}
-	}
-}
--- a/daemon/services/balance/adapt.go
+++ b/daemon/services/balance/adapt.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/flamingobeam/flamingobeam/coord/limit"
-	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/kernel"
 )
 
@@ -73,14 +72,15 @@
 // poll asks the next engine of the own zone for its load, while there is
 // traffic.
 func (s *service) poll() {
-	server, ok := s.nextEngine()
-	if !ok || !s.control.isActive.Load() {
+	engines := s.control.engines
+	if len(engines) == 0 || !s.control.isActive.Load() {
 		s.control.polling = false
 		return
 	}
 	s.loop.After(pollEvery, s.poll)
+	s.control.polled = (s.control.polled + 1) % len(engines)
+	server, p := engines[s.control.polled].server, engines[s.control.polled].place
 	engine := s.clients.Platform().Engine
-	p := s.control.records[server.Name].place
 	kernel.Async(s.workers, pollTimeout, s.control.loads, func(ctx context.Context) (loadReport, error) {
 		own := p.inFlight.Load()
 		load, err := engine.Load(ctx, server.Address)
@@ -88,22 +88,6 @@
 	})
 }
 
-func (s *service) nextEngine() (structs.BackendServer, bool) {
-	var engines []structs.BackendServer
-	for _, sr := range s.control.services {
-		for _, server := range sr.servers {
-			if server.Kind == structs.KindEngine && server.Place.Zone == s.config.Place.Zone {
-				engines = append(engines, server)
-			}
-		}
-	}
-	if len(engines) == 0 {
-		return structs.BackendServer{}, false
-	}
-	s.control.polled = (s.control.polled + 1) % len(engines)
-	return engines[s.control.polled], true
-}
-
 // onLoad takes in a report: the part that is not the own requests is kept, the
 // own ones are counted by the daemon itself.
 func (s *service) onLoad(reply kernel.Reply[loadReport]) {
--- a/daemon/services/balance/balance_test.go
+++ b/daemon/services/balance/balance_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
@@ -13,6 +14,7 @@
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
 	"github.com/flamingobeam/flamingobeam/kernel"
+	"github.com/flamingobeam/flamingobeam/platform"
 )
 
 func pick(t testing.TB, s *service, request contract.PickRequest) contract.Ticket {
@@ -106,6 +108,41 @@
 	must.Zero(t, view.pool.gate.Running())
 }
 
+// TestPick_AllPlacesComeBack ends requests in all ways while the host list
+// changes.
+func TestPick_AllPlacesComeBack(t *testing.T) {
+	w := newWorld(fleet(3))
+	s := start(t, w, "entry-1", (&crashable{}).probe)
+	codes := []result.Code{result.OK, result.OK, result.BackendBroke, result.NoBackend, result.BackendRefused}
+	var traffic sync.WaitGroup
+	for worker := range 64 {
+		traffic.Go(func() {
+			for i := range 50 {
+				due := time.Now().Add(time.Duration(i%5) * 10 * time.Millisecond)
+				request := contract.PickRequest{Service: "portal", Class: structs.Class(i % structs.ClassCount), Due: due}
+				if ticket, err := s.Pick(context.Background(), request); err == nil {
+					finish(ticket, codes[(worker+i)%len(codes)])
+				}
+			}
+		})
+	}
+	for i := range 20 {
+		w.view.Publish(&contract.HostView{Known: true, Services: map[structs.ServiceName][]structs.BackendServer{"portal": fleet(1 + i%3)}})
+	}
+	traffic.Wait()
+	must.NoError(t, kernel.NewCalls(s.loop).Do(t.Context(), func() {
+		for _, r := range s.control.records {
+			must.Zero(t, r.place.inFlight.Load())
+		}
+		for _, sr := range s.control.services {
+			must.Zero(t, sr.pool.gate.Running())
+			for _, load := range sr.loads {
+				must.Zero(t, load.own.Load())
+			}
+		}
+	}))
+}
+
 func TestControl_EjectsAFailingServerAndKeepsHalf(t *testing.T) {
 	w := newWorld(fleet(4))
 	s := start(t, w, "entry-1", connect)
@@ -218,3 +255,37 @@
 	must.MapEmpty(t, s.snapshot.Load().requests.Suspects)
 	finish(pick(t, s, contract.PickRequest{Fingerprint: 7}), result.OK)
 }
+
+func TestControl_LearnsVersionsAndLoadsOfEngines(t *testing.T) {
+	servers := fleet(2)
+	for i := range servers {
+		servers[i].Kind = structs.KindEngine
+	}
+	w := newWorld(servers)
+	w.engine.load = platform.Load{Running: 5, Waiting: 2, Version: 9}
+	s := start(t, w, "entry-1", connect)
+	finish(pick(t, s, contract.PickRequest{}), result.OK)
+	await(t, s, func(sn *snapshot) bool {
+		listed := sn.services["portal"].table.Servers()
+		return listed[0].Version == 9 && listed[1].Version == 9
+	})
+	must.Eq(t, 7, s.snapshot.Load().services["portal"].Load(0))
+	_, err := s.Pick(t.Context(), contract.PickRequest{Service: "portal", Version: 10})
+	must.Eq(t, result.NoBackend, result.CodeOf(err))
+	ticket := pick(t, s, contract.PickRequest{Version: 9})
+	ticket.Finish(contract.TicketOutcome{Version: 10, Units: 100, Latency: time.Second})
+	await(t, s, func(sn *snapshot) bool {
+		listed := sn.services["portal"].table.Servers()
+		return max(listed[0].Version, listed[1].Version) == 10
+	})
+}
+
+func TestFinish_CountsAndPricesBytesBetweenRegions(t *testing.T) {
+	servers := fleet(1)
+	servers[0].Place = structs.Place{Zone: "volta-a", Region: "volta"}
+	w := newWorld(servers)
+	s := start(t, w, "entry-1", connect)
+	pick(t, s, contract.PickRequest{}).Finish(contract.TicketOutcome{Bytes: 1 << 29})
+	must.Eq(t, int64(1<<29), w.count("balance.cross_region_bytes"))
+	must.Eq(t, int64(1_000_000), w.count("balance.cross_region_price_micros"))
+}
--- a/daemon/services/balance/control.go
+++ b/daemon/services/balance/control.go
@@ -66,6 +66,8 @@
 	hosts    *contract.HostView
 	records  map[structs.HostName]*record
 	services map[structs.ServiceName]*serviceRecord
+	// engines are those of the own zone, which are asked for their loads.
+	engines  []*record
 	book     *quarantine.Book
 	requests quarantine.View
 	breaks   *quarantine.Breaks
@@ -80,10 +82,10 @@
 
 // record is a backend server as the control goroutine knows it.
 type record struct {
+	server   structs.BackendServer
 	place    *place
 	adaptive limit.Adaptive
 	health   retry.Health
-	service  structs.ServiceName
 	timer    *kernel.Timer
 	// absent is when the server was last missed in the list, or zero.
 	absent time.Time
@@ -170,7 +172,7 @@
 
 // failed ejects a server after too many failures.
 func (s *service) failed(now time.Time, name structs.HostName, r *record) {
-	if !r.health.Failed(now, func() bool { return s.mayEject(now, r.service) }) {
+	if !r.health.Failed(now, func() bool { return s.mayEject(now, r.server.Service) }) {
 		return
 	}
 	s.log.Warnf("%s fails and gets no requests for a while.", name)
--- a/daemon/services/balance/fakes_test.go
+++ b/daemon/services/balance/fakes_test.go
@@ -160,7 +160,7 @@
 	k := kernel.New(kernel.Options{
 		Registry: registry,
 		Services: []kernel.Name{contract.NameBalance},
-		Config:   config.Daemon{Host: host, Place: here},
+		Config:   config.Daemon{Host: host, Place: here, Routing: config.Routing{RegionPrice: 2}},
 		Clock:    clockwork.NewRealClock(),
 		Log:      quiet(),
 	})
--- a/daemon/services/balance/suspects.go
+++ b/daemon/services/balance/suspects.go
@@ -62,27 +62,18 @@
 
 // probeServer finds out whether a server whose connection broke has crashed.
 func (s *service) probeServer(name structs.HostName, attempt int) {
-	address := s.address(name)
-	probe := s.probe
+	r, ok := s.control.records[name]
+	if !ok {
+		s.control.breaks.Settle(name)
+		return
+	}
+	address, probe := r.server.Address, s.probe
 	kernel.Async(s.workers, probeTimeout, s.control.probes, func(ctx context.Context) (probeResult, error) {
 		err := probe(ctx, address)
 		return probeResult{server: name, attempt: attempt, up: err == nil}, nil
 	})
 }
 
-func (s *service) address(name structs.HostName) string {
-	r, ok := s.control.records[name]
-	if !ok {
-		return ""
-	}
-	for _, server := range s.control.services[r.service].servers {
-		if server.Name == name {
-			return server.Address
-		}
-	}
-	return ""
-}
-
 func (s *service) onProbe(reply kernel.Reply[probeResult]) {
 	probed := reply.Value
 	if probed.up && probed.attempt < maxProbes {
--- a/daemon/services/balance/table.go
+++ b/daemon/services/balance/table.go
@@ -49,6 +49,19 @@
 		}
 	}
 	s.forget()
+	s.listEngines()
+}
+
+// listEngines notes the engines of the own zone.
+func (s *service) listEngines() {
+	s.control.engines = s.control.engines[:0]
+	for _, sr := range s.control.services {
+		for _, r := range sr.records {
+			if r.server.Kind == structs.KindEngine && r.server.Place.Zone == s.config.Place.Zone {
+				s.control.engines = append(s.control.engines, r)
+			}
+		}
+	}
 }
 
 // replace gives a service other servers.
@@ -83,7 +96,7 @@
 		r.place.limit.Store(limit.InitialLimit)
 		s.control.records[server.Name] = r
 	}
-	r.service, r.absent = server.Service, time.Time{}
+	r.server, r.absent = *server, time.Time{}
 	return r
 }
 
