--- a/coord/limit/limit_test.go
+++ b/coord/limit/limit_test.go
@@ -209,7 +209,20 @@
 			g.Release(ask.Class, time.Millisecond)
 		}
 	})
-	b.Run("queued", func(b *testing.B) {
+	b.Run("queued-and-canceled", func(b *testing.B) {
+		full := NewGate[int](64)
+		for range 64 {
+			full.Admit(epoch, ask)
+		}
+		for range 200 {
+			full.Admit(epoch, ask)
+		}
+		b.ReportAllocs()
+		for b.Loop() {
+			full.Cancel(full.Admit(epoch, ask).Waiter)
+		}
+	})
+	b.Run("queued-and-served", func(b *testing.B) {
 		full := NewGate[int](64)
 		for range 64 {
 			full.Admit(epoch, ask)
--- a/coord/route/table.go
+++ b/coord/route/table.go
@@ -113,10 +113,17 @@
 	members := make(map[structs.Place]int)
 	indices := make(map[tierKey]int)
 	var keys []tierKey
-	for i, server := range t.servers {
-		tier, ok := members[server.Place]
-		if !ok {
-			key := keyOf(self, server.Place)
+	last, tier := structs.Place{}, -1
+	for i := range t.servers {
+		place := t.servers[i].Place
+		if tier >= 0 && place == last {
+			t.tiers[tier].Members = append(t.tiers[tier].Members, int32(i))
+			continue
+		}
+		var ok bool
+		last = place
+		if tier, ok = members[place]; !ok {
+			key := keyOf(self, place)
 			if tier, ok = indices[key]; !ok {
 				tier = len(t.tiers)
 				indices[key] = tier
@@ -128,7 +135,7 @@
 					Price:  prices.Of(self.Region, key.region),
 				})
 			}
-			members[server.Place] = tier
+			members[place] = tier
 		}
 		t.tiers[tier].Members = append(t.tiers[tier].Members, int32(i))
 	}
--- a/daemon/services/balance/control.go
+++ b/daemon/services/balance/control.go
@@ -63,8 +63,10 @@
 	isActive atomic.Bool
 
 	// The fields below belong to the control goroutine.
-	hosts    *contract.HostView
-	records  map[structs.HostName]*record
+	hosts   *contract.HostView
+	records map[structs.HostName]*record
+	// absent are the records of servers that are not listed now.
+	absent   map[structs.HostName]*record
 	services map[structs.ServiceName]*serviceRecord
 	// engines are those of the own zone, which are asked for their loads.
 	engines  []*record
@@ -95,6 +97,7 @@
 func (s *service) prepare() {
 	s.snapshot = kernel.NewSnapshot(&snapshot{})
 	s.control.records = make(map[structs.HostName]*record)
+	s.control.absent = make(map[structs.HostName]*record)
 	s.control.services = make(map[structs.ServiceName]*serviceRecord)
 	s.control.hosts = &contract.HostView{}
 	s.control.book = quarantine.NewBook()
--- a/daemon/services/balance/table.go
+++ b/daemon/services/balance/table.go
@@ -19,9 +19,11 @@
 	records []*record
 	places  []*place
 	table   *route.Table
-	loads   []*tierLoad
-	tiers   map[tierName]*tierLoad
-	pool    *pool
+	// fresh says that the table has the newest versions and shares.
+	fresh bool
+	loads []*tierLoad
+	tiers map[tierName]*tierLoad
+	pool  *pool
 }
 
 // tierName identifies a tier in tables made one after the other.
@@ -66,19 +68,35 @@
 
 // replace gives a service other servers.
 func (s *service) replace(sr *serviceRecord, servers []structs.BackendServer) {
-	now := s.now()
-	for _, r := range sr.records {
+	now, before, next := s.now(), sr.records, 0
+	for _, r := range before {
 		r.absent = now
 	}
 	sr.servers = servers
 	sr.records = make([]*record, len(servers))
 	sr.places = make([]*place, len(servers))
 	for i := range servers {
-		r := s.record(&servers[i])
+		// Both lists have the same order as a rule, so that most records are
+		// found without a search.
+		if next < len(before) && before[next].server.Name != servers[i].Name {
+			next++
+		}
+		var known *record
+		if next < len(before) && before[next].server.Name == servers[i].Name {
+			known = before[next]
+			next++
+		}
+		r := s.record(&servers[i], known)
 		sr.records[i], sr.places[i] = r, r.place
 	}
+	for _, r := range before {
+		if !r.absent.IsZero() {
+			s.control.absent[r.server.Name] = r
+		}
+	}
 	sr.table = route.NewTable(s.config.Place, s.routed(sr, now), s.prices())
 	tiers := sr.table.Tiers()
+	sr.fresh = true
 	sr.loads = make([]*tierLoad, len(tiers))
 	for i := range tiers {
 		name := tierName{zone: tiers[i].Zone, region: tiers[i].Region}
@@ -89,9 +107,13 @@
 	}
 }
 
-func (s *service) record(server *structs.BackendServer) *record {
-	r, ok := s.control.records[server.Name]
-	if !ok {
+// record returns the record of a server, which is known or searched for.
+func (s *service) record(server *structs.BackendServer, known *record) *record {
+	r := known
+	if r == nil {
+		r = s.control.records[server.Name]
+	}
+	if r == nil {
 		r = &record{place: &place{name: server.Name}, adaptive: limit.NewAdaptive()}
 		r.place.limit.Store(limit.InitialLimit)
 		s.control.records[server.Name] = r
@@ -118,10 +140,15 @@
 // forget drops the records of servers that are long gone.
 func (s *service) forget() {
 	now := s.now()
-	for name, r := range s.control.records {
-		if !r.absent.IsZero() && now.Sub(r.absent) > keepAbsent && r.place.inFlight.Load() == 0 {
+	for name, r := range s.control.absent {
+		if r.absent.IsZero() {
+			delete(s.control.absent, name)
+			continue
+		}
+		if now.Sub(r.absent) > keepAbsent && r.place.inFlight.Load() == 0 {
 			s.loop.Cancel(r.timer)
 			delete(s.control.records, name)
+			delete(s.control.absent, name)
 		}
 	}
 }
@@ -138,7 +165,10 @@
 			sr.pool.resize(begun, 0, 0)
 			continue
 		}
-		sr.table = sr.table.WithServers(s.routed(sr, begun))
+		if !sr.fresh {
+			sr.table = sr.table.WithServers(s.routed(sr, begun))
+		}
+		sr.fresh = false
 		next.services[name] = &view{servers: sr.servers, table: sr.table, places: sr.places, tiers: sr.loads, pool: sr.pool}
 	}
 	s.snapshot.Publish(next)
