Keep a request that crashes servers from a third one

Cause: a test with real servers that die of one request, sent again at once by its caller, had a third server die in 1 run of 10, in the moment between the crash and the answer of the probe. In 4 runs of 5 the innocent look-ups beside it were refused: failed connects to the dead servers had spent the budget.

A request that may be at its second crash now waits, by channel, for the probe; one whose connection broke on two servers is not tried on a third; a failed connect costs no budget. A probe that fails reports the server to control.hosts.

Ruled out: holding each broken request back, which would delay the retry of a look-up after a mere cut by the 300 ms until the second probe.

TestLookup_BudgetEndsRetries now uses servers that refuse, in place of ones that are down, as failed connects are free.

--- a/coord/retry/decide.go
+++ b/coord/retry/decide.go
@@ -9,6 +9,8 @@
 const (
 	// MaxAttempts is how often a request is sent at most.
 	MaxAttempts = 4
+	// maxBroken is on how many servers a request may break.
+	maxBroken = 2
 	// baseDelay and maxDelay bound the back-off: the delay before retry n is
 	// random between zero and the smaller of baseDelay*2^n and maxDelay.
 	baseDelay = 10 * time.Millisecond
@@ -20,6 +22,9 @@
 	// Attempt counts the attempts made, from 1.
 	Attempt int
 	Code    result.Code
+	// Broken counts the attempts whose connection broke. A request that broke
+	// two may be one that crashes servers, and gets no third.
+	Broken int
 	// Idempotent says that the request may run more than once.
 	Idempotent bool
 	// Due is when the answer must be there; zero means never.
@@ -36,17 +41,17 @@
 }
 
 // Decide decides about a failure. Random is a uniform number; budget is
-// charged for a retry.
+// charged for a retry, unless the failure was that no server was reached.
 func Decide(now time.Time, failure Failure, budget *Budget, random uint64) Decision {
 	refused := Decision{Code: failure.Code}
-	if failure.Attempt >= MaxAttempts || !isTransient(failure.Code) || !mayRepeat(failure) {
+	if failure.Attempt >= MaxAttempts || failure.Broken >= maxBroken || !isTransient(failure.Code) || !mayRepeat(failure) {
 		return refused
 	}
 	delay := backoff(failure.Attempt, random)
 	if !failure.Due.IsZero() && !now.Add(delay).Before(failure.Due) {
 		return refused
 	}
-	if !budget.Withdraw(now) {
+	if isCharged(failure.Code) && !budget.Withdraw(now) {
 		return Decision{Code: spentCode(failure.Code)}
 	}
 	return Decision{Retry: true, Delay: delay}
@@ -73,6 +78,10 @@
 	return false
 }
 
+// isCharged reports whether a retry puts a second load on the servers. After a
+// failed connect it does not: nobody has done any work for the request yet.
+func isCharged(code result.Code) bool { return code != result.NoBackend }
+
 // spentCode is RetryBudgetSpent where that says the truth: it means not run.
 func spentCode(code result.Code) result.Code {
 	if entry, ok := result.Lookup(code); ok && entry.Outcome == result.NotRun {
--- a/coord/retry/history.go
+++ b/coord/retry/history.go
@@ -6,17 +6,26 @@
 // of all of them.
 type History struct {
 	attempts int
+	broken   int
 	// unknown is the newest error of an attempt that may have run.
 	unknown error
 }
 
-// Failed takes in the error of an attempt and returns how many there were.
-func (h *History) Failed(err error) int {
+// Failed takes in the error of an attempt.
+func (h *History) Failed(err error) {
 	h.attempts++
+	code := result.CodeOf(err)
+	if code == result.BackendBroke || code == result.AnswerCut {
+		h.broken++
+	}
 	if result.OutcomeOf(err) == result.Unknown {
 		h.unknown = err
 	}
-	return h.attempts
+}
+
+// Failure describes the newest failure.
+func (h *History) Failure(err error) Failure {
+	return Failure{Attempt: h.attempts, Broken: h.broken, Code: result.CodeOf(err)}
 }
 
 // Verdict is the error for the caller when the last attempt ended with err: an
--- a/coord/retry/retry_test.go
+++ b/coord/retry/retry_test.go
@@ -27,6 +27,7 @@
 		{"overloaded", Failure{Attempt: 1, Code: result.Overloaded, Idempotent: true}, false, result.Overloaded},
 		{"quarantined", Failure{Attempt: 1, Code: result.Quarantined, Idempotent: true}, false, result.Quarantined},
 		{"too often", Failure{Attempt: MaxAttempts, Code: result.NoBackend}, false, result.NoBackend},
+		{"broke two", Failure{Attempt: 2, Broken: 2, Code: result.BackendBroke, Idempotent: true}, false, result.BackendBroke},
 		{"late", Failure{Attempt: 3, Code: result.NoBackend, Due: epoch.Add(time.Millisecond)}, false, result.NoBackend},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -42,6 +43,7 @@
 	empty := Budget{seen: epoch}
 	decision := Decide(epoch, Failure{Attempt: 1, Code: result.BackendRefused, Idempotent: true}, &empty, 0)
 	must.Eq(t, result.RetryBudgetSpent, decision.Code)
+	must.True(t, Decide(epoch, Failure{Attempt: 1, Code: result.NoBackend}, &empty, 0).Retry)
 	decision = Decide(epoch, Failure{Attempt: 1, Code: result.BackendBroke, Idempotent: true}, &empty, 0)
 	must.Eq(t, result.BackendBroke, decision.Code)
 }
--- a/daemon/services/balance/balance.go
+++ b/daemon/services/balance/balance.go
@@ -44,8 +44,9 @@
 	peers    contract.Peers
 	probe    probeFunc
 
-	snapshot *kernel.Snapshot[snapshot]
-	control  control
+	snapshot  *kernel.Snapshot[snapshot]
+	undecided *undecided
+	control   control
 }
 
 // snapshot is what traffic goroutines pick from. It is immutable.
@@ -88,10 +89,10 @@
 
 // Pick implements contract.Balancer.
 func (s *service) Pick(ctx context.Context, request contract.PickRequest) (contract.Ticket, error) {
-	current := s.snapshot.Load()
-	if current.requests.Quarantined[request.Fingerprint] {
-		s.metrics.Count("balance.refused.quarantined", 1)
-		return contract.Ticket{}, result.New(result.Quarantined, "")
+	current, err := s.cleared(ctx, &request)
+	if err != nil {
+		s.metrics.Count("balance.refused."+codeName(err), 1)
+		return contract.Ticket{}, err
 	}
 	from := current.services[request.Service]
 	if from == nil {
--- a/daemon/services/balance/control.go
+++ b/daemon/services/balance/control.go
@@ -96,6 +96,7 @@
 // prepare sets up the state before the control loop runs.
 func (s *service) prepare() {
 	s.snapshot = kernel.NewSnapshot(&snapshot{})
+	s.undecided = newUndecided()
 	s.control.records = make(map[structs.HostName]*record)
 	s.control.absent = make(map[structs.HostName]*record)
 	s.control.services = make(map[structs.ServiceName]*serviceRecord)
--- a/daemon/services/balance/suspects.go
+++ b/daemon/services/balance/suspects.go
@@ -8,6 +8,7 @@
 	"github.com/flamingobeam/flamingobeam/coord/quarantine"
 	"github.com/flamingobeam/flamingobeam/coord/result"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
+	"github.com/flamingobeam/flamingobeam/daemon/contract"
 	"github.com/flamingobeam/flamingobeam/kernel"
 )
 
@@ -65,6 +66,7 @@
 	r, ok := s.control.records[name]
 	if !ok {
 		s.control.breaks.Settle(name)
+		s.undecided.settle(name)
 		return
 	}
 	address, probe := r.server.Address, s.probe
@@ -80,13 +82,17 @@
 		s.loop.After(probeDelay, func() { s.probeServer(probed.server, probed.attempt+1) })
 		return
 	}
-	crash, ok := s.control.breaks.Settle(probed.server)
-	if !ok || probed.up || len(crash.Suspects) == 0 {
-		return
+	crash, _ := s.control.breaks.Settle(probed.server)
+	if !probed.up {
+		s.hosts.Report(probed.server, contract.SignalFailedConnect)
+	}
+	if !probed.up && len(crash.Suspects) > 0 {
+		s.log.Warnf("%s crashed; %d requests are suspect.", crash.Server, len(crash.Suspects))
+		s.crashed(crash)
+		s.outgoing().Crashes = append(s.outgoing().Crashes, crash)
 	}
-	s.log.Warnf("%s crashed; %d requests are suspect.", crash.Server, len(crash.Suspects))
-	s.crashed(crash)
-	s.outgoing().Crashes = append(s.outgoing().Crashes, crash)
+	// Requests that are held back read the snapshot that was just published.
+	s.undecided.settle(probed.server)
 }
 
 // crashed takes a crash in and quarantines what caused it.
--- a/daemon/services/balance/ticket.go
+++ b/daemon/services/balance/ticket.go
@@ -89,15 +89,23 @@
 		if kind == eventUnreached {
 			t.service.hosts.Report(t.place.name, contract.SignalFailedConnect)
 		}
-		t.tell(kind)
+		if kind == eventBroke && t.print != 0 {
+			t.service.undecided.add(t.print, t.place.name)
+		}
+		if !t.tell(kind) {
+			t.service.undecided.settle(t.place.name)
+		}
 	}
 }
 
-func (t *ticket) tell(kind eventKind) {
+// tell reports whether the control goroutine will hear of an event.
+func (t *ticket) tell(kind eventKind) bool {
 	event := event{server: t.place.name, kind: kind, print: t.print}
 	if t.service.control.events.Post(event) != nil {
 		t.service.metrics.Count("balance.events_dropped", 1)
+		return false
 	}
+	return true
 }
 
 // classify tells what an error says of the server.
--- /dev/null
+++ b/daemon/services/plain/crash_test.go
@@ -0,0 +1,124 @@
+package plain
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/sirupsen/logrus"
+
+	"github.com/flamingobeam/flamingobeam/coord/result"
+	"github.com/flamingobeam/flamingobeam/coord/structs"
+	"github.com/flamingobeam/flamingobeam/daemon/config"
+	"github.com/flamingobeam/flamingobeam/daemon/contract"
+	_ "github.com/flamingobeam/flamingobeam/daemon/services/balance"
+	_ "github.com/flamingobeam/flamingobeam/daemon/services/metrics"
+	_ "github.com/flamingobeam/flamingobeam/daemon/services/peers"
+	_ "github.com/flamingobeam/flamingobeam/daemon/services/rpcserver"
+	"github.com/flamingobeam/flamingobeam/kernel"
+	"github.com/flamingobeam/flamingobeam/platform"
+	"github.com/flamingobeam/flamingobeam/platform/httpclient"
+)
+
+const poisonPath = "/records/poison"
+
+// fixedHosts is a host list that knows of no crash.
+type fixedHosts struct {
+	kernel.Base
+	view *kernel.Snapshot[contract.HostView]
+}
+
+func (f fixedHosts) View() *kernel.Snapshot[contract.HostView] { return f.view }
+
+func (f fixedHosts) Report(structs.HostName, contract.Signal) {}
+
+// fixedClients reaches plain services over HTTP.
+type fixedClients struct {
+	kernel.Base
+	plain platform.PlainService
+}
+
+func (f fixedClients) Platform() platform.Clients { return platform.Clients{Plain: f.plain} }
+
+// peekerWithView is a peeker whose document is empty.
+type peekerWithView struct{ peeker }
+
+func (peekerWithView) View() *kernel.Snapshot[contract.SettingsView] {
+	return kernel.NewSnapshot(&contract.SettingsView{})
+}
+
+// fragile starts a server that dies of the poison and counts its death.
+func fragile(t *testing.T, name string, deaths *atomic.Int32) structs.BackendServer {
+	t.Helper()
+	var server *httptest.Server
+	server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != poisonPath {
+			_, _ = w.Write([]byte("filed"))
+			return
+		}
+		deaths.Add(1)
+		_ = server.Listener.Close()
+		panic(http.ErrAbortHandler)
+	}))
+	t.Cleanup(server.Close)
+	return structs.BackendServer{
+		Name: structs.HostName(name), Service: "portal", Kind: structs.KindService,
+		Address: strings.TrimPrefix(server.URL, "http://"),
+	}
+}
+
+// TestLookup_PoisonCrashesNoMoreThanTwoServers sends a poison again and again,
+// as its caller would, among look-ups that must be answered.
+func TestLookup_PoisonCrashesNoMoreThanTwoServers(t *testing.T) {
+	var deaths atomic.Int32
+	var servers []structs.BackendServer
+	for _, name := range []string{"a", "b", "c", "d", "e"} {
+		servers = append(servers, fragile(t, name, &deaths))
+	}
+	view := &contract.HostView{Known: true, Services: map[structs.ServiceName][]structs.BackendServer{"portal": servers}}
+	registry := kernel.NewRegistry()
+	for _, name := range []kernel.Name{contract.NameBalance, contract.NameRetries, contract.NameMetrics, contract.NamePeers, contract.NameRPC} {
+		registry.Register(name, func() kernel.Service {
+			made, err := kernel.DefaultRegistry().New(name)
+			must.NoError(t, err)
+			return made
+		})
+	}
+	registry.Register(contract.NameHosts, func() kernel.Service { return fixedHosts{view: kernel.NewSnapshot(view)} })
+	registry.Register(contract.NameClients, func() kernel.Service {
+		return fixedClients{plain: httpclient.NewBackend(nil)}
+	})
+	registry.Register(contract.NameSettings, func() kernel.Service { return peekerWithView{peeker{due: 10 * time.Second}} })
+	plain := &service{}
+	registry.Register(contract.NamePlain, func() kernel.Service { return plain })
+	log := logrus.New()
+	log.SetLevel(logrus.PanicLevel)
+	k := kernel.New(kernel.Options{
+		Registry: registry,
+		Services: []kernel.Name{contract.NamePlain},
+		Log:      log,
+		Config:   config.Daemon{Host: "entry-1", Listen: config.Listen{Peers: "127.0.0.1:0"}},
+	})
+	must.NoError(t, k.Start(t.Context()))
+	t.Cleanup(func() { must.NoError(t, k.Stop(context.Background())) })
+	// The first control turn publishes the servers.
+	must.NoError(t, kernel.NewCalls(k.Loop()).Do(t.Context(), func() {}))
+
+	poison, innocent := lookup, lookup
+	poison.Path = poisonPath
+	var last error
+	for range 10 {
+		_, last = plain.Lookup(t.Context(), poison)
+		must.Error(t, last)
+		answer, err := plain.Lookup(t.Context(), innocent)
+		must.NoError(t, err)
+		must.Eq(t, "filed", string(answer.Body))
+	}
+	must.Eq(t, result.Quarantined, result.CodeOf(last))
+	must.Eq(t, 2, deaths.Load())
+}
--- a/daemon/services/plain/hedge.go
+++ b/daemon/services/plain/hedge.go
@@ -8,6 +8,7 @@
 
 	"github.com/flamingobeam/flamingobeam/coord/result"
 	"github.com/flamingobeam/flamingobeam/coord/retry"
+	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
 	"github.com/flamingobeam/flamingobeam/platform"
 )
@@ -30,7 +31,7 @@
 // hedged sends a look-up to a server, and to a second one when the first has
 // not answered after a while and the budget has a retry left. The first whole
 // answer counts and the other request is cancelled. Servers that failed are
-// added to those to avoid.
+// added to those to avoid. Only callers' own look-ups are worth a second server.
 func (s *service) hedged(ctx context.Context, pick *contract.PickRequest, path string, retrier contract.Retrier) (platform.Answer, error) {
 	ticket, err := s.balancer.Pick(ctx, *pick)
 	if err != nil {
@@ -62,7 +63,7 @@
 				return platform.Answer{}, history.Verdict(done.err)
 			}
 		case <-timer.Chan():
-			if retrier.Spend() {
+			if pick.Class <= structs.ClassDossier && retrier.Spend() {
 				other := *pick
 				other.Avoid = append(other.Avoid[:len(other.Avoid):len(other.Avoid)], ticket.Server.Name)
 				r.second(other)
--- a/daemon/services/plain/plain_test.go
+++ b/daemon/services/plain/plain_test.go
@@ -23,7 +23,11 @@
 	"github.com/flamingobeam/flamingobeam/platform/httpclient"
 )
 
-func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+// TestMain looks for leaked goroutines. The one ticker that go-metrics starts
+// for the whole process has no end.
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m, goleak.IgnoreTopFunction("github.com/rcrowley/go-metrics.(*meterArbiter).tick"))
+}
 
 // neighbours are fakes of what the service finds by name. Its balancer hands
 // the servers out in their order.
@@ -152,7 +156,7 @@
 }
 
 func TestLookup_BudgetEndsRetries(t *testing.T) {
-	plain, n := start(t, time.Minute, nil, nil, nil, nil)
+	plain, n := start(t, time.Minute, refuses, refuses, refuses, refuses)
 	const requests = 40
 	for range requests {
 		_, err := plain.Lookup(t.Context(), lookup)
--- a/daemon/services/retries/retries.go
+++ b/daemon/services/retries/retries.go
@@ -84,12 +84,9 @@
 
 func (r *retrier) decide(err error) retry.Decision {
 	now := r.service.clock.Now()
-	failure := retry.Failure{
-		Attempt:    r.history.Failed(err),
-		Code:       result.CodeOf(err),
-		Idempotent: r.request.Idempotent,
-		Due:        r.request.Due,
-	}
+	r.history.Failed(err)
+	failure := r.history.Failure(err)
+	failure.Idempotent, failure.Due = r.request.Idempotent, r.request.Due
 	r.service.mu.Lock()
 	defer r.service.mu.Unlock()
 	return retry.Decide(now, failure, r.budget, rand.Uint64())
