Move the experiments into the tool, and split the gate

'flamingobeam experiment routing|classes|shares|limit' prints them as text or JSON; a test holds the order of the ways.

--- a/cmd/flamingobeam/main.go
+++ b/cmd/flamingobeam/main.go
@@ -52,6 +52,7 @@
 			statusCommand(),
 			suspendCommand(),
 			reportCommand(),
+			experimentCommand(),
 			emulateCommand(),
 		},
 	}
--- /dev/null
+++ b/cmd/flamingobeam/measure.go
@@ -0,0 +1,33 @@
+package main
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/flamingobeam/flamingobeam/cmd/flamingobeam/experiment"
+	"github.com/flamingobeam/flamingobeam/coord/result"
+)
+
+func experimentCommand() *cli.Command {
+	all := experiment.All()
+	names := slices.Sorted(maps.Keys(all))
+	return &cli.Command{
+		Name:      "experiment",
+		Usage:     "measure decisions against their baselines, in simulated time",
+		UsageText: "flamingobeam experiment routing",
+		ArgsUsage: strings.Join(names, "|"),
+		Flags:     []cli.Flag{outputFlag()},
+		Action: func(_ context.Context, command *cli.Command) error {
+			run, ok := all[command.Args().First()]
+			if !ok {
+				return result.New(result.BadRequest, "name one of %s", strings.Join(names, ", "))
+			}
+			outcome := run()
+			return show(command, outcome, outcome.Text())
+		},
+	}
+}
--- a/coord/limit/gate.go
+++ b/coord/limit/gate.go
@@ -1,7 +1,6 @@
 package limit
 
 import (
-	"math"
 	"time"
 
 	"github.com/flamingobeam/flamingobeam/coord/result"
@@ -56,20 +55,6 @@
 
 const notWaiting = -1
 
-// flow is the state of one workspace in one class. Its requests are ordered
-// against those of other workspaces by start tags, as in start-time fair
-// queueing: each request moves the next tag on by one over the share.
-type flow struct {
-	finish  float64
-	share   float64
-	waiting int
-}
-
-type flowKey struct {
-	workspace structs.WorkspaceName
-	class     structs.Class
-}
-
 // lane is the queue of one class.
 type lane[T any] struct {
 	heap waiterHeap[T]
@@ -190,50 +175,6 @@
 	return work / time.Duration(max(1, g.room(class)))
 }
 
-func (g *Gate[T]) flow(ask Ask) *flow {
-	key := flowKey{workspace: ask.Workspace, class: ask.Class}
-	f, ok := g.flows[key]
-	if !ok {
-		f = &flow{}
-		g.flows[key] = f
-	}
-	if f.waiting == 0 {
-		f.share = ask.Share
-	}
-	return f
-}
-
-// bound refuses a request whose workspace fills its part of the queue.
-func (g *Gate[T]) bound(ask Ask, f *flow) result.Code {
-	l := &g.lanes[ask.Class]
-	others := l.shares
-	if f.waiting > 0 {
-		others -= f.share
-	}
-	limit := float64(max(minQueue, g.capacity*queueFactor))
-	part := max(1, math.Ceil(limit*f.share/(f.share+others)))
-	if float64(f.waiting) < part {
-		return result.OK
-	}
-	if len(l.heap) > f.waiting {
-		return result.FairShareExceeded
-	}
-	return result.Overloaded
-}
-
-func (g *Gate[T]) enqueue(now time.Time, ask Ask, f *flow) *Waiter[T] {
-	l := &g.lanes[ask.Class]
-	if f.waiting == 0 {
-		l.shares += f.share
-	}
-	f.waiting++
-	g.number++
-	w := &Waiter[T]{Ask: ask, flow: f, since: now, number: g.number, tag: max(l.virtual, f.finish)}
-	f.finish = w.tag + 1/f.share
-	l.heap.push(w)
-	return w
-}
-
 // Release gives a place back. The span is how long the request ran, or zero
 // when it did not.
 func (g *Gate[T]) Release(class structs.Class, span time.Duration) {
--- a/coord/route/baseline.go
+++ b/coord/route/baseline.go
@@ -19,3 +19,7 @@
 	members := t.tiers[0].Members
 	return int(members[count%uint64(len(members))])
 }
+
+// Home is a baseline for measurements: the server of the nearest tier to which
+// an affinity belongs, whatever its load.
+func (t *Table) Home(affinity uint64) int { return t.tiers[0].ring.home(affinity) }
