Let the stand-in of a plain service crash on a record

Cause: a quarantine among daemons had been shown over calls in one process only, without the encoding of net/rpc.

--- a/cmd/flamingobeam/emulate.go
+++ b/cmd/flamingobeam/emulate.go
@@ -23,6 +23,8 @@
 const (
 	shutdownWait      = 2 * time.Second
 	readHeaderTimeout = 5 * time.Second
+	// exitCrashed is the status of a stand-in that a request crashed.
+	exitCrashed = 70
 )
 
 func emulateCommand() *cli.Command {
@@ -92,9 +94,13 @@
 		Flags: []cli.Flag{
 			listenFlag(),
 			&cli.StringFlag{Name: "name", Usage: "host `NAME`", Value: "service"},
+			&cli.StringFlag{Name: "crash-on", Usage: "`ID` of the record whose look-up ends the process"},
 		},
 		Action: func(ctx context.Context, command *cli.Command) error {
-			return serve(ctx, command, service.New(structs.HostName(command.String("name"))).Handler())
+			emulated := service.New(structs.HostName(command.String("name")))
+			emulated.SetFaults(service.Faults{CrashOn: command.String("crash-on")})
+			emulated.OnCrash = func() { os.Exit(exitCrashed) }
+			return serve(ctx, command, emulated.Handler())
 		},
 	}
 }
--- a/daemon/services/balance/fakes_test.go
+++ b/daemon/services/balance/fakes_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"net/rpc"
 	"sync"
 	"testing"
 	"time"
@@ -66,9 +67,17 @@
 
 func (w *world) Register(string, any) error { return nil }
 
-// Call implements contract.Peers towards the balancers in others.
-func (w *world) Call(_ context.Context, address, _ string, args, reply any) error {
-	return (&Receiver{service: w.others[address]}).Tell(args.(*Notice), reply.(*Notice))
+// Call implements contract.Peers towards the balancers in others, over net/rpc.
+func (w *world) Call(_ context.Context, address, method string, args, reply any) error {
+	server := rpc.NewServer()
+	if err := server.RegisterName(rpcName, &Receiver{service: w.others[address]}); err != nil {
+		return err
+	}
+	near, far := net.Pipe()
+	go server.ServeConn(far)
+	client := rpc.NewClient(near)
+	defer client.Close()
+	return client.Call(method, args, reply)
 }
 
 // settingsOf gives the world's settings, whose View has another type.
--- a/emulate/service/service.go
+++ b/emulate/service/service.go
@@ -34,6 +34,8 @@
 	// CutAfter is the count of bytes after which answers are cut; zero
 	// means never.
 	CutAfter int `json:"cut_after"`
+	// CrashOn is the id of the record whose look-up crashes the server.
+	CrashOn string `json:"crash_on"`
 }
 
 // Run is one run of a submission.
@@ -46,6 +48,9 @@
 // Service is the stand-in. It is safe for concurrent use.
 type Service struct {
 	name structs.HostName
+	// OnCrash ends the server when a request crashes it; nil only breaks the
+	// connection.
+	OnCrash func()
 
 	mu     sync.Mutex
 	faults Faults
@@ -112,7 +117,19 @@
 	if !ok {
 		return
 	}
-	answer(w, faults, RecordOf(params.ByName("id")))
+	id := params.ByName("id")
+	if faults.CrashOn != "" && id == faults.CrashOn {
+		s.crash()
+	}
+	answer(w, faults, RecordOf(id))
+}
+
+// crash ends the server, and the connection at least.
+func (s *Service) crash() {
+	if s.OnCrash != nil {
+		s.OnCrash()
+	}
+	panic(http.ErrAbortHandler)
 }
 
 // ReceiptOf is the answer to a submission.
