Tell a slower server from an overloaded one, and quarantine for less long

The limit now drops to six for a moment after a jump of the latency and is restored when that does not help.

In another trial two servers died within 2 ms of each other and a look-up that was retried from one to the other was quarantined for an hour, as the rule wants it but wrongly. The first quarantine is now ten minutes; each later one needs one crash and lasts twice as long.

--- a/coord/limit/adaptive.go
+++ b/coord/limit/adaptive.go
@@ -23,8 +23,19 @@
 	tolerance = 2.0
 	// minGradient bounds how fast a limit falls.
 	minGradient = 0.5
-	// smoothing is the weight of a new window.
-	smoothing = 0.25
+	// growSmoothing and fallSmoothing are the weights of a new window.
+	growSmoothing = 0.25
+	fallSmoothing = 0.5
+	// probePeak is the count in flight up to which latency is not the doing of
+	// the requests in flight: it becomes the baseline.
+	probePeak = 6
+	// probeFactor is how many times the baseline makes a jump of the latency,
+	// after which the limit drops to probePeak to find out whether the load or
+	// the server itself is the cause. maxProbeWindows bounds that.
+	probeFactor     = 4.0
+	maxProbeWindows = 4
+	// overloadFactor shrinks the limit when the load was the cause.
+	overloadFactor = 0.5
 	// failureFactor shrinks the limit after a window with failures.
 	failureFactor = 0.9
 	// baselineRise lets the lowest latency grow with each window, so that a
@@ -53,6 +64,10 @@
 type Adaptive struct {
 	limit    float64
 	baseline time.Duration
+	// before is the limit before a probe, and probed how many windows the
+	// probe has taken; zero means that there is none.
+	before float64
+	probed int
 }
 
 // NewAdaptive returns a limit at its initial value.
@@ -70,20 +85,57 @@
 		return a.Limit()
 	}
 	latency := w.Latency / time.Duration(w.Finished)
-	a.learn(latency)
+	if a.probed > 0 {
+		a.probe(latency, w.Peak)
+		return a.Limit()
+	}
+	if a.isJump(latency, w.Peak) {
+		a.before, a.probed = a.limit, 1
+		a.set(probePeak)
+		return a.Limit()
+	}
+	a.learn(latency, w.Peak)
 	gradient := min(1, max(minGradient, tolerance*float64(a.baseline)/float64(latency)))
 	target := a.limit*gradient + math.Sqrt(a.limit)
 	if target > a.limit && (w.Refused > 0 || float64(w.Peak) < a.limit*usedPart) {
 		return a.Limit()
 	}
+	smoothing := growSmoothing
+	if target < a.limit {
+		smoothing = fallSmoothing
+	}
 	a.set(a.limit + smoothing*(target-a.limit))
 	return a.Limit()
 }
 
-// learn keeps the lowest latency.
-func (a *Adaptive) learn(latency time.Duration) {
+// isJump reports whether the latency has risen at once and many requests are
+// in flight.
+func (a *Adaptive) isJump(latency time.Duration, peak int) bool {
+	return a.baseline > 0 && peak > probePeak && float64(latency) > probeFactor*float64(a.baseline)
+}
+
+// probe looks at the latency that few requests in flight meet. When it is still
+// high, the server is slower whatever the load, and its limit is restored.
+func (a *Adaptive) probe(latency time.Duration, peak int) {
+	isSlow := float64(latency) > tolerance*float64(a.baseline)
+	switch {
+	case peak > probePeak && a.probed < maxProbeWindows:
+		a.probed++
+	case peak <= probePeak && isSlow:
+		a.baseline, a.probed = latency, 0
+		a.set(a.before)
+	default:
+		a.probed = 0
+		a.set(max(probePeak, a.before*overloadFactor))
+	}
+}
+
+// learn keeps the lowest latency, and takes a higher one that few requests in
+// flight met: the server itself has become slower.
+func (a *Adaptive) learn(latency time.Duration, peak int) {
 	raised := time.Duration(float64(a.baseline) * baselineRise)
-	if a.baseline == 0 || latency < raised {
+	isSlower := peak <= probePeak && float64(latency) > tolerance*float64(a.baseline)
+	if a.baseline == 0 || latency < raised || isSlower {
 		a.baseline = max(latency, 1)
 		return
 	}
--- a/coord/quarantine/book.go
+++ b/coord/quarantine/book.go
@@ -54,10 +54,15 @@
 	// the time, and no request was on most of them.
 	massWindow  = 3 * time.Second
 	massServers = 3
-	// KeepSuspects is how long a crash is remembered, and KeepQuarantined how
-	// long a fingerprint stays quarantined.
-	KeepSuspects    = 10 * time.Minute
-	KeepQuarantined = time.Hour
+	// KeepSuspects is how long a crash is remembered.
+	KeepSuspects = 10 * time.Minute
+	// KeepQuarantined is how long a fingerprint is quarantined at first. The
+	// time doubles with each further quarantine, for which one more crash is
+	// enough, maxDoublings times at most. keepConvicted is how long after its
+	// end a quarantine is remembered.
+	KeepQuarantined = 10 * time.Minute
+	maxDoublings    = 7
+	keepConvicted   = 24 * time.Hour
 	// maxSuspects bounds the suspects of a crash that are remembered.
 	maxSuspects = 256
 )
@@ -68,6 +73,13 @@
 	crashes     []Crash
 	answered    map[Fingerprint]time.Time
 	quarantined map[Fingerprint]time.Time
+	convicted   map[Fingerprint]conviction
+}
+
+// conviction remembers the quarantines of a fingerprint.
+type conviction struct {
+	count  int
+	forget time.Time
 }
 
 // NewBook returns an empty book.
@@ -75,6 +87,7 @@
 	return &Book{
 		answered:    make(map[Fingerprint]time.Time),
 		quarantined: make(map[Fingerprint]time.Time),
+		convicted:   make(map[Fingerprint]conviction),
 	}
 }
 
@@ -92,7 +105,7 @@
 	}
 	guilty := b.guilty(*merged)
 	for _, f := range guilty {
-		b.quarantined[f] = now.Add(KeepQuarantined)
+		b.Quarantine(now, f)
 	}
 	return guilty
 }
@@ -135,9 +148,13 @@
 	return nil
 }
 
-// count is the number of unexplained crashes that a request was at.
+// count is the number of unexplained crashes that a request was at, and one
+// more when it was quarantined before.
 func (b *Book) count(f Fingerprint) int {
 	count := 0
+	if b.convicted[f].count > 0 {
+		count = 1
+	}
 	for _, crash := range b.crashes {
 		if slices.Contains(crash.Suspects, f) && !b.isExplained(crash) {
 			count++
@@ -189,7 +206,7 @@
 			continue
 		}
 		for _, f := range b.crashes[i].Suspects {
-			delete(b.quarantined, f)
+			b.release(f)
 		}
 		b.crashes[i].Suspects = nil
 	}
@@ -200,7 +217,7 @@
 func (b *Book) Answered(now time.Time, f Fingerprint) bool {
 	b.answered[f] = now
 	_, cleared := b.quarantined[f]
-	delete(b.quarantined, f)
+	b.release(f)
 	for i := range b.crashes {
 		crash := &b.crashes[i]
 		if at := slices.Index(crash.Suspects, f); at >= 0 {
@@ -211,9 +228,18 @@
 	return cleared
 }
 
-// Quarantine takes over a fingerprint that another daemon quarantined.
+// Quarantine quarantines a fingerprint, as another daemon has.
 func (b *Book) Quarantine(now time.Time, f Fingerprint) {
-	b.quarantined[f] = now.Add(KeepQuarantined)
+	c := b.convicted[f]
+	until := now.Add(KeepQuarantined << min(c.count, maxDoublings))
+	b.quarantined[f] = until
+	b.convicted[f] = conviction{count: c.count + 1, forget: until.Add(keepConvicted)}
+}
+
+// release takes a quarantine back.
+func (b *Book) release(f Fingerprint) {
+	delete(b.quarantined, f)
+	delete(b.convicted, f)
 }
 
 // Expire forgets what is old.
@@ -224,6 +250,11 @@
 			delete(b.quarantined, f)
 		}
 	}
+	for f, c := range b.convicted {
+		if !now.Before(c.forget) {
+			delete(b.convicted, f)
+		}
+	}
 	for f, at := range b.answered {
 		if now.Sub(at) > mergeWindow {
 			delete(b.answered, f)
--- a/coord/quarantine/quarantine_test.go
+++ b/coord/quarantine/quarantine_test.go
@@ -76,6 +76,19 @@
 	must.Eq(t, map[Fingerprint]bool{poison: true}, b.View().Quarantined)
 }
 
+func TestBook_OneMoreCrashAfterAQuarantineIsEnough(t *testing.T) {
+	b := NewBook()
+	b.Quarantine(at(0), poison)
+	end := int(KeepQuarantined.Seconds())
+	b.Expire(at(end))
+	must.SliceEmpty(t, b.Quarantined())
+	must.Eq(t, []Fingerprint{poison}, b.Crashed(at(end), crash("a", end, poison, innocent)))
+	b.Expire(at(2 * end))
+	must.Eq(t, []Fingerprint{poison}, b.Quarantined())
+	b.Expire(at(3 * end))
+	must.SliceEmpty(t, b.Quarantined())
+}
+
 func TestBook_Forgets(t *testing.T) {
 	b := NewBook()
 	b.Crashed(at(0), crash("a", 0, poison))
