--- a/cmd/flamingobeam/emulate_engine.go
+++ b/cmd/flamingobeam/emulate_engine.go
@@ -11,9 +11,6 @@
 	"github.com/flamingobeam/flamingobeam/emulate/engine"
 )
 
-// exitCrashed is the status of a stand-in that a request crashed.
-const exitCrashed = 70
-
 func emulateEngineCommand() *cli.Command {
 	defaults := engine.DefaultOptions()
 	return &cli.Command{
--- a/daemon/services/balance/control.go
+++ b/daemon/services/balance/control.go
@@ -63,9 +63,13 @@
 	isActive atomic.Bool
 
 	// The fields below belong to the control goroutine.
-	hosts    *contract.HostView
-	records  map[structs.HostName]*record
+	hosts   *contract.HostView
+	records map[structs.HostName]*record
+	// absent are the records of servers that are not listed now.
+	absent   map[structs.HostName]*record
 	services map[structs.ServiceName]*serviceRecord
+	// engines are those of the own zone, which are asked for their loads.
+	engines  []*record
 	book     *quarantine.Book
 	requests quarantine.View
 	breaks   *quarantine.Breaks
@@ -80,10 +84,10 @@
 
 // record is a backend server as the control goroutine knows it.
 type record struct {
+	server   structs.BackendServer
 	place    *place
 	adaptive limit.Adaptive
 	health   retry.Health
-	service  structs.ServiceName
 	timer    *kernel.Timer
 	// absent is when the server was last missed in the list, or zero.
 	absent time.Time
@@ -92,7 +96,9 @@
 // prepare sets up the state before the control loop runs.
 func (s *service) prepare() {
 	s.snapshot = kernel.NewSnapshot(&snapshot{})
+	s.undecided = newUndecided()
 	s.control.records = make(map[structs.HostName]*record)
+	s.control.absent = make(map[structs.HostName]*record)
 	s.control.services = make(map[structs.ServiceName]*serviceRecord)
 	s.control.hosts = &contract.HostView{}
 	s.control.book = quarantine.NewBook()
@@ -170,7 +176,7 @@
 
 // failed ejects a server after too many failures.
 func (s *service) failed(now time.Time, name structs.HostName, r *record) {
-	if !r.health.Failed(now, func() bool { return s.mayEject(now, r.service) }) {
+	if !r.health.Failed(now, func() bool { return s.mayEject(now, r.server.Service) }) {
 		return
 	}
 	s.log.Warnf("%s fails and gets no requests for a while.", name)
