Leave engines room to batch, and ignore single long requests

Cause: an engine that batches answers each stream more slowly the more it runs, and the tolerance of plain services would have throttled it; one long request in a window of few looked like a jump of the latency.

Figures: with a latency that grows with the streams, the limit of an engine ends over half as high again as that of a plain service with the same latency (TestAdaptive_LeavesEnginesRoomToBatch). Not measured against a real engine.

--- a/cmd/flamingobeam/experiment/capacity.go
+++ b/cmd/flamingobeam/experiment/capacity.go
@@ -31,7 +31,7 @@
 func keepBusy(adaptive bool) []Figure {
 	latencies := hdrhistogram.New(1, int64(time.Hour), significantDigits)
 	answered := 0
-	found := limit.NewAdaptive()
+	found := limit.NewAdaptive(limit.PlainTolerance)
 	for window := range windows {
 		room, inFlight := roomBefore, fixedLimit
 		if window >= windows/2 {
--- a/coord/limit/adaptive.go
+++ b/coord/limit/adaptive.go
@@ -11,6 +11,15 @@
 	"time"
 )
 
+// How many times the lowest latency is taken for normal.
+const (
+	// PlainTolerance is for plain services.
+	PlainTolerance = 2.0
+	// EngineTolerance is for model engines, which make more tokens in all the
+	// more streams they batch, though each takes longer.
+	EngineTolerance = 4.0
+)
+
 // Bounds of the limit of one server, in requests in flight.
 const (
 	MinLimit     = 2
@@ -19,8 +28,6 @@
 )
 
 const (
-	// tolerance is how many times the lowest latency is taken for normal.
-	tolerance = 2.0
 	// minGradient bounds how fast a limit falls.
 	minGradient = 0.5
 	// growSmoothing and fallSmoothing are the weights of a new window.
@@ -29,11 +36,13 @@
 	// probePeak is the count in flight up to which latency is not the doing of
 	// the requests in flight: it becomes the baseline.
 	probePeak = 6
-	// probeFactor is how many times the baseline makes a jump of the latency,
-	// after which the limit drops to probePeak to find out whether the load or
-	// the server itself is the cause. maxProbeWindows bounds that.
-	probeFactor     = 4.0
+	// probeFactor is how many times the normal latency makes a jump, after
+	// which the limit drops to probePeak to find out whether the load or the
+	// server itself is the cause. maxProbeWindows bounds that, and
+	// minJumpSamples keeps single long requests from causing it.
+	probeFactor     = 2.0
 	maxProbeWindows = 4
+	minJumpSamples  = 8
 	// overloadFactor shrinks the limit when the load was the cause.
 	overloadFactor = 0.5
 	// failureFactor shrinks the limit after a window with failures.
@@ -62,16 +71,20 @@
 // gradient of the latency over its lowest value, and grows by the square root
 // of itself while the server is used and answers as fast as ever.
 type Adaptive struct {
-	limit    float64
-	baseline time.Duration
+	tolerance float64
+	limit     float64
+	baseline  time.Duration
 	// before is the limit before a probe, and probed how many windows the
 	// probe has taken; zero means that there is none.
 	before float64
 	probed int
 }
 
-// NewAdaptive returns a limit at its initial value.
-func NewAdaptive() Adaptive { return Adaptive{limit: InitialLimit} }
+// NewAdaptive returns a limit at its initial value. The tolerance is how many
+// times the lowest latency is taken for normal.
+func NewAdaptive(tolerance float64) Adaptive {
+	return Adaptive{tolerance: tolerance, limit: InitialLimit}
+}
 
 // Limit returns the count of requests that may be in flight.
 func (a *Adaptive) Limit() int { return int(a.limit) }
@@ -89,13 +102,13 @@
 		a.probe(latency, w.Peak)
 		return a.Limit()
 	}
-	if a.isJump(latency, w.Peak) {
+	if a.isJump(w, latency) {
 		a.before, a.probed = a.limit, 1
 		a.set(probePeak)
 		return a.Limit()
 	}
 	a.learn(latency, w.Peak)
-	gradient := min(1, max(minGradient, tolerance*float64(a.baseline)/float64(latency)))
+	gradient := min(1, max(minGradient, a.tolerance*float64(a.baseline)/float64(latency)))
 	target := a.limit*gradient + math.Sqrt(a.limit)
 	if target > a.limit && (w.Refused > 0 || float64(w.Peak) < a.limit*usedPart) {
 		return a.Limit()
@@ -110,14 +123,15 @@
 
 // isJump reports whether the latency has risen at once and many requests are
 // in flight.
-func (a *Adaptive) isJump(latency time.Duration, peak int) bool {
-	return a.baseline > 0 && peak > probePeak && float64(latency) > probeFactor*float64(a.baseline)
+func (a *Adaptive) isJump(w Window, latency time.Duration) bool {
+	jump := probeFactor * a.tolerance * float64(a.baseline)
+	return a.baseline > 0 && w.Finished >= minJumpSamples && w.Peak > probePeak && float64(latency) > jump
 }
 
 // probe looks at the latency that few requests in flight meet. When it is still
 // high, the server is slower whatever the load, and its limit is restored.
 func (a *Adaptive) probe(latency time.Duration, peak int) {
-	isSlow := float64(latency) > tolerance*float64(a.baseline)
+	isSlow := float64(latency) > a.tolerance*float64(a.baseline)
 	switch {
 	case peak > probePeak && a.probed < maxProbeWindows:
 		a.probed++
@@ -134,7 +148,7 @@
 // flight met: the server itself has become slower.
 func (a *Adaptive) learn(latency time.Duration, peak int) {
 	raised := time.Duration(float64(a.baseline) * baselineRise)
-	isSlower := peak <= probePeak && float64(latency) > tolerance*float64(a.baseline)
+	isSlower := peak <= probePeak && float64(latency) > a.tolerance*float64(a.baseline)
 	if a.baseline == 0 || latency < raised || isSlower {
 		a.baseline = max(latency, 1)
 		return
--- a/coord/limit/limit_test.go
+++ b/coord/limit/limit_test.go
@@ -181,7 +181,7 @@
 }
 
 func TestAdaptive_FollowsLatency(t *testing.T) {
-	a := NewAdaptive()
+	a := NewAdaptive(PlainTolerance)
 	for range 50 {
 		a.Observe(Window{Finished: 100, Latency: 100 * 10 * time.Millisecond, Peak: a.Limit()})
 	}
@@ -199,7 +199,7 @@
 // TestAdaptive_TakesASlowerServerForWhatItIs raises the latency whatever is in
 // flight: the limit falls until that shows, and then recovers.
 func TestAdaptive_TakesASlowerServerForWhatItIs(t *testing.T) {
-	a := NewAdaptive()
+	a := NewAdaptive(PlainTolerance)
 	observe := func(windows int, latency time.Duration) int {
 		lowest := MaxLimit
 		for range windows {
@@ -214,8 +214,24 @@
 	must.GreaterEq(t, InitialLimit, a.Limit())
 }
 
+// TestAdaptive_LeavesEnginesRoomToBatch lets the latency grow with the streams
+// that an engine batches.
+func TestAdaptive_LeavesEnginesRoomToBatch(t *testing.T) {
+	limits := make(map[float64]int)
+	for _, tolerance := range []float64{PlainTolerance, EngineTolerance} {
+		a := NewAdaptive(tolerance)
+		a.Observe(Window{Finished: 100, Latency: 100 * 10 * time.Millisecond, Peak: 1})
+		for range 100 {
+			latency := 10*time.Millisecond + time.Duration(a.Limit())*time.Millisecond
+			a.Observe(Window{Finished: 100, Latency: 100 * latency, Peak: a.Limit()})
+		}
+		limits[tolerance] = a.Limit()
+	}
+	must.Greater(t, limits[PlainTolerance]*3/2, limits[EngineTolerance])
+}
+
 func TestAdaptive_GrowsOnlyInUse(t *testing.T) {
-	idle := NewAdaptive()
+	idle := NewAdaptive(PlainTolerance)
 	idle.Observe(Window{Finished: 10, Latency: 10 * time.Millisecond, Peak: 3})
 	must.Eq(t, InitialLimit, idle.Limit())
 	idle.Observe(Window{Refused: 1})
--- a/daemon/services/balance/table.go
+++ b/daemon/services/balance/table.go
@@ -114,7 +114,7 @@
 		r = s.control.records[server.Name]
 	}
 	if r == nil {
-		r = &record{place: &place{name: server.Name}, adaptive: limit.NewAdaptive()}
+		r = &record{place: &place{name: server.Name}, adaptive: limit.NewAdaptive(toleranceOf(server.Kind))}
 		r.place.limit.Store(limit.InitialLimit)
 		s.control.records[server.Name] = r
 	}
@@ -122,6 +122,13 @@
 	return r
 }
 
+func toleranceOf(kind structs.BackendKind) float64 {
+	if kind == structs.KindEngine {
+		return limit.EngineTolerance
+	}
+	return limit.PlainTolerance
+}
+
 // routed returns a service's servers as the router sees them.
 func (s *service) routed(sr *serviceRecord, now time.Time) []route.Server {
 	routed := make([]route.Server, len(sr.servers))
