Forget answered requests in the book of crashes

Ruled out: a timer, since the count says when it is worth a look.

Conclusion: from 1,024 on the old ones go with the next answer; shown by TestBook_Forgets.

--- a/coord/quarantine/book.go
+++ b/coord/quarantine/book.go
@@ -65,6 +65,9 @@
 	keepConvicted   = 24 * time.Hour
 	// maxSuspects bounds the suspects of a crash that are remembered.
 	maxSuspects = 256
+	// sweepAnswered is the count of answered requests from which old ones are
+	// looked for.
+	sweepAnswered = 1024
 )
 
 // Book holds the crashes, suspects and quarantined fingerprints. It is not
@@ -215,6 +218,9 @@
 // Answered clears a request that a server answered in full, and reports
 // whether it was suspect or quarantined.
 func (b *Book) Answered(now time.Time, f Fingerprint) bool {
+	if len(b.answered) >= sweepAnswered {
+		b.Expire(now)
+	}
 	b.answered[f] = now
 	_, cleared := b.quarantined[f]
 	b.release(f)
--- a/coord/quarantine/quarantine_test.go
+++ b/coord/quarantine/quarantine_test.go
@@ -91,6 +91,11 @@
 
 func TestBook_Forgets(t *testing.T) {
 	b := NewBook()
+	for i := range 5 * sweepAnswered {
+		b.Answered(at(i), Fingerprint(1000+i))
+	}
+	must.LessEq(t, sweepAnswered, len(b.answered))
+	b = NewBook()
 	b.Crashed(at(0), crash("a", 0, poison))
 	b.Quarantine(at(0), other)
 	late := at(0).Add(KeepQuarantined + time.Second)
