--- a/coord/quarantine/book.go
+++ b/coord/quarantine/book.go
@@ -9,7 +9,6 @@
 package quarantine
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -65,6 +64,9 @@
 	keepConvicted   = 24 * time.Hour
 	// maxSuspects bounds the suspects of a crash that are remembered.
 	maxSuspects = 256
+	// sweepAnswered is the count of answered requests from which old ones are
+	// looked for.
+	sweepAnswered = 1024
 )
 
 // Book holds the crashes, suspects and quarantined fingerprints. It is not
@@ -215,6 +217,9 @@
 // Answered clears a request that a server answered in full, and reports
 // whether it was suspect or quarantined.
 func (b *Book) Answered(now time.Time, f Fingerprint) bool {
+	if len(b.answered) >= sweepAnswered {
+		b.Expire(now)
+	}
 	b.answered[f] = now
 	_, cleared := b.quarantined[f]
 	b.release(f)
@@ -261,36 +266,3 @@
 		}
 	}
 }
-
-// View is an immutable copy for traffic.
-type View struct {
-	Suspects    map[Fingerprint]bool
-	Quarantined map[Fingerprint]bool
-}
-
-// View returns the fingerprints that are suspect and quarantined now.
-func (b *Book) View() View {
-	view := View{Suspects: make(map[Fingerprint]bool), Quarantined: make(map[Fingerprint]bool)}
-	for f := range b.quarantined {
-		view.Quarantined[f] = true
-	}
-	for _, crash := range b.crashes {
-		if b.isExplained(crash) {
-			continue
-		}
-		for _, f := range crash.Suspects {
-			view.Suspects[f] = true
-		}
-	}
-	return view
-}
-
-// Quarantined lists the quarantined fingerprints in order.
-func (b *Book) Quarantined() []Fingerprint {
-	list := make([]Fingerprint, 0, len(b.quarantined))
-	for f := range b.quarantined {
-		list = append(list, f)
-	}
-	slices.SortFunc(list, cmp.Compare[Fingerprint])
-	return list
-}
