--- a/daemon/services/plain/crash_test.go
+++ b/daemon/services/plain/crash_test.go
@@ -20,6 +20,7 @@
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/metrics"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/peers"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/rpcserver"
+	_ "github.com/flamingobeam/flamingobeam/daemon/services/trust"
 	"github.com/flamingobeam/flamingobeam/kernel"
 	"github.com/flamingobeam/flamingobeam/platform"
 	"github.com/flamingobeam/flamingobeam/platform/httpclient"
@@ -82,7 +83,7 @@
 	}
 	view := &contract.HostView{Known: true, Services: map[structs.ServiceName][]structs.BackendServer{"portal": servers}}
 	registry := kernel.NewRegistry()
-	for _, name := range []kernel.Name{contract.NameBalance, contract.NameRetries, contract.NameMetrics, contract.NamePeers, contract.NameRPC} {
+	for _, name := range []kernel.Name{contract.NameBalance, contract.NameRetries, contract.NameMetrics, contract.NamePeers, contract.NameRPC, contract.NameTrust} {
 		registry.Register(name, func() kernel.Service {
 			made, err := kernel.DefaultRegistry().New(name)
 			must.NoError(t, err)
