Sort a group's rates a few times a second instead of at each chunk

Each chunk sorted the rates of all streams for each stream.

Ruled out: a check at fixed times, since no thread may poll.

--- /dev/null
+++ b/coord/group/bench_test.go
@@ -0,0 +1,32 @@
+package group
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/flamingobeam/flamingobeam/coord/structs"
+)
+
+// BenchmarkChunk is what a chunk costs the goroutine of a group whose streams
+// all run.
+func BenchmarkChunk(b *testing.B) {
+	for _, size := range []int{8, 64, 1024} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			g := New(limits(size), Freshness{})
+			g.Begin()
+			g.Placed(start, 1, "h")
+			g.Chunk(start, 1, piece("x", 1, false))
+			for i := 2; i <= size; i++ {
+				g.Placed(start, AttemptID(i), structs.HostName("h"))
+			}
+			now, i := start, 0
+			for b.Loop() {
+				i++
+				now = now.Add(10 * time.Microsecond)
+				g.Chunk(now, AttemptID(i%size+1), piece("hello ", 1, false))
+				g.NextCheck()
+			}
+		})
+	}
+}
--- a/coord/group/group.go
+++ b/coord/group/group.go
@@ -24,8 +24,11 @@
 	// broken are the servers on which streams broke.
 	broken map[structs.HostName]bool
 	// rates are the token rates of the whole samples, a second.
-	rates  []float64
-	failed result.Code
+	rates []float64
+	// floor is the rate below which a stream is slow, as of floorAt.
+	floor   float64
+	floorAt time.Time
+	failed  result.Code
 }
 
 // sample is one place of the group.
@@ -118,6 +121,7 @@
 		g.prime(&effects)
 	}
 	g.settleHedge(&effects, at, chunk.Last)
+	g.refreshFloor(now)
 	return effects
 }
 
--- a/coord/group/straggler.go
+++ b/coord/group/straggler.go
@@ -11,9 +11,9 @@
 // false when it need not be.
 func (g *Group) NextCheck() (time.Time, bool) {
 	var next time.Time
-	found, floor := false, g.rateFloor()
+	found := false
 	for _, at := range g.attempts {
-		due, ok := g.checkAt(at, floor)
+		due, ok := g.checkAt(at)
 		if ok && (!found || due.Before(next)) {
 			next, found = due, true
 		}
@@ -24,7 +24,7 @@
 // Check resumes the samples of silent streams elsewhere and hedges slow ones.
 func (g *Group) Check(now time.Time) Effects {
 	var effects Effects
-	floor := g.rateFloor()
+	g.setFloor(now)
 	ids := make([]AttemptID, 0, len(g.attempts))
 	for id := range g.attempts {
 		ids = append(ids, id)
@@ -40,7 +40,7 @@
 			g.broke(&effects, now, at, result.AnswerCut)
 			continue
 		}
-		if slowAt, ok := g.slowAt(at, floor); ok && !now.Before(slowAt) {
+		if slowAt, ok := g.slowAt(at); ok && !now.Before(slowAt) {
 			g.hedge(&effects, now, at)
 		}
 	}
@@ -48,12 +48,12 @@
 }
 
 // checkAt is when a stream counts as silent or slow, whichever comes first.
-func (g *Group) checkAt(at *attempt, floor float64) (time.Time, bool) {
+func (g *Group) checkAt(at *attempt) (time.Time, bool) {
 	if !at.placed {
 		return time.Time{}, false
 	}
 	due := g.silentAt(at)
-	if slowAt, ok := g.slowAt(at, floor); ok && slowAt.Before(due) {
+	if slowAt, ok := g.slowAt(at); ok && slowAt.Before(due) {
 		due = slowAt
 	}
 	return due, true
@@ -68,16 +68,29 @@
 
 // slowAt is when a stream without another token has fallen below the lowest
 // rate wanted. It is false while the stream may not be hedged.
-func (g *Group) slowAt(at *attempt, floor float64) (time.Time, bool) {
+func (g *Group) slowAt(at *attempt) (time.Time, bool) {
 	alone := len(g.samples[at.sample].live) == 1
-	if floor <= 0 || !alone || g.counts.Hedged >= g.limits.Hedges {
+	if g.floor <= 0 || !alone || g.counts.Hedged >= g.limits.Hedges {
 		return time.Time{}, false
 	}
 	made := float64(at.answer.tokens - at.carried + 1)
-	span := time.Duration(made / floor * float64(time.Second))
+	span := time.Duration(made / g.floor * float64(time.Second))
 	return at.begun.Add(max(span, g.limits.Silence)), true
 }
 
+// floorShare divides Silence into the time for which a rate floor holds.
+const floorShare = 8
+
+// refreshFloor computes the rate floor anew once the last one is old, because
+// to sort the rates at each chunk would cost large groups much.
+func (g *Group) refreshFloor(now time.Time) {
+	if now.Sub(g.floorAt) >= g.limits.Silence/floorShare {
+		g.setFloor(now)
+	}
+}
+
+func (g *Group) setFloor(now time.Time) { g.floor, g.floorAt = g.rateFloor(), now }
+
 // rateFloor is the token rate, a second, below which a stream is slow. It is
 // zero until the rates of half of the samples are known, from whole samples
 // and from streams that have run for a while.
