Keep a made group when the steps refuse it for a while

A group that engines had worked on for minutes was lost when the steps' owner could not be reached at that moment, and the caller was told 'not run'. A refusal that was certainly not run is tried again up to the due time; one that stays becomes 4006. An unknown outcome is passed on and never tried again, since the samples may have been taken.

--- a/daemon/services/rollout/harness_test.go
+++ b/daemon/services/rollout/harness_test.go
@@ -59,6 +59,8 @@
 	counts map[string]int64
 	added  []structs.Sample
 	bad    int
+	// refusals are what the steps answer before they take samples.
+	refusals []result.Code
 }
 
 func newBench(t *testing.T, engines int, limits group.Limits) *bench {
@@ -200,6 +202,11 @@
 func (b *bench) Add(_ context.Context, samples []structs.Sample) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if len(b.refusals) > 0 {
+		code := b.refusals[0]
+		b.refusals = b.refusals[1:]
+		return result.New(code, "")
+	}
 	b.added = append(b.added, samples...)
 	return nil
 }
--- a/daemon/services/rollout/rollout.go
+++ b/daemon/services/rollout/rollout.go
@@ -147,7 +147,7 @@
 	defer cancel()
 	samples, err := s.run(ctx, request, parameters, size, judged, due)
 	if err == nil && judged && s.steps != nil {
-		err = s.steps.Add(ctx, samples)
+		err = s.deliver(ctx, samples)
 	}
 	s.metrics.Served(request.Workspace, request.Class, err == nil && !s.clock.Now().After(due))
 	if err != nil {
@@ -156,6 +156,32 @@
 	return samples, nil
 }
 
+// deliver hands a group to the steps. An attempt that was certainly not run is
+// made again up to the due time, because the samples have been made.
+func (s *service) deliver(ctx context.Context, samples []structs.Sample) error {
+	delay := s.limits.Backoff
+	for {
+		err := s.steps.Add(ctx, samples)
+		if err == nil || result.OutcomeOf(err) != result.NotRun {
+			return err
+		}
+		if !mayPass(result.CodeOf(err)) || !s.pause(ctx, delay) {
+			return result.New(result.GroupUnfinished, "the steps took no sample: %v", err)
+		}
+		delay = min(2*delay, s.limits.MaxBackoff)
+	}
+}
+
+// mayPass reports whether a refusal by the steps may be over soon.
+func mayPass(code result.Code) bool {
+	switch code {
+	case result.Overloaded, result.SettingsInDoubt, result.NoGrant, result.StoreUnavailable, result.PeerUnreachable:
+		return true
+	default:
+		return false
+	}
+}
+
 // freshness is what may still become part of a sample of a workspace. A Draft
 // goes to no trainer, so that it has no bound.
 func (s *service) freshness(parameters settings.Resolved, judged bool) group.Freshness {
--- a/daemon/services/rollout/rollout_test.go
+++ b/daemon/services/rollout/rollout_test.go
@@ -178,6 +178,27 @@
 	must.SliceEmpty(t, b.added)
 }
 
+func TestRollout_StepsThatRefuseForAWhileGetTheGroupOnce(t *testing.T) {
+	b := newBench(t, 1, defaultLimits)
+	b.refusals = []result.Code{result.PeerUnreachable, result.StoreUnavailable}
+	reply, err := b.rollout.Rollout(t.Context(), request(structs.ClassRollout))
+	must.NoError(t, err)
+	b.checkSamples(reply.Samples)
+}
+
+func TestRollout_StepsThatMayHaveTakenTheGroupAreNotAskedAgain(t *testing.T) {
+	for code, want := range map[result.Code]result.Code{
+		result.OutcomeUnknown:   result.OutcomeUnknown,
+		result.UnknownWorkspace: result.GroupUnfinished,
+	} {
+		b := newBench(t, 1, defaultLimits)
+		b.refusals = []result.Code{code}
+		_, err := b.rollout.Rollout(t.Context(), request(structs.ClassRollout))
+		must.Eq(t, want, result.CodeOf(err))
+		must.SliceEmpty(t, b.added)
+	}
+}
+
 func TestDraft_GoesOnFromAStalePrefix(t *testing.T) {
 	b := newBench(t, 2, defaultLimits)
 	b.newest = 9
--- a/emulate/engine/engine_test.go
+++ b/emulate/engine/engine_test.go
@@ -171,6 +171,14 @@
 	err := backend.Generate(t.Context(), address, generation("claim"), ignore)
 	must.Eq(t, result.BackendRefused, result.CodeOf(err))
 
+	empty := generation("claim")
+	empty.MaxTokens = 0
+	err = backend.Generate(t.Context(), address, empty, ignore)
+	must.Eq(t, result.BackendRefused, result.CodeOf(err))
+	e.SetFaults(Faults{})
+	err = backend.Generate(t.Context(), address, empty, ignore)
+	must.Eq(t, result.BackendBroke, result.CodeOf(err))
+
 	e.SetFaults(Faults{StallAfter: 3, CrashMarker: "poison"})
 	err = backend.Generate(t.Context(), address, generation("claim"), func(platform.Chunk) error {
 		go func() { _ = backend.Generate(context.Background(), address, generation("a poison pill"), ignore) }()
