--- a/daemon/services/plain/crash_test.go
+++ b/daemon/services/plain/crash_test.go
@@ -103,7 +103,7 @@
 		Registry: registry,
 		Services: []kernel.Name{contract.NamePlain},
 		Log:      log,
-		Config:   config.Daemon{Host: "entry-1", Listen: config.Listen{Peers: "127.0.0.1:0"}},
+		Config:   config.Daemon{Host: "entry-1", Listen: config.Listen{Callers: "127.0.0.1:0", Peers: "127.0.0.1:0"}},
 	})
 	must.NoError(t, k.Start(t.Context()))
 	t.Cleanup(func() { must.NoError(t, k.Stop(context.Background())) })
