Decide only the round that was planned for, and let restarted hosts rejoin

The plan now replaces the one before it, and checks its round and the acknowledgements when it fires. - A zone whose roster lost half of its members to restarts within 2T could never settle again: the ended incarnations stayed strangers for good. A host that asks under a newer start number now counts its older incarnations as gone over to the term. - A member that had just joined was taken off the roster as silent at once. Found by reading on the way: a role taken late, after this daemon had followed a later collector, is now given up instead of begun. Ruled out: a read by a daemon that was killed meanwhile; the reader drops it.

--- a/coord/zone/collector.go
+++ b/coord/zone/collector.go
@@ -35,7 +35,9 @@
 	since     Instant
 	confirmed Instant
 	granted   Instant
-	staged    change.Round
+	// heard is when the member last asked, or joined.
+	heard  Instant
+	staged change.Round
 }
 
 // News is the newest that a collector knows of the settings.
@@ -106,10 +108,12 @@
 	if c.learned {
 		reply.Round, reply.Undecided, reply.Revision = c.news.Round, c.news.Undecided, c.news.Revision
 	}
+	c.bury(now, ask.Member)
 	if ask.Term > c.term || !c.known(ask.Member) {
 		return reply
 	}
 	member := c.standing(ask.Member)
+	member.heard = now
 	member.staged = max(member.staged, ask.Staged)
 	if ask.Term < c.term {
 		return reply
@@ -122,6 +126,19 @@
 	return reply
 }
 
+// bury notes that the older incarnations of a member's host have ended. They
+// follow nobody any more, as if they had gone over to this term now.
+func (c *Collector) bury(now Instant, member structs.Incarnation) {
+	for _, other := range c.roster {
+		if other.Host != member.Host || other.Start >= member.Start {
+			continue
+		}
+		if known := c.standing(other); !known.followed {
+			known.followed, known.since = true, now
+		}
+	}
+}
+
 // confirm records that a member follows this term.
 func (c *Collector) confirm(member *standing, now Instant, ask Ask) {
 	if !member.followed {
@@ -225,7 +242,12 @@
 }
 
 // Resolve ends a proposal: the roster is the one now in the store.
-func (c *Collector) Resolve(roster Roster) {
+func (c *Collector) Resolve(now Instant, roster Roster) {
+	for _, member := range roster {
+		if !c.roster.Has(member) {
+			c.standing(member).heard = now
+		}
+	}
 	c.proposed = nil
 	c.roster = roster
 	for member := range c.members {
@@ -244,7 +266,7 @@
 		if member == c.self {
 			continue
 		}
-		if known == nil || now > known.granted+span {
+		if known == nil || now > max(known.heard, known.granted)+span {
 			silent = append(silent, member)
 		}
 	}
--- a/coord/zone/doc.go
+++ b/coord/zone/doc.go
@@ -24,6 +24,8 @@
 //     then the others must have followed for more than 2T: by then a former
 //     collector that is cut off from the store has lost its majority, and its
 //     last grant has run out.
+//   - A host that runs again has ended its older incarnations: they count as
+//     having followed the collector since it heard of the newer one.
 //   - The roster is changed only by a collector whose store lease is live and
 //     that meets the last condition. While a roster write is undecided the
 //     collector needs a majority of both rosters.
--- a/coord/zone/machine_test.go
+++ b/coord/zone/machine_test.go
@@ -407,7 +407,7 @@
 		return
 	}
 	d.rosterAt, d.proposal = m.store.rosterAt, nil
-	d.decide.Resolve(m.store.roster)
+	d.decide.Resolve(m.local(d), m.store.roster)
 }
 
 // land is the compare-and-swap of the roster.
--- a/daemon/services/settings/lead.go
+++ b/daemon/services/settings/lead.go
@@ -227,7 +227,8 @@
 	}
 	missing := ld.head.Missing(s.document, ld.acknowledgements())
 	if len(missing) == 0 {
-		s.decideAfter(s.turnDelay(), func() { s.writeHead("activate", ld.head.Activate()) })
+		round := ld.head.Round
+		s.decideAfter(s.turnDelay(), func() { s.activate(round) })
 		return
 	}
 	left := ld.stagedSeen.Add(time.Duration(s.config.Lease.Decide)).Sub(s.clock.Now())
@@ -235,14 +236,37 @@
 		s.decideAfter(left, s.decide)
 		return
 	}
-	s.decideAfter(s.turnDelay(), func() {
-		s.log.Warnf("Round %d is withdrawn: no acknowledgement from %v.", ld.head.Round, missing)
-		s.writeHead("withdraw", ld.head.Withdraw(missing))
-	})
+	round := ld.head.Round
+	s.decideAfter(s.turnDelay(), func() { s.withdraw(round) })
+}
+
+// activate puts a round in force. The head may have moved on to a later round
+// since the decision was planned, and that one is not acknowledged.
+func (s *service) activate(round change.Round) {
+	head := s.lead.head
+	if head.Undecided() != round || len(head.Missing(s.document, s.lead.acknowledgements())) > 0 {
+		return
+	}
+	s.writeHead("activate", head.Activate())
 }
 
+// withdraw ends a round whose time is up.
+func (s *service) withdraw(round change.Round) {
+	head := s.lead.head
+	missing := head.Missing(s.document, s.lead.acknowledgements())
+	if head.Undecided() != round || len(missing) == 0 {
+		return
+	}
+	s.log.Warnf("Round %d is withdrawn: no acknowledgement from %v.", round, missing)
+	s.writeHead("withdraw", head.Withdraw(missing))
+}
+
+// decideAfter plans a step towards a decision in place of the one planned
+// before.
 func (s *service) decideAfter(delay time.Duration, act func()) {
 	ld := s.lead
+	s.loop.Cancel(ld.timer)
+	ld.timer = nil
 	if delay <= 0 {
 		act()
 		return
--- a/daemon/services/zone/collect.go
+++ b/daemon/services/zone/collect.go
@@ -78,6 +78,11 @@
 
 // begin takes up the role on the control goroutine.
 func (s *service) begin(role *taken) {
+	if role.record.term <= s.follower.Term() {
+		// This daemon counts as a follower of a later collector.
+		s.loop.After(jitter(retryDelay), s.find)
+		return
+	}
 	s.known = role.record
 	s.collects = &collects{
 		decide:   zone.NewCollector(s.self, role.record.term, s.span, role.roster),
--- a/daemon/services/zone/roster.go
+++ b/daemon/services/zone/roster.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 
 	"github.com/pkg/errors"
 
@@ -48,15 +49,20 @@
 	cs, now := s.collects, s.now()
 	next := cs.decide.Roster()
 	for _, member := range cs.joining {
-		next = next.With(member)
+		if !next.Has(member) {
+			next = next.With(member)
+		}
 	}
 	for _, member := range cs.decide.Silent(now, silentSpans*s.span) {
 		if now > cs.began+silentSpans*s.span {
 			next = next.Without(member)
 		}
 	}
-	changed := len(cs.joining) > 0 || len(next) != len(cs.decide.Roster())
-	if !changed || !cs.decide.Propose(now, next) {
+	if slices.Equal(next, cs.decide.Roster()) {
+		cs.joining = nil
+		return
+	}
+	if !cs.decide.Propose(now, next) {
 		return
 	}
 	cs.joining = nil
@@ -97,7 +103,7 @@
 
 func (s *service) adoptRoster(write rosterWrite) {
 	s.collects.rosterAt = write.revision
-	s.collects.decide.Resolve(write.roster)
+	s.collects.decide.Resolve(s.now(), write.roster)
 	s.publish()
 	s.releaseAll()
 	s.tend()
--- a/histories/cluster_test.go
+++ b/histories/cluster_test.go
@@ -4,6 +4,9 @@
 	"context"
 	"fmt"
 	"io"
+	"net/rpc"
+	"os"
+	"path/filepath"
 	"sync"
 	"testing"
 	"time"
@@ -11,8 +14,6 @@
 	"github.com/shoenig/test/must"
 	"github.com/sirupsen/logrus"
 
-	"net/rpc"
-
 	"github.com/flamingobeam/flamingobeam/coord/settings"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/daemon/config"
@@ -51,6 +52,18 @@
 	hosts   []structs.HostName
 	zones   map[structs.HostName]structs.ZoneName
 	lease   config.Lease
+	// log receives the daemons' logs when it is set.
+	log io.Writer
+}
+
+// hostHook adds the host to each line of a log.
+type hostHook structs.HostName
+
+func (h hostHook) Levels() []logrus.Level { return logrus.AllLevels }
+
+func (h hostHook) Fire(entry *logrus.Entry) error {
+	entry.Data["host"] = string(h)
+	return nil
 }
 
 func defaultLease() config.Lease {
@@ -59,6 +72,16 @@
 	}
 }
 
+// logs opens the file that a failing history's logs go to, or none.
+func logs(t *testing.T) io.Writer {
+	if *logFolder == "" {
+		return nil
+	}
+	file, err := os.Create(filepath.Join(*logFolder, filepath.Base(t.Name())+".log"))
+	must.NoError(t, err)
+	return file
+}
+
 // newCluster starts the daemons of zones with the given counts and writes the
 // first document.
 func newCluster(t *testing.T, seed uint64, lease config.Lease, sizes ...int) *cluster {
@@ -68,6 +91,7 @@
 		daemons: make(map[structs.HostName]*daemon),
 		zones:   make(map[structs.HostName]structs.ZoneName),
 		lease:   lease,
+		log:     logs(t),
 	}
 	document := &settings.Document{
 		Templates:  []settings.Template{{Name: "scoring"}},
@@ -96,6 +120,12 @@
 	daemonConfig.Listen.Peers = string(host)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
+	if c.log != nil {
+		log.SetOutput(c.log)
+		log.SetLevel(logrus.DebugLevel)
+		log.SetFormatter(&logrus.TextFormatter{DisableColors: true, TimestampFormat: "05.000"})
+		log.AddHook(hostHook(host))
+	}
 	d := &daemon{host: host, zone: c.zones[host], probe: &probe{}}
 	d.kernel = kernel.New(kernel.Options{
 		Registry: c.registry(daemonConfig, d.probe), Services: []kernel.Name{nameProbe}, Config: daemonConfig, Log: log,
--- a/histories/network_test.go
+++ b/histories/network_test.go
@@ -149,7 +149,9 @@
 	server  *rpc.Server
 }
 
-func (l *link) Register(name string, receiver any) error { return l.server.RegisterName(name, receiver) }
+func (l *link) Register(name string, receiver any) error {
+	return l.server.RegisterName(name, receiver)
+}
 
 func (l *link) Start() error {
 	l.network.mu.Lock()
--- a/histories/settings_test.go
+++ b/histories/settings_test.go
@@ -35,6 +35,7 @@
 var (
 	firstSeed = flag.Uint64("histories.seed", 1, "first seed of the histories")
 	seedCount = flag.Uint64("histories.count", 3, "count of seeds")
+	logFolder = flag.String("histories.logs", "", "folder for the daemons' logs")
 	faultSpan = flag.Duration("histories.span", 6*time.Second, "time with faults in each history")
 )
 
@@ -111,6 +112,9 @@
 		call := r.now()
 		resolved, err := d.settings.Acquire(ctx, workspace)
 		cancel()
+		if r.get(host) != d {
+			continue // a killed daemon answers nobody
+		}
 		if err != nil {
 			r.refused.Add(1)
 			continue
@@ -216,6 +220,7 @@
 	defer cancel()
 	r := &run{cluster: newCluster(t, seed, defaultLease(), 3, 2, 2), ctx: ctx}
 	r.begun = time.Now()
+	t.Logf("begun at %s", r.begun.Format("05.000"))
 	r.network.store.SetFaults(store.Faults{LoseAnswers: loseAnswers})
 	var group sync.WaitGroup
 	for i, host := range r.hosts {
@@ -237,5 +242,45 @@
 	group.Wait()
 	t.Logf("%d operations, %d accepted, %d unknown, %d reads refused", len(r.operations), r.accepted.Load(), r.unknown.Load(), r.refused.Load())
 	must.Greater(t, before, r.accepted.Load(), must.Sprint("no change was accepted after the faults"))
-	must.Eq(t, porcupine.Ok, porcupine.CheckOperationsTimeout(register, r.operations, checkWait))
+	verdict := porcupine.CheckOperationsTimeout(register, r.operations, checkWait)
+	if verdict != porcupine.Ok {
+		r.logReverts(t)
+	}
+	must.Eq(t, porcupine.Ok, verdict)
+}
+
+// logReverts prints the reads of a value that no accepted change wrote, and
+// those that began after a later write of the same workspace had ended.
+func (r *run) logReverts(t *testing.T) {
+	writes := make(map[int]porcupine.Operation)
+	for _, operation := range r.operations {
+		if in := operation.Input.(access); in.write {
+			writes[in.value] = operation
+		}
+	}
+	for _, read := range r.operations {
+		if read.Input.(access).write || read.Output == defaultSamples {
+			continue
+		}
+		wrote, known := writes[read.Output.(int)]
+		if !known {
+			t.Logf("%+v: the change was refused", read)
+			continue
+		}
+		for _, between := range r.operations {
+			if between.Input.(access) == read.Input.(access) && between.Output != read.Output && between.Return < read.Call {
+				for _, first := range r.operations {
+					if first.Input.(access) == read.Input.(access) && first.Output == read.Output && first.Return < between.Call {
+						t.Logf("%+v and %+v: between them %+v; written by %+v", first, read, between, wrote)
+						break
+					}
+				}
+			}
+		}
+		for _, later := range writes {
+			if later.Input.(access).workspace == read.Input.(access).workspace && wrote.Return < later.Call && later.Return < read.Call {
+				t.Logf("%+v: written by %+v, overwritten by %+v", read, wrote, later)
+			}
+		}
+	}
 }
