Measure the time to a change's decision, and shorten the default leases

With leases of 3 s and 8 s to decide, a change was withdrawn whenever a collector failed: a successor needs the old lease to lapse and then more than 2T, 9 s in all. Weighed: deciding after 12 s, which keeps a cut zone in doubt for longer, against leases of 2 s, which cost half as many asks and renewals again (an ask of a follower every 0.7 s, a renewal of a zone every 0.7 s). Taken: 2 s and 2 s, with 10 s to decide.

--- a/daemon/config/config.go
+++ b/daemon/config/config.go
@@ -61,7 +61,8 @@
 	// Grant is the time T for which a follower takes its settings for the
 	// newest.
 	Grant settings.Duration `yaml:"grant" validate:"min=100000000,max=600000000000"`
-	// Decide is how long a staged change may wait for acknowledgements.
+	// Decide is how long a staged change may wait for acknowledgements. Where a
+	// collector fails it takes a zone about Store and two Grant to do so.
 	Decide settings.Duration `yaml:"decide" validate:"min=100000000,max=600000000000"`
 }
 
@@ -71,9 +72,9 @@
 		Log:    Log{Level: "info", Format: "text"},
 		Limits: Limits{MaxBody: 1 << 20, StopWithin: settings.Duration(30 * time.Second)},
 		Lease: Lease{
-			Store:  settings.Duration(3 * time.Second),
-			Grant:  settings.Duration(3 * time.Second),
-			Decide: settings.Duration(8 * time.Second),
+			Store:  settings.Duration(2 * time.Second),
+			Grant:  settings.Duration(2 * time.Second),
+			Decide: settings.Duration(10 * time.Second),
 		},
 	}
 }
