Refuse intents early when the owner of a bucket is cut from the store

Cause: an owner that could not write held submissions until their due time, although the daemon that forwarded them might reach the store.

After half a second of failed writes the owner refuses what waits for its intent, none of which was sent, and keeps the outcomes it has for when the store answers.

Ruled out: dropping the bucket, which would make the outcomes in memory unknown in every outage of the store.

--- a/daemon/services/journal/committer.go
+++ b/daemon/services/journal/committer.go
@@ -14,8 +14,15 @@
 	"github.com/flamingobeam/flamingobeam/platform"
 )
 
-// retryDelay is the pause after a write that the store did not take.
-const retryDelay = 100 * time.Millisecond
+const (
+	// retryDelay is the pause after a write that the store did not take.
+	retryDelay = 100 * time.Millisecond
+	// giveUpAfter is how long writes may fail before intents are refused.
+	giveUpAfter = 500 * time.Millisecond
+)
+
+// errCut means that the owner of a bucket cannot reach the store.
+var errCut = errors.New("journal: the owner of the bucket cannot reach the store")
 
 // committer commits the records of one bucket that this daemon owns. Its
 // ledger belongs to the goroutine of loop.
@@ -40,56 +47,16 @@
 	pacer    *journal.Pacer
 	flight   *journal.Proposal
 	writing  bool
-	// retryAt is when a write that failed may be repeated.
+	// retryAt is when a write that failed may be repeated, and failedAt when
+	// the first one in a row failed.
 	retryAt  time.Time
+	failedAt time.Time
+	// cut is set while intents are refused because writes fail.
+	cut      bool
 	draining bool
 	writers  conc.WaitGroup
 }
 
-// run is a submission that is being run.
-type run struct {
-	key       journal.Key
-	operation uint64
-	// committed is closed once the intent is in the store.
-	committed chan struct{}
-	// finished is closed once reply and err are set.
-	finished chan struct{}
-	reply    contract.SubmitReply
-	err      error
-}
-
-// admission asks for a verdict on a request.
-type admission struct {
-	request journal.Request
-	// lookOnly asks only whether the key is known.
-	lookOnly bool
-	reply    chan admitted
-}
-
-// admitted is the reply to an admission.
-type admitted struct {
-	verdict journal.Verdict
-	record  journal.Record
-	// run is set for Run and Running.
-	run *run
-	// draining means that the bucket takes no new requests because it is
-	// being handed back.
-	draining bool
-}
-
-// outcome is what became of a run.
-type outcome struct {
-	run    *run
-	state  journal.State
-	answer *journal.Answer
-}
-
-// written is the result of a write.
-type written struct {
-	revision platform.Revision
-	err      error
-}
-
 // newCommitter returns the committer of a bucket that was just claimed.
 func newCommitter(s *service, claimed *claim) *committer {
 	return &committer{
@@ -141,8 +108,8 @@
 		a.reply <- admitted{verdict: verdict, record: record, run: c.runs[a.request.Key]}
 		return
 	}
-	if c.draining {
-		a.reply <- admitted{draining: true}
+	if c.draining || c.cut {
+		a.reply <- admitted{draining: c.draining, cut: c.cut}
 		return
 	}
 	verdict, record := c.ledger.Admit(c.clock.Now(), a.request)
@@ -152,6 +119,7 @@
 			key:       record.Key,
 			operation: record.Operation,
 			committed: make(chan struct{}),
+			refused:   make(chan struct{}),
 			finished:  make(chan struct{}),
 		}
 		c.runs[record.Key] = reply.run
@@ -218,6 +186,7 @@
 	switch {
 	case w.err == nil:
 		c.revision = w.revision
+		c.failedAt, c.cut = time.Time{}, false
 		c.commit()
 		return c.ledger.Released()
 	case errors.Is(w.err, errLost), errors.Is(w.err, platform.ErrTooLarge):
@@ -227,11 +196,32 @@
 	default:
 		c.log.WithError(w.err).Debugf("A batch of bucket %d was not written.", c.bucket)
 		c.metrics.Count("journal.retries", 1)
-		c.retryAt = c.clock.Now().Add(retryDelay)
+		c.onFailed(c.clock.Now())
 		return false
 	}
 }
 
+// onFailed sets the time of the next try. When writes have failed for long,
+// the intents that wait are refused: nothing of them was sent, and another
+// daemon may reach the store. The outcomes are kept for when it answers.
+func (c *committer) onFailed(now time.Time) {
+	c.retryAt = now.Add(retryDelay)
+	if c.failedAt.IsZero() {
+		c.failedAt = now
+	}
+	if now.Sub(c.failedAt) < giveUpAfter {
+		return
+	}
+	c.cut = true
+	for key, waiting := range c.runs {
+		if !waiting.started {
+			c.ledger.Finish(key, waiting.operation, journal.StateNotRun, nil)
+			delete(c.runs, key)
+			close(waiting.refused)
+		}
+	}
+}
+
 // commit lets the runs go on whose intents the last write holds.
 func (c *committer) commit() {
 	c.flight = nil
@@ -241,48 +231,8 @@
 	for _, record := range batch {
 		started := c.runs[record.Key]
 		if record.State == journal.StateIntent && started != nil && started.operation == record.Operation {
+			started.started = true
 			close(started.committed)
 		}
 	}
 }
-
-// ask sends an admission and waits for the verdict. It fails with errLost, or
-// with the error of ctx; no intent was noted then.
-func (c *committer) ask(ctx context.Context, request journal.Request, lookOnly bool) (admitted, error) {
-	a := admission{request: request, lookOnly: lookOnly, reply: make(chan admitted, 1)}
-	select {
-	case c.admissions <- a:
-	case <-c.done:
-		return admitted{}, errLost
-	case <-ctx.Done():
-		return admitted{}, ctx.Err()
-	}
-	select {
-	case got := <-a.reply:
-		if got.draining {
-			return got, c.awaitRelease(ctx)
-		}
-		return got, nil
-	case <-c.done:
-		return admitted{}, errLost
-	}
-}
-
-// awaitRelease waits until the bucket is handed back, so that the request can
-// go to the next owner.
-func (c *committer) awaitRelease(ctx context.Context) error {
-	select {
-	case <-c.done:
-		return errLost
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
-// settle tells the loop what became of a run.
-func (c *committer) settle(r *run, state journal.State, answer *journal.Answer) {
-	select {
-	case c.outcomes <- outcome{run: r, state: state, answer: answer}:
-	case <-c.done:
-	}
-}
--- /dev/null
+++ b/daemon/services/journal/keys_test.go
@@ -0,0 +1,59 @@
+package journal
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/flamingobeam/flamingobeam/coord/journal"
+	"github.com/flamingobeam/flamingobeam/coord/result"
+	"github.com/flamingobeam/flamingobeam/daemon/contract"
+)
+
+func TestFault_FullHeadIsFolded(t *testing.T) {
+	b := newBench(t)
+	first, second := b.start("a"), b.start("b")
+	keys := keysIn(bucketOf("k"), 120)
+	for _, key := range keys {
+		_, err := first.Submit(t.Context(), b.request(key))
+		must.NoError(t, err)
+	}
+	entries, err := b.store.List(t.Context(), strings.TrimSuffix(headKey(bucketOf("k")), "head")+"segments/")
+	must.NoError(t, err)
+	must.Positive(t, len(entries))
+	first.gate.kill()
+	for _, key := range keys {
+		reply, err := second.Submit(t.Context(), b.request(key))
+		if err != nil {
+			// The outcome of the last one may not have been committed.
+			must.Eq(t, result.JournalTakeover, result.CodeOf(err))
+			must.Eq(t, keys[len(keys)-1], key)
+			continue
+		}
+		must.True(t, reply.Repeated)
+	}
+	must.Eq(t, len(keys), len(b.portal.Runs()))
+}
+
+// TestFault_PrunedKeys uses keys after their window: one that bears its time
+// is refused, and the window is the limit of the promise for an opaque one.
+func TestFault_PrunedKeys(t *testing.T) {
+	b := newBench(t)
+	d := b.start("a")
+	old := "01890000-0000-7000-8000-000000000000"
+	_, err := d.Submit(t.Context(), b.request(old))
+	must.Eq(t, result.KeyTooOld, result.CodeOf(err))
+	must.Eq(t, 0, b.runs(old))
+}
+
+func TestFault_LargeAnswerIsNotKept(t *testing.T) {
+	b := newBench(t)
+	d := b.start("a")
+	request := contract.SubmitRequest{Workspace: workspace, Path: testPath, Key: "k", Body: make([]byte, journal.MaxKeptBody+1)}
+	_, err := d.Submit(t.Context(), request)
+	must.NoError(t, err)
+	_, err = d.Submit(t.Context(), request)
+	must.Eq(t, result.AnswerNotKept, result.CodeOf(err))
+	must.Eq(t, 1, b.runs("k"))
+}
--- a/daemon/services/journal/receive.go
+++ b/daemon/services/journal/receive.go
@@ -21,7 +21,8 @@
 		again:         args.Again,
 	}
 	answer, err := r.service.runOwned(ctx, args, request)
-	if errors.Is(err, errLost) {
+	if errors.Is(err, errLost) || errors.Is(err, errCut) {
+		// A caller that reaches the store may take the bucket over.
 		reply.Denied = true
 		return nil
 	}
--- a/daemon/services/journal/run.go
+++ b/daemon/services/journal/run.go
@@ -76,6 +76,9 @@
 	case <-owned.done:
 		r.err = errLost
 		return r.reply, r.err
+	case <-r.refused:
+		r.err = unreached(errCut)
+		return r.reply, r.err
 	case <-ctx.Done():
 		r.err = unreached(ctx.Err())
 		owned.settle(r, journal.StateNotRun, nil)
