--- a/daemon/services/journal/journal_test.go
+++ b/daemon/services/journal/journal_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"github.com/shoenig/test/must"
+	"go.uber.org/goleak"
 
 	"github.com/flamingobeam/flamingobeam/coord/result"
 )
@@ -53,3 +54,19 @@
 		must.Eq(t, 1, b.runs(keyOf(i)))
 	}
 }
+
+func TestStop_LeavesNoGoroutine(t *testing.T) {
+	b := newBench(t)
+	b.plain = instantPlain{}
+	running := goleak.IgnoreCurrent()
+	first, second := b.start("a"), b.start("b")
+	for i := range 20 {
+		for _, d := range []*daemon{first, second} {
+			_, err := d.Submit(t.Context(), b.request(keyOf(i)))
+			must.NoError(t, err)
+		}
+	}
+	first.stop()
+	second.stop()
+	goleak.VerifyNone(t, running)
+}
--- a/daemon/services/journal/run.go
+++ b/daemon/services/journal/run.go
@@ -51,6 +51,9 @@
 	}
 	entry.Window = parameters.KeyWindow
 	entry.Due = parameters.Due[structs.ClassSubmission]
+	// The record may be pruned after the due time, so nothing is sent later.
+	ctx, cancel := context.WithTimeout(ctx, entry.Due)
+	defer cancel()
 	if got, err = owned.ask(ctx, entry, false); err != nil {
 		return contract.SubmitReply{}, unreached(err)
 	}
