Take a bucket over at once when its owner shows no sign of life

Cause: after a failed probe the submission was forwarded to the silent owner a second time. Now the second forward is left out after a failed probe; it stays for a connection that broke.

Ruled out: a shorter probe, which takes a slow owner for a frozen one and makes its requests unknown.

--- a/daemon/services/journal/forward.go
+++ b/daemon/services/journal/forward.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/flamingobeam/flamingobeam/coord/journal"
 	"github.com/flamingobeam/flamingobeam/coord/result"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
@@ -11,6 +13,10 @@
 	"github.com/flamingobeam/flamingobeam/platform"
 )
 
+// errSilent means that an owner showed no sign of life. The submission may have
+// arrived there.
+var errSilent = errors.New("journal: the owner of the bucket shows no sign of life")
+
 // spans are the times that a daemon gives the owner of a bucket.
 type spans struct {
 	// probeAfter is how long an owner may be silent before it is asked for a
@@ -71,10 +77,13 @@
 		case result.OutcomeOf(err) == result.NotRun:
 			return contract.SubmitReply{}, errLost
 		case ctx.Err() != nil:
-			return contract.SubmitReply{}, err
+			return contract.SubmitReply{}, result.Wrap(result.OutcomeUnknown, err)
 		}
-		s.metrics.Count("journal.forwarded_again", 1)
 		request.again = true
+		if errors.Is(err, errSilent) {
+			return contract.SubmitReply{}, errLost
+		}
+		s.metrics.Count("journal.forwarded_again", 1)
 	}
 	return contract.SubmitReply{}, errLost
 }
@@ -93,7 +102,8 @@
 	}, nil
 }
 
-// call makes one call and gives it up when the owner shows no sign of life.
+// call makes one call and gives it up with errSilent when the owner shows no
+// sign of life.
 // The call does not end with its caller, because that would break the
 // connection for the calls of others.
 func (s *service) call(ctx context.Context, owner *place, request *submission, reply *SubmitReply) error {
@@ -121,7 +131,8 @@
 		}
 		if err := s.probe(callCtx, owner, request.journal().Key.Bucket()); err != nil {
 			cancel()
-			return <-done
+			<-done
+			return errSilent
 		}
 	}
 }
