--- a/daemon/services/journal/keys_test.go
+++ b/daemon/services/journal/keys_test.go
@@ -11,7 +11,7 @@
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
 )
 
-func TestFault_FullHeadIsFolded(t *testing.T) {
+func TestSubmit_FoldsAFullHead(t *testing.T) {
 	b := newBench(t)
 	first, second := b.start("a"), b.start("b")
 	keys := keysIn(bucketOf("k"), 120)
@@ -36,9 +36,9 @@
 	must.Eq(t, len(keys), len(b.portal.Runs()))
 }
 
-// TestFault_PrunedKeys uses keys after their window: one that bears its time
-// is refused, and the window is the limit of the promise for an opaque one.
-func TestFault_PrunedKeys(t *testing.T) {
+// TestSubmit_RefusesAnOldKey uses a key that bears a time before the window.
+// That records are pruned is tested in coord/journal.
+func TestSubmit_RefusesAnOldKey(t *testing.T) {
 	b := newBench(t)
 	d := b.start("a")
 	old := "01890000-0000-7000-8000-000000000000"
@@ -47,7 +47,7 @@
 	must.Eq(t, 0, b.runs(old))
 }
 
-func TestFault_LargeAnswerIsNotKept(t *testing.T) {
+func TestSubmit_DoesNotKeepALargeAnswer(t *testing.T) {
 	b := newBench(t)
 	d := b.start("a")
 	request := contract.SubmitRequest{Workspace: workspace, Path: testPath, Key: "k", Body: make([]byte, journal.MaxKeptBody+1)}
