--- a/daemon/services/hosts/hosts.go
+++ b/daemon/services/hosts/hosts.go
@@ -47,9 +47,12 @@
 	signals *kernel.Latest[structs.HostName, contract.Signal]
 
 	// The fields below belong to the control goroutine.
-	fleet    *fleet.Fleet
-	reads    bool
-	asking   bool
+	fleet  *fleet.Fleet
+	reads  bool
+	asking bool
+	// encoded holds the differences to the newest version that were handed
+	// out, by the version that they start from.
+	encoded  map[fleet.Version][]byte
 	suspects map[structs.HostName]time.Time
 	leaving  map[structs.HostName]bool
 }
@@ -67,6 +70,7 @@
 	}
 	s.clients = clients
 	s.fleet = fleet.New()
+	s.encoded = make(map[fleet.Version][]byte)
 	s.loop, s.workers, s.log = ctx.Loop(), ctx.Workers(), ctx.Log()
 	s.view = kernel.NewSnapshot(&contract.HostView{})
 	s.suspects = make(map[structs.HostName]time.Time)
@@ -130,6 +134,7 @@
 
 // changed publishes a newer list and hands it on.
 func (s *service) changed() {
+	clear(s.encoded)
 	s.forgetAbsent()
 	s.publish()
 	s.zone.Announce()
@@ -143,7 +148,15 @@
 
 // Since implements contract.Part.
 func (s *service) Since(version uint64) ([]byte, error) {
-	return json.Marshal(s.fleet.Since(fleet.Version(version)))
+	from := fleet.Version(version)
+	if known, ok := s.encoded[from]; ok {
+		return known, nil
+	}
+	encoded, err := json.Marshal(s.fleet.Since(from))
+	if err == nil {
+		s.encoded[from] = encoded
+	}
+	return encoded, err
 }
 
 // Merge implements contract.Part.
--- a/daemon/services/zone/zone.go
+++ b/daemon/services/zone/zone.go
@@ -24,12 +24,12 @@
 const (
 	askCapacity   = 4096
 	replyCapacity = 64
-	// holdParts and askParts are parts of the span T of a grant, in quarters:
-	// a collector without news holds an ask for two of them, and a follower
-	// gives an ask up after three.
-	spanParts = 4
-	holdParts = 2
-	askParts  = 3
+	// holdParts and askParts are parts of the span T of a grant, in sixths: a
+	// collector without news holds an ask for four of them, and a follower
+	// gives an ask up after five.
+	spanParts = 6
+	holdParts = 4
+	askParts  = 5
 	// keepAliveShare divides the time to live of the lease in the store.
 	keepAliveShare = 3
 	// retryDelay is the pause of a follower that reached no collector.
@@ -127,7 +127,7 @@
 // Standing implements contract.Zone.
 func (s *service) Standing() *kernel.Snapshot[contract.Standing] { return s.standing }
 
-// part returns a number of quarters of the span T.
+// part returns a number of sixths of the span T.
 func (s *service) part(parts time.Duration) time.Duration { return s.span * parts / spanParts }
 
 // now reads the clock as the protocol does.
--- a/emulate/store/fleet.go
+++ b/emulate/store/fleet.go
@@ -82,8 +82,12 @@
 func (f *Fleet) Hosts(ctx context.Context, zone structs.ZoneName, after uint64, wait time.Duration) (platform.HostChanges, error) {
 	var changes platform.HostChanges
 	err := f.await(ctx, wait, func() bool {
-		changes = platform.HostChanges{Through: f.revision, Servers: f.listed(zone)}
-		return f.revision > after
+		changes = platform.HostChanges{Through: f.revision}
+		if f.revision <= after {
+			return false
+		}
+		changes.Servers = f.listed(zone)
+		return true
 	})
 	return changes, err
 }
