Say truly what a wait for a step came to, and tell of stale samples

The owner now answers 100 ms before the request's end, and without its answer the code is seal-unknown. A request with a short wait could also miss a free turn to seal.

A failed try on the way: with nothing left of the wait, the loop asked the owner again without a pause. The tests in virtual time hung on it; it now ends when less than the margin is left.

Drops are logged now and named in the refusal.

--- a/coord/step/pool.go
+++ b/coord/step/pool.go
@@ -162,7 +162,8 @@
 }
 
 func (p *Pool) notReady(need int) error {
-	return result.New(result.StepNotReady, "%d of %d samples wait", len(p.waiting), need)
+	return result.New(result.StepNotReady, "%d of %d samples wait; %d were dropped for their version, %d for their age",
+		len(p.waiting), need, p.dropped.ByVersion, p.dropped.ByAge+p.dropped.ByFloor)
 }
 
 // dropStale drops the samples that break a bound.
--- a/daemon/services/steps/call.go
+++ b/daemon/services/steps/call.go
@@ -30,7 +30,7 @@
 	case ended := <-done:
 		return ended.reply, ended.err
 	case <-ctx.Done():
-		return none, result.Wrap(result.DueTimePassed, ctx.Err())
+		return none, result.Wrap(result.OutcomeUnknown, ctx.Err())
 	case <-s.ctx.Done():
 		return none, result.New(result.Stopping, "")
 	}
--- a/daemon/services/steps/seal.go
+++ b/daemon/services/steps/seal.go
@@ -55,14 +55,21 @@
 		Age:      parameters.StalenessAge,
 		Samples:  parameters.StepSamples,
 	})
-	sl.service.countDropped(before, sl.decide.Dropped())
+	sl.countDropped(before, sl.decide.Dropped())
 	return made, false, err
 }
 
-func (s *service) countDropped(before, after step.Dropped) {
-	s.metrics.Count("steps.dropped.by-version", int64(after.ByVersion-before.ByVersion))
-	s.metrics.Count("steps.dropped.by-age", int64(after.ByAge-before.ByAge))
-	s.metrics.Count("steps.dropped.by-floor", int64(after.ByFloor-before.ByFloor))
+// countDropped tells operators of samples that were too stale.
+func (sl *sealer) countDropped(before, after step.Dropped) {
+	if before == after {
+		return
+	}
+	metrics := sl.service.metrics
+	metrics.Count("steps.dropped.by-version", int64(after.ByVersion-before.ByVersion))
+	metrics.Count("steps.dropped.by-age", int64(after.ByAge-before.ByAge))
+	metrics.Count("steps.dropped.by-floor", int64(after.ByFloor-before.ByFloor))
+	sl.service.log.Infof("Dropped stale samples of %s: %d by version, %d by age, %d by the floor since term %d began.",
+		sl.workspace, after.ByVersion, after.ByAge, after.ByFloor, sl.term)
 }
 
 // lose marks samples of a step as lost and returns its list. It fails like
--- a/daemon/services/steps/sealer.go
+++ b/daemon/services/steps/sealer.go
@@ -119,6 +119,11 @@
 
 // acquire takes the turn to change the head and reports whether it got it.
 func (sl *sealer) acquire(ctx context.Context) bool {
+	select {
+	case sl.turn <- struct{}{}:
+		return true
+	default:
+	}
 	select {
 	case sl.turn <- struct{}{}:
 		return true
--- a/daemon/services/steps/step.go
+++ b/daemon/services/steps/step.go
@@ -52,15 +52,16 @@
 		list, err := s.atOwner(ctx, request.Workspace, func(owner ownership) (ListReply, step.List, error) {
 			return s.askList(ctx, owner, request)
 		})
-		if result.CodeOf(err) != result.StepNotReady || ctx.Err() != nil || !hasDeadline(ctx) {
+		if result.CodeOf(err) != result.StepNotReady || !mayWait(ctx) {
 			return list, err
 		}
 	}
 }
 
-func hasDeadline(ctx context.Context) bool {
-	_, has := ctx.Deadline()
-	return has
+// mayWait reports whether a request has time left for another wait.
+func mayWait(ctx context.Context) bool {
+	deadline, ok := ctx.Deadline()
+	return ok && ctx.Err() == nil && time.Until(deadline) > holdMargin
 }
 
 // lose marks samples as lost at the owner.
@@ -79,7 +80,7 @@
 func (s *service) askList(ctx context.Context, owner ownership, request contract.StepRequest) (ListReply, step.List, error) {
 	hold := holdLimit
 	if deadline, ok := ctx.Deadline(); ok {
-		hold = max(0, min(hold, time.Until(deadline)))
+		hold = max(0, min(hold, time.Until(deadline)-holdMargin))
 	}
 	if owner.sealer != nil {
 		holdCtx, cancel := context.WithTimeout(ctx, hold)
@@ -93,6 +94,9 @@
 
 func (s *service) callList(ctx context.Context, owner ownership, method string, args any, limit time.Duration) (ListReply, step.List, error) {
 	reply, err := callWithin[ListReply](ctx, s, limit, owner.owner.Address, method, args)
+	if err != nil && ctx.Err() != nil {
+		return reply, step.List{}, result.Wrap(result.SealUnknown, ctx.Err())
+	}
 	if err != nil {
 		return reply, step.List{}, err
 	}
--- a/daemon/services/steps/steps.go
+++ b/daemon/services/steps/steps.go
@@ -38,9 +38,11 @@
 	// callLimit bounds a call to another daemon that is answered at once.
 	callLimit = 2 * time.Second
 	// holdLimit is how long an owner holds a request for a step that is not
-	// ready, and holdGrace what the answer may take beyond.
-	holdLimit = 2 * time.Second
-	holdGrace = time.Second
+	// ready, and holdGrace what the answer may take beyond. holdMargin is left
+	// of the request's own time for the answer to arrive.
+	holdLimit  = 2 * time.Second
+	holdGrace  = time.Second
+	holdMargin = 100 * time.Millisecond
 )
 
 type service struct {
