--- a/daemon/config/config.go
+++ b/daemon/config/config.go
@@ -145,7 +145,7 @@
 		Lease: Lease{
 			Store:  settings.Duration(3 * time.Second),
 			Grant:  settings.Duration(3 * time.Second),
-			Decide: settings.Duration(11 * time.Second),
+			Decide: settings.Duration(14 * time.Second),
 		},
 		Weights: Weights{Orders: 128, OrdersPerSecond: 100, OrderWithin: settings.Duration(30 * time.Second)},
 	}
