Give refusals by backend servers an unknown outcome

Cause: 3010 backend-refused said "not run", but it was given after the backend server had read the request and answered with status 503 or 429. A submission answered with 503 was recorded and given as an answer.

3010 is no longer given. 4007 backend-refused (503) and 4008 backend-overloaded (429 of an engine or judge) have an unknown outcome; they are two codes because a server at its limit is not one that is leaving. Look-ups, judges and streams are tried elsewhere as before. A submission answered with 503 ends with 4007 and is recorded as unknown: the design lets "not run" be said only if no byte left, and nothing but the server's word says that it did no work. Ruled out: trying it on another server (a proxy before the service may have sent the 503 after the work) and recording the 503 as the answer (a caller would read a refusal as its receipt).

--- a/coord/group/broken.go
+++ b/coord/group/broken.go
@@ -60,23 +60,22 @@
 	if !slices.Contains(sm.avoid, server) {
 		sm.avoid = append(sm.avoid, server)
 	}
-	if mayHaveRun(code) && code != result.BackendRefused {
+	if mayHaveRun(code) && !result.IsBackendRefusal(code) {
 		g.broken[server] = true
 	}
 }
 
-// mayHaveRun reports whether bytes may have reached a server. A server that
-// refused has read the request.
+// mayHaveRun reports whether bytes may have reached a server.
 func mayHaveRun(code result.Code) bool {
 	entry, known := result.Lookup(code)
-	return !known || entry.Outcome != result.NotRun || code == result.BackendRefused
+	return !known || entry.Outcome != result.NotRun
 }
 
 // hopeless reports whether a sample cannot be finished.
 func (g *Group) hopeless(sm *sample, code result.Code) bool {
 	switch code {
 	case result.NoBackend, result.Overloaded, result.FairShareExceeded, result.BackendRefused,
-		result.AnswerCut, result.BackendBroke, result.OutcomeUnknown:
+		result.BackendOverloaded, result.AnswerCut, result.BackendBroke, result.OutcomeUnknown:
 		return len(g.broken) >= g.limits.BrokenServers || sm.fruitless >= g.limits.FruitlessStarts
 	default:
 		return true
--- a/coord/result/result.go
+++ b/coord/result/result.go
@@ -29,7 +29,7 @@
 // Codes from 1000 are successes, from 2000 refusals because of the request,
 // from 3000 refusals because of the system's state, from 4000 unknown
 // outcomes, from 5000 those of settings changes and from 6000 those of a
-// process that cannot start.
+// process that cannot start. 3010 is no longer given.
 const (
 	OK       Code = 1000
 	Repeated Code = 1001
@@ -61,7 +61,6 @@
 	Stopping          Code = 3007
 	StepNotReady      Code = 3008
 	StoreUnavailable  Code = 3009
-	BackendRefused    Code = 3010
 	RetryBudgetSpent  Code = 3011
 	PeerUnreachable   Code = 3012
 	FairShareExceeded Code = 3013
@@ -75,6 +74,12 @@
 	// GroupUnfinished stands apart from DueTimePassed because engines may have
 	// worked for the request.
 	GroupUnfinished Code = 4006
+	// BackendRefused has an unknown outcome because the server has read the
+	// request: that it did no work for it is its word alone.
+	BackendRefused Code = 4007
+	// BackendOverloaded stands apart from BackendRefused because a server at
+	// its limit is not one that is leaving.
+	BackendOverloaded Code = 4008
 
 	ChangeConflict  Code = 5000
 	ChangeInvalid   Code = 5001
@@ -131,7 +136,6 @@
 	{Stopping, "stopping", NotRun, 503, "This daemon is shutting down."},
 	{StepNotReady, "step-not-ready", NotRun, 425, "The step does not have enough samples yet."},
 	{StoreUnavailable, "store-unavailable", NotRun, 503, "The platform's key-value service does not answer."},
-	{BackendRefused, "backend-refused", NotRun, 503, "Every backend server refused the request."},
 	{RetryBudgetSpent, "retry-budget-spent", NotRun, 503, "The request failed and the retry budget is spent."},
 	{PeerUnreachable, "peer-unreachable", NotRun, 503, "The daemon that must handle the request cannot be reached."},
 	{FairShareExceeded, "fair-share-exceeded", NotRun, 429, "The workspace has used its share; try again later."},
@@ -142,6 +146,8 @@
 	{SealUnknown, "seal-unknown", Unknown, 503, "The step may have been sealed; ask for it again."},
 	{JournalTakeover, "journal-takeover", Unknown, 502, "The request was begun by a daemon that has since been replaced."},
 	{GroupUnfinished, "group-unfinished", Unknown, 504, "Engines began on the samples or the Draft and did not finish; nothing was delivered."},
+	{BackendRefused, "backend-refused", Unknown, 503, "The backend server read the request and answered that it takes no new work."},
+	{BackendOverloaded, "backend-overloaded", Unknown, 503, "The backend server read the request and answered that it is at its limit."},
 	{ChangeConflict, "change-conflict", NotRun, 409, "Another change was made first."},
 	{ChangeInvalid, "change-invalid", NotRun, 422, "The change would make the settings invalid."},
 	{ChangeWithdrawn, "change-withdrawn", NotRun, 409, "The change was withdrawn because an availability zone did not acknowledge it."},
@@ -160,6 +166,10 @@
 // Table lists all codes in order.
 func Table() []Entry { return slices.Clone(table) }
 
+// IsBackendRefusal reports whether a code says that a backend server read a
+// request and refused it.
+func IsBackendRefusal(code Code) bool { return code == BackendRefused || code == BackendOverloaded }
+
 // Lookup describes a code and reports whether it exists.
 func Lookup(code Code) (Entry, bool) {
 	index, found := slices.BinarySearchFunc(table, code, func(e Entry, c Code) int { return int(e.Code - c) })
--- a/daemon/services/journal/faults_test.go
+++ b/daemon/services/journal/faults_test.go
@@ -211,3 +211,19 @@
 	must.Eq(t, receipt("k"), string(reply.Answer.Body))
 	must.Eq(t, 1, b.runs("k"))
 }
+
+// TestFault_RefusalByTheServerIsUnknownForGood lets the server answer with
+// status 503 after it has read the submission: its word is no proof that
+// nothing ran.
+func TestFault_RefusalByTheServerIsUnknownForGood(t *testing.T) {
+	b := newBench(t)
+	d := b.start("a")
+	b.portal.SetFaults(standin.Faults{Leaving: true})
+	_, err := d.Submit(t.Context(), b.request("key"))
+	must.Eq(t, result.BackendRefused, result.CodeOf(err))
+	must.Eq(t, result.Unknown, result.OutcomeOf(err))
+	b.portal.SetFaults(standin.Faults{})
+	_, err = d.Submit(t.Context(), b.request("key"))
+	must.Eq(t, result.OutcomeUnknown, result.CodeOf(err))
+	must.Eq(t, 0, b.runs("key"))
+}
--- a/daemon/services/journal/run.go
+++ b/daemon/services/journal/run.go
@@ -139,13 +139,15 @@
 	}
 	call := platform.Call{Method: http.MethodPost, Path: request.Path, Key: request.Key, Body: request.Body}
 	answer, err := s.clients.Platform().Plain.Do(ctx, ticket.Server.Address, call)
-	ticket.Finish(contract.TicketOutcome{Err: finished(ticket, answer, err), Latency: s.clock.Now().Sub(begun)})
+	err = refused(ticket, answer, err)
+	ticket.Finish(contract.TicketOutcome{Err: err, Latency: s.clock.Now().Sub(begun)})
 	return answer, err
 }
 
-// finished is what the balancer learns of an attempt: a server that answers
-// with status 503 refuses new work.
-func finished(ticket contract.Ticket, answer platform.Answer, err error) error {
+// refused gives status 503 its code. The server has read the submission, and
+// nothing but its word says that it did not run it, so that the outcome is
+// unknown: it goes to no other server and is not recorded as not run.
+func refused(ticket contract.Ticket, answer platform.Answer, err error) error {
 	if err == nil && answer.Status == http.StatusServiceUnavailable {
 		return result.New(result.BackendRefused, "%s", ticket.Server.Name)
 	}
