Give a server that refuses new work none until the list catches up

Cause: status 503 only counted towards ejection, so a server that was leaving still got probe requests; SignalLeaving was never reported. A signal of one kind also took the place of a waiting signal of another kind, so that an answer could hide a refusal.

Status 429 is no sign of leaving.

Ruled out: a mark for good (one 503 under load would remove a server until it is listed anew), and counting the first answer as proof that it stays. The ticket now marks the server at once, and the balancer passes it over for a second while others have room.

--- a/coord/fleet/fleet.go
+++ b/coord/fleet/fleet.go
@@ -52,6 +52,12 @@
 	return list
 }
 
+// Host returns a host and reports whether it is listed.
+func (f *Fleet) Host(name structs.HostName) (structs.BackendServer, bool) {
+	host, ok := f.hosts[name]
+	return host, ok
+}
+
 // Replace takes the platform's whole list of a version and reports whether it
 // is newer than the one known.
 func (f *Fleet) Replace(version Version, list []structs.BackendServer) bool {
--- a/daemon/services/balance/control.go
+++ b/daemon/services/balance/control.go
@@ -19,6 +19,9 @@
 	replyCapacity = 1024
 	// publishDelay gathers changes into one publication.
 	publishDelay = 10 * time.Millisecond
+	// refusedFor is how long a server that refused new work is passed over
+	// while others have room, so that the view of the hosts can follow.
+	refusedFor = time.Second
 	// adaptEvery is the window over which limits are found.
 	adaptEvery = 250 * time.Millisecond
 )
@@ -35,6 +38,9 @@
 	eventUnreached
 	// eventSlow means that the server refused, or did not answer in time.
 	eventSlow
+	// eventRefused means that the server takes no new work, for the first time
+	// within refusedFor.
+	eventRefused
 	// eventBroke means that the connection broke during the request.
 	eventBroke
 	// eventCleared means that a suspect request was answered.
@@ -169,6 +175,9 @@
 		r.health.Answered()
 	case eventVersion:
 		s.changed()
+	case eventRefused:
+		s.loop.After(refusedFor, func() { r.place.refusing.Store(false) })
+		s.failed(now, e.server, r)
 	default:
 		s.failed(now, e.server, r)
 	}
--- a/daemon/services/balance/place.go
+++ b/daemon/services/balance/place.go
@@ -20,7 +20,10 @@
 	version atomic.Uint64
 	// failing is set from a failure until the next answer.
 	failing atomic.Bool
-	window  window
+	// refusing is set when the server refused new work, until the control
+	// goroutine has taken it in.
+	refusing atomic.Bool
+	window   window
 }
 
 // window sums what the limit is found from, until the control goroutine takes
@@ -68,7 +71,7 @@
 // Full implements route.Loads.
 func (v *view) Full(server int) bool {
 	p := v.places[server]
-	return p.inFlight.Load() >= p.limit.Load()
+	return p.refusing.Load() || p.inFlight.Load() >= p.limit.Load()
 }
 
 // Mean implements route.Loads.
--- a/daemon/services/balance/ticket.go
+++ b/daemon/services/balance/ticket.go
@@ -92,12 +92,26 @@
 		if kind == eventBroke && t.print != 0 {
 			t.service.undecided.add(t.print, t.place.name)
 		}
+		if result.CodeOf(outcome.Err) == result.BackendRefused {
+			kind = t.refused()
+		}
 		if !t.tell(kind) {
 			t.service.undecided.settle(t.place.name)
+			t.place.refusing.Store(false)
 		}
 	}
 }
 
+// refused reports a server that takes no new work. The other servers go before
+// it from now on, and not only once the host list's view has changed.
+func (t *ticket) refused() eventKind {
+	t.service.hosts.Report(t.place.name, contract.SignalLeaving)
+	if t.place.refusing.Swap(true) {
+		return eventSlow
+	}
+	return eventRefused
+}
+
 // tell reports whether the control goroutine will hear of an event.
 func (t *ticket) tell(kind eventKind) bool {
 	event := event{server: t.place.name, kind: kind, print: t.print}
--- a/daemon/services/hosts/hosts.go
+++ b/daemon/services/hosts/hosts.go
@@ -30,9 +30,6 @@
 	// readAnyway is how long a daemon that has no list waits for the
 	// collector's before it reads the platform's.
 	readAnyway = 5 * time.Second
-	// suspectFor is how long a server gets no new work after a failed
-	// connect.
-	suspectFor = 2 * time.Second
 )
 
 type service struct {
@@ -44,14 +41,20 @@
 	zone    contract.ZoneControl
 	view    *kernel.Snapshot[contract.HostView]
 	replies *kernel.Mailbox[kernel.Reply[platform.HostChanges]]
-	signals *kernel.Latest[structs.HostName, contract.Signal]
+	signals *kernel.Latest[signalKey, struct{}]
 
 	// The fields below belong to the control goroutine.
-	fleet    *fleet.Fleet
-	reads    bool
-	asking   bool
-	suspects map[structs.HostName]time.Time
-	leaving  map[structs.HostName]bool
+	fleet  *fleet.Fleet
+	signs  *fleet.Signs
+	reads  bool
+	asking bool
+}
+
+// signalKey tells signals apart: a newer signal of another kind must not take
+// the place of one that waits.
+type signalKey struct {
+	server structs.HostName
+	signal contract.Signal
 }
 
 var _ contract.Hosts = (*service)(nil)
@@ -69,8 +72,7 @@
 	s.fleet = fleet.New()
 	s.loop, s.workers, s.log = ctx.Loop(), ctx.Workers(), ctx.Log()
 	s.view = kernel.NewSnapshot(&contract.HostView{})
-	s.suspects = make(map[structs.HostName]time.Time)
-	s.leaving = make(map[structs.HostName]bool)
+	s.signs = fleet.NewSigns()
 	s.replies = kernel.NewMailbox(s.loop, replyCapacity, s.onList)
 	s.signals = kernel.NewLatest(s.loop, signalCapacity, s.onSignal)
 	s.zone.Share(s)
@@ -84,7 +86,7 @@
 
 // Report implements contract.Hosts.
 func (s *service) Report(server structs.HostName, signal contract.Signal) {
-	_ = s.signals.Post(server, signal)
+	_ = s.signals.Post(signalKey{server: server, signal: signal}, struct{}{})
 }
 
 // onRole reads the platform's list while this daemon collects.
@@ -130,7 +132,7 @@
 
 // changed publishes a newer list and hands it on.
 func (s *service) changed() {
-	s.forgetAbsent()
+	s.signs.SetList(s.loop.Now(), s.fleet.List())
 	s.publish()
 	s.zone.Announce()
 }
@@ -158,49 +160,44 @@
 	return nil
 }
 
-func (s *service) forgetAbsent() {
-	present := make(map[structs.HostName]bool)
-	for _, server := range s.fleet.List() {
-		present[server.Name] = true
-	}
-	for name := range s.leaving {
-		if !present[name] {
-			delete(s.leaving, name)
-		}
+func (s *service) onSignal(key signalKey, _ struct{}) {
+	server, listed := s.fleet.Host(key.server)
+	if !listed {
+		return
 	}
-}
-
-func (s *service) onSignal(name structs.HostName, signal contract.Signal) {
-	switch signal {
+	now := s.loop.Now()
+	switch key.signal {
 	case contract.SignalFailedConnect:
-		until := s.loop.Now().Add(suspectFor)
-		s.suspects[name] = until
-		s.loop.After(suspectFor, func() { s.clearSuspect(name) })
+		until, changed := s.signs.Unreached(now, server)
+		if !changed {
+			return
+		}
+		s.expireAt(until)
 	case contract.SignalLeaving:
-		if s.leaving[name] {
+		until, held := s.signs.Refused(now, server)
+		if !held {
 			return
 		}
-		s.leaving[name] = true
-		s.log.Infof("%s refuses new work.", name)
+		s.log.Infof("%s refuses new work.", key.server)
+		s.expireAt(until)
 	case contract.SignalAnswered:
-		if _, suspect := s.suspects[name]; !suspect {
+		if !s.signs.Answered(now, key.server) {
 			return
 		}
-		delete(s.suspects, name)
 	}
 	s.publish()
 }
 
-func (s *service) clearSuspect(name structs.HostName) {
-	until, suspect := s.suspects[name]
-	if !suspect || s.loop.Now().Before(until) {
-		return
-	}
-	delete(s.suspects, name)
-	s.publish()
+// expireAt publishes again when a sign has run out.
+func (s *service) expireAt(until time.Time) {
+	s.loop.After(until.Sub(s.loop.Now()), func() {
+		s.signs.Expire(s.loop.Now())
+		s.publish()
+	})
 }
 
 func (s *service) publish() {
+	now := s.loop.Now()
 	view := &contract.HostView{
 		Services: make(map[structs.ServiceName][]structs.BackendServer),
 		Known:    s.fleet.Version() > 0,
@@ -210,14 +207,9 @@
 			view.Daemons = append(view.Daemons, server)
 			continue
 		}
-		if s.mayGetWork(server) {
+		if s.signs.MayGetWork(now, server) {
 			view.Services[server.Service] = append(view.Services[server.Service], server)
 		}
 	}
 	s.view.Publish(view)
 }
-
-func (s *service) mayGetWork(server structs.BackendServer) bool {
-	_, suspect := s.suspects[server.Name]
-	return !server.Leaving && !suspect && !s.leaving[server.Name]
-}
