Tell the balancer of streams, judgements and submissions in full

A prompt or a claim that crashes servers could not be quarantined, an engine's limit was found from the latency of whole streams instead of that of a token, and bytes between regions were not charged. A stopped stream counted as an answered request.

Streams, judgements and submissions now name their fingerprint, and streams their tokens, bytes and the version in the engine's own chunks. What was stopped here says nothing for or against its server.

Ruled out: refusing at Pick alone, which comes after the intent is committed; widening contract.Balancer, which most callers don't need it of.

Tests: TestSubmit_QuarantinedIsRefusedBeforeItsIntent (no write of the store), TestRollout_TellsTheBalancerOfItsWork, TestPick_NoRolloutForAnEngineOnOldWeights (100 picks; the balancer honoured the version already).

--- a/daemon/contract/traffic.go
+++ b/daemon/contract/traffic.go
@@ -56,6 +56,15 @@
 	Pick(ctx context.Context, request PickRequest) (Ticket, error)
 }
 
+// Quarantine tells of requests that crashed backend servers. It is offered
+// under NameBalance.
+type Quarantine interface {
+	// Clear waits, until ctx ends, for the probes that say whether requests
+	// with a fingerprint crashed a server. It fails with code Quarantined
+	// when they did, and with DueTimePassed.
+	Clear(ctx context.Context, fingerprint quarantine.Fingerprint) error
+}
+
 // RetryRequest describes a request that may be tried again.
 type RetryRequest struct {
 	Workspace structs.WorkspaceName
--- a/daemon/services/balance/balance.go
+++ b/daemon/services/balance/balance.go
@@ -55,7 +55,10 @@
 	requests quarantine.View
 }
 
-var _ contract.Balancer = (*service)(nil)
+var (
+	_ contract.Balancer   = (*service)(nil)
+	_ contract.Quarantine = (*service)(nil)
+)
 
 // Provision implements kernel.Service.
 func (s *service) Provision(ctx *kernel.Context) error {
@@ -111,6 +114,12 @@
 	return s.choose(from, &request, current.requests.Suspects[request.Fingerprint])
 }
 
+// Clear implements contract.Quarantine.
+func (s *service) Clear(ctx context.Context, fingerprint quarantine.Fingerprint) error {
+	_, err := s.cleared(ctx, &contract.PickRequest{Fingerprint: fingerprint})
+	return err
+}
+
 // choose takes a place on a server for an admitted request.
 func (s *service) choose(from *view, request *contract.PickRequest, suspect bool) (contract.Ticket, error) {
 	wanted := route.Request{
--- a/daemon/services/balance/balance_test.go
+++ b/daemon/services/balance/balance_test.go
@@ -310,6 +310,26 @@
 	})
 }
 
+// TestPick_NoRolloutForAnEngineOnOldWeights lets an engine be stuck on version
+// 4 while another has the wanted one.
+func TestPick_NoRolloutForAnEngineOnOldWeights(t *testing.T) {
+	s := start(t, newWorld(fleet(2)), "entry-1", connect)
+	for i, name := range []structs.HostName{"portal-0", "portal-1"} {
+		ticket := pick(t, s, contract.PickRequest{Avoid: except(fleet(2), name)})
+		ticket.Finish(contract.TicketOutcome{Version: structs.WeightVersion(4 + i)})
+	}
+	await(t, s, func(sn *snapshot) bool {
+		listed := sn.services["portal"].table.Servers()
+		return listed[0].Version == 4 && listed[1].Version == 5
+	})
+	for i := range 100 {
+		request := contract.PickRequest{Class: structs.ClassRollout, Affinity: uint64(i), Version: 5}
+		ticket := pick(t, s, request)
+		must.Eq(t, structs.HostName("portal-1"), ticket.Server.Name)
+		finish(ticket, result.OK)
+	}
+}
+
 func TestFinish_CountsAndPricesBytesBetweenRegions(t *testing.T) {
 	servers := fleet(1)
 	servers[0].Place = structs.Place{Zone: "volta-a", Region: "volta"}
--- a/daemon/services/journal/bench_test.go
+++ b/daemon/services/journal/bench_test.go
@@ -68,11 +68,12 @@
 // daemon is one journal with its gate and hooks.
 type daemon struct {
 	*service
-	kernel *kernel.Kernel
-	gate   *gate
-	store  *gatedStore
-	plain  *gatedPlain
-	name   string
+	kernel   *kernel.Kernel
+	gate     *gate
+	store    *gatedStore
+	plain    *gatedPlain
+	backends *fakeBalancer
+	name     string
 }
 
 // start starts a daemon under a name, which is also its address.
@@ -87,7 +88,8 @@
 	}
 	offer(contract.NameClients, &fakeClients{clients: platform.Clients{Store: d.store, Plain: d.plain}})
 	offer(contract.NameSettings, &fakeSettings{window: b.window, due: b.due})
-	offer(contract.NameBalance, &fakeBalancer{address: b.address})
+	d.backends = &fakeBalancer{address: b.address}
+	offer(contract.NameBalance, d.backends)
 	offer(contract.NamePeers, &fakePeers{network: b.network, gate: d.gate})
 	offer(contract.NameRPC, &fakeRPC{network: b.network, address: name, gate: d.gate})
 	offer(contract.NameMetrics, fakeMetrics{})
--- a/daemon/services/journal/fakes_test.go
+++ b/daemon/services/journal/fakes_test.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/flamingobeam/flamingobeam/coord/quarantine"
 	"github.com/flamingobeam/flamingobeam/coord/result"
 	"github.com/flamingobeam/flamingobeam/coord/settings"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
@@ -265,11 +266,36 @@
 type fakeBalancer struct {
 	kernel.Base
 	address string
+
+	mu sync.Mutex
+	// poison is refused as quarantined.
+	poison   quarantine.Fingerprint
+	asked    []contract.PickRequest
+	finished []contract.TicketOutcome
 }
 
-func (f *fakeBalancer) Pick(context.Context, contract.PickRequest) (contract.Ticket, error) {
+func (f *fakeBalancer) Pick(_ context.Context, request contract.PickRequest) (contract.Ticket, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.asked = append(f.asked, request)
 	server := structs.BackendServer{Name: "portal-1", Address: f.address}
-	return contract.Ticket{Server: server, Finish: func(contract.TicketOutcome) {}}, nil
+	return contract.Ticket{Server: server, Finish: f.finish}, nil
+}
+
+func (f *fakeBalancer) finish(outcome contract.TicketOutcome) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.finished = append(f.finished, outcome)
+}
+
+// Clear implements contract.Quarantine.
+func (f *fakeBalancer) Clear(_ context.Context, print quarantine.Fingerprint) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if print == f.poison {
+		return result.New(result.Quarantined, "")
+	}
+	return nil
 }
 
 type fakeMetrics struct{ kernel.Base }
--- a/daemon/services/journal/journal.go
+++ b/daemon/services/journal/journal.go
@@ -44,15 +44,17 @@
 	clients  contract.Clients
 	settings contract.Settings
 	balancer contract.Balancer
-	peers    contract.Peers
-	metrics  contract.Metrics
-	address  string
-	self     structs.Incarnation
-	view     *kernel.Snapshot[view]
-	calls    *kernel.Calls
-	wants    *kernel.Mailbox[want]
-	found    *kernel.Mailbox[kernel.Reply[finding]]
-	losses   *kernel.Mailbox[*committer]
+	// quarantine is offered by the balancer too.
+	quarantine contract.Quarantine
+	peers      contract.Peers
+	metrics    contract.Metrics
+	address    string
+	self       structs.Incarnation
+	view       *kernel.Snapshot[view]
+	calls      *kernel.Calls
+	wants      *kernel.Mailbox[want]
+	found      *kernel.Mailbox[kernel.Reply[finding]]
+	losses     *kernel.Mailbox[*committer]
 	// committers are the goroutines of the owned buckets, which end with
 	// committing.
 	forwards      conc.WaitGroup
@@ -104,6 +106,9 @@
 	if s.balancer, err = kernel.Find[contract.Balancer](ctx, contract.NameBalance); err != nil {
 		return err
 	}
+	if s.quarantine, err = kernel.Find[contract.Quarantine](ctx, contract.NameBalance); err != nil {
+		return err
+	}
 	if s.peers, err = kernel.Find[contract.Peers](ctx, contract.NamePeers); err != nil {
 		return err
 	}
--- a/daemon/services/journal/journal_test.go
+++ b/daemon/services/journal/journal_test.go
@@ -1,6 +1,7 @@
 package journal
 
 import (
+	"sync/atomic"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -38,6 +39,30 @@
 
 // TestSubmit_SurvivesAPlannedStop hands buckets back and finds the recorded
 // answers at the next owner.
+// TestSubmit_QuarantinedIsRefusedBeforeItsIntent also holds what the balancer
+// is told of a submission.
+func TestSubmit_QuarantinedIsRefusedBeforeItsIntent(t *testing.T) {
+	b := newBench(t)
+	d := b.start("a")
+	_, err := d.Submit(t.Context(), b.request("k"))
+	must.NoError(t, err)
+	print := d.backends.asked[0].Fingerprint
+	must.NotEq(t, 0, print)
+	must.Between(t, int64(len("claim k")+len(receipt("k"))), d.backends.finished[0].Bytes, 1000)
+	d.backends.poison = print
+	again := b.request("another key")
+	again.Body = b.request("k").Body
+	b.own(d, again.Key)
+	var writes atomic.Int64
+	d.store.hook(func(string) error { writes.Add(1); return nil }, nil)
+	_, err = d.Submit(t.Context(), again)
+	must.Eq(t, result.Quarantined, result.CodeOf(err))
+	must.Zero(t, writes.Load())
+	reply, err := d.Submit(t.Context(), b.request("k"))
+	must.NoError(t, err)
+	must.True(t, reply.Repeated)
+}
+
 func TestSubmit_SurvivesAPlannedStop(t *testing.T) {
 	b := newBench(t)
 	first, second := b.start("a"), b.start("b")
--- a/daemon/services/journal/run.go
+++ b/daemon/services/journal/run.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/flamingobeam/flamingobeam/coord/journal"
+	"github.com/flamingobeam/flamingobeam/coord/quarantine"
 	"github.com/flamingobeam/flamingobeam/coord/result"
 	"github.com/flamingobeam/flamingobeam/coord/settings"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
@@ -34,6 +35,12 @@
 	}
 }
 
+// crashPrint identifies submissions that are equal to a backend server, to
+// find those that crash servers.
+func (s *submission) crashPrint(parameters *settings.Resolved) quarantine.Fingerprint {
+	return quarantine.FingerprintOf(string(parameters.Service), http.MethodPost, s.Path, string(s.Body))
+}
+
 // run runs a submission on the owner of its bucket. It fails with errLost when
 // the bucket was lost before any byte was sent.
 func (s *service) run(ctx context.Context, owned *committer, request submission) (contract.SubmitReply, error) {
@@ -49,6 +56,10 @@
 	if err != nil {
 		return contract.SubmitReply{}, err
 	}
+	print := request.crashPrint(&parameters)
+	if err := s.quarantine.Clear(ctx, print); err != nil {
+		return contract.SubmitReply{}, err
+	}
 	entry.Window = parameters.KeyWindow
 	entry.Due = parameters.Due[structs.ClassSubmission]
 	if got, err = owned.ask(ctx, entry, false); err != nil {
@@ -57,7 +68,7 @@
 	if got.verdict != journal.Run {
 		return s.repeat(ctx, got, request.again)
 	}
-	return s.execute(ctx, owned, got.run, request, parameters)
+	return s.execute(ctx, owned, got.run, request, parameters.Service, print)
 }
 
 // unreached gives a failure to commit an intent its code.
@@ -69,7 +80,7 @@
 }
 
 // execute waits until the intent is committed, then sends the request.
-func (s *service) execute(ctx context.Context, owned *committer, r *run, request submission, parameters settings.Resolved) (contract.SubmitReply, error) {
+func (s *service) execute(ctx context.Context, owned *committer, r *run, request submission, target structs.ServiceName, print quarantine.Fingerprint) (contract.SubmitReply, error) {
 	defer close(r.finished)
 	select {
 	case <-r.committed:
@@ -84,7 +95,7 @@
 		owned.settle(r, journal.StateNotRun, nil)
 		return r.reply, r.err
 	}
-	r.reply.Answer, r.err = s.send(ctx, request.SubmitRequest, parameters)
+	r.reply.Answer, r.err = s.send(ctx, request.SubmitRequest, target, print)
 	state, answer := stateOf(r.reply.Answer, r.err)
 	owned.settle(r, state, answer)
 	return r.reply, r.err
@@ -104,13 +115,14 @@
 
 // send sends a request to a backend server. It tries another one only while no
 // byte can have left.
-func (s *service) send(ctx context.Context, request contract.SubmitRequest, parameters settings.Resolved) (platform.Answer, error) {
+func (s *service) send(ctx context.Context, request contract.SubmitRequest, target structs.ServiceName, print quarantine.Fingerprint) (platform.Answer, error) {
 	due, _ := ctx.Deadline()
 	pick := contract.PickRequest{
-		Service:   parameters.Service,
-		Workspace: request.Workspace,
-		Class:     structs.ClassSubmission,
-		Due:       due,
+		Service:     target,
+		Workspace:   request.Workspace,
+		Class:       structs.ClassSubmission,
+		Due:         due,
+		Fingerprint: print,
 	}
 	var last error
 	for range maxAttempts {
@@ -134,13 +146,18 @@
 func (s *service) attempt(ctx context.Context, ticket contract.Ticket, request contract.SubmitRequest) (platform.Answer, error) {
 	begun := s.clock.Now()
 	if ctx.Err() != nil {
-		ticket.Finish(contract.TicketOutcome{})
-		return platform.Answer{}, result.Wrap(result.DueTimePassed, ctx.Err())
+		err := result.Wrap(result.DueTimePassed, ctx.Err())
+		ticket.Finish(contract.TicketOutcome{Err: result.Wrap(result.DueTimePassed, context.Canceled)})
+		return platform.Answer{}, err
 	}
 	call := platform.Call{Method: http.MethodPost, Path: request.Path, Key: request.Key, Body: request.Body}
 	answer, err := s.clients.Platform().Plain.Do(ctx, ticket.Server.Address, call)
 	err = refused(ticket, answer, err)
-	ticket.Finish(contract.TicketOutcome{Err: err, Latency: s.clock.Now().Sub(begun)})
+	ticket.Finish(contract.TicketOutcome{
+		Err:     err,
+		Latency: s.clock.Now().Sub(begun),
+		Bytes:   int64(len(request.Path) + len(request.Body) + len(answer.Body)),
+	})
 	return answer, err
 }
 
--- a/daemon/services/rollout/harness_test.go
+++ b/daemon/services/rollout/harness_test.go
@@ -56,13 +56,20 @@
 	mu    sync.Mutex
 	picks int
 	// counts are the metrics that were counted.
-	counts map[string]int64
-	added  []structs.Sample
-	bad    int
+	counts   map[string]int64
+	added    []structs.Sample
+	attempts []attempt
+	bad      int
 	// refusals are what the steps answer before they take samples.
 	refusals []result.Code
 }
 
+// attempt is what the balancer was told of a request on a server.
+type attempt struct {
+	request contract.PickRequest
+	outcome contract.TicketOutcome
+}
+
 func newBench(t *testing.T, engines int, limits group.Limits) *bench {
 	b := &bench{
 		t:      t,
@@ -162,12 +169,18 @@
 	}
 	for _, server := range servers {
 		if !slices.Contains(request.Avoid, server.Name) {
-			return contract.Ticket{Server: server, Finish: func(contract.TicketOutcome) {}}, nil
+			return contract.Ticket{Server: server, Finish: func(outcome contract.TicketOutcome) { b.finish(request, outcome) }}, nil
 		}
 	}
 	return contract.Ticket{}, result.New(result.NoBackend, "")
 }
 
+func (b *bench) finish(request contract.PickRequest, outcome contract.TicketOutcome) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.attempts = append(b.attempts, attempt{request: request, outcome: outcome})
+}
+
 // Standing implements contract.Zone.
 func (b *bench) Standing() *kernel.Snapshot[contract.Standing] {
 	return kernel.NewSnapshot(&contract.Standing{Self: structs.Incarnation{Host: "entry-1", Start: 1}})
--- a/daemon/services/rollout/judge.go
+++ b/daemon/services/rollout/judge.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/flamingobeam/flamingobeam/coord/quarantine"
 	"github.com/flamingobeam/flamingobeam/coord/result"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
@@ -64,10 +65,11 @@
 // to the due time, because the sample has been made.
 func (r *run) rewardOf(question []byte) (float64, error) {
 	pick := contract.PickRequest{
-		Service:   r.parameters.Judge,
-		Workspace: r.request.Workspace,
-		Class:     r.request.Class,
-		Due:       r.due,
+		Service:     r.parameters.Judge,
+		Workspace:   r.request.Workspace,
+		Class:       r.request.Class,
+		Due:         r.due,
+		Fingerprint: quarantine.FingerprintOf(string(r.parameters.Judge), http.MethodPost, judgePath, string(question)),
 	}
 	delay, failures := r.service.limits.Backoff, 0
 	for {
@@ -105,16 +107,31 @@
 func (r *run) ask(ticket contract.Ticket, question []byte) (float64, error) {
 	clock := r.service.clock
 	begun := clock.Now()
-	reward, err := askJudge(r.ctx, r.service.clients.Platform().Plain, ticket.Server.Address, question)
-	ticket.Finish(contract.TicketOutcome{Err: err, Latency: clock.Since(begun)})
+	reward, size, err := askJudge(r.ctx, r.service.clients.Platform().Plain, ticket.Server.Address, question)
+	seen := err
+	if r.ctx.Err() != nil {
+		seen = errStopped
+	}
+	ticket.Finish(contract.TicketOutcome{
+		Err:     seen,
+		Latency: clock.Since(begun),
+		Bytes:   int64(len(judgePath) + len(question) + size),
+	})
 	return reward, err
 }
 
-func askJudge(ctx context.Context, judge platform.PlainService, address string, question []byte) (float64, error) {
+// askJudge returns a judge's reward and the size of its answer in bytes.
+func askJudge(ctx context.Context, judge platform.PlainService, address string, question []byte) (float64, int, error) {
 	answer, err := judge.Do(ctx, address, platform.Call{Method: http.MethodPost, Path: judgePath, Body: question})
 	if err != nil {
-		return 0, err
+		return 0, 0, err
 	}
+	reward, err := rewardIn(answer)
+	return reward, len(answer.Body), err
+}
+
+// rewardIn reads the reward out of a judge's answer.
+func rewardIn(answer platform.Answer) (float64, error) {
 	switch answer.Status {
 	case http.StatusOK:
 	case http.StatusServiceUnavailable:
--- a/daemon/services/rollout/rollout_test.go
+++ b/daemon/services/rollout/rollout_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/flamingobeam/flamingobeam/coord/quarantine"
 	"github.com/flamingobeam/flamingobeam/coord/result"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
@@ -66,6 +67,33 @@
 	}
 }
 
+// TestRollout_TellsTheBalancerOfItsWork holds what routing needs of streams and
+// judgements.
+func TestRollout_TellsTheBalancerOfItsWork(t *testing.T) {
+	b := newBench(t, 1, defaultLimits)
+	b.newest = 2
+	_, err := b.rollout.Rollout(t.Context(), request(structs.ClassRollout))
+	must.NoError(t, err)
+	must.Len(t, 2*groupSize, b.attempts)
+	prints := map[structs.ServiceName]quarantine.Fingerprint{}
+	for _, each := range b.attempts {
+		asked, seen := each.request, each.outcome
+		must.NotEq(t, 0, asked.Fingerprint)
+		must.NoError(t, seen.Err)
+		prints[asked.Service] = asked.Fingerprint
+		if asked.Service == judgeName {
+			must.Greater(t, int64(len(prompt)), seen.Bytes)
+			continue
+		}
+		must.Eq(t, affinityOf(prompt), asked.Affinity)
+		must.Eq(t, 1, asked.Version)
+		must.Eq(t, 1, seen.Version)
+		must.Between(t, 1, seen.Units, 40)
+		must.Greater(t, int64(len(prompt)+seen.Units), seen.Bytes)
+	}
+	must.NotEq(t, prints[model], prints[judgeName])
+}
+
 func TestRollout_CutStreamIsResumedAndBothPartsNamed(t *testing.T) {
 	b := newBench(t, 2, defaultLimits)
 	b.engines[0].SetFaults(engine.Faults{CutAfter: 7})
--- a/daemon/services/rollout/stream.go
+++ b/daemon/services/rollout/stream.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/flamingobeam/flamingobeam/coord/group"
+	"github.com/flamingobeam/flamingobeam/coord/quarantine"
 	"github.com/flamingobeam/flamingobeam/coord/result"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
@@ -24,8 +25,17 @@
 	oldest structs.WeightVersion
 	// whole is set once the last chunk has come.
 	whole bool
+	// tokens and received count what came, the latter in bytes, and version
+	// made the newest chunk.
+	tokens   int
+	received int64
+	version  structs.WeightVersion
 }
 
+// errStopped is the outcome of a request that was stopped here: nothing is
+// known against its server then, nor for it.
+var errStopped = result.Wrap(result.OutcomeUnknown, context.Canceled)
+
 // placed says that a stream goes to a server.
 type placed struct {
 	attempt group.AttemptID
@@ -70,27 +80,37 @@
 	clock := st.run.service.clock
 	begun := clock.Now()
 	err = st.generate(ticket.Server)
-	stopped := st.ctx.Err() != nil
-	if stopped {
-		// Nothing is known against a server whose stream was stopped here.
-		err = nil
-	}
-	ticket.Finish(contract.TicketOutcome{Err: err, Latency: clock.Since(begun)})
-	if err != nil {
+	ticket.Finish(st.outcome(err, clock.Since(begun)))
+	if err != nil && st.ctx.Err() == nil {
 		st.tell(broken{attempt: st.start.Attempt, server: ticket.Server.Name, err: err})
 	}
 }
 
+// outcome is what the balancer learns of the stream.
+func (st *stream) outcome(err error, latency time.Duration) contract.TicketOutcome {
+	if err != nil && st.ctx.Err() != nil {
+		err = errStopped
+	}
+	return contract.TicketOutcome{
+		Err:     err,
+		Latency: latency,
+		Units:   st.tokens,
+		Bytes:   int64(len(st.run.request.Prompt)+len(st.start.Prefix)) + st.received,
+		Version: st.version,
+	}
+}
+
 func (st *stream) pick() (contract.Ticket, error) {
 	r := st.run
 	return r.service.balancer.Pick(st.ctx, contract.PickRequest{
-		Service:   r.parameters.Model,
-		Workspace: r.request.Workspace,
-		Class:     r.request.Class,
-		Due:       r.due,
-		Affinity:  affinityOf(r.request.Prompt),
-		Version:   st.oldest,
-		Avoid:     st.start.Avoid,
+		Service:     r.parameters.Model,
+		Workspace:   r.request.Workspace,
+		Class:       r.request.Class,
+		Due:         r.due,
+		Affinity:    affinityOf(r.request.Prompt),
+		Version:     st.oldest,
+		Avoid:       st.start.Avoid,
+		Fingerprint: quarantine.FingerprintOf(string(r.parameters.Model), r.request.Prompt),
 	})
 }
 
@@ -99,7 +119,7 @@
 	s := st.run.service
 	engine, wanted := s.clients.Platform().Engine, st.generation()
 	err := engine.Generate(st.ctx, server.Address, wanted, func(chunk platform.Chunk) error {
-		st.whole = chunk.Last
+		st.count(chunk)
 		st.tell(chunked{attempt: st.start.Attempt, chunk: group.Chunk(chunk)})
 		return st.ctx.Err()
 	})
@@ -112,6 +132,16 @@
 	return err
 }
 
+// count adds a chunk to what the balancer learns.
+func (st *stream) count(chunk platform.Chunk) {
+	st.whole = chunk.Last
+	st.tokens += chunk.Tokens
+	st.received += int64(len(chunk.Text))
+	if chunk.Version != 0 {
+		st.version = chunk.Version
+	}
+}
+
 // cancel ends a stream on its engine, which may not have noticed that the
 // connection is closed. Nobody waits for it: the engine may hang.
 func (s *service) cancel(address, id string) {
