--- a/daemon/services/trust/trust_test.go
+++ b/daemon/services/trust/trust_test.go
@@ -1,20 +1,10 @@
 package trust
 
 import (
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/sha256"
 	"crypto/tls"
-	"crypto/x509"
-	"crypto/x509/pkix"
 	"encoding/hex"
-	"encoding/pem"
 	"io"
-	"math/big"
-	"net"
-	"os"
-	"path/filepath"
 	"testing"
 	"time"
 
@@ -22,62 +12,20 @@
 
 	"github.com/flamingobeam/flamingobeam/coord/result"
 	"github.com/flamingobeam/flamingobeam/daemon/config"
+	"github.com/flamingobeam/flamingobeam/emulate/authority"
 )
 
-// issuer signs certificates for a test.
-type issuer struct {
-	certificate *x509.Certificate
-	key         *ecdsa.PrivateKey
-	folder      string
-}
-
-func newIssuer(t *testing.T) *issuer {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	must.NoError(t, err)
-	template := &x509.Certificate{
-		SerialNumber:          big.NewInt(1),
-		Subject:               pkix.Name{CommonName: "authority"},
-		NotAfter:              time.Now().Add(time.Hour),
-		IsCA:                  true,
-		BasicConstraintsValid: true,
-		KeyUsage:              x509.KeyUsageCertSign,
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
-	must.NoError(t, err)
-	certificate, err := x509.ParseCertificate(der)
+func newAuthority(t *testing.T) *authority.Authority {
+	made, err := authority.New(t.TempDir())
 	must.NoError(t, err)
-	is := &issuer{certificate: certificate, key: key, folder: t.TempDir()}
-	is.write(t, "authority.pem", "CERTIFICATE", der)
-	return is
+	return made
 }
 
-func (is *issuer) write(t *testing.T, name, kind string, der []byte) string {
-	path := filepath.Join(is.folder, name)
-	must.NoError(t, os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600))
-	return path
-}
-
-// issue signs a certificate for 127.0.0.1 that is valid until a time.
-func (is *issuer) issue(t *testing.T, until time.Time) config.Trust {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	must.NoError(t, err)
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(2),
-		Subject:      pkix.Name{CommonName: "daemon"},
-		NotAfter:     until,
-		IPAddresses:  []net.IP{net.IPv4(127, 0, 0, 1)},
-		ExtKeyUsage:  []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, is.certificate, &key.PublicKey, is.key)
+// issue signs a certificate that is valid until a time.
+func issue(t *testing.T, by *authority.Authority, until time.Time) config.Trust {
+	files, err := by.Issue(until)
 	must.NoError(t, err)
-	private, err := x509.MarshalECPrivateKey(key)
-	must.NoError(t, err)
-	name := until.Format("150405.000000000")
-	return config.Trust{
-		Certificate: is.write(t, name+".pem", "CERTIFICATE", der),
-		Key:         is.write(t, name+".key", "EC PRIVATE KEY", private),
-		Authority:   filepath.Join(is.folder, "authority.pem"),
-	}
+	return config.Trust{Certificate: files.Certificate, Key: files.Key, Authority: by.File}
 }
 
 func loaded(t *testing.T, trust config.Trust) *service {
@@ -115,16 +63,16 @@
 }
 
 func TestPeers_MutualTLS(t *testing.T) {
-	ours, theirs := newIssuer(t), newIssuer(t)
+	ours, theirs := newAuthority(t), newAuthority(t)
 	later, earlier := time.Now().Add(time.Hour), time.Now().Add(-time.Hour)
-	one, two := loaded(t, ours.issue(t, later)), loaded(t, ours.issue(t, later.Add(time.Second)))
+	one, two := loaded(t, issue(t, ours, later)), loaded(t, issue(t, ours, later.Add(time.Second)))
 	must.NoError(t, handshake(t, one.PeerServer(), two.PeerClient()))
 
-	stranger := loaded(t, theirs.issue(t, later))
+	stranger := loaded(t, issue(t, theirs, later))
 	stranger.authority = one.authority
 	must.Error(t, handshake(t, one.PeerServer(), stranger.PeerClient()))
 
-	expired := loaded(t, ours.issue(t, earlier))
+	expired := loaded(t, issue(t, ours, earlier))
 	must.Error(t, handshake(t, one.PeerServer(), expired.PeerClient()))
 
 	missing := one.PeerClient()
