Refuse malformed values from outside, and fuzz their decoders

Heads now have a Validate of their own in coord, and the adapters call it. Ruled out: repairing a malformed head in place; nobody knows what it was.

--- a/coord/change/head.go
+++ b/coord/change/head.go
@@ -17,7 +17,7 @@
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 )
 
-// Errors of Submit.
+// Errors of Submit and Validate.
 var (
 	// ErrConflict means that an undecided change sets the same parameter.
 	ErrConflict = errors.New("change: an undecided change sets the same parameter")
@@ -26,6 +26,8 @@
 	ErrForgotten = errors.New("change: decisions of that age are no longer kept")
 	// ErrFull means that as many changes wait as may wait.
 	ErrFull = errors.New("change: too many changes wait")
+	// ErrMalformed means that a head cannot be one that this package made.
+	ErrMalformed = errors.New("change: malformed head")
 )
 
 // Bounds of the head's size, as counts.
@@ -80,6 +82,20 @@
 	Forgotten Round `json:"forgotten"`
 }
 
+// Validate fails with ErrMalformed for a head whose accepted rounds are not
+// those from its base to its revision.
+func (h *Head) Validate() error {
+	if h.Revision < h.Base || uint64(h.Revision-h.Base) != uint64(len(h.Accepted)) {
+		return ErrMalformed
+	}
+	for i, round := range h.Accepted {
+		if round.Revision != h.Base+settings.Revision(i)+1 {
+			return ErrMalformed
+		}
+	}
+	return nil
+}
+
 // Undecided returns the staged round, or zero when there is none.
 func (h *Head) Undecided() Round {
 	if len(h.Staged) == 0 {
--- /dev/null
+++ b/coord/change/head_test.go
@@ -0,0 +1,19 @@
+package change
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+func TestHead_ValidateRefusesWhatIsNeverWritten(t *testing.T) {
+	must.NoError(t, (&Head{Revision: 1, Base: 1}).Validate())
+	must.NoError(t, (&Head{Revision: 3, Base: 1, Accepted: []Accepted{{Revision: 2}, {Revision: 3}}}).Validate())
+	for _, head := range []Head{
+		{Revision: 9, Base: 1},
+		{Revision: 1, Base: 2},
+		{Revision: 2, Base: 1, Accepted: []Accepted{{Revision: 7}}},
+	} {
+		must.ErrorIs(t, head.Validate(), ErrMalformed)
+	}
+}
--- a/coord/step/head.go
+++ b/coord/step/head.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 )
 
@@ -14,6 +16,9 @@
 	maxKept = 256
 )
 
+// ErrMalformed is returned for a head that cannot be one of this package.
+var ErrMalformed = errors.New("step: malformed head")
+
 // Owner is a daemon that seals the steps of a workspace.
 type Owner struct {
 	Incarnation structs.Incarnation `json:"incarnation"`
@@ -60,6 +65,26 @@
 	Floor time.Time `json:"floor"`
 }
 
+// Validate fails with ErrMalformed for a head that cannot be one that this
+// package made: its segments must rise up to the newest sealed step, and each
+// debt must count samples.
+func (h Head) Validate() error {
+	last := uint64(0)
+	for _, segment := range h.Kept {
+		if segment.Step <= last {
+			return ErrMalformed
+		}
+		last = segment.Step
+	}
+	if len(h.Kept) > 0 && last != h.Sealed {
+		return ErrMalformed
+	}
+	if slices.ContainsFunc(h.Owed, func(d Debt) bool { return d.Samples < 1 }) {
+		return ErrMalformed
+	}
+	return nil
+}
+
 // TakeOver returns the head by which a new owner begins its term.
 func (h Head) TakeOver(owner Owner) Head {
 	h.Owner = owner
--- a/daemon/services/front/read.go
+++ b/daemon/services/front/read.go
@@ -35,7 +35,7 @@
 	if err := decoder.Decode(into); err != nil {
 		return err
 	}
-	if decoder.More() {
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
 		return errors.New("more than one value")
 	}
 	return nil
--- a/daemon/services/settings/lead.go
+++ b/daemon/services/settings/lead.go
@@ -124,7 +124,7 @@
 	if err := json.Unmarshal(value, head); err != nil {
 		return nil, errors.Wrap(err, "the settings in the store")
 	}
-	return head, nil
+	return head, errors.Wrap(head.Validate(), "the settings in the store")
 }
 
 // documentOf returns the document in force under a head, starting from a
--- a/daemon/services/settings/settings.go
+++ b/daemon/services/settings/settings.go
@@ -148,6 +148,9 @@
 func (s *service) Take(carry contract.Carry) error {
 	document, revision := s.document, s.revision
 	if carry.Whole != nil && carry.Since > revision {
+		if err := carry.Whole.Validate(); err != nil {
+			return err
+		}
 		document, revision = carry.Whole, carry.Since
 	}
 	if document == nil {
--- a/daemon/services/steps/encode.go
+++ b/daemon/services/steps/encode.go
@@ -19,8 +19,10 @@
 
 func decodeHead(value []byte) (step.Head, error) {
 	var head step.Head
-	err := json.Unmarshal(value, &head)
-	return head, errors.Wrap(err, "head of the steps")
+	if err := json.Unmarshal(value, &head); err != nil {
+		return head, errors.Wrap(err, "head of the steps")
+	}
+	return head, errors.Wrap(head.Validate(), "head of the steps")
 }
 
 // columns is a step.List by columns: origins and hosts stand once in tables,
--- /dev/null
+++ b/daemon/services/steps/fuzz_test.go
@@ -0,0 +1,59 @@
+package steps
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/flamingobeam/flamingobeam/coord/step"
+	"github.com/flamingobeam/flamingobeam/coord/structs"
+)
+
+// FuzzDecodeHead holds that an accepted head is written and read as it is.
+func FuzzDecodeHead(f *testing.F) {
+	now := time.Unix(1_700_000_000, 0).UTC()
+	head := step.Head{Term: 1, Operation: 2, Sealed: 1, Kept: []step.Segment{{Version: step.Version{Step: 1}, Newest: now, Sealed: now}}}
+	value, err := encodeHead(head)
+	must.NoError(f, err)
+	f.Add(value)
+	f.Add([]byte(`{"sealed":3,"owed":[{"of":1,"samples":-4}]}`))
+	f.Fuzz(func(t *testing.T, value []byte) {
+		head, err := decodeHead(value)
+		if err != nil {
+			return
+		}
+		_ = head.FirstKept()
+		next := head.TakeOver(step.Owner{Address: "127.0.0.1:1"})
+		encoded, err := encodeHead(next)
+		must.NoError(t, err)
+		again, err := decodeHead(encoded)
+		must.NoError(t, err)
+		must.True(t, again.SameWrite(next))
+		must.Eq(t, len(head.Kept), len(again.Kept))
+		for _, debt := range again.Owed {
+			must.Positive(t, debt.Samples)
+		}
+	})
+}
+
+// FuzzDecodeList holds that an accepted list is written and read as it is.
+func FuzzDecodeList(f *testing.F) {
+	id := structs.SampleID{Origin: structs.Incarnation{Host: "a", Start: 1}, Number: 7}
+	list := step.List{Version: step.Version{Step: 1}, Entries: []step.Entry{{ID: id, Holders: [step.HolderCount]structs.HostName{"a", "b"}}}}
+	value, err := encodeList(list)
+	must.NoError(f, err)
+	f.Add(value)
+	f.Add(value[:len(value)/2])
+	f.Fuzz(func(t *testing.T, value []byte) {
+		list, err := decodeList(value)
+		if err != nil {
+			return
+		}
+		encoded, err := encodeList(list)
+		must.NoError(t, err)
+		again, err := decodeList(encoded)
+		must.NoError(t, err)
+		must.Eq(t, list, again)
+	})
+}
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -44,6 +44,7 @@
 check vet go vet work
 check staticcheck lint
 check imports bash scripts/check-imports.sh
+check fuzz bash scripts/check-fuzz.sh
 if [ -f scripts/check-models.sh ]; then
   # shellcheck source=/dev/null
   source scripts/check-models.sh
