Tell answers after a failure apart, and check experiments and burn reports

Cause: a run whose streams fall silent after a failure passed, since silence breaks no promise. An experiment may now say when its failure begins (fault_at); the report counts for each stream the answers to later arrivals, names the streams without any, and the load command then fails. Found by the fuzz targets of experiments and burn reports: prompts and prompt_words below zero were accepted and ended the load tool by a panic; a burn report with an objective outside 0 to 1 was accepted. Ruled out: counting answers by when they come; a late answer to an earlier request says nothing of the time after the failure.

--- a/cmd/flamingobeam/load.go
+++ b/cmd/flamingobeam/load.go
@@ -57,6 +57,9 @@
 	if broken := report.Totals.Broken(); broken > 0 {
 		return result.New(result.PromiseBroken, "%d breaches", broken)
 	}
+	if len(report.Silent) > 0 {
+		return result.New(result.CommandFailed, "nothing was answered after the failure: %v", report.Silent)
+	}
 	return nil
 }
 
@@ -65,6 +68,16 @@
 	if err != nil {
 		return load.Experiment{}, err
 	}
+	experiment, err := parseExperiment(source)
+	if err == nil && command.IsSet("seed") {
+		experiment.Seed = command.Uint64("seed")
+	}
+	return experiment, err
+}
+
+// parseExperiment reads an experiment strictly and checks its ranges. It fails
+// with code SettingsMalformed or SettingsInvalid.
+func parseExperiment(source []byte) (load.Experiment, error) {
 	experiment := load.Default()
 	if err := config.Strict(source, &experiment); err != nil {
 		return load.Experiment{}, err
@@ -72,9 +85,6 @@
 	if err := validator.New().Struct(experiment); err != nil {
 		return load.Experiment{}, result.Wrap(result.SettingsInvalid, err)
 	}
-	if command.IsSet("seed") {
-		experiment.Seed = command.Uint64("seed")
-	}
 	return experiment, nil
 }
 
--- a/cmd/flamingobeam/report.go
+++ b/cmd/flamingobeam/report.go
@@ -75,15 +75,30 @@
 		if err != nil {
 			return nil, result.Wrap(result.SettingsUnread, err)
 		}
-		var report burn.Report
-		if err := json.Unmarshal(source, &report); err != nil {
-			return nil, result.Wrap(result.SettingsMalformed, err)
+		report, err := parseBurn(source)
+		if err != nil {
+			return nil, err
 		}
 		reports = append(reports, report)
 	}
 	return reports, nil
 }
 
+// parseBurn reads a saved report. It fails with code SettingsMalformed, or
+// with SettingsInvalid for an objective that no workspace can have.
+func parseBurn(source []byte) (burn.Report, error) {
+	var report burn.Report
+	if err := json.Unmarshal(source, &report); err != nil {
+		return report, result.Wrap(result.SettingsMalformed, err)
+	}
+	for _, row := range report.Rows {
+		if row.Objective <= 0 || row.Objective >= 1 {
+			return report, result.New(result.SettingsInvalid, "the objective %g of %s is not between 0 and 1", row.Objective, row.Workspace)
+		}
+	}
+	return report, nil
+}
+
 // burnText lays a report out as a table.
 func burnText(report burn.Report) string {
 	var text strings.Builder
--- a/cmd/flamingobeam/report_test.go
+++ b/cmd/flamingobeam/report_test.go
@@ -48,3 +48,20 @@
 	must.NoError(t, json.Unmarshal(out.Bytes(), &again))
 	must.Eq(t, row, again.Rows[0])
 }
+
+func FuzzParseBurn(f *testing.F) {
+	f.Add([]byte(`{"rows": [{"workspace": "a", "class": "lookup", "objective": 0.9, "alarms": [{"short": {"seconds": 300, "good": 1, "bad": 2}}]}]}`))
+	f.Add([]byte(`{"rows": [{"class": "lookup", "objective": 1}]}`))
+	f.Fuzz(func(t *testing.T, source []byte) {
+		report, err := parseBurn(source)
+		if err != nil {
+			return
+		}
+		merged := burn.Merge([]burn.Report{report, report})
+		must.NotEq(t, "", burnText(merged))
+		encoded, err := json.Marshal(merged)
+		must.NoError(t, err)
+		_, err = parseBurn(encoded)
+		must.NoError(t, err)
+	})
+}
--- a/emulate/load/experiment.go
+++ b/emulate/load/experiment.go
@@ -43,6 +43,9 @@
 	Trainers []string `yaml:"trainers" json:"trainers"`
 	Streams  []Stream `yaml:"streams" json:"streams" validate:"min=1,dive"`
 	Faults   []Fault  `yaml:"faults" json:"faults,omitempty" validate:"dive"`
+	// FaultAt is when a failure begins, after the start; zero means that
+	// there is none. Every stream must have answers to later arrivals.
+	FaultAt settings.Duration `yaml:"fault_at" json:"fault_at,omitempty" validate:"min=0"`
 	// MaxInFlight bounds the requests that wait at once; arrivals over it
 	// count as failed.
 	MaxInFlight int `yaml:"max_in_flight" json:"max_in_flight" validate:"min=1,max=100000"`
@@ -57,15 +60,15 @@
 	Rate float64 `yaml:"rate" json:"rate" validate:"gt=0,max=100000"`
 	// Prompts is the count of different prompt prefixes, and PromptWords
 	// their length.
-	Prompts     int `yaml:"prompts" json:"prompts,omitempty"`
-	PromptWords int `yaml:"prompt_words" json:"prompt_words,omitempty"`
+	Prompts     int `yaml:"prompts" json:"prompts,omitempty" validate:"min=0,max=1000000"`
+	PromptWords int `yaml:"prompt_words" json:"prompt_words,omitempty" validate:"min=0,max=100000"`
 	// MaxTokens bounds the answers of a model.
-	MaxTokens int `yaml:"max_tokens" json:"max_tokens,omitempty"`
+	MaxTokens int `yaml:"max_tokens" json:"max_tokens,omitempty" validate:"min=0,max=131072"`
 }
 
 // Fault is a message posted to a stand-in at a time after the start.
 type Fault struct {
-	At   settings.Duration `yaml:"at" json:"at"`
+	At   settings.Duration `yaml:"at" json:"at" validate:"min=0"`
 	URL  string            `yaml:"url" json:"url" validate:"required"`
 	Body string            `yaml:"body" json:"body"`
 }
--- a/emulate/load/perform.go
+++ b/emulate/load/perform.go
@@ -39,14 +39,20 @@
 	case KindRollout, KindDraft:
 		r.generate(ctx, p)
 	case KindSettings:
-		r.settings.change(ctx, p)
+		r.finish(p, r.settings.change(ctx, p))
 	default:
 		r.lookup(ctx, p)
 	}
 }
 
 func (r *runner) finish(p performance, got response) {
-	r.tally.done(p.name, got, time.Since(p.intended))
+	r.tally.done(p.name, got, time.Since(p.intended), r.afterFault(p))
+}
+
+// afterFault reports whether a request arrived after the failure began.
+func (r *runner) afterFault(p performance) bool {
+	at := time.Duration(r.experiment.FaultAt)
+	return at > 0 && p.intended.After(r.started.Add(at))
 }
 
 func (r *runner) lookup(ctx context.Context, p performance) {
--- a/emulate/load/report.go
+++ b/emulate/load/report.go
@@ -17,6 +17,9 @@
 	Codes map[string]int64 `json:"codes"`
 	// Breaches describes the first breaches of what must always hold.
 	Breaches []string `json:"breaches,omitempty"`
+	// Silent names the streams of which nothing that arrived after the
+	// failure was answered.
+	Silent []string `json:"silent,omitempty"`
 }
 
 // Totals are the figures of a whole run.
@@ -59,12 +62,14 @@
 // StreamReport gives the latencies of a stream, counted from when each request
 // was meant to start, in milliseconds.
 type StreamReport struct {
-	Sent     int64   `json:"sent"`
-	Answered int64   `json:"answered"`
-	P50      float64 `json:"p50_ms"`
-	P90      float64 `json:"p90_ms"`
-	P99      float64 `json:"p99_ms"`
-	Max      float64 `json:"max_ms"`
+	Sent     int64 `json:"sent"`
+	Answered int64 `json:"answered"`
+	// AnsweredAfter counts the answers to arrivals after the failure began.
+	AnsweredAfter int64   `json:"answered_after,omitempty"`
+	P50           float64 `json:"p50_ms"`
+	P90           float64 `json:"p90_ms"`
+	P99           float64 `json:"p99_ms"`
+	Max           float64 `json:"max_ms"`
 }
 
 // The bounds of the histograms.
--- a/emulate/load/run.go
+++ b/emulate/load/run.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -47,6 +48,7 @@
 		Streams:  streams,
 		Codes:    codes,
 		Breaches: r.tally.breaches,
+		Silent:   r.silent(streams),
 	}, nil
 }
 
@@ -127,3 +129,18 @@
 		_ = response.Body.Close()
 	}
 }
+
+// silent lists the streams without an answer to an arrival after the failure.
+func (r *runner) silent(streams map[string]StreamReport) []string {
+	if r.experiment.FaultAt == 0 {
+		return nil
+	}
+	var names []string
+	for name, stream := range streams {
+		if stream.AnsweredAfter == 0 {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
--- a/emulate/load/settings.go
+++ b/emulate/load/settings.go
@@ -51,8 +51,8 @@
 }
 
 // change sets the workspace's share to a value of its own and asks again with
-// the same id while the outcome is unknown.
-func (s *settingsChecker) change(ctx context.Context, p performance) {
+// the same id while the outcome is unknown. It returns the last response.
+func (s *settingsChecker) change(ctx context.Context, p performance) response {
 	share := s.nextShare()
 	change := settings.Change{
 		ID: settings.ChangeID(fmt.Sprintf("%x-%d", p.seed, p.number)),
@@ -64,7 +64,7 @@
 	}
 	body, err := json.Marshal(change)
 	if err != nil {
-		return
+		return response{err: err}
 	}
 	begun := time.Now()
 	var got response
@@ -75,7 +75,7 @@
 		}
 	}
 	s.settle(ctx, p.stream.Workspace, share, got, time.Since(begun))
-	s.tally.done(p.name, got, time.Since(p.intended))
+	return got
 }
 
 // nextShare gives values that tell the changes apart.
--- a/emulate/load/tally.go
+++ b/emulate/load/tally.go
@@ -31,8 +31,8 @@
 const keptBreaches = 20
 
 type streamTally struct {
-	sent, answered int64
-	latency        *hdrhistogram.Histogram
+	sent, answered, answeredAfter int64
+	latency                       *hdrhistogram.Histogram
 }
 
 func newTally() *tally {
@@ -67,8 +67,9 @@
 	t.totals.Failed++
 }
 
-// done counts a request's end: the final response, or none.
-func (t *tally) done(stream string, r response, latency time.Duration) {
+// done counts a request's end: the final response, or none. The request
+// arrived after the failure if after is set.
+func (t *tally) done(stream string, r response, latency time.Duration, after bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if r.err != nil {
@@ -81,6 +82,9 @@
 		t.totals.Answered++
 		known := t.stream(stream)
 		known.answered++
+		if after {
+			known.answeredAfter++
+		}
 		_ = known.latency.RecordValue(int64(max(latency, time.Microsecond)))
 	case result.NotRun:
 		t.totals.RefusedNotRun++
@@ -129,12 +133,13 @@
 	streams := make(map[string]StreamReport, len(t.streams))
 	for name, known := range t.streams {
 		streams[name] = StreamReport{
-			Sent:     known.sent,
-			Answered: known.answered,
-			P50:      milliseconds(known.latency.ValueAtQuantile(50)),
-			P90:      milliseconds(known.latency.ValueAtQuantile(90)),
-			P99:      milliseconds(known.latency.ValueAtQuantile(99)),
-			Max:      milliseconds(known.latency.Max()),
+			Sent:          known.sent,
+			Answered:      known.answered,
+			AnsweredAfter: known.answeredAfter,
+			P50:           milliseconds(known.latency.ValueAtQuantile(50)),
+			P90:           milliseconds(known.latency.ValueAtQuantile(90)),
+			P99:           milliseconds(known.latency.ValueAtQuantile(99)),
+			Max:           milliseconds(known.latency.Max()),
 		}
 	}
 	return t.totals, streams, t.codes
