Bring failures about over real processes

Cause: failures were tested in one process; the demo kills one daemon and one engine. make failures runs ten scenarios, each over a deployment of its own under look-ups, submissions, rollouts, Drafts and changes, and fails on a broken promise, a stream silent after the failure, or, in the rolling restart, a look-up that was not answered. Ruled out: one deployment for all scenarios; a scenario could then hide what an earlier one left behind.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Targets for people: "make demo" and "make test" do all set-up themselves.
 
-.PHONY: build demo test clean
+.PHONY: build demo failures test clean
 
 build:
 	mkdir -p bin
@@ -9,6 +9,10 @@
 demo: build
 	bash scripts/demo.sh
 
+# Takes about five minutes; SCENARIOS="store-down store-slow" runs just these.
+failures: build
+	bash scripts/failures.sh $(SCENARIOS)
+
 test:
 	bash scripts/test.sh
 
--- /dev/null
+++ b/scripts/failures.sh
@@ -0,0 +1,129 @@
+#!/usr/bin/env bash
+# Brings one failure at a time about over Akuaba's deployment under traffic.
+# Each scenario starts the deployment anew, fails when the load tool saw a
+# broken promise or a stream without answers after the failure, and leaves its
+# report and logs in out/failures/SCENARIO. Ends with a table of all that ran.
+# Usage: [SEED=1] scripts/failures.sh [SCENARIO...]
+set -u
+cd "$(dirname "$0")/.."
+seed=${SEED:-1}
+seconds=20
+fault_at=5
+folder=out/failures
+all=(collector-killed collector-frozen bucket-owner-frozen daemons-killed store-down
+  store-answers-lost store-slow engine-killed-and-leaving service-frozen rolling-restart)
+[ $# -gt 0 ] || set -- "${all[@]}"
+
+# freeze NAME SECONDS stops a process and thaws it.
+freeze() {
+  kill -STOP "${pids[$1]}"
+  sleep "$2"
+  kill -CONT "${pids[$1]}"
+}
+
+# emulate ADDRESS FAULTS replaces the faults of a stand-in.
+emulate() { curl -s -m 5 -X POST -d "$2" "http://$1/emulate/faults" >>"$out/setup.log"; }
+
+# collector HOST prints the collector of the zone of a host.
+collector() { "$tool" status --daemon "$(callers "$1")" --output json | sed -n 's/.*"collector": "\([^"]*\)".*/\1/p'; }
+
+# bucket_owner prints the daemon that owns the most buckets of the journal.
+bucket_owner() {
+  local name
+  for name in "${hosts[@]}"; do echo "$(grep -c 'Owning bucket' "$out/$name.log") $name"; done | sort -rn | sed -n '1s/.* //p'
+}
+
+# chosen HOST notes which process a scenario chose.
+chosen() { echo "$1" | tee "$out/chosen"; }
+
+collector_killed() { kill -KILL "${pids[$(chosen "$(collector ashanti-1)")]}"; }
+collector_frozen() { freeze "$(chosen "$(collector ashanti-1)")" 8; }
+bucket_owner_frozen() { freeze "$(chosen "$(bucket_owner)")" 8; }
+daemons_killed() { kill -KILL "${pids[ashanti-2]}" "${pids[northern-2]}"; }
+store_down() {
+  emulate "$store" '{"down": true}'
+  sleep 6
+  emulate "$store" '{}'
+}
+store_answers_lost() { emulate "$store" '{"lose_answers": 0.05}'; }
+store_slow() { emulate "$store" '{"delay": 200000000}'; }
+engine_killed_and_leaving() {
+  kill -KILL "${pids[engine-3]}"
+  emulate "127.0.0.1:${ports}405" '{"leaving": true}'
+}
+service_frozen() { freeze portal-1 3; }
+
+# Stops the daemons of a zone one after the other by SIGTERM and starts each
+# again before the next one stops.
+rolling_restart() {
+  local name
+  for name in ashanti-1 ashanti-2 ashanti-3; do
+    kill -TERM "${pids[$name]}"
+    tail --pid="${pids[$name]}" -f /dev/null
+    start_daemon "$name"
+    retry granted "$name"
+    echo "$name serves again" >>"$out/setup.log"
+  done
+}
+
+# lookups_whole REPORT fails unless every look-up was answered.
+lookups_whole() {
+  awk -F'[:,]' '/"lookup\// { within = 1 } within && /"sent"/ { sent = $2 }
+    within && /"answered"/ { within = 0; if ($2 != sent) { print "look-ups not answered: " sent - $2; bad = 1 } } END { exit bad }' "$1"
+}
+
+# figure REPORT NAME prints the first figure of a name, that of the totals.
+figure() { sed -n "s/^ *\"$2\": \([0-9.e+-]*\),*\$/\1/p" "$1" | sed -n 1p; }
+
+# row SCENARIO VERDICT prints a line of the table.
+row() {
+  local report=$folder/$1/report.json name
+  if [ ! -f "$report" ]; then
+    echo "| $1 | no report | | | | | | | | | $2 |"
+    return
+  fi
+  printf '| %s ' "$1"
+  for name in sent answered refused_not_run unknown_outcome failed; do printf '| %s ' "$(figure "$report" $name)"; done
+  printf '| %s ' "$(for name in doubled_runs lost_answers wrong_answers samples_doubled samples_stale samples_misattributed settings_partial; do
+    figure "$report" $name
+  done | awk '{ sum += $1 } END { print sum }')"
+  printf '| %.1f s | %.0f ms | %.2f | %s |\n' "$(figure "$report" settings_seconds_max)" "$(figure "$report" lookup_p99_ms)" \
+    "$(figure "$report" trainer_idle_fraction)" "$2"
+}
+
+# run SCENARIO is one run over a deployment of its own, in a subshell.
+run() {
+  ports=16
+  out=$folder/$1
+  rm -rf "$out"
+  mkdir -p "$out"
+  # shellcheck source=scripts/deployment.sh
+  source scripts/deployment.sh
+  trap 'kill -CONT "${started[@]}" 2>/dev/null; stop_all' EXIT
+  [ "$1" != rolling-restart ] || seconds=25
+  printf 'seed: %s\nduration: %ss\nfault_at: %ss\n' "$seed" "$seconds" "$fault_at" | cat - experiments/failures.yaml >"$out/experiment.yaml"
+  deploy
+  timeout 90 "$tool" load --out "$out/report.json" "$out/experiment.yaml" >"$out/load.log" 2>&1 &
+  local load=$!
+  sleep "$fault_at"
+  "${1//-/_}" || return 1
+  wait "$load" || return 1
+  [ "$1" != rolling-restart ] || lookups_whole "$out/report.json"
+}
+
+failed=0
+table=()
+for scenario in "$@"; do
+  verdict=passed
+  if ! (run "$scenario"); then
+    verdict=FAILED
+    failed=1
+    grep -E '^breach|breaches|after the failure' "$folder/$scenario/load.log"
+  fi
+  echo "$verdict $scenario"
+  table+=("$(row "$scenario" "$verdict")")
+done
+echo "| scenario | sent | answered | refused | unknown | failed | breaches | longest change | look-up p99 | trainer idle | verdict |"
+echo "|---|---|---|---|---|---|---|---|---|---|---|"
+printf '%s\n' "${table[@]}"
+exit "$failed"
