--- a/daemon/services/zone/collect.go
+++ b/daemon/services/zone/collect.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/flamingobeam/flamingobeam/coord/change"
+	"github.com/flamingobeam/flamingobeam/coord/settings"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/coord/zone"
 	"github.com/flamingobeam/flamingobeam/kernel"
@@ -21,8 +22,11 @@
 	lease    platform.LeaseID
 	rosterAt platform.Revision
 	held     []*heldAsk
-	joining  zone.Roster
-	lapse    *kernel.Timer
+	// carries holds the settings that were encoded since the last news, by
+	// the revision of the followers that lack them.
+	carries map[settings.Revision][]byte
+	joining zone.Roster
+	lapse   *kernel.Timer
 	// began is when the term began here.
 	began zone.Instant
 }
@@ -87,6 +91,7 @@
 	s.collects = &collects{
 		decide:   zone.NewCollector(s.self, role.record.term, s.span, role.roster),
 		lease:    role.lease,
+		carries:  make(map[settings.Revision][]byte),
 		rosterAt: role.rosterAt,
 		began:    s.now(),
 	}
@@ -191,6 +196,7 @@
 	if s.collects == nil {
 		return
 	}
+	clear(s.collects.carries)
 	s.learn()
 	s.renewSelf()
 	s.releaseAll()
--- a/daemon/services/zone/receive.go
+++ b/daemon/services/zone/receive.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 
 	"github.com/flamingobeam/flamingobeam/coord/result"
+	"github.com/flamingobeam/flamingobeam/coord/settings"
 	"github.com/flamingobeam/flamingobeam/coord/zone"
 	"github.com/flamingobeam/flamingobeam/kernel"
 )
@@ -114,6 +115,18 @@
 	}
 }
 
+// encodeCarry encodes what followers of a revision lack, once for all of them.
+func (s *service) encodeCarry(since settings.Revision) ([]byte, error) {
+	if known, ok := s.collects.carries[since]; ok {
+		return known, nil
+	}
+	carry, err := json.Marshal(s.settings.Carry(since))
+	if err == nil {
+		s.collects.carries[since] = carry
+	}
+	return carry, err
+}
+
 // answer sends a reply with what the follower lacks.
 func (s *service) answer(call askCall, reply zone.Reply) {
 	answer := AskReply{Collects: true, Reply: reply, Parts: s.shareWith(call.Have)}
@@ -122,7 +135,7 @@
 	case !known:
 		answer.Reply.Granted = false
 	case s.isNews(call.AskArgs) || news.Undecided:
-		carry, err := json.Marshal(s.settings.Carry(call.Ask.Revision))
+		carry, err := s.encodeCarry(call.Ask.Revision)
 		if err != nil {
 			s.log.WithError(err).Error("The settings could not be encoded.")
 			answer.Reply.Granted = false
