Break rollouts off after half of the time to stop

Cause: a rollout may take ten minutes and a wait for a step 30 s, but a graceful shutdown waits 30 s for all requests. A long one used up the whole time and was then cut off, and nothing was left for handing over buckets and samples.

Rollouts, Drafts and waits for a step are now broken off after half of limits.stop_within. Their callers get a whole answer with the code that is true: 4006 with the cause "stopping" when an engine may have worked for the group, else 3007. Requests of this kind that come later are refused as 3007. Ruled out: a longer time to stop (the platform replaces hosts at any time) and ending them at once (most rollouts end within the half).

--- a/daemon/agent/shutdown_test.go
+++ b/daemon/agent/shutdown_test.go
@@ -64,14 +64,23 @@
 
 // startBefore starts a daemon of ashanti before a fleet and returns its kernel
 // and its address for callers.
-func startBefore(t *testing.T, fleet *store.Fleet) (*kernel.Kernel, string) {
+func startBefore(t *testing.T, fleet *store.Fleet, stopWithin ...time.Duration) (*kernel.Kernel, string) {
 	platform := httptest.NewServer(store.Handler(store.New(store.DefaultLimits(), 1), fleet))
 	t.Cleanup(platform.Close)
+	return startHost(t, fleet, platform.Listener.Addr().String(), "ashanti-1", stopWithin...)
+}
+
+// startHost starts a daemon of ashanti on a host and lists it.
+func startHost(t *testing.T, fleet *store.Fleet, platform string, host structs.HostName, stopWithin ...time.Duration) (*kernel.Kernel, string) {
 	daemon := config.Default()
-	daemon.Host, daemon.Place = "ashanti-1", ashanti
+	daemon.Host, daemon.Place = host, ashanti
 	daemon.Listen = config.Listen{Callers: freeAddress(t), Peers: freeAddress(t)}
-	daemon.Store = platform.Listener.Addr().String()
+	daemon.Store = platform
+	fleet.Set(structs.BackendServer{Name: host, Place: ashanti, Kind: structs.KindDaemon, Address: daemon.Listen.Peers})
 	daemon.Limits.UnreadyFor = settings.Duration(time.Millisecond)
+	for _, span := range stopWithin {
+		daemon.Limits.StopWithin = settings.Duration(span)
+	}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	k := New(daemon, log)
@@ -82,11 +91,15 @@
 // create writes a document with one workspace and waits until the daemon
 // serves by it.
 func create(t *testing.T, k *kernel.Kernel) {
+	model, judge, group := structs.ServiceName("assessor"), structs.ServiceName("judge"), 2
 	service := structs.ServiceName("portal")
 	due := settings.Duration(time.Hour)
 	document := &settings.Document{
-		Zones:      []structs.Place{{Zone: "ashanti-a", Region: "ashanti"}},
-		Templates:  []settings.Template{{Name: "plain", Parameters: settings.Parameters{Service: &service, LookupDue: &due}}},
+		Zones: []structs.Place{{Zone: "ashanti-a", Region: "ashanti"}},
+		Templates: []settings.Template{{Name: "plain", Parameters: settings.Parameters{
+			Service: &service, Model: &model, Judge: &judge, GroupSize: &group,
+			LookupDue: &due, SubmissionDue: &due, RolloutDue: &due,
+		}}},
 		Workspaces: []settings.Workspace{{Name: "audit", Template: "plain"}},
 	}
 	operator, err := kernel.Loaded[contract.Operator](k, contract.NameSettings)
--- a/daemon/config/config.go
+++ b/daemon/config/config.go
@@ -108,6 +108,7 @@
 	// the balancer can see that it is no longer ready.
 	UnreadyFor settings.Duration `yaml:"unready_for" validate:"min=0,max=3600000000000"`
 	// StopWithin is how long a graceful shutdown waits for requests in flight.
+	// Rollouts, Drafts and waits for a step are broken off after half of it.
 	StopWithin settings.Duration `yaml:"stop_within" validate:"min=0,max=86400000000000"`
 }
 
--- a/daemon/services/front/front.go
+++ b/daemon/services/front/front.go
@@ -49,6 +49,7 @@
 	server    *http.Server
 	group     conc.WaitGroup
 	leaving   atomic.Bool
+	long      *breakOff
 }
 
 // Provision implements kernel.Service.
@@ -61,13 +62,14 @@
 		return err
 	}
 	s.log, s.clock = ctx.Log(), ctx.Clock()
+	s.long = newBreakOff()
 	s.endpoints = []endpoint{
 		&lookups{},
 		&submissions{},
 		&operators{},
-		&steps{},
+		&steps{long: s.long},
 		&metrics{},
-		&rollouts{},
+		&rollouts{long: s.long},
 	}
 	for _, each := range s.endpoints {
 		if err := each.provision(ctx); err != nil {
@@ -98,9 +100,11 @@
 
 // Stop implements kernel.Service: the daemon reports itself unready, goes on
 // serving until the balancer can have seen that, and then waits for the
-// requests in flight.
+// requests in flight. Long ones are broken off after a part of the time.
 func (s *service) Stop(ctx context.Context) error {
 	s.leaving.Store(true)
+	timer := s.clock.AfterFunc(longSpan(time.Duration(s.config.Limits.StopWithin)), s.long.now)
+	defer timer.Stop()
 	s.server.SetKeepAlivesEnabled(false)
 	s.awaitBalancer(ctx)
 	err := s.server.Shutdown(ctx)
--- a/daemon/services/front/rollouts.go
+++ b/daemon/services/front/rollouts.go
@@ -15,6 +15,7 @@
 type rollouts struct {
 	config   config.Daemon
 	rollouts contract.Rollouts
+	long     *breakOff
 }
 
 func (ro *rollouts) provision(ctx *kernel.Context) error {
@@ -36,7 +37,13 @@
 	if !ok {
 		return
 	}
-	reply, err := ro.rollouts.Rollout(r.Context(), request)
+	ctx, free, err := ro.long.bind(r.Context())
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	defer free()
+	reply, err := ro.rollouts.Rollout(ctx, request)
 	if err != nil {
 		writeError(w, err)
 		return
@@ -49,7 +56,13 @@
 	if !ok {
 		return
 	}
-	sample, err := ro.rollouts.Draft(r.Context(), request)
+	ctx, free, err := ro.long.bind(r.Context())
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	defer free()
+	sample, err := ro.rollouts.Draft(ctx, request)
 	if err != nil {
 		writeError(w, err)
 		return
--- a/daemon/services/front/rollouts_test.go
+++ b/daemon/services/front/rollouts_test.go
@@ -40,7 +40,7 @@
 func TestRollouts_PathAndBodyBecomeTheRequest(t *testing.T) {
 	asked := &echo{}
 	router := httprouter.New()
-	(&rollouts{config: config.Default(), rollouts: asked}).routes(router)
+	(&rollouts{config: config.Default(), rollouts: asked, long: newBreakOff()}).routes(router)
 
 	answer := post(t, router, "/v1/workspaces/audit/rollouts", `{"group":"g","prompt":"p","max_tokens":8}`)
 	must.Eq(t, http.StatusOK, answer.Code)
--- a/daemon/services/front/steps.go
+++ b/daemon/services/front/steps.go
@@ -26,6 +26,7 @@
 type steps struct {
 	config config.Daemon
 	steps  contract.Steps
+	long   *breakOff
 }
 
 func (st *steps) provision(ctx *kernel.Context) error {
@@ -56,7 +57,13 @@
 	if !decode(w, r, st.config.Limits.MaxBody, &body) {
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), wait)
+	ctx, free, err := st.long.bind(r.Context())
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	defer free()
+	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	reply, err := st.steps.Step(ctx, contract.StepRequest{
 		Workspace: structs.WorkspaceName(params.ByName("workspace")),
--- a/daemon/services/rollout/run.go
+++ b/daemon/services/rollout/run.go
@@ -143,8 +143,11 @@
 }
 
 // fail ends the run. A code that says "not run" is given only when that is
-// true.
+// true. A run that is broken off because the daemon stops says so.
 func (r *run) fail(code result.Code) {
+	if result.CodeOf(context.Cause(r.ctx)) == result.Stopping {
+		code = result.Stopping
+	}
 	if r.group.Sent() {
 		r.err = result.New(result.GroupUnfinished, "group %q: %s", r.request.Group, nameOf(code))
 		return
