Bring two failures about at once

Two pairs join the scenarios: a collector killed as the store goes down, and the owner of most buckets frozen while the store loses answers.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 demo: build
 	bash scripts/demo.sh
 
-# Takes about five minutes; SCENARIOS="store-down store-slow" runs just these.
+# Takes about six minutes; SCENARIOS="store-down store-slow" runs just these.
 failures: build
 	bash scripts/failures.sh $(SCENARIOS)
 
--- a/scripts/failures.sh
+++ b/scripts/failures.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Brings one failure at a time about over Akuaba's deployment under traffic.
+# Brings one or two failures at a time about over Akuaba's deployment under traffic.
 # Each scenario starts the deployment anew, fails when the load tool saw a
 # broken promise or a stream without answers after the failure, and leaves its
 # report and logs in out/failures/SCENARIO. Ends with a table of all that ran.
@@ -11,7 +11,8 @@
 fault_at=5
 folder=out/failures
 all=(collector-killed collector-frozen bucket-owner-frozen daemons-killed store-down
-  store-answers-lost store-slow engine-killed-and-leaving service-frozen rolling-restart)
+  store-answers-lost store-slow engine-killed-and-leaving service-frozen rolling-restart
+  collector-killed-store-down owner-frozen-answers-lost)
 [ $# -gt 0 ] || set -- "${all[@]}"
 
 # freeze NAME SECONDS stops a process and thaws it.
@@ -51,6 +52,14 @@
   kill -KILL "${pids[engine-3]}"
   emulate "127.0.0.1:${ports}405" '{"leaving": true}'
 }
+collector_killed_store_down() {
+  collector_killed
+  store_down
+}
+owner_frozen_answers_lost() {
+  store_answers_lost
+  bucket_owner_frozen
+}
 service_frozen() { freeze portal-1 3; }
 
 # Stops the daemons of a zone one after the other by SIGTERM and starts each
