Let the agent's tests wait for the balancer and for a running grant

They went on as soon as the host list was known, but the balancer takes its table over a moment later: the look-up met no server, or met the leaving one four times because it was the only one in the table. And a grant's end may be set but past, before the first grant of a term.

Ruled out: the retry budget, which holds three retries at the start and was not spent; the time to hold a refusing server out.

What is waited for is the condition itself; no check was eased.

Conclusion: a fault of the tests, not of the daemon.

--- a/daemon/agent/breakoff_test.go
+++ b/daemon/agent/breakoff_test.go
@@ -91,6 +91,9 @@
 	b.kernel, b.address = startHost(t, fleet, platform.Listener.Addr().String(), "ashanti-1", stopWithin)
 	create(t, b.kernel)
 	await(served(t, b.kernel), func(v *contract.HostView) bool { return len(v.Services) == 3 && len(v.Daemons) == 2 })
+	for _, service := range []structs.ServiceName{"portal", "judge", "assessor"} {
+		awaitServers(t, b.kernel, service, 1)
+	}
 	lookUp(t, b.address)
 	go func() { b.submission <- post(b.address, "service/submissions", "key-1", "claim") }()
 	select {
--- a/daemon/agent/leaving_test.go
+++ b/daemon/agent/leaving_test.go
@@ -60,7 +60,7 @@
 	k, address := startBefore(t, fleet)
 	defer stop(t, k)
 	create(t, k)
-	await(served(t, k), func(v *contract.HostView) bool { return len(v.Services["portal"]) == 2 })
+	awaitServers(t, k, "portal", 2)
 	leaves.SetFaults(service.Faults{Leaving: true})
 	for seen := leaves.requests.Load(); leaves.requests.Load() == seen; {
 		lookUp(t, address)
@@ -90,7 +90,7 @@
 	k, address := startBefore(t, fleet)
 	defer stop(t, k)
 	create(t, k)
-	await(served(t, k), func(v *contract.HostView) bool { return len(v.Services["portal"]) == 2 })
+	awaitServers(t, k, "portal", 2)
 	lookUp(t, address)
 	must.Eq(t, 1, near.requests.Load())
 	must.Zero(t, far.requests.Load())
--- a/daemon/agent/quarantine_test.go
+++ b/daemon/agent/quarantine_test.go
@@ -10,7 +10,6 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/flamingobeam/flamingobeam/coord/structs"
-	"github.com/flamingobeam/flamingobeam/daemon/contract"
 	"github.com/flamingobeam/flamingobeam/emulate/engine"
 	"github.com/flamingobeam/flamingobeam/emulate/service"
 	"github.com/flamingobeam/flamingobeam/emulate/store"
@@ -45,7 +44,7 @@
 	k, address := startBefore(t, fleet)
 	defer stop(t, k)
 	create(t, k)
-	await(served(t, k), func(v *contract.HostView) bool { return len(v.Services["assessor"]) == 5 })
+	awaitServers(t, k, "assessor", 5)
 	poison := `{"group":"g","prompt":"a poison pill","max_tokens":8}`
 	got := post(address, "rollouts", "", poison)
 	must.Eq(t, "4006", got.code, must.Sprintf("%s", got.body))
--- a/daemon/agent/shutdown_test.go
+++ b/daemon/agent/shutdown_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"testing"
 	"time"
 
@@ -107,10 +108,29 @@
 	must.NoError(t, operator.Create(t.Context(), document))
 	known, err := kernel.Loaded[contract.Settings](k, contract.NameSettings)
 	must.NoError(t, err)
-	await(known.View(), func(v *contract.SettingsView) bool { return v.Document != nil && !v.GrantEnds.IsZero() })
-	hosts, err := kernel.Loaded[contract.Hosts](k, contract.NameHosts)
+	await(known.View(), func(v *contract.SettingsView) bool { return v.Document != nil && time.Now().Before(v.GrantEnds) })
+	awaitServers(t, k, service, 1)
+}
+
+// awaitServers waits until the balancer chooses among a count of servers of a
+// service. It takes its list over from the host list a little later.
+func awaitServers(t *testing.T, k *kernel.Kernel, service structs.ServiceName, count int) {
+	balancer, err := kernel.Loaded[contract.Balancer](k, contract.NameBalance)
 	must.NoError(t, err)
-	await(hosts.View(), func(v *contract.HostView) bool { return len(v.Services[service]) > 0 })
+	var chosen []structs.HostName
+	for len(chosen) < count {
+		ticket, err := balancer.Pick(t.Context(), contract.PickRequest{
+			Service: service, Workspace: "audit", Due: time.Now().Add(time.Hour), Avoid: chosen,
+		})
+		if err != nil {
+			<-time.After(time.Millisecond)
+			continue
+		}
+		ticket.Finish(contract.TicketOutcome{Latency: time.Millisecond})
+		if !slices.Contains(chosen, ticket.Server.Name) {
+			chosen = append(chosen, ticket.Server.Name)
+		}
+	}
 }
 
 // await waits until a snapshot meets a condition.
