--- a/daemon/agent/tls_test.go
+++ b/daemon/agent/tls_test.go
@@ -121,14 +121,14 @@
 	for _, k := range z.kernels {
 		known, err := kernel.Loaded[contract.Settings](k, contract.NameSettings)
 		must.NoError(t, err)
-		await(known.View(), func(v *contract.SettingsView) bool { return v.Revision >= revision && !v.GrantEnds.IsZero() })
+		await(known.View(), func(v *contract.SettingsView) bool { return v.Revision >= revision && time.Now().Before(v.GrantEnds) })
 	}
 }
 
 // TestTLS_ChangeOverThreeDaemons forms a zone over mutual TLS: a change by an
 // operator with certificate and token comes into force on all daemons, and one
-// without a token, with a wrong one, with a stranger's certificate or without
-// TLS is refused by each of them.
+// without a token, with a wrong one, without a certificate, with a stranger's or
+// without TLS is refused by each of them.
 func TestTLS_ChangeOverThreeDaemons(t *testing.T) {
 	zone := startSecured(t, 3)
 	document := &settings.Document{
@@ -147,6 +147,7 @@
 	change := settings.Change{ID: "1", Edits: []settings.Edit{
 		{Kind: settings.SetWorkspace, Workspace: "audit", Set: settings.Parameters{Share: &share}},
 	}}
+	uncertified := zone.operator(t)
 	stranger := zone.operator(t, issue(t, newAuthority(t)))
 	for _, address := range zone.callers {
 		for _, token := range []string{"", "another"} {
@@ -154,6 +155,9 @@
 			must.NoError(t, err)
 			must.Eq(t, http.StatusUnauthorized, status)
 		}
+		status, err = send(t, uncertified, address, contract.PathChanges, operatorToken, change)
+		must.NoError(t, err)
+		must.Eq(t, http.StatusUnauthorized, status)
 		_, err = send(t, stranger, address, contract.PathChanges, operatorToken, change)
 		must.Error(t, err)
 		status, err = plainly(t, address, change)
--- a/daemon/services/front/fuzz_test.go
+++ b/daemon/services/front/fuzz_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/julienschmidt/httprouter"
 	"github.com/shoenig/test/must"
 
@@ -83,7 +84,7 @@
 	f.Add([]byte(`{"class":"nobody"}}`))
 	asked := &echo{}
 	router := httprouter.New()
-	(&rollouts{config: config.Default(), rollouts: asked}).routes(router)
+	(&rollouts{config: config.Default(), rollouts: asked, long: newBreakOff()}).routes(router)
 	f.Fuzz(func(t *testing.T, body []byte) {
 		asked.asked = contract.RolloutRequest{}
 		answer := post(t, router, "/v1/workspaces/audit/rollouts", string(body))
@@ -113,6 +114,11 @@
 	return contract.StepReply{Step: request.Step}, nil
 }
 
+// everyone lets every caller through.
+type everyone struct{ contract.Trust }
+
+func (everyone) Allow(config.Role, string, time.Time) error { return nil }
+
 // FuzzStep holds that a trainer's wait is bounded.
 func FuzzStep(f *testing.F) {
 	f.Add("7", "5s", []byte(`{"holds":3}`))
@@ -120,7 +126,8 @@
 	f.Add("18446744073709551616", "-1s", []byte(`{"holds":-3}{}`))
 	asked := &stepEcho{}
 	router := httprouter.New()
-	(&steps{config: config.Default(), steps: asked}).routes(router)
+	open := guard{trust: everyone{}, clock: clockwork.NewFakeClock()}
+	(&steps{config: config.Default(), steps: asked, long: newBreakOff(), guard: open}).routes(router)
 	f.Fuzz(func(t *testing.T, step, wait string, body []byte) {
 		*asked = stepEcho{}
 		path := "/v1/workspaces/audit/steps/" + url.PathEscape("s" + step)[1:] + "?wait=" + url.QueryEscape(wait)
--- a/daemon/services/front/metrics.go
+++ b/daemon/services/front/metrics.go
@@ -6,6 +6,7 @@
 	"github.com/julienschmidt/httprouter"
 
 	"github.com/flamingobeam/flamingobeam/coord/structs"
+	"github.com/flamingobeam/flamingobeam/daemon/config"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
 	"github.com/flamingobeam/flamingobeam/kernel"
 )
@@ -14,6 +15,7 @@
 type metrics struct {
 	reports  contract.Reports
 	settings contract.Settings
+	guard    guard
 }
 
 func (m *metrics) provision(ctx *kernel.Context) error {
@@ -21,13 +23,15 @@
 	if m.reports, err = kernel.Find[contract.Reports](ctx, contract.NameMetrics); err != nil {
 		return err
 	}
-	m.settings, err = kernel.Find[contract.Settings](ctx, contract.NameSettings)
-	return err
+	if m.settings, err = kernel.Find[contract.Settings](ctx, contract.NameSettings); err != nil {
+		return err
+	}
+	return m.guard.provision(ctx)
 }
 
 func (m *metrics) routes(router *httprouter.Router) {
 	router.GET(contract.PathMetrics, m.all)
-	router.GET(contract.PathBurn, m.burn)
+	router.GET(contract.PathBurn, m.guard.only(config.RoleOperator, m.burn))
 }
 
 func (m *metrics) all(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
--- a/daemon/services/front/steps.go
+++ b/daemon/services/front/steps.go
@@ -27,6 +27,7 @@
 	config config.Daemon
 	steps  contract.Steps
 	long   *breakOff
+	guard  guard
 }
 
 func (st *steps) provision(ctx *kernel.Context) error {
@@ -34,12 +35,14 @@
 	if st.config, err = kernel.ConfigOf[config.Daemon](ctx); err != nil {
 		return err
 	}
-	st.steps, err = kernel.Find[contract.Steps](ctx, contract.NameSteps)
-	return err
+	if st.steps, err = kernel.Find[contract.Steps](ctx, contract.NameSteps); err != nil {
+		return err
+	}
+	return st.guard.provision(ctx)
 }
 
 func (st *steps) routes(router *httprouter.Router) {
-	router.POST(contract.PathSteps, st.step)
+	router.POST(contract.PathSteps, st.guard.only(config.RoleTrainer, st.step))
 }
 
 func (st *steps) step(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
