Find several services in one call

Cause: the clean-up's list of repeated code began with the Provision methods of eight services, which find their services by the same four lines each.

Now kernel.FindAll takes the services to find. Ruled out: finding them by reflection over the fields of a service, because the names would then stand in tags that the compiler does not read.

The tests of kernel and daemon pass.

--- a/daemon/services/balance/balance.go
+++ b/daemon/services/balance/balance.go
@@ -66,19 +66,14 @@
 	if s.config, err = kernel.ConfigOf[config.Daemon](ctx); err != nil {
 		return err
 	}
-	if s.clients, err = kernel.Find[contract.Clients](ctx, contract.NameClients); err != nil {
-		return err
-	}
-	if s.hosts, err = kernel.Find[contract.Hosts](ctx, contract.NameHosts); err != nil {
-		return err
-	}
-	if s.settings, err = kernel.Find[contract.Settings](ctx, contract.NameSettings); err != nil {
-		return err
-	}
-	if s.metrics, err = kernel.Find[contract.Metrics](ctx, contract.NameMetrics); err != nil {
-		return err
-	}
-	if s.peers, err = kernel.Find[contract.Peers](ctx, contract.NamePeers); err != nil {
+	err = kernel.FindAll(ctx,
+		kernel.Into(&s.clients, contract.NameClients),
+		kernel.Into(&s.hosts, contract.NameHosts),
+		kernel.Into(&s.settings, contract.NameSettings),
+		kernel.Into(&s.metrics, contract.NameMetrics),
+		kernel.Into(&s.peers, contract.NamePeers),
+	)
+	if err != nil {
 		return err
 	}
 	server, err := kernel.Find[contract.RPC](ctx, contract.NameRPC)
--- a/daemon/services/front/metrics.go
+++ b/daemon/services/front/metrics.go
@@ -20,10 +20,11 @@
 
 func (m *metrics) provision(ctx *kernel.Context) error {
 	var err error
-	if m.reports, err = kernel.Find[contract.Reports](ctx, contract.NameMetrics); err != nil {
-		return err
-	}
-	if m.settings, err = kernel.Find[contract.Settings](ctx, contract.NameSettings); err != nil {
+	err = kernel.FindAll(ctx,
+		kernel.Into(&m.reports, contract.NameMetrics),
+		kernel.Into(&m.settings, contract.NameSettings),
+	)
+	if err != nil {
 		return err
 	}
 	return m.guard.provision(ctx)
--- a/daemon/services/front/operators.go
+++ b/daemon/services/front/operators.go
@@ -32,13 +32,12 @@
 	if o.config, err = kernel.ConfigOf[config.Daemon](ctx); err != nil {
 		return err
 	}
-	if o.settings, err = kernel.Find[contract.Settings](ctx, contract.NameSettings); err != nil {
-		return err
-	}
-	if o.operator, err = kernel.Find[contract.Operator](ctx, contract.NameSettings); err != nil {
-		return err
-	}
-	if o.zone, err = kernel.Find[contract.Zone](ctx, contract.NameZone); err != nil {
+	err = kernel.FindAll(ctx,
+		kernel.Into(&o.settings, contract.NameSettings),
+		kernel.Into(&o.operator, contract.NameSettings),
+		kernel.Into(&o.zone, contract.NameZone),
+	)
+	if err != nil {
 		return err
 	}
 	o.clock = ctx.Clock()
--- a/daemon/services/journal/journal.go
+++ b/daemon/services/journal/journal.go
@@ -97,19 +97,14 @@
 // find finds the services that the journal uses.
 func (s *service) find(ctx *kernel.Context) error {
 	var err error
-	if s.clients, err = kernel.Find[contract.Clients](ctx, contract.NameClients); err != nil {
-		return err
-	}
-	if s.settings, err = kernel.Find[contract.Settings](ctx, contract.NameSettings); err != nil {
-		return err
-	}
-	if s.balancer, err = kernel.Find[contract.Balancer](ctx, contract.NameBalance); err != nil {
-		return err
-	}
-	if s.quarantine, err = kernel.Find[contract.Quarantine](ctx, contract.NameBalance); err != nil {
-		return err
-	}
-	if s.peers, err = kernel.Find[contract.Peers](ctx, contract.NamePeers); err != nil {
+	err = kernel.FindAll(ctx,
+		kernel.Into(&s.clients, contract.NameClients),
+		kernel.Into(&s.settings, contract.NameSettings),
+		kernel.Into(&s.balancer, contract.NameBalance),
+		kernel.Into(&s.quarantine, contract.NameBalance),
+		kernel.Into(&s.peers, contract.NamePeers),
+	)
+	if err != nil {
 		return err
 	}
 	s.metrics, err = kernel.Find[contract.Metrics](ctx, contract.NameMetrics)
--- a/daemon/services/plain/plain.go
+++ b/daemon/services/plain/plain.go
@@ -38,16 +38,13 @@
 // Provision implements kernel.Service.
 func (s *service) Provision(ctx *kernel.Context) error {
 	var err error
-	if s.clients, err = kernel.Find[contract.Clients](ctx, contract.NameClients); err != nil {
-		return err
-	}
-	if s.settings, err = kernel.Find[contract.Settings](ctx, contract.NameSettings); err != nil {
-		return err
-	}
-	if s.balancer, err = kernel.Find[contract.Balancer](ctx, contract.NameBalance); err != nil {
-		return err
-	}
-	if s.retries, err = kernel.Find[contract.Retries](ctx, contract.NameRetries); err != nil {
+	err = kernel.FindAll(ctx,
+		kernel.Into(&s.clients, contract.NameClients),
+		kernel.Into(&s.settings, contract.NameSettings),
+		kernel.Into(&s.balancer, contract.NameBalance),
+		kernel.Into(&s.retries, contract.NameRetries),
+	)
+	if err != nil {
 		return err
 	}
 	s.metrics, err = kernel.Find[contract.Metrics](ctx, contract.NameMetrics)
--- a/daemon/services/rollout/rollout.go
+++ b/daemon/services/rollout/rollout.go
@@ -69,19 +69,14 @@
 // Provision implements kernel.Service.
 func (s *service) Provision(ctx *kernel.Context) error {
 	var err error
-	if s.clients, err = kernel.Find[contract.Clients](ctx, contract.NameClients); err != nil {
-		return err
-	}
-	if s.settings, err = kernel.Find[contract.Settings](ctx, contract.NameSettings); err != nil {
-		return err
-	}
-	if s.balancer, err = kernel.Find[contract.Balancer](ctx, contract.NameBalance); err != nil {
-		return err
-	}
-	if s.zone, err = kernel.Find[contract.Zone](ctx, contract.NameZone); err != nil {
-		return err
-	}
-	if s.metrics, err = kernel.Find[contract.Metrics](ctx, contract.NameMetrics); err != nil {
+	err = kernel.FindAll(ctx,
+		kernel.Into(&s.clients, contract.NameClients),
+		kernel.Into(&s.settings, contract.NameSettings),
+		kernel.Into(&s.balancer, contract.NameBalance),
+		kernel.Into(&s.zone, contract.NameZone),
+		kernel.Into(&s.metrics, contract.NameMetrics),
+	)
+	if err != nil {
 		return err
 	}
 	if s.weights, _, err = kernel.FindOptional[contract.Weights](ctx, contract.NameWeights); err != nil {
--- a/daemon/services/steps/steps.go
+++ b/daemon/services/steps/steps.go
@@ -104,19 +104,14 @@
 	if s.config, err = kernel.ConfigOf[config.Daemon](ctx); err != nil {
 		return err
 	}
-	if s.clients, err = kernel.Find[contract.Clients](ctx, contract.NameClients); err != nil {
-		return err
-	}
-	if s.hosts, err = kernel.Find[contract.Hosts](ctx, contract.NameHosts); err != nil {
-		return err
-	}
-	if s.settings, err = kernel.Find[contract.Settings](ctx, contract.NameSettings); err != nil {
-		return err
-	}
-	if s.peers, err = kernel.Find[contract.Peers](ctx, contract.NamePeers); err != nil {
-		return err
-	}
-	if s.metrics, err = kernel.Find[contract.Metrics](ctx, contract.NameMetrics); err != nil {
+	err = kernel.FindAll(ctx,
+		kernel.Into(&s.clients, contract.NameClients),
+		kernel.Into(&s.hosts, contract.NameHosts),
+		kernel.Into(&s.settings, contract.NameSettings),
+		kernel.Into(&s.peers, contract.NamePeers),
+		kernel.Into(&s.metrics, contract.NameMetrics),
+	)
+	if err != nil {
 		return err
 	}
 	s.zone, err = kernel.Find[contract.Zone](ctx, contract.NameZone)
--- a/daemon/services/weights/weights.go
+++ b/daemon/services/weights/weights.go
@@ -95,22 +95,15 @@
 	if s.config, err = kernel.ConfigOf[config.Daemon](ctx); err != nil {
 		return err
 	}
-	if s.clients, err = kernel.Find[contract.Clients](ctx, contract.NameClients); err != nil {
-		return err
-	}
-	if s.peers, err = kernel.Find[contract.Peers](ctx, contract.NamePeers); err != nil {
-		return err
-	}
-	if s.metrics, err = kernel.Find[contract.Metrics](ctx, contract.NameMetrics); err != nil {
-		return err
-	}
-	if s.settings, err = kernel.Find[contract.Settings](ctx, contract.NameSettings); err != nil {
-		return err
-	}
-	if s.list, err = kernel.Find[contract.Hosts](ctx, contract.NameHosts); err != nil {
-		return err
-	}
-	if s.zone, err = kernel.Find[contract.Zone](ctx, contract.NameZone); err != nil {
+	err = kernel.FindAll(ctx,
+		kernel.Into(&s.clients, contract.NameClients),
+		kernel.Into(&s.peers, contract.NamePeers),
+		kernel.Into(&s.metrics, contract.NameMetrics),
+		kernel.Into(&s.settings, contract.NameSettings),
+		kernel.Into(&s.list, contract.NameHosts),
+		kernel.Into(&s.zone, contract.NameZone),
+	)
+	if err != nil {
 		return err
 	}
 	server, err := kernel.Find[contract.RPC](ctx, contract.NameRPC)
--- a/daemon/services/zone/zone.go
+++ b/daemon/services/zone/zone.go
@@ -87,13 +87,12 @@
 	if s.config, err = kernel.ConfigOf[config.Daemon](ctx); err != nil {
 		return err
 	}
-	if s.clients, err = kernel.Find[contract.Clients](ctx, contract.NameClients); err != nil {
-		return err
-	}
-	if s.peers, err = kernel.Find[contract.Peers](ctx, contract.NamePeers); err != nil {
-		return err
-	}
-	if s.settings, err = kernel.Find[contract.SettingsControl](ctx, contract.NameSettings); err != nil {
+	err = kernel.FindAll(ctx,
+		kernel.Into(&s.clients, contract.NameClients),
+		kernel.Into(&s.peers, contract.NamePeers),
+		kernel.Into(&s.settings, contract.NameSettings),
+	)
+	if err != nil {
 		return err
 	}
 	server, err := kernel.Find[contract.RPC](ctx, contract.NameRPC)
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -231,6 +231,33 @@
 	return as[T](name, service)
 }
 
+// Need is a service that another one finds by name.
+type Need struct {
+	find func(c *Context) error
+}
+
+// Into puts the service registered under a name into a variable.
+func Into[T any](to *T, name Name) Need {
+	return Need{find: func(c *Context) error {
+		found, err := Find[T](c, name)
+		if err == nil {
+			*to = found
+		}
+		return err
+	}}
+}
+
+// FindAll finds several services; it fails as Find does, with the first that
+// cannot be had.
+func FindAll(c *Context, needs ...Need) error {
+	for _, need := range needs {
+		if err := need.find(c); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // FindOptional is Find for a service that a process may do without: it reports
 // false when nothing is registered under the name.
 func FindOptional[T any](c *Context, name Name) (T, bool, error) {
