--- a/daemon/services/front/rollouts.go
+++ b/daemon/services/front/rollouts.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"context"
 	"net/http"
 
 	"github.com/julienschmidt/httprouter"
@@ -28,46 +29,31 @@
 }
 
 func (ro *rollouts) routes(router *httprouter.Router) {
-	router.POST(contract.PathRollouts, ro.rollout)
-	router.POST(contract.PathDrafts, ro.draft)
+	router.POST(contract.PathRollouts, long(ro, structs.ClassRollout, ro.rollouts.Rollout))
+	router.POST(contract.PathDrafts, long(ro, structs.ClassDraft, ro.rollouts.Draft))
 }
 
-func (ro *rollouts) rollout(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
-	request, ok := ro.read(w, r, params, structs.ClassRollout)
-	if !ok {
-		return
+// long reads a request of a class and answers with what produce returns. A
+// daemon that stops breaks it off.
+func long[T any](ro *rollouts, class structs.Class, produce func(context.Context, contract.RolloutRequest) (T, error)) httprouter.Handle {
+	return func(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
+		request, ok := ro.read(w, r, params, class)
+		if !ok {
+			return
+		}
+		ctx, free, err := ro.long.bind(r.Context())
+		if err != nil {
+			writeError(w, err)
+			return
+		}
+		defer free()
+		made, err := produce(ctx, request)
+		if err != nil {
+			writeError(w, err)
+			return
+		}
+		writeOK(w, made)
 	}
-	ctx, free, err := ro.long.bind(r.Context())
-	if err != nil {
-		writeError(w, err)
-		return
-	}
-	defer free()
-	reply, err := ro.rollouts.Rollout(ctx, request)
-	if err != nil {
-		writeError(w, err)
-		return
-	}
-	writeOK(w, reply)
-}
-
-func (ro *rollouts) draft(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
-	request, ok := ro.read(w, r, params, structs.ClassDraft)
-	if !ok {
-		return
-	}
-	ctx, free, err := ro.long.bind(r.Context())
-	if err != nil {
-		writeError(w, err)
-		return
-	}
-	defer free()
-	sample, err := ro.rollouts.Draft(ctx, request)
-	if err != nil {
-		writeError(w, err)
-		return
-	}
-	writeOK(w, sample)
 }
 
 // read decodes a request. The path names its workspace, and its class is the
--- a/scripts/check-models.sh
+++ b/scripts/check-models.sh
@@ -6,7 +6,7 @@
 
 models_out=out/models
 models_parallel=4
-models_seconds=150
+models_seconds=900
 rm -rf "$models_out"
 mkdir -p "$models_out"
 
