Tell an operator the detail of a refusal once

Cause: the tool wrapped the daemon's whole message in its own, so that the code and the sentence stood twice in what an operator read. A refusal now has its detail as a field of its own. Seen while going through the README by hand.

--- a/cmd/flamingobeam/client.go
+++ b/cmd/flamingobeam/client.go
@@ -138,7 +138,7 @@
 	if err := json.Unmarshal(body, &refused); err != nil {
 		return result.New(result.CommandFailed, "status %d: %s", status, body)
 	}
-	return result.New(result.Code(refused.Code), "%s", refused.Message)
+	return result.New(result.Code(refused.Code), "%s", refused.Detail)
 }
 
 // show prints an answer as the --output flag says.
--- a/daemon/contract/http.go
+++ b/daemon/contract/http.go
@@ -61,5 +61,8 @@
 	Code    int    `json:"code"`
 	Name    string `json:"name"`
 	Outcome string `json:"outcome"`
+	// Message is the code's whole sentence, and Detail the part of it that
+	// tells this refusal from others.
 	Message string `json:"message"`
+	Detail  string `json:"detail,omitempty"`
 }
--- a/daemon/services/front/metrics.go
+++ b/daemon/services/front/metrics.go
@@ -19,8 +19,7 @@
 }
 
 func (m *metrics) provision(ctx *kernel.Context) error {
-	var err error
-	err = kernel.FindAll(ctx,
+	err := kernel.FindAll(ctx,
 		kernel.Into(&m.reports, contract.NameMetrics),
 		kernel.Into(&m.settings, contract.NameSettings),
 	)
--- a/daemon/services/front/write.go
+++ b/daemon/services/front/write.go
@@ -37,7 +37,7 @@
 		w.Header().Set(headerRetry, retryAfter(coded.RetryAfter))
 	}
 	writeJSON(w, entry, contract.Refusal{
-		Code: int(entry.Code), Name: entry.Name, Outcome: string(entry.Outcome), Message: coded.Error(),
+		Code: int(entry.Code), Name: entry.Name, Outcome: string(entry.Outcome), Message: coded.Error(), Detail: coded.Detail,
 	})
 }
 
