Write nothing for a change that the head holds already

Cause: under heavy load one history of the settings was illegal: a change that its operator was told was refused (3009) had come into force. The operator had applied it twice. The first call ended without an outcome, after its write had taken effect; the second found the change in the head, wrote the same head again to no purpose, lost that race until its time was up, and said that nothing was changed.

Now a call that finds its change in the head, or the decision on it, writes nothing and waits for the decision.

Ruled out: the decision by a stale head, which is checked at the write, and a write without an answer, which ends as unknown.

--- a/daemon/services/settings/operator.go
+++ b/daemon/services/settings/operator.go
@@ -26,6 +26,10 @@
 	longestBackup = 500 * time.Millisecond
 )
 
+// errMade means that the head holds the change already, or its decision, so
+// that there is nothing to write.
+var errMade = errors.New("settings: the change has been made before")
+
 // Create implements contract.Operator.
 func (s *service) Create(ctx context.Context, document *settings.Document) error {
 	if err := document.Validate(); err != nil {
@@ -64,9 +68,12 @@
 			// decision is no longer kept.
 			wanted.SeenRound = uint64(head.Round)
 		}
+		if _, decided := head.Decision(wanted.ID); decided || head.Holds(wanted.ID) {
+			return change.Head{}, errMade
+		}
 		return head.Submit(wanted, document)
 	})
-	if err != nil {
+	if err != nil && !errors.Is(err, errMade) {
 		return contract.ChangeOutcome{ID: wanted.ID}, err
 	}
 	decision, err := s.awaitDecision(ctx, wanted.ID)
@@ -88,7 +95,8 @@
 
 // update replaces the head by what next makes of it, as often as another
 // writer comes first. When an answer is lost the change may have been made:
-// next then finds the change in the head that it reads again.
+// next then finds the change in the head that it reads again, and says so by
+// errMade, which update passes on.
 func (s *service) update(ctx context.Context, next func(*change.Head, *settings.Document) (change.Head, error)) error {
 	delays := backoff.NewExponentialBackOff()
 	delays.InitialInterval, delays.MaxInterval = firstBackoff, longestBackup
@@ -105,6 +113,9 @@
 		return struct{}{}, nil
 	}
 	_, err := backoff.Retry(ctx, attempt, backoff.WithBackOff(delays), backoff.WithMaxTries(stageAttempts))
+	if errors.Is(err, errMade) {
+		return errMade
+	}
 	if err != nil && uncertain {
 		return result.Wrap(result.ChangeUnknown, err)
 	}
--- a/emulate/load/settings.go
+++ b/emulate/load/settings.go
@@ -68,11 +68,17 @@
 	}
 	begun := time.Now()
 	var got response
+	uncertain := false
 	for range settleAttempts {
 		got = s.balancer.send(ctx, request{method: http.MethodPost, path: pathChanges, body: body})
 		if got.err == nil && got.outcome != result.Unknown {
 			break
 		}
+		uncertain = true
+	}
+	if uncertain && got.code == result.StoreUnavailable {
+		// Nothing was changed by this try, but an earlier one may have been.
+		return got
 	}
 	s.settle(ctx, p.stream.Workspace, share, got, time.Since(begun))
 	return got
