--- a/cmd/flamingobeamd/main.go
+++ b/cmd/flamingobeamd/main.go
@@ -19,6 +19,9 @@
 // exitFailure is the status of a daemon that could not start or stop well.
 const exitFailure = 1
 
+// defaultMetricsPort is outside the ports that the platform hands out.
+const defaultMetricsPort = 9464
+
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
@@ -35,13 +38,31 @@
 		UsageText:             "flamingobeamd --settings /etc/flamingobeam/daemon.yaml",
 		EnableShellCompletion: true,
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "settings", Usage: "the daemon's settings `FILE`", Required: true},
+			&cli.StringFlag{Name: "settings", Usage: "the daemon's settings `FILE`"},
 		},
 		Action: run,
+		Commands: []*cli.Command{
+			roleCommand(agent.RoleEntry, "run an entry host of a managed platform"),
+			roleCommand(agent.RoleStorage, "run a storage host of a managed platform"),
+		},
+	}
+}
+
+// roleCommand runs a daemon whose settings file the platform names.
+func roleCommand(role agent.Role, usage string) *cli.Command {
+	return &cli.Command{
+		Name: string(role), Usage: usage,
+		Flags: []cli.Flag{&cli.IntFlag{Name: "metrics-port", Usage: "serve metrics on `PORT`", Value: defaultMetricsPort}},
+		Action: func(ctx context.Context, command *cli.Command) error {
+			return agent.RunFleet(ctx, role, command.Int("metrics-port"))
+		},
 	}
 }
 
 func run(ctx context.Context, command *cli.Command) error {
+	if !command.IsSet("settings") {
+		return result.New(result.SettingsUnread, "name a settings file with --settings")
+	}
 	daemon, err := config.Read(command.String("settings"))
 	if err != nil {
 		return err
--- /dev/null
+++ b/coord/placement/placement.go
@@ -0,0 +1,197 @@
+// Package placement decides which model engines run which weight versions and
+// which of them gets the next item. Values go in and come out; who asks the
+// engines, and how, is not its matter.
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/flamingobeam/flamingobeam/coord/catalog"
+	"github.com/flamingobeam/flamingobeam/coord/structs"
+)
+
+// Progress is what a running item tells of itself. It is safe for concurrent
+// use.
+type Progress struct {
+	events atomic.Int64
+	last   atomic.Int64
+}
+
+// Note records one more event at a time.
+func (p *Progress) Note(now time.Time) {
+	p.events.Add(1)
+	p.last.Store(now.UnixNano())
+}
+
+// Events counts the events since the run began.
+func (p *Progress) Events() int { return int(p.events.Load()) }
+
+// Last is when the newest event came; false before the first.
+func (p *Progress) Last() (time.Time, bool) {
+	at := p.last.Load()
+	return time.Unix(0, at), at != 0
+}
+
+// Home is the part of a model's home servers that takes every version of one
+// parity, so that each server loads every second version and one half is warm
+// whenever the other loads.
+type Home struct {
+	Server catalog.Server
+	// Parity is 0 for even versions and 1 for odd ones.
+	Parity uint64
+}
+
+// Homes gives each model its home servers among those of a service: two shares
+// of the servers for each model, one for each parity. Every daemon that sees
+// the same servers and models comes to the same homes.
+func Homes(models []structs.ServiceName, servers []catalog.Server) map[structs.ServiceName][]Home {
+	homes := make(map[structs.ServiceName][]Home, len(models))
+	if len(models) == 0 || len(servers) == 0 {
+		return homes
+	}
+	sorted := slices.Clone(servers)
+	slices.SortFunc(sorted, func(a, b catalog.Server) int { return cmp.Compare(weight(a.ID), weight(b.ID)) })
+	ordered := slices.Clone(models)
+	slices.Sort(ordered)
+	share := max(1, len(sorted)/len(ordered))
+	for i, model := range ordered {
+		first := i * len(sorted) / len(ordered)
+		count := min(2*share, len(sorted))
+		for j := range count {
+			server := sorted[(first+j)%len(sorted)]
+			homes[model] = append(homes[model], Home{Server: server, Parity: uint64(j/max(1, (count+1)/2)) % 2})
+		}
+	}
+	return homes
+}
+
+// weight spreads servers over the order in which homes are given, so that
+// neighbours by name do not share a fate.
+func weight(id structs.HostName) uint64 { return xxhash.Sum64String(string(id)) }
+
+// Wanted returns the version that a home server should run when a version is
+// the newest: the newest one of its parity.
+func (h Home) Wanted(newest structs.WeightVersion) structs.WeightVersion {
+	if newest > 1 && uint64(newest)%2 != h.Parity {
+		return newest - 1
+	}
+	return newest
+}
+
+// Engine is what a daemon knows of a model engine when it places an item.
+type Engine struct {
+	Server catalog.Server
+	// Version is the newest version of the item's model that the engine is
+	// known to run.
+	Version structs.WeightVersion
+	// Expected is the version that the engine should run by now, though it has
+	// not said so; zero is none.
+	Expected structs.WeightVersion
+	// Home says that the engine is one of the model's own.
+	Home bool
+	// Own counts the items that this daemon runs there.
+	Own int
+	// Pace is the time between events; zero is unknown.
+	Pace time.Duration
+	// Distance is the round trip to the engine.
+	Distance time.Duration
+	// Blocked engines refused an item a moment ago.
+	Blocked bool
+}
+
+const (
+	// DefaultPace is the time between events of an engine that has run nothing
+	// yet: 71 tokens at half a millisecond each.
+	DefaultPace = 40 * time.Millisecond
+	// crowding is the part by which a run takes longer in the reckoning for a
+	// full engine, so that items spread over engines of equal pace.
+	crowding = 0.5
+	// strangeness is added for an engine that is not a home of the model: its
+	// own models need it.
+	strangeness = 400 * time.Millisecond
+	// doubt is added for an engine that has not said that it runs the version.
+	doubt = 250 * time.Millisecond
+)
+
+// Choice is the engine for an item.
+type Choice struct {
+	Index int
+	// Expect is the version that the engine must be asked for; zero is none.
+	Expect structs.WeightVersion
+}
+
+// Place chooses the engine on which an item of so many events ends soonest, and
+// false when none can take it now.
+func Place(engines []Engine, oldest structs.WeightVersion, events int, avoid []structs.HostName) (Choice, bool) {
+	best, bestCost := Choice{Index: -1}, time.Duration(0)
+	for i := range engines {
+		engine := &engines[i]
+		if engine.Blocked || engine.Own >= engine.Server.Slots || slices.Contains(avoid, engine.Server.ID) {
+			continue
+		}
+		expect := structs.WeightVersion(0)
+		if engine.Version < oldest {
+			if engine.Expected < oldest {
+				continue
+			}
+			expect = engine.Expected
+		}
+		cost := engine.cost(events)
+		if expect != 0 {
+			cost += doubt
+		}
+		if best.Index < 0 || cost < bestCost {
+			best, bestCost = Choice{Index: i, Expect: expect}, cost
+		}
+	}
+	return best, best.Index >= 0
+}
+
+func (e *Engine) cost(events int) time.Duration {
+	pace := e.Pace
+	if pace == 0 {
+		pace = DefaultPace
+	}
+	full := float64(e.Own) / float64(e.Server.Slots)
+	cost := time.Duration(float64(pace) * float64(max(1, events)) * (1 + crowding*full))
+	if !e.Home {
+		cost += strangeness
+	}
+	return cost + e.Distance
+}
+
+const (
+	// worthMoving is the time that a move must save: the run starts anew and
+	// reads its prompt again.
+	worthMoving = 400 * time.Millisecond
+	// slowFactor is how many times the pace elsewhere a run must take before
+	// it is moved.
+	slowFactor = 1.6
+	// enoughEvents is how many events tell a run's pace.
+	enoughEvents = 4
+)
+
+// ShouldMove reports whether a run with so many events left should go on at an
+// engine of another pace.
+func ShouldMove(made, left int, pace, elsewhere time.Duration) bool {
+	if made < enoughEvents || elsewhere == 0 || float64(pace) < slowFactor*float64(elsewhere) {
+		return false
+	}
+	return time.Duration(left)*(pace-elsewhere) > worthMoving
+}
+
+// paceSmoothing is the weight of a new run in the pace of an engine.
+const paceSmoothing = 0.4
+
+// Smooth adds the pace of one more run to that of an engine.
+func Smooth(old, seen time.Duration) time.Duration {
+	if old == 0 {
+		return seen
+	}
+	return old + time.Duration(paceSmoothing*float64(seen-old))
+}
--- a/coord/result/result.go
+++ b/coord/result/result.go
@@ -64,6 +64,8 @@
 	RetryBudgetSpent  Code = 3011
 	PeerUnreachable   Code = 3012
 	FairShareExceeded Code = 3013
+	// BackendBusy stands for a server whose word that it ran nothing is kept.
+	BackendBusy Code = 3014
 
 	OutcomeUnknown  Code = 4000
 	AnswerCut       Code = 4001
@@ -139,6 +141,7 @@
 	{RetryBudgetSpent, "retry-budget-spent", NotRun, 503, "The request failed and the retry budget is spent."},
 	{PeerUnreachable, "peer-unreachable", NotRun, 503, "The daemon that must handle the request cannot be reached."},
 	{FairShareExceeded, "fair-share-exceeded", NotRun, 429, "The workspace has used its share; try again later."},
+	{BackendBusy, "backend-busy", NotRun, 503, "The backend server is full and has not run the request."},
 	{OutcomeUnknown, "outcome-unknown", Unknown, 502, "The request may have run; it will not run again."},
 	{AnswerCut, "answer-cut", Unknown, 502, "The answer broke off before its end."},
 	{StillRunning, "still-running", Unknown, 409, "The first request with this key is still running."},
--- a/coord/retry/decide.go
+++ b/coord/retry/decide.go
@@ -71,7 +71,7 @@
 // lower the load.
 func isTransient(code result.Code) bool {
 	switch code {
-	case result.NoBackend, result.BackendRefused, result.BackendOverloaded, result.BackendBroke, result.AnswerCut,
+	case result.NoBackend, result.BackendBusy, result.BackendRefused, result.BackendOverloaded, result.BackendBroke, result.AnswerCut,
 		result.PeerUnreachable, result.OutcomeUnknown:
 		return true
 	}
--- a/daemon/config/config.go
+++ b/daemon/config/config.go
@@ -35,6 +35,29 @@
 	Routing Routing `yaml:"routing"`
 	// Weights bounds the roll-out of weight versions in the zone.
 	Weights Weights `yaml:"weights"`
+	// Fleet holds what a daemon on a managed platform is told by it; it has no
+	// place in the settings file.
+	Fleet Fleet `yaml:"-" validate:"-"`
+}
+
+// Fleet is what a managed platform tells a daemon of itself and of its host.
+type Fleet struct {
+	// ClosedNetwork says that the platform lets none but its own hosts and its
+	// balancer reach the daemon, so that it may listen without certificates.
+	ClosedNetwork bool
+	// Readiness is the address for the balancer's probes.
+	Readiness string
+	// Metrics is the address that serves counters and histograms.
+	Metrics string
+	// Regions maps every availability zone to its region.
+	Regions map[structs.ZoneName]structs.RegionName
+	// Lease is the span within which two holders of a lease must not both
+	// give orders.
+	Lease time.Duration
+	// Grace is the time between the signal to stop and the kill.
+	Grace time.Duration
+	// ResultsKept is how long the results of a batch job must stay readable.
+	ResultsKept time.Duration
 }
 
 // Listen holds the addresses that a daemon listens on.
--- a/daemon/contract/contract.go
+++ b/daemon/contract/contract.go
@@ -14,7 +14,7 @@
 	"github.com/flamingobeam/flamingobeam/coord/zone"
 	"github.com/flamingobeam/flamingobeam/daemon/config"
 	"github.com/flamingobeam/flamingobeam/kernel"
-	"github.com/flamingobeam/flamingobeam/platform"
+	"github.com/flamingobeam/flamingobeam/outside"
 )
 
 // The names under which services are found.
@@ -56,7 +56,7 @@
 // Clients gives the clients of the platform.
 type Clients interface {
 	// Platform returns the clients; it may be called from any goroutine.
-	Platform() platform.Clients
+	Platform() outside.Clients
 }
 
 // Trust gives what a daemon needs to know whom it talks to. All methods may be
--- /dev/null
+++ b/daemon/contract/fleet.go
@@ -0,0 +1,247 @@
+package contract
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/flamingobeam/flamingobeam/coord/batch"
+	"github.com/flamingobeam/flamingobeam/coord/catalog"
+	"github.com/flamingobeam/flamingobeam/coord/placement"
+	"github.com/flamingobeam/flamingobeam/coord/structs"
+	"github.com/flamingobeam/flamingobeam/kernel"
+	"github.com/flamingobeam/flamingobeam/outside"
+)
+
+// The names of the services that a daemon on a managed platform runs in place
+// of, or beside, the others.
+const (
+	// NameLedger offers Ledger.
+	NameLedger kernel.Name = "store.ledger"
+	// NameSession offers Session.
+	NameSession kernel.Name = "store.session"
+	// NameCatalog offers Catalog.
+	NameCatalog kernel.Name = "control.catalog"
+	// NameServers offers Servers.
+	NameServers kernel.Name = "control.servers"
+	// NameSwaps gives orders to change weights.
+	NameSwaps kernel.Name = "control.swaps"
+	// NameRetire answers orders to empty a storage host.
+	NameRetire kernel.Name = "control.retire"
+	// NameDispatch offers Dispatch.
+	NameDispatch kernel.Name = "traffic.dispatch"
+	// NameEngines offers Engines.
+	NameEngines kernel.Name = "traffic.engines"
+	// NameJobs offers Jobs.
+	NameJobs kernel.Name = "traffic.jobs"
+	// NameGate is the HTTP front end on a managed platform.
+	NameGate kernel.Name = "http.gate"
+	// NameExpose serves the metrics.
+	NameExpose kernel.Name = "http.metrics"
+)
+
+// News is what changed under a prefix of the store.
+type News struct {
+	Records []outside.Record
+	// Full says that Records are all that there is under the prefix, after the
+	// history was lost or at the start.
+	Full bool
+}
+
+// Ledger is the platform's store with a time limit on each call.
+type Ledger interface {
+	outside.Ledger
+	// Track hands all changes under a prefix to a handler on the control
+	// goroutine, in order. It must be called while services are provisioned.
+	Track(prefix string, handle func(News))
+	// ReachedSince returns since when calls have been answered, and false
+	// while they are not. It may be called from any goroutine.
+	ReachedSince() (time.Time, bool)
+}
+
+// Member is a live daemon.
+type Member struct {
+	// Name names one run of a daemon.
+	Name string `json:"name"`
+	// Peers is its address for net/rpc.
+	Peers string `json:"peers"`
+}
+
+// SessionView is the immutable snapshot of the live daemons.
+type SessionView struct {
+	Self Member
+	// Lease keeps this daemon's keys; zero while there is none.
+	Lease outside.LeaseID
+	// Live are the daemons with a session, this one among them while it has
+	// one, by name.
+	Live map[string]Member
+	// Leader is the daemon that gives orders, and Token its fencing token.
+	Leader string
+	Token  uint64
+	// Settled is since when absence from Live may be taken for an end; zero
+	// while it may not, because the store was away.
+	Settled time.Time
+}
+
+// Session gives this daemon's standing among the others.
+type Session interface {
+	// View returns the snapshot; it may be called from any goroutine.
+	View() *kernel.Snapshot[SessionView]
+	// Holds reports whether the lease of this daemon surely still runs, by the
+	// clock that goes on while the host is suspended. It may be called from
+	// any goroutine.
+	Holds() bool
+}
+
+// CatalogView is the immutable snapshot of what operator and trainers wrote.
+type CatalogView struct {
+	// Catalog is nil until it is known.
+	Catalog *catalog.Catalog
+	// Wanted is the newest version named for each model.
+	Wanted map[structs.ServiceName]structs.WeightVersion
+}
+
+// Catalog gives the operator's configuration in force.
+type Catalog interface {
+	// Current returns the snapshot; it may be called from any goroutine.
+	Current() *kernel.Snapshot[CatalogView]
+}
+
+// ServersView is the immutable snapshot of the backend servers.
+type ServersView struct {
+	// ByService lists the servers that may get new work.
+	ByService map[structs.ServiceName][]catalog.Server
+	// All holds every entry by ID.
+	All map[structs.HostName]catalog.Server
+	// Known is set once the list has been read.
+	Known bool
+}
+
+// Servers gives the backend servers.
+type Servers interface {
+	// Entries returns the snapshot; it may be called from any goroutine.
+	Entries() *kernel.Snapshot[ServersView]
+}
+
+// Proxied is a request on a route that is to be forwarded.
+type Proxied struct {
+	Route  *catalog.Route
+	ID     string
+	Method string
+	Host   string
+	// Target is path and query, byte for byte.
+	Target string
+	Header http.Header
+	Body   []byte
+	// Due is when the caller or the route gives up.
+	Due time.Time
+}
+
+// Forwarded is a server's whole answer, or an open stream.
+type Forwarded struct {
+	Status int
+	Header http.Header
+	Body   []byte
+	// Stream is set instead of Body when the answer is passed on as it comes;
+	// whoever reads it closes it.
+	Stream *http.Response
+	// Stamp is the server's signature.
+	Stamp string
+	// Failures counts the servers that answered that they failed.
+	Failures int
+}
+
+// Dispatch forwards requests to plain services. Errors are of package result.
+type Dispatch interface {
+	// Forward sends a request to a server of its route, and to others within
+	// the route's attempts when it may run more than once.
+	Forward(ctx context.Context, request Proxied) (Forwarded, error)
+}
+
+// RunRequest asks an engine to generate the text of an item.
+type RunRequest struct {
+	Job    *batch.Job
+	Item   *batch.Item
+	Server catalog.Server
+	// Urgency is from 0, the first, to 9.
+	Urgency int
+	// Text is what is held already; the run goes on after it.
+	Text *Text
+	// Patience is how long the engine may work on it.
+	Patience time.Duration
+	// Expect is the version that the server must run, or zero.
+	Expect structs.WeightVersion
+	// Single asks for a text made by one version alone.
+	Single bool
+}
+
+// Text is what has been generated of an item. One goroutine owns it.
+type Text struct {
+	Events   []string
+	Last     uint64
+	Versions []structs.WeightVersion
+	// Version made the last event.
+	Version structs.WeightVersion
+}
+
+// RunEnd says how a run ended.
+type RunEnd uint8
+
+// The ends of a run.
+const (
+	// RunWhole means that the text is complete.
+	RunWhole RunEnd = iota
+	// RunCut means that the run may go on at another server after the text.
+	RunCut
+	// RunNotStarted means that the server did not begin.
+	RunNotStarted
+	// RunFailed means that the server answered that the attempt failed.
+	RunFailed
+	// RunImpossible means that the item can never be done.
+	RunImpossible
+	// RunStale means that the server's weights are older than the job allows.
+	RunStale
+)
+
+// Run is the outcome of a run; Text has grown by what was made.
+type Run struct {
+	End    RunEnd
+	Err    error
+	Text   *Text
+	Status int
+	// Version is what the server said that it runs, or zero.
+	Version structs.WeightVersion
+}
+
+// Engines runs items on model engines.
+type Engines interface {
+	// Run blocks until the run ends. Progress is updated on the way.
+	Run(ctx context.Context, request RunRequest, progress *placement.Progress) Run
+}
+
+// ResultsRequest reads the results of a batch job from a position on.
+type ResultsRequest struct {
+	ID    string
+	After int
+	// Wait is how long to wait for a result when there is none.
+	Wait time.Duration
+}
+
+// ResultsReply is a part of a job's log.
+type ResultsReply struct {
+	Total   int
+	Results []batch.Result
+}
+
+// Jobs runs batch jobs. Errors are of package result: NotFound is certain.
+type Jobs interface {
+	// Submit accepts a job, once for each ID. Source is the submitted body,
+	// which is kept. OutcomeUnknown means that it may be accepted yet.
+	Submit(ctx context.Context, job *batch.Job, source []byte) error
+	// Results returns what is listed from a position on.
+	Results(ctx context.Context, request ResultsRequest) (ResultsReply, error)
+	// Body returns the body of an item.
+	Body(ctx context.Context, id string, item batch.ItemID) ([]byte, error)
+	// End ends a job; what is listed stays.
+	End(ctx context.Context, id string) error
+}
--- a/daemon/contract/traffic.go
+++ b/daemon/contract/traffic.go
@@ -6,7 +6,7 @@
 
 	"github.com/flamingobeam/flamingobeam/coord/quarantine"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
-	"github.com/flamingobeam/flamingobeam/platform"
+	"github.com/flamingobeam/flamingobeam/outside"
 )
 
 // PickRequest asks for a backend server.
@@ -110,7 +110,7 @@
 
 // SubmitReply is the answer to a submission.
 type SubmitReply struct {
-	Answer platform.Answer
+	Answer outside.Answer
 	// Repeated says that the answer was recorded by an earlier request.
 	Repeated bool
 }
@@ -118,7 +118,7 @@
 // Plain serves look-ups on plain services. Errors are of package result.
 type Plain interface {
 	// Lookup returns the whole answer.
-	Lookup(ctx context.Context, request LookupRequest) (platform.Answer, error)
+	Lookup(ctx context.Context, request LookupRequest) (outside.Answer, error)
 }
 
 // Journal runs submissions at most once. Errors are of package result.
--- a/daemon/services/balance/balance_test.go
+++ b/daemon/services/balance/balance_test.go
@@ -14,7 +14,7 @@
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
 	"github.com/flamingobeam/flamingobeam/kernel"
-	"github.com/flamingobeam/flamingobeam/platform"
+	"github.com/flamingobeam/flamingobeam/outside"
 )
 
 func pick(t testing.TB, s *service, request contract.PickRequest) contract.Ticket {
@@ -290,7 +290,7 @@
 		servers[i].Kind = structs.KindEngine
 	}
 	w := newWorld(servers)
-	w.engine.load = platform.Load{Running: 5, Waiting: 2, Version: 9}
+	w.engine.load = outside.Load{Running: 5, Waiting: 2, Version: 9}
 	s := start(t, w, "entry-1", connect)
 	finish(pick(t, s, contract.PickRequest{}), result.OK)
 	await(t, s, func(sn *snapshot) bool {
--- a/daemon/services/balance/control.go
+++ b/daemon/services/balance/control.go
@@ -11,7 +11,7 @@
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
 	"github.com/flamingobeam/flamingobeam/kernel"
-	"github.com/flamingobeam/flamingobeam/platform"
+	"github.com/flamingobeam/flamingobeam/outside"
 )
 
 const (
@@ -254,5 +254,5 @@
 type loadReport struct {
 	server structs.HostName
 	own    int32
-	load   platform.Load
+	load   outside.Load
 }
--- a/daemon/services/balance/fakes_test.go
+++ b/daemon/services/balance/fakes_test.go
@@ -19,7 +19,7 @@
 	"github.com/flamingobeam/flamingobeam/daemon/config"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
 	"github.com/flamingobeam/flamingobeam/kernel"
-	"github.com/flamingobeam/flamingobeam/platform"
+	"github.com/flamingobeam/flamingobeam/outside"
 )
 
 // world holds fakes of all that the balancer finds by name.
@@ -37,11 +37,11 @@
 }
 
 type fakeEngine struct {
-	platform.Engine
-	load platform.Load
+	outside.Engine
+	load outside.Load
 }
 
-func (f *fakeEngine) Load(context.Context, string) (platform.Load, error) { return f.load, nil }
+func (f *fakeEngine) Load(context.Context, string) (outside.Load, error) { return f.load, nil }
 
 func (w *world) View() *kernel.Snapshot[contract.HostView] { return w.view }
 
@@ -57,7 +57,7 @@
 	return maps.Clone(w.signals)
 }
 
-func (w *world) Platform() platform.Clients { return platform.Clients{Engine: &w.engine} }
+func (w *world) Platform() outside.Clients { return outside.Clients{Engine: &w.engine} }
 
 func (w *world) Count(name string, delta int64) {
 	w.mu.Lock()
--- a/daemon/services/balance/ticket.go
+++ b/daemon/services/balance/ticket.go
@@ -137,7 +137,7 @@
 		return eventUnreached
 	case result.BackendBroke, result.AnswerCut:
 		return eventBroke
-	case result.BackendRefused, result.BackendOverloaded, result.OutcomeUnknown:
+	case result.BackendRefused, result.BackendOverloaded, result.BackendBusy, result.OutcomeUnknown:
 		return eventSlow
 	}
 	return eventNone
--- a/daemon/services/clients/clients.go
+++ b/daemon/services/clients/clients.go
@@ -6,8 +6,8 @@
 	"github.com/flamingobeam/flamingobeam/daemon/config"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
 	"github.com/flamingobeam/flamingobeam/kernel"
-	"github.com/flamingobeam/flamingobeam/platform"
-	"github.com/flamingobeam/flamingobeam/platform/httpclient"
+	"github.com/flamingobeam/flamingobeam/outside"
+	"github.com/flamingobeam/flamingobeam/outside/httpclient"
 )
 
 func init() {
@@ -16,7 +16,7 @@
 
 type service struct {
 	kernel.Base
-	platform platform.Clients
+	platform outside.Clients
 }
 
 var _ contract.Clients = (*service)(nil)
@@ -29,9 +29,9 @@
 	}
 	store := httpclient.NewStore(daemon.Store, nil)
 	backend := httpclient.NewBackend(nil)
-	s.platform = platform.Clients{Store: store, Hosts: store, Weights: store, Plain: backend, Engine: backend}
+	s.platform = outside.Clients{Store: store, Hosts: store, Weights: store, Plain: backend, Engine: backend}
 	return nil
 }
 
 // Platform implements contract.Clients.
-func (s *service) Platform() platform.Clients { return s.platform }
+func (s *service) Platform() outside.Clients { return s.platform }
--- /dev/null
+++ b/daemon/services/dispatch/dispatch.go
@@ -0,0 +1,109 @@
+// Package dispatch is the service "traffic.dispatch": it forwards callers'
+// requests, and the calls that judge samples, to the servers of a route.
+package dispatch
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/flamingobeam/flamingobeam/coord/catalog"
+	"github.com/flamingobeam/flamingobeam/coord/quarantine"
+	"github.com/flamingobeam/flamingobeam/coord/result"
+	"github.com/flamingobeam/flamingobeam/coord/structs"
+	"github.com/flamingobeam/flamingobeam/daemon/contract"
+	"github.com/flamingobeam/flamingobeam/kernel"
+)
+
+func init() {
+	kernel.Register(contract.NameDispatch, func() kernel.Service { return &service{} })
+}
+
+const (
+	// dialTimeout bounds a new connection: a round trip between regions takes
+	// 60 ms, and a lost packet costs a second.
+	dialTimeout = 700 * time.Millisecond
+	// idleTimeout is how long a connection is kept; servers close theirs
+	// sooner or later, so it is short of what they usually allow.
+	idleTimeout = 8 * time.Second
+	// idlePerServer bounds the idle connections to one server.
+	idlePerServer = 8
+	// headerBytes bounds the headers of an answer.
+	headerBytes = 64 << 10
+	// probeIdle, probeEvery and probeCount find a silent connection within
+	// two seconds.
+	probeIdle  = time.Second
+	probeEvery = 500 * time.Millisecond
+	probeCount = 2
+	// hedgePart is the part of the objective after which an idempotent request
+	// without an answer goes to a second server as well.
+	hedgePart = 0.4
+	// hedgeLeast is the shortest wait before that.
+	hedgeLeast = 60 * time.Millisecond
+)
+
+type service struct {
+	kernel.Base
+	balancer  contract.Balancer
+	retries   contract.Retries
+	metrics   contract.Metrics
+	log       *logrus.Entry
+	transport *http.Transport
+}
+
+var _ contract.Dispatch = (*service)(nil)
+
+// Provision implements kernel.Service.
+func (s *service) Provision(ctx *kernel.Context) error {
+	s.log = ctx.Log()
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: probeIdle, Interval: probeEvery, Count: probeCount,
+	}}
+	s.transport = &http.Transport{
+		DialContext: dialer.DialContext, DisableCompression: true,
+		MaxIdleConnsPerHost: idlePerServer, IdleConnTimeout: idleTimeout,
+		MaxResponseHeaderBytes: headerBytes,
+	}
+	return kernel.FindAll(ctx,
+		kernel.Into(&s.balancer, contract.NameBalance),
+		kernel.Into(&s.retries, contract.NameRetries),
+		kernel.Into(&s.metrics, contract.NameMetrics),
+	)
+}
+
+// Stop implements kernel.Service.
+func (s *service) Stop(context.Context) error {
+	s.transport.CloseIdleConnections()
+	return nil
+}
+
+// classOf ranks the requests of a route.
+func classOf(route *catalog.Route) structs.Class {
+	return structs.Class(min(max(0, route.Rank), structs.ClassCount-1))
+}
+
+// Forward implements contract.Dispatch.
+func (s *service) Forward(ctx context.Context, request contract.Proxied) (contract.Forwarded, error) {
+	target, ok := request.Route.Choose(rand.Float64())
+	if !ok {
+		return contract.Forwarded{}, result.New(result.NoBackend, "route %s has no service", request.Route.Name)
+	}
+	started := time.Now()
+	e := &exchange{
+		service: s, request: request,
+		pick: contract.PickRequest{
+			Service: target, Class: classOf(request.Route), Due: request.Due,
+			Fingerprint: quarantine.FingerprintOf(request.Method, request.Host, request.Target, string(request.Body)),
+		},
+		retrier: s.retries.Begin(contract.RetryRequest{
+			Class: classOf(request.Route), Due: request.Due, Idempotent: request.Route.Kind == catalog.KindIdempotent,
+		}),
+	}
+	forwarded, err := e.run(ctx)
+	s.metrics.Time("dispatch.forwarded", time.Since(started))
+	return forwarded, err
+}
--- /dev/null
+++ b/daemon/services/dispatch/send.go
@@ -0,0 +1,133 @@
+package dispatch
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/flamingobeam/flamingobeam/coord/catalog"
+	"github.com/flamingobeam/flamingobeam/coord/result"
+	"github.com/flamingobeam/flamingobeam/daemon/contract"
+	"github.com/flamingobeam/flamingobeam/platform"
+)
+
+// maxBuffered bounds an answer that is read whole before it is passed on, in
+// bytes; a longer one is passed on as it comes.
+const maxBuffered = 1 << 20
+
+// try is what came of sending a request to one server.
+type try struct {
+	forwarded contract.Forwarded
+	// failure is set when the server itself answered that it failed.
+	failure *contract.Forwarded
+	err     error
+}
+
+// send sends the request to the server of a ticket.
+func (s *service) send(ctx context.Context, request contract.Proxied, ticket contract.Ticket) try {
+	started := time.Now()
+	done := s.exchange(ctx, request, ticket)
+	latency := time.Since(started)
+	finish := contract.TicketOutcome{
+		Err: done.err, Latency: latency, Bytes: int64(len(request.Body) + len(done.forwarded.Body)),
+	}
+	if ctx.Err() != nil && done.err != nil {
+		finish.Err = ctx.Err()
+	}
+	ticket.Finish(finish)
+	if done.err != nil {
+		s.log.WithError(done.err).WithFields(logrus.Fields{
+			"request": request.ID, "server": ticket.Server.Name, "route": request.Route.Name, "ms": latency.Milliseconds(),
+		}).Info("A server did not answer the request.")
+	}
+	return done
+}
+
+func (s *service) exchange(ctx context.Context, request contract.Proxied, ticket contract.Ticket) try {
+	left := time.Until(request.Due)
+	if left <= 0 {
+		return try{err: result.New(result.DueTimePassed, "before it was sent to %s", ticket.Server.Name)}
+	}
+	outgoing, err := platform.Send{
+		Server: ticket.Server.Name, Address: ticket.Server.Address,
+		Method: request.Method, Host: request.Host, Target: request.Target,
+		Header: request.Header, Body: request.Body, ID: request.ID,
+		Patience: left, Urgency: platform.NoUrgency,
+	}.NewRequest(ctx)
+	if err != nil {
+		return try{err: result.Wrap(result.BadRequest, err)}
+	}
+	response, err := s.transport.RoundTrip(outgoing)
+	if err != nil {
+		return try{err: failed(ctx, sendCode(err), err)}
+	}
+	return s.judge(ctx, request, response)
+}
+
+// sendCode tells a request that cannot have left from one that may have.
+func sendCode(err error) result.Code {
+	var operation *net.OpError
+	if errors.As(err, &operation) && operation.Op == "dial" {
+		return result.NoBackend
+	}
+	return result.BackendBroke
+}
+
+// judge decides what an answer is worth and reads it.
+func (s *service) judge(ctx context.Context, request contract.Proxied, response *http.Response) try {
+	answer := platform.DecodeAnswer(response, request.ID)
+	code := codeOf(request, response.StatusCode, answer)
+	if code != result.OK && code != result.BackendBroke || !answer.Own {
+		// The body stays unread, which closes the connection.
+		_ = response.Body.Close()
+		return try{err: result.New(code, "status %d", response.StatusCode)}
+	}
+	forwarded := contract.Forwarded{Status: response.StatusCode, Header: response.Header, Stamp: answer.Stamp}
+	if isStream(request.Route, response) {
+		forwarded.Stream = response
+		return try{forwarded: forwarded}
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return try{err: failed(ctx, result.AnswerCut, err)}
+	}
+	forwarded.Body = body
+	if code == result.BackendBroke {
+		return try{failure: &forwarded, err: result.New(code, "status %d", response.StatusCode)}
+	}
+	return try{forwarded: forwarded}
+}
+
+// isStream reports whether an answer is passed on as it comes.
+func isStream(route *catalog.Route, response *http.Response) bool {
+	return route.Kind == catalog.KindStream || response.ContentLength > maxBuffered ||
+		strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream")
+}
+
+// codeOf says what an answer's headers stand for: OK to pass it on, BackendBroke
+// for a failure of the server.
+func codeOf(request contract.Proxied, status int, answer platform.Answer) result.Code {
+	switch {
+	case answer.OtherServer:
+		return result.NoBackend
+	case answer.NotRun:
+		return result.BackendBusy
+	case !answer.Own:
+		return result.BackendBroke
+	case status < http.StatusMultipleChoices && answer.Stamp == "":
+		return result.OutcomeUnknown
+	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
+		// Without the server's word the request may have run.
+		return result.OutcomeUnknown
+	case status >= http.StatusInternalServerError:
+		return result.BackendBroke
+	}
+	return result.OK
+}
--- /dev/null
+++ b/daemon/services/engines/engines.go
@@ -0,0 +1,189 @@
+// Package engines is the service "traffic.engines": it runs the items of batch
+// jobs as streams on model engines and notes which version made each event.
+package engines
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/flamingobeam/flamingobeam/coord/batch"
+	"github.com/flamingobeam/flamingobeam/coord/placement"
+	"github.com/flamingobeam/flamingobeam/daemon/contract"
+	"github.com/flamingobeam/flamingobeam/kernel"
+	"github.com/flamingobeam/flamingobeam/platform"
+)
+
+func init() {
+	kernel.Register(contract.NameEngines, func() kernel.Service { return &service{} })
+}
+
+const (
+	// dialTimeout bounds a new connection to an engine.
+	dialTimeout = 700 * time.Millisecond
+	// idleTimeout is how long a connection is kept for the next item.
+	idleTimeout = 8 * time.Second
+	// idlePerServer holds as many as an engine runs at once.
+	idlePerServer = 16
+	probeIdle     = time.Second
+	probeEvery    = 500 * time.Millisecond
+	probeCount    = 2
+	// firstWithin bounds the wait for an answer: an engine that loads weights
+	// says so at once, and one that queues is worth less than another.
+	firstWithin = 2500 * time.Millisecond
+	// nextWithin bounds the wait for the next event: it is longer than the
+	// pause that a change of weights makes.
+	nextWithin = 1600 * time.Millisecond
+)
+
+var (
+	errSilent  = errors.New("engines: the stream fell silent")
+	errNoStamp = errors.New("engines: the answer names no version")
+	errForeign = errors.New("engines: the answer belongs to another request")
+	errMixed   = errors.New("engines: the weights changed within a text that must have one version")
+)
+
+type service struct {
+	kernel.Base
+	metrics   contract.Metrics
+	log       *logrus.Entry
+	transport *http.Transport
+}
+
+var _ contract.Engines = (*service)(nil)
+
+// Provision implements kernel.Service.
+func (s *service) Provision(ctx *kernel.Context) error {
+	s.log = ctx.Log()
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: probeIdle, Interval: probeEvery, Count: probeCount,
+	}}
+	s.transport = &http.Transport{
+		DialContext: dialer.DialContext, DisableCompression: true,
+		MaxIdleConnsPerHost: idlePerServer, IdleConnTimeout: idleTimeout,
+	}
+	var err error
+	s.metrics, err = kernel.Find[contract.Metrics](ctx, contract.NameMetrics)
+	return err
+}
+
+// Stop implements kernel.Service.
+func (s *service) Stop(context.Context) error {
+	s.transport.CloseIdleConnections()
+	return nil
+}
+
+// Run implements contract.Engines.
+func (s *service) Run(ctx context.Context, request contract.RunRequest, progress *placement.Progress) contract.Run {
+	started := time.Now()
+	before := request.Text.Last
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	silence := time.AfterFunc(firstWithin, func() { cancel(errSilent) })
+	defer silence.Stop()
+	run := s.run(ctx, request, progress, silence)
+	run.Text = request.Text
+	if cause := context.Cause(ctx); cause != nil && run.Err != nil {
+		run.Err = cause
+	}
+	s.metrics.Time("engines.run", time.Since(started))
+	entry := s.log.WithFields(logrus.Fields{
+		"job": request.Job.ID, "item": request.Item.ID, "server": request.Server.ID, "model": request.Job.Model,
+		"version": run.Version, "after": before, "last": run.Text.Last, "end": run.End, "status": run.Status,
+		"ms": time.Since(started).Milliseconds(),
+	})
+	if run.Err != nil {
+		entry = entry.WithError(run.Err)
+	}
+	entry.Info("A run ended.")
+	return run
+}
+
+func (s *service) run(ctx context.Context, request contract.RunRequest, progress *placement.Progress, silence *time.Timer) contract.Run {
+	header := make(http.Header, len(request.Item.Headers))
+	for name, value := range request.Item.Headers {
+		header.Set(name, value)
+	}
+	outgoing, err := platform.Send{
+		Server: request.Server.ID, Address: request.Server.Address,
+		Method: http.MethodPost, Host: request.Job.Host, Target: request.Item.Path,
+		Header: header, Body: request.Item.Body, ID: string(request.Item.ID),
+		Patience: request.Patience, Urgency: request.Urgency,
+		Version: request.Expect, ResumeAfter: request.Text.Last,
+	}.NewRequest(ctx)
+	if err != nil {
+		return contract.Run{End: contract.RunImpossible, Err: err}
+	}
+	response, err := s.transport.RoundTrip(outgoing)
+	if err != nil {
+		return contract.Run{End: contract.RunCut, Err: err}
+	}
+	defer response.Body.Close()
+	answer := platform.DecodeAnswer(response, string(request.Item.ID))
+	run := contract.Run{Status: response.StatusCode, Version: answer.Version}
+	run.End, run.Err = begin(request, response.StatusCode, answer)
+	if run.Err != nil {
+		return run
+	}
+	request.Text.Version = answer.Version
+	run.End, run.Err = read(request, response.Body, progress, silence)
+	run.Version = request.Text.Version
+	return run
+}
+
+// begin judges the start of an answer; an error ends the run.
+func begin(request contract.RunRequest, status int, answer platform.Answer) (contract.RunEnd, error) {
+	switch {
+	case answer.NotRun:
+		return contract.RunNotStarted, errors.Errorf("status %d", status)
+	case !answer.Own:
+		return contract.RunCut, errForeign
+	case status == http.StatusUnprocessableEntity:
+		return contract.RunImpossible, errors.Errorf("status %d", status)
+	case status == http.StatusInternalServerError:
+		return contract.RunFailed, errors.Errorf("status %d", status)
+	case status != http.StatusOK:
+		return contract.RunCut, errors.Errorf("status %d", status)
+	case answer.Version == 0:
+		return contract.RunCut, errNoStamp
+	case answer.Version < request.Job.MinVersion:
+		return contract.RunStale, errors.Errorf("version %d", answer.Version)
+	case request.Single && request.Text.Last > 0 && request.Text.Version != answer.Version:
+		return contract.RunStale, errMixed
+	}
+	return contract.RunWhole, nil
+}
+
+// read adds the events of a stream to the text.
+func read(request contract.RunRequest, body io.Reader, progress *placement.Progress, silence *time.Timer) (contract.RunEnd, error) {
+	text := request.Text
+	events := platform.NewEventReader(body)
+	for {
+		event, err := events.Next()
+		if err == io.EOF {
+			return contract.RunWhole, nil
+		}
+		if err != nil {
+			return contract.RunCut, err
+		}
+		if event.ID != text.Last+1 {
+			return contract.RunCut, errors.Errorf("event %d after event %d", event.ID, text.Last)
+		}
+		if event.Version != 0 {
+			if request.Single && event.Version != text.Version {
+				return contract.RunCut, errMixed
+			}
+			text.Version = event.Version
+		}
+		silence.Reset(nextWithin)
+		progress.Note(time.Now())
+		text.Last = event.ID
+		text.Events = append(text.Events, event.Data)
+		text.Versions = batch.AddVersion(text.Versions, text.Version)
+	}
+}
--- /dev/null
+++ b/daemon/services/expose/expose.go
@@ -0,0 +1,93 @@
+// Package expose is the service "http.metrics": it serves the counters and
+// histograms as text, one value a line.
+package expose
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"github.com/flamingobeam/flamingobeam/coord/result"
+	"github.com/flamingobeam/flamingobeam/daemon/config"
+	"github.com/flamingobeam/flamingobeam/daemon/contract"
+	"github.com/flamingobeam/flamingobeam/kernel"
+)
+
+func init() {
+	kernel.Register(contract.NameExpose, func() kernel.Service { return &service{} })
+}
+
+const (
+	// path is where the metrics are served.
+	path = "/metrics"
+	// headerTimeout bounds the reading of a request's headers.
+	headerTimeout = 5 * time.Second
+)
+
+type service struct {
+	kernel.Base
+	address string
+	reports contract.Reports
+	log     *logrus.Entry
+	server  *http.Server
+	group   conc.WaitGroup
+}
+
+// Provision implements kernel.Service.
+func (s *service) Provision(ctx *kernel.Context) error {
+	daemon, err := kernel.ConfigOf[config.Daemon](ctx)
+	if err != nil {
+		return err
+	}
+	s.address, s.log = daemon.Fleet.Metrics, ctx.Log()
+	s.reports, err = kernel.Find[contract.Reports](ctx, contract.NameMetrics)
+	return err
+}
+
+// Start implements kernel.Service.
+func (s *service) Start() error {
+	router := httprouter.New()
+	router.GET(path, s.serve)
+	s.server = &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout}
+	listener, err := net.Listen("tcp", s.address)
+	if err != nil {
+		return result.Wrap(result.AddressTaken, err)
+	}
+	s.group.Go(func() {
+		if err := s.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			s.log.WithError(err).Error("The metrics are no longer served.")
+		}
+	})
+	return nil
+}
+
+func (s *service) serve(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	all := s.reports.All()
+	var lines []string
+	for name, values := range all {
+		for kind, value := range values {
+			lines = append(lines, fmt.Sprintf("%s.%s %v\n", name, kind, value))
+		}
+	}
+	slices.Sort(lines)
+	for _, line := range lines {
+		if _, err := fmt.Fprint(w, line); err != nil {
+			return
+		}
+	}
+}
+
+// Stop implements kernel.Service.
+func (s *service) Stop(context.Context) error {
+	err := s.server.Close()
+	s.group.Wait()
+	return err
+}
--- a/daemon/services/front/submissions_test.go
+++ b/daemon/services/front/submissions_test.go
@@ -13,14 +13,14 @@
 
 	"github.com/flamingobeam/flamingobeam/coord/result"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
-	"github.com/flamingobeam/flamingobeam/platform"
+	"github.com/flamingobeam/flamingobeam/outside"
 )
 
 // echoJournal answers with the body of each submission.
 type echoJournal struct{ repeated bool }
 
 func (e *echoJournal) Submit(_ context.Context, request contract.SubmitRequest) (contract.SubmitReply, error) {
-	answer := platform.Answer{Status: http.StatusCreated, ContentType: "text/plain", Body: request.Body}
+	answer := outside.Answer{Status: http.StatusCreated, ContentType: "text/plain", Body: request.Body}
 	return contract.SubmitReply{Answer: answer, Repeated: e.repeated}, nil
 }
 
--- a/daemon/services/front/write.go
+++ b/daemon/services/front/write.go
@@ -11,7 +11,7 @@
 
 	"github.com/flamingobeam/flamingobeam/coord/result"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
-	"github.com/flamingobeam/flamingobeam/platform"
+	"github.com/flamingobeam/flamingobeam/outside"
 )
 
 const (
@@ -57,7 +57,7 @@
 }
 
 // writeAnswer relays a backend server's answer with its status and length.
-func writeAnswer(w http.ResponseWriter, code result.Code, answer platform.Answer) {
+func writeAnswer(w http.ResponseWriter, code result.Code, answer outside.Answer) {
 	entry, _ := result.Lookup(code)
 	writeBody(w, entry, answer.Status, answer.ContentType, answer.Body)
 }
--- a/daemon/services/hosts/hosts.go
+++ b/daemon/services/hosts/hosts.go
@@ -15,7 +15,7 @@
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
 	"github.com/flamingobeam/flamingobeam/kernel"
-	"github.com/flamingobeam/flamingobeam/platform"
+	"github.com/flamingobeam/flamingobeam/outside"
 )
 
 func init() {
@@ -40,7 +40,7 @@
 	clients contract.Clients
 	zone    contract.ZoneControl
 	view    *kernel.Snapshot[contract.HostView]
-	replies *kernel.Mailbox[kernel.Reply[platform.HostChanges]]
+	replies *kernel.Mailbox[kernel.Reply[outside.HostChanges]]
 	signals *kernel.Latest[signalKey, struct{}]
 
 	// The fields below belong to the control goroutine.
@@ -116,12 +116,12 @@
 	s.asking = true
 	after := uint64(s.fleet.Version())
 	list := s.clients.Platform().Hosts
-	kernel.Async(s.workers, 0, s.replies, func(ctx context.Context) (platform.HostChanges, error) {
+	kernel.Async(s.workers, 0, s.replies, func(ctx context.Context) (outside.HostChanges, error) {
 		return list.Hosts(ctx, "", after, listWait)
 	})
 }
 
-func (s *service) onList(reply kernel.Reply[platform.HostChanges]) {
+func (s *service) onList(reply kernel.Reply[outside.HostChanges]) {
 	s.asking = false
 	if reply.Err != nil {
 		s.log.WithError(reply.Err).Debug("The host list could not be read.")
--- /dev/null
+++ b/daemon/services/jobs/commit.go
@@ -0,0 +1,176 @@
+package jobs
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/flamingobeam/flamingobeam/coord/batch"
+	"github.com/flamingobeam/flamingobeam/outside"
+)
+
+// commitWait is how long a finished result waits for others of its group
+// before it is listed: each write to the store is charged.
+const commitWait = 400 * time.Millisecond
+
+// finish records the result of an item.
+func (s *service) finish(j *job, it *item, result batch.Result) {
+	it.phase = phaseFinished
+	it.text = &text{}
+	if len(j.pending) == 0 {
+		j.pendingSince = s.loop.Now()
+	}
+	j.pending = append(j.pending, result)
+	s.commit(j)
+}
+
+// commit lists what is pending once a group is whole, nothing is left to wait
+// for, or the oldest result has waited long enough.
+func (s *service) commit(j *job) {
+	if j.committing || len(j.pending) == 0 || j.own.Ended {
+		return
+	}
+	if wait := commitWait - s.loop.Now().Sub(j.pendingSince); wait > 0 && j.open() && !j.anyGroupWhole() {
+		s.loop.After(wait, func() { s.commit(j) })
+		return
+	}
+	results := firstChunk(j.pending)
+	j.committing = true
+	id, own, log := j.ID, j.own, j.log
+	s.workers.Go(func(ctx context.Context) {
+		ended := s.write(ctx, id, own, log, results)
+		if err := s.committed.Post(ended); err != nil {
+			s.log.WithError(err).WithField("job", id).Error("The outcome of a write is lost.")
+		}
+	})
+}
+
+// anyGroupWhole reports whether a group became whole with the pending results.
+func (j *job) anyGroupWhole() bool {
+	open := make(map[string]bool)
+	for _, it := range j.items {
+		if it.phase != phaseFinished {
+			open[it.Group] = true
+		}
+	}
+	for _, result := range j.pending {
+		if it := j.find(result.ID); it != nil && !open[it.Group] {
+			return true
+		}
+	}
+	return false
+}
+
+func (j *job) find(id batch.ItemID) *item {
+	for _, it := range j.items {
+		if it.ID == id {
+			return it
+		}
+	}
+	return nil
+}
+
+// firstChunk returns as many results as one value of the store holds.
+func firstChunk(pending []batch.Result) []batch.Result {
+	size := 0
+	for i, result := range pending {
+		size += len(result.Output) + len(result.Score) + 200
+		if size > maxChunk && i > 0 {
+			return pending[:i:i]
+		}
+	}
+	return pending[:len(pending):len(pending)]
+}
+
+// commitEnded is the outcome of a write to a job's log.
+type commitEnded struct {
+	id      string
+	epoch   uint64
+	own     ownRecord
+	log     logRecord
+	results []batch.Result
+	// written says that the results are in the log; lost, that another daemon
+	// owns the job.
+	written bool
+	lost    bool
+}
+
+// write adds results to a job's log until it is certain what became of them.
+func (s *service) write(ctx context.Context, id string, own ownRecord, log logRecord, results []batch.Result) commitEnded {
+	ended := commitEnded{id: id, epoch: own.Epoch, own: own, log: log, results: results}
+	pause := newPause()
+	for ctx.Err() == nil {
+		next, err := s.keeper.add(ctx, id, ended.own, log, results)
+		if err == nil {
+			ended.log, ended.written = next, true
+			return ended
+		}
+		if errors.Is(err, outside.ErrConflict) && s.conflict(ctx, &ended, log) {
+			return ended
+		}
+		if ended.own.Ended {
+			return ended
+		}
+		select {
+		case <-time.After(pause.NextBackOff()):
+		case <-ctx.Done():
+		}
+	}
+	return ended
+}
+
+// conflict finds out why a write was refused, and reports whether the matter is
+// settled. A write whose answer was lost refuses its own repetition.
+func (s *service) conflict(ctx context.Context, ended *commitEnded, before logRecord) bool {
+	own, err := s.keeper.owner(ctx, ended.id)
+	if err != nil {
+		return false
+	}
+	current, err := s.keeper.logOf(ctx, ended.id)
+	if err != nil {
+		return false
+	}
+	if own.Epoch != ended.epoch {
+		ended.lost = true
+		return true
+	}
+	ended.own = own
+	if current.revision != before.revision {
+		// Only this owner writes under this epoch, one write at a time.
+		ended.log, ended.written = current, true
+		return true
+	}
+	return own.Ended
+}
+
+// commitCame takes in the outcome of a write on the control goroutine.
+func (s *service) commitCame(ended commitEnded) {
+	j := s.owned[ended.id]
+	if j == nil || j.own.Epoch != ended.epoch {
+		return
+	}
+	j.committing = false
+	if ended.lost {
+		s.drop(j, "another daemon owns it")
+		return
+	}
+	if ended.written {
+		j.log = ended.log
+		j.pending = j.pending[min(len(ended.results), len(j.pending)):]
+		j.pendingSince = s.loop.Now()
+		next := *j.view.Load()
+		next.results = append(next.results[:len(next.results):len(next.results)], ended.results...)
+		j.view.Publish(&next)
+		s.log.WithFields(logrus.Fields{"job": j.ID, "listed": len(next.results), "of": len(j.items)}).Info("Results are listed.")
+	}
+	if ended.own.revision > j.own.revision {
+		j.own = ended.own
+	}
+	if j.own.Ended {
+		s.ended(j, j.own)
+		return
+	}
+	s.commit(j)
+}
--- /dev/null
+++ b/daemon/services/jobs/jobs.go
@@ -0,0 +1,234 @@
+// Package jobs is the service "traffic.jobs": it accepts batch jobs, runs their
+// items on model engines, has the texts judged and lists the results.
+//
+// All that must last lies in the platform's store: what was submitted, who owns
+// the job, and a log of results that only grows. The control goroutine owns the
+// state of the jobs that this daemon runs; streams, calls to the store and
+// callers' requests have goroutines of their own.
+package jobs
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/flamingobeam/flamingobeam/coord/batch"
+	"github.com/flamingobeam/flamingobeam/coord/structs"
+	"github.com/flamingobeam/flamingobeam/daemon/config"
+	"github.com/flamingobeam/flamingobeam/daemon/contract"
+	"github.com/flamingobeam/flamingobeam/kernel"
+)
+
+func init() {
+	kernel.Register(contract.NameJobs, func() kernel.Service {
+		return &service{
+			owned: make(map[string]*job), engines: make(map[structs.HostName]*engine), owners: make(map[string]ownerEntry),
+		}
+	})
+}
+
+// mailboxCapacity bounds the messages of each kind that wait for the loop.
+const mailboxCapacity = 4096
+
+type service struct {
+	kernel.Base
+	config  config.Daemon
+	ledger  contract.Ledger
+	session contract.Session
+	catalog contract.Catalog
+	servers contract.Servers
+	runner  contract.Engines
+	sender  contract.Dispatch
+	peers   contract.Peers
+	metrics contract.Metrics
+	log     *logrus.Entry
+	loop    *kernel.Loop
+	workers *kernel.Workers
+	calls   *kernel.Calls
+	keeper  *keeper
+
+	adoptions *kernel.Mailbox[adoption]
+	runs      *kernel.Mailbox[runEnded]
+	judged    *kernel.Mailbox[judgement]
+	committed *kernel.Mailbox[commitEnded]
+
+	// What follows belongs to the control goroutine.
+	owned     map[string]*job
+	engines   map[structs.HostName]*engine
+	namedAt   map[structs.ServiceName]time.Time
+	wanted    map[structs.ServiceName]structs.WeightVersion
+	scheduled bool
+	stopping  bool
+	heirs     heirs
+
+	// views gives traffic goroutines the logs of the owned jobs.
+	views sync.Map
+	// owners remembers where other daemons' jobs are.
+	ownersMu sync.Mutex
+	owners   map[string]ownerEntry
+}
+
+var _ contract.Jobs = (*service)(nil)
+
+// Provision implements kernel.Service.
+func (s *service) Provision(ctx *kernel.Context) error {
+	var err error
+	if s.config, err = kernel.ConfigOf[config.Daemon](ctx); err != nil {
+		return err
+	}
+	err = kernel.FindAll(ctx,
+		kernel.Into(&s.ledger, contract.NameLedger),
+		kernel.Into(&s.session, contract.NameSession),
+		kernel.Into(&s.catalog, contract.NameCatalog),
+		kernel.Into(&s.servers, contract.NameServers),
+		kernel.Into(&s.runner, contract.NameEngines),
+		kernel.Into(&s.sender, contract.NameDispatch),
+		kernel.Into(&s.peers, contract.NamePeers),
+		kernel.Into(&s.metrics, contract.NameMetrics),
+	)
+	if err != nil {
+		return err
+	}
+	rpc, err := kernel.Find[contract.RPC](ctx, contract.NameRPC)
+	if err != nil {
+		return err
+	}
+	s.log, s.loop, s.workers, s.calls = ctx.Log(), ctx.Loop(), ctx.Workers(), kernel.NewCalls(ctx.Loop())
+	s.keeper = newKeeper(s.ledger)
+	s.namedAt = make(map[structs.ServiceName]time.Time)
+	s.wanted = make(map[structs.ServiceName]structs.WeightVersion)
+	s.adoptions = kernel.NewMailbox(s.loop, mailboxCapacity, s.adopt)
+	s.runs = kernel.NewMailbox(s.loop, mailboxCapacity, s.runEnded)
+	s.judged = kernel.NewMailbox(s.loop, mailboxCapacity, s.judgementCame)
+	s.committed = kernel.NewMailbox(s.loop, mailboxCapacity, s.commitCame)
+	s.heirs.prepare(s)
+	s.loop.After(tickEvery, s.tick)
+	return rpc.Register(rpcName, &Receiver{service: s})
+}
+
+// Start implements kernel.Service.
+func (s *service) Start() error {
+	kernel.Follow(s.loop, s.workers, s.catalog.Current(), s.catalogChanged)
+	kernel.Follow(s.loop, s.workers, s.servers.Entries(), s.serversChanged)
+	return nil
+}
+
+func (s *service) catalogChanged(view *contract.CatalogView) {
+	for model, version := range view.Wanted {
+		if s.wanted[model] != version {
+			s.wanted[model], s.namedAt[model] = version, time.Now()
+		}
+	}
+	for _, j := range s.owned {
+		s.setTerms(j)
+	}
+	s.wake()
+}
+
+// job is a batch job that this daemon owns.
+type job struct {
+	batch.Job
+	terms     terms
+	submitted time.Time
+	own       ownRecord
+	log       logRecord
+	items     []*item
+	// pending results are finished and not yet in the log.
+	pending      []batch.Result
+	pendingSince time.Time
+	committing   bool
+	view         *kernel.Snapshot[jobView]
+	ctx          context.Context
+	cancel       context.CancelFunc
+}
+
+// jobView is the immutable snapshot of a job's log.
+type jobView struct {
+	total   int
+	results []batch.Result
+	ended   bool
+	// lost is set when another daemon has taken the job over.
+	lost bool
+}
+
+// open reports whether the job still has work.
+func (j *job) open() bool { return !j.own.Ended && j.log.Positions()+len(j.pending) < len(j.items) }
+
+// phase is how far an item has come.
+type phase uint8
+
+const (
+	phaseWaiting phase = iota
+	phaseRunning
+	phaseJudging
+	phaseFinished
+)
+
+// adoption hands a job to the control goroutine.
+type adoption struct {
+	kept
+	// texts are what an earlier owner held of unfinished items.
+	texts map[batch.ItemID]*contract.Text
+}
+
+// adopt begins to run a job.
+func (s *service) adopt(a adoption) {
+	if _, known := s.owned[a.job.ID]; known {
+		return
+	}
+	j := &job{
+		Job: *a.job, own: a.own, log: a.log,
+		submitted: time.UnixMilli(a.own.Submitted),
+	}
+	j.ctx, j.cancel = context.WithCancel(context.Background())
+	listed := make(map[batch.ItemID]bool, len(a.results))
+	for _, result := range a.results {
+		listed[result.ID] = true
+	}
+	for _, index := range batch.Order(j.Items) {
+		it := &item{Item: &j.Items[index], text: &contract.Text{}}
+		if text := a.texts[it.ID]; text != nil {
+			it.text = text
+		}
+		if listed[it.ID] {
+			it.phase = phaseFinished
+		}
+		j.items = append(j.items, it)
+	}
+	s.setTerms(j)
+	j.view = kernel.NewSnapshot(&jobView{total: len(j.items), results: a.results, ended: a.own.Ended})
+	s.owned[j.ID] = j
+	s.views.Store(j.ID, j.view)
+	s.log.WithFields(logrus.Fields{
+		"job": j.ID, "epoch": j.own.Epoch, "model": j.Model, "step": j.Step, "min_version": j.MinVersion,
+		"items": len(j.items), "listed": len(a.results), "texts": len(a.texts),
+	}).Info("A batch job is owned here.")
+	s.wake()
+}
+
+// drop forgets a job that another daemon owns now.
+func (s *service) drop(j *job, why string) {
+	s.log.WithFields(logrus.Fields{"job": j.ID, "epoch": j.own.Epoch, "why": why}).Info("A batch job is no longer owned here.")
+	j.cancel()
+	delete(s.owned, j.ID)
+	s.views.Delete(j.ID)
+	last := *j.view.Load()
+	last.lost = true
+	j.view.Publish(&last)
+}
+
+// ended takes in that a job was ended.
+func (s *service) ended(j *job, own ownRecord) {
+	j.own = own
+	j.cancel()
+	j.pending = nil
+	next := *j.view.Load()
+	next.ended = true
+	j.view.Publish(&next)
+	s.log.WithField("job", j.ID).WithField("listed", len(next.results)).Info("A batch job was ended.")
+}
+
+// Stop implements kernel.Service: it hands the jobs over.
+func (s *service) Stop(ctx context.Context) error { return s.handOver(ctx) }
--- /dev/null
+++ b/daemon/services/jobs/read.go
@@ -0,0 +1,229 @@
+package jobs
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/flamingobeam/flamingobeam/coord/batch"
+	"github.com/flamingobeam/flamingobeam/coord/result"
+	"github.com/flamingobeam/flamingobeam/daemon/contract"
+	"github.com/flamingobeam/flamingobeam/kernel"
+	"github.com/flamingobeam/flamingobeam/outside"
+)
+
+const (
+	// ownerFor is how long it is remembered who owns a job.
+	ownerFor = 3 * time.Second
+	// ownersMost bounds the owners that are remembered.
+	ownersMost = 4096
+	// peerWithin bounds a call to the owner beyond the wait that it is asked
+	// for: a round trip between regions and the owner's turn.
+	peerWithin = 500 * time.Millisecond
+	// endAttempts bounds the attempts to write that a job has ended.
+	endAttempts = 20
+)
+
+type ownerEntry struct {
+	own  ownRecord
+	seen time.Time
+}
+
+// Results implements contract.Jobs.
+func (s *service) Results(ctx context.Context, request contract.ResultsRequest) (contract.ResultsReply, error) {
+	if reply, ok := s.ownResults(ctx, request); ok {
+		return reply, nil
+	}
+	own, err := s.ownerOf(ctx, request.ID)
+	if err != nil {
+		return contract.ResultsReply{}, err
+	}
+	if address := s.addressOf(own.Owner); address != "" && !own.Ended {
+		var reply ResultsRPC
+		err := s.call(ctx, address, "Results", request, &reply, request.Wait)
+		if err == nil && reply.Known {
+			return reply.Reply, nil
+		}
+		s.forgetOwner(request.ID)
+	}
+	return s.storedResults(ctx, request)
+}
+
+// ownResults reads the log of a job that this daemon owns; false when it does
+// not.
+func (s *service) ownResults(ctx context.Context, request contract.ResultsRequest) (contract.ResultsReply, bool) {
+	found, ok := s.views.Load(request.ID)
+	if !ok {
+		return contract.ResultsReply{}, false
+	}
+	timer := time.NewTimer(request.Wait)
+	defer timer.Stop()
+	snapshot := found.(*kernel.Snapshot[jobView])
+	for {
+		view, replaced := snapshot.Watch()
+		if view.lost {
+			return contract.ResultsReply{}, false
+		}
+		whole := view.ended || len(view.results) == view.total
+		if len(view.results) > request.After || whole || request.Wait == 0 {
+			return page(view.total, view.results, request.After), true
+		}
+		select {
+		case <-replaced:
+		case <-timer.C:
+			return page(view.total, view.results, request.After), true
+		case <-ctx.Done():
+			return page(view.total, view.results, request.After), true
+		}
+	}
+}
+
+func page(total int, results []batch.Result, after int) contract.ResultsReply {
+	after = min(max(0, after), len(results))
+	return contract.ResultsReply{Total: total, Results: results[after:]}
+}
+
+// storedResults reads a job's log from the store.
+func (s *service) storedResults(ctx context.Context, request contract.ResultsRequest) (contract.ResultsReply, error) {
+	log, err := s.keeper.logOf(ctx, request.ID)
+	if err != nil {
+		return contract.ResultsReply{}, s.unread(request.ID, err)
+	}
+	first, skipped := 0, 0
+	for first < len(log.Chunks) && skipped+log.Chunks[first] <= request.After {
+		skipped += log.Chunks[first]
+		first++
+	}
+	results, err := s.keeper.results(ctx, request.ID, log.Log, first)
+	if err != nil {
+		return contract.ResultsReply{}, s.unread(request.ID, err)
+	}
+	return page(log.Total, results, request.After-skipped), nil
+}
+
+// unread gives an error of the store its code: only an absence that the store
+// has confirmed is one.
+func (s *service) unread(id string, err error) error {
+	if errors.Is(err, errGone) {
+		return result.New(result.NotFound, "batch job %s", id)
+	}
+	return result.Wrap(result.StoreUnavailable, err)
+}
+
+// ownerOf finds out who owns a job. What is remembered serves while it is fresh.
+func (s *service) ownerOf(ctx context.Context, id string) (ownRecord, error) {
+	s.ownersMu.Lock()
+	entry, ok := s.owners[id]
+	s.ownersMu.Unlock()
+	if ok && (entry.own.Ended || time.Since(entry.seen) < ownerFor) {
+		return entry.own, nil
+	}
+	own, err := s.keeper.owner(ctx, id)
+	if err != nil {
+		if ok && !errors.Is(err, errGone) {
+			// The owner of a moment ago is the best guess without the store.
+			return entry.own, nil
+		}
+		return ownRecord{}, s.unread(id, err)
+	}
+	s.rememberOwner(id, own)
+	return own, nil
+}
+
+func (s *service) rememberOwner(id string, own ownRecord) {
+	s.ownersMu.Lock()
+	defer s.ownersMu.Unlock()
+	if len(s.owners) >= ownersMost {
+		clear(s.owners)
+	}
+	s.owners[id] = ownerEntry{own: own, seen: time.Now()}
+}
+
+func (s *service) forgetOwner(id string) {
+	s.ownersMu.Lock()
+	defer s.ownersMu.Unlock()
+	if entry, ok := s.owners[id]; ok {
+		entry.seen = time.Time{}
+		s.owners[id] = entry
+	}
+}
+
+// addressOf returns the address of a live daemon other than this one.
+func (s *service) addressOf(owner string) string {
+	view := s.session.View().Load()
+	if owner == view.Self.Name {
+		return ""
+	}
+	return view.Live[owner].Peers
+}
+
+// Body implements contract.Jobs.
+func (s *service) Body(ctx context.Context, id string, wanted batch.ItemID) ([]byte, error) {
+	job, err := s.keeper.jobCached(ctx, id)
+	if err != nil {
+		return nil, s.unread(id, err)
+	}
+	for i := range job.Items {
+		if job.Items[i].ID == wanted {
+			return job.Items[i].Body, nil
+		}
+	}
+	return nil, result.New(result.NotFound, "item %s of batch job %s", wanted, id)
+}
+
+// End implements contract.Jobs.
+func (s *service) End(ctx context.Context, id string) error {
+	pause := newPause()
+	var last error
+	for range endAttempts {
+		own, err := s.keeper.owner(ctx, id)
+		if errors.Is(err, errGone) {
+			return s.unread(id, err)
+		}
+		if err == nil && !own.Ended {
+			next := own.Ownership
+			next.Ended = true
+			own, err = s.keeper.swapOwner(ctx, id, own, next)
+		}
+		if err == nil {
+			s.tellEnded(id, own)
+			return nil
+		}
+		last = err
+		if !errors.Is(err, outside.ErrConflict) {
+			select {
+			case <-time.After(pause.NextBackOff()):
+			case <-ctx.Done():
+				return result.Wrap(result.StoreUnavailable, last)
+			}
+		}
+	}
+	return result.Wrap(result.StoreUnavailable, last)
+}
+
+// tellEnded lets the owner know at once; it would find out at its next write.
+func (s *service) tellEnded(id string, own ownRecord) {
+	s.rememberOwner(id, own)
+	if address := s.addressOf(own.Owner); address != "" {
+		s.workers.Go(func(ctx context.Context) {
+			var reply struct{}
+			if err := s.call(ctx, address, "Ended", EndedRPC{ID: id, Own: own.Ownership, Revision: uint64(own.revision)}, &reply, 0); err != nil {
+				s.log.WithError(err).WithField("job", id).Info("The owner was not told that its job was ended.")
+			}
+		})
+		return
+	}
+	s.workers.Go(func(ctx context.Context) {
+		if err := s.calls.Do(ctx, func() { s.endHere(id, own) }); err != nil {
+			s.log.WithError(err).WithField("job", id).Warn("The end of an owned job was not taken in.")
+		}
+	})
+}
+
+// endHere ends a job on the control goroutine if it is owned here.
+func (s *service) endHere(id string, own ownRecord) {
+	if j := s.owned[id]; j != nil && own.Epoch == j.own.Epoch && !j.own.Ended {
+		s.ended(j, own)
+	}
+}
--- /dev/null
+++ b/daemon/services/jobs/rpc.go
@@ -0,0 +1,63 @@
+package jobs
+
+import (
+	"context"
+	"time"
+
+	"github.com/flamingobeam/flamingobeam/coord/batch"
+	"github.com/flamingobeam/flamingobeam/daemon/contract"
+	"github.com/flamingobeam/flamingobeam/outside"
+)
+
+// rpcName is the receiver's name in net/rpc.
+const rpcName = "Jobs"
+
+// Receiver takes calls of other daemons.
+type Receiver struct{ service *service }
+
+// ResultsRPC is the reply to Results; Known is false when this daemon does not
+// own the job.
+type ResultsRPC struct {
+	Known bool
+	Reply contract.ResultsReply
+}
+
+// Results reads the log of a job that this daemon owns.
+func (r *Receiver) Results(request contract.ResultsRequest, reply *ResultsRPC) error {
+	reply.Reply, reply.Known = r.service.ownResults(context.Background(), request)
+	return nil
+}
+
+// EndedRPC tells an owner that its job was ended.
+type EndedRPC struct {
+	ID       string
+	Own      batch.Ownership
+	Revision uint64
+}
+
+// Ended stops the work on a job.
+func (r *Receiver) Ended(request EndedRPC, _ *struct{}) error {
+	own := ownRecord{Ownership: request.Own, revision: outside.Revision(request.Revision)}
+	return r.service.calls.Do(context.Background(), func() { r.service.endHere(request.ID, own) })
+}
+
+// AdoptRPC hands a job over, with the texts of its unfinished items.
+type AdoptRPC struct {
+	ID    string
+	Texts map[batch.ItemID]*contract.Text
+}
+
+// Adopt takes a job over that the store already gives to this daemon.
+func (r *Receiver) Adopt(request AdoptRPC, _ *struct{}) error {
+	s := r.service
+	self := s.session.View().Load().Self.Name
+	s.workers.Go(func(ctx context.Context) { s.take(ctx, request.ID, self, request.Texts) })
+	return nil
+}
+
+// call makes a call to another daemon's receiver.
+func (s *service) call(ctx context.Context, address, method string, args, reply any, wait time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, wait+peerWithin)
+	defer cancel()
+	return s.peers.Call(ctx, address, rpcName+"."+method, args, reply)
+}
--- a/daemon/services/journal/bench_test.go
+++ b/daemon/services/journal/bench_test.go
@@ -18,8 +18,8 @@
 	standin "github.com/flamingobeam/flamingobeam/emulate/service"
 	"github.com/flamingobeam/flamingobeam/emulate/store"
 	"github.com/flamingobeam/flamingobeam/kernel"
-	"github.com/flamingobeam/flamingobeam/platform"
-	"github.com/flamingobeam/flamingobeam/platform/httpclient"
+	"github.com/flamingobeam/flamingobeam/outside"
+	"github.com/flamingobeam/flamingobeam/outside/httpclient"
 )
 
 const (
@@ -42,7 +42,7 @@
 	strategy journal.Strategy
 	spans    spans
 	// plain replaces the client of backend servers when it is set.
-	plain platform.PlainService
+	plain outside.PlainService
 }
 
 func newBench(t testing.TB) *bench {
@@ -86,7 +86,7 @@
 	offer := func(name kernel.Name, service kernel.Service) {
 		registry.Register(name, func() kernel.Service { return service })
 	}
-	offer(contract.NameClients, &fakeClients{clients: platform.Clients{Store: d.store, Plain: d.plain}})
+	offer(contract.NameClients, &fakeClients{clients: outside.Clients{Store: d.store, Plain: d.plain}})
 	offer(contract.NameSettings, &fakeSettings{window: b.window, due: b.due})
 	d.backends = &fakeBalancer{address: b.address}
 	offer(contract.NameBalance, d.backends)
--- a/daemon/services/journal/committer.go
+++ b/daemon/services/journal/committer.go
@@ -11,7 +11,7 @@
 
 	"github.com/flamingobeam/flamingobeam/coord/journal"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
-	"github.com/flamingobeam/flamingobeam/platform"
+	"github.com/flamingobeam/flamingobeam/outside"
 )
 
 const (
@@ -42,7 +42,7 @@
 
 	// The fields below belong to the goroutine of loop.
 	ledger   *journal.Ledger
-	revision platform.Revision
+	revision outside.Revision
 	runs     map[journal.Key]*run
 	pacer    *journal.Pacer
 	flight   *journal.Proposal
@@ -189,7 +189,7 @@
 		c.failedAt, c.cut = time.Time{}, false
 		c.commit()
 		return c.ledger.Released()
-	case errors.Is(w.err, errLost), errors.Is(w.err, platform.ErrTooLarge):
+	case errors.Is(w.err, errLost), errors.Is(w.err, outside.ErrTooLarge):
 		c.log.WithError(w.err).Warnf("Bucket %d is lost.", c.bucket)
 		c.metrics.Count("journal.lost", 1)
 		return true
--- a/daemon/services/journal/fakes_test.go
+++ b/daemon/services/journal/fakes_test.go
@@ -13,7 +13,7 @@
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
 	"github.com/flamingobeam/flamingobeam/kernel"
-	"github.com/flamingobeam/flamingobeam/platform"
+	"github.com/flamingobeam/flamingobeam/outside"
 )
 
 // gate stops the input and output of one daemon: while it is frozen calls
@@ -69,7 +69,7 @@
 // before or after a compare-and-swap; before may refuse it and after may lose
 // its answer.
 type gatedStore struct {
-	platform.Store
+	outside.Store
 	gate   *gate
 	mu     sync.Mutex
 	before func(key string) error
@@ -88,14 +88,14 @@
 	g.before, g.after = before, after
 }
 
-func (g *gatedStore) Get(ctx context.Context, key string) (platform.Entry, error) {
+func (g *gatedStore) Get(ctx context.Context, key string) (outside.Entry, error) {
 	if !g.gate.pass() {
-		return platform.Entry{}, platform.ErrUnavailable
+		return outside.Entry{}, outside.ErrUnavailable
 	}
 	return g.Store.Get(ctx, key)
 }
 
-func (g *gatedStore) CompareAndSwap(ctx context.Context, key string, expected platform.Revision, value []byte, lease platform.LeaseID) (platform.Revision, error) {
+func (g *gatedStore) CompareAndSwap(ctx context.Context, key string, expected outside.Revision, value []byte, lease outside.LeaseID) (outside.Revision, error) {
 	before, after := g.hooks()
 	if before != nil {
 		if err := before(key); err != nil {
@@ -103,7 +103,7 @@
 		}
 	}
 	if !g.gate.pass() {
-		return 0, platform.ErrUnavailable
+		return 0, outside.ErrUnavailable
 	}
 	revision, err := g.Store.CompareAndSwap(ctx, key, expected, value, lease)
 	if after != nil && err == nil {
@@ -114,7 +114,7 @@
 
 // gatedPlain is the backend server as one daemon reaches it.
 type gatedPlain struct {
-	platform.PlainService
+	outside.PlainService
 	gate   *gate
 	mu     sync.Mutex
 	before func()
@@ -127,7 +127,7 @@
 	g.before, g.after = before, after
 }
 
-func (g *gatedPlain) Do(ctx context.Context, address string, call platform.Call) (platform.Answer, error) {
+func (g *gatedPlain) Do(ctx context.Context, address string, call outside.Call) (outside.Answer, error) {
 	g.mu.Lock()
 	before, after := g.before, g.after
 	g.mu.Unlock()
@@ -135,14 +135,14 @@
 		before()
 	}
 	if !g.gate.pass() {
-		return platform.Answer{}, result.New(result.NoBackend, "killed")
+		return outside.Answer{}, result.New(result.NoBackend, "killed")
 	}
 	answer, err := g.PlainService.Do(ctx, address, call)
 	if after != nil {
 		after()
 	}
 	if !g.gate.pass() {
-		return platform.Answer{}, result.New(result.BackendBroke, "killed")
+		return outside.Answer{}, result.New(result.BackendBroke, "killed")
 	}
 	return answer, err
 }
@@ -239,10 +239,10 @@
 
 type fakeClients struct {
 	kernel.Base
-	clients platform.Clients
+	clients outside.Clients
 }
 
-func (f *fakeClients) Platform() platform.Clients { return f.clients }
+func (f *fakeClients) Platform() outside.Clients { return f.clients }
 
 // fakeSettings gives every workspace the same parameters.
 type fakeSettings struct {
--- a/daemon/services/journal/faults_test.go
+++ b/daemon/services/journal/faults_test.go
@@ -11,7 +11,7 @@
 	"github.com/flamingobeam/flamingobeam/coord/result"
 	standin "github.com/flamingobeam/flamingobeam/emulate/service"
 	"github.com/flamingobeam/flamingobeam/emulate/store"
-	"github.com/flamingobeam/flamingobeam/platform"
+	"github.com/flamingobeam/flamingobeam/outside"
 )
 
 func TestFault_OwnerKilledBetweenIntentAndSend(t *testing.T) {
@@ -85,7 +85,7 @@
 	var writes atomic.Int64
 	d.store.hook(nil, func(string) error {
 		if writes.Add(1)%2 == 0 {
-			return platform.ErrUnavailable
+			return outside.ErrUnavailable
 		}
 		return nil
 	})
@@ -102,7 +102,7 @@
 	var writes atomic.Int64
 	d.store.hook(func(string) error {
 		if writes.Add(1)%3 == 0 {
-			return platform.ErrRateLimited
+			return outside.ErrRateLimited
 		}
 		return nil
 	}, nil)
--- a/daemon/services/journal/forward.go
+++ b/daemon/services/journal/forward.go
@@ -10,7 +10,7 @@
 	"github.com/flamingobeam/flamingobeam/coord/result"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
-	"github.com/flamingobeam/flamingobeam/platform"
+	"github.com/flamingobeam/flamingobeam/outside"
 )
 
 // errSilent means that an owner showed no sign of life. The submission may have
@@ -97,7 +97,7 @@
 		return contract.SubmitReply{}, &result.Error{Code: reply.Code, Detail: reply.Detail}
 	}
 	return contract.SubmitReply{
-		Answer:   platform.Answer{Status: reply.Status, ContentType: reply.ContentType, Body: reply.Body},
+		Answer:   outside.Answer{Status: reply.Status, ContentType: reply.ContentType, Body: reply.Body},
 		Repeated: reply.Repeated,
 	}, nil
 }
--- a/daemon/services/journal/fuzz_test.go
+++ b/daemon/services/journal/fuzz_test.go
@@ -10,7 +10,7 @@
 	"github.com/flamingobeam/flamingobeam/coord/journal"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/emulate/store"
-	"github.com/flamingobeam/flamingobeam/platform"
+	"github.com/flamingobeam/flamingobeam/outside"
 )
 
 // FuzzRecords holds that a bucket is taken over from any head and segment that
@@ -29,7 +29,7 @@
 			_, err := values.CompareAndSwap(ctx, key, 0, value, 0)
 			must.NoError(t, err)
 		}
-		if len(headValue) > platform.MaxValue || len(segmentValue) > platform.MaxValue {
+		if len(headValue) > outside.MaxValue || len(segmentValue) > outside.MaxValue {
 			return
 		}
 		put(headKey(0), headValue)
--- a/daemon/services/journal/handover_test.go
+++ b/daemon/services/journal/handover_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/flamingobeam/flamingobeam/coord/result"
 	"github.com/flamingobeam/flamingobeam/emulate/store"
-	"github.com/flamingobeam/flamingobeam/platform"
+	"github.com/flamingobeam/flamingobeam/outside"
 )
 
 // TestFault_ARanSubmissionIsNeverToldNotRun loses both replies of an owner
@@ -31,7 +31,7 @@
 	b := newBench(t)
 	owner, other := b.start("a"), b.start("b")
 	b.own(owner, "k")
-	owner.store.hook(func(string) error { return platform.ErrUnavailable }, nil)
+	owner.store.hook(func(string) error { return outside.ErrUnavailable }, nil)
 	reply, err := other.Submit(t.Context(), b.request("k"))
 	must.NoError(t, err)
 	must.Eq(t, receipt("k"), string(reply.Answer.Body))
--- a/daemon/services/journal/history_test.go
+++ b/daemon/services/journal/history_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/flamingobeam/flamingobeam/coord/result"
 	standin "github.com/flamingobeam/flamingobeam/emulate/service"
-	"github.com/flamingobeam/flamingobeam/platform"
+	"github.com/flamingobeam/flamingobeam/outside"
 )
 
 // answerKind is what a caller learned from one submission.
@@ -115,7 +115,7 @@
 	d := h.start(name)
 	d.store.hook(nil, func(string) error {
 		if h.chance(10) {
-			return platform.ErrUnavailable
+			return outside.ErrUnavailable
 		}
 		return nil
 	})
--- a/daemon/services/journal/measure_test.go
+++ b/daemon/services/journal/measure_test.go
@@ -13,7 +13,7 @@
 	"github.com/flamingobeam/flamingobeam/coord/result"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
 	"github.com/flamingobeam/flamingobeam/emulate/store"
-	"github.com/flamingobeam/flamingobeam/platform"
+	"github.com/flamingobeam/flamingobeam/outside"
 )
 
 const (
@@ -28,8 +28,8 @@
 // journal adds.
 type instantPlain struct{}
 
-func (instantPlain) Do(context.Context, string, platform.Call) (platform.Answer, error) {
-	return platform.Answer{Status: http.StatusOK, ContentType: "text/plain", Body: []byte("filed")}, nil
+func (instantPlain) Do(context.Context, string, outside.Call) (outside.Answer, error) {
+	return outside.Answer{Status: http.StatusOK, ContentType: "text/plain", Body: []byte("filed")}, nil
 }
 
 // point is what was measured at one rate.
--- a/daemon/services/journal/messages.go
+++ b/daemon/services/journal/messages.go
@@ -5,7 +5,7 @@
 
 	"github.com/flamingobeam/flamingobeam/coord/journal"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
-	"github.com/flamingobeam/flamingobeam/platform"
+	"github.com/flamingobeam/flamingobeam/outside"
 )
 
 // run is a submission that is being run.
@@ -51,7 +51,7 @@
 
 // written is the result of a write.
 type written struct {
-	revision platform.Revision
+	revision outside.Revision
 	err      error
 }
 
--- a/daemon/services/journal/place.go
+++ b/daemon/services/journal/place.go
@@ -9,7 +9,7 @@
 	"github.com/flamingobeam/flamingobeam/coord/result"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/kernel"
-	"github.com/flamingobeam/flamingobeam/platform"
+	"github.com/flamingobeam/flamingobeam/outside"
 )
 
 // claimAttempts is how often a daemon that loses a race for a bucket looks at
@@ -57,7 +57,7 @@
 type claim struct {
 	bucket   journal.Bucket
 	ledger   *journal.Ledger
-	revision platform.Revision
+	revision outside.Revision
 }
 
 // finding is what a look at the head of a bucket came to.
@@ -140,9 +140,9 @@
 
 // takeOver makes this daemon the owner of a bucket. It fails with errLost when
 // another daemon was first.
-func (s *service) takeOver(ctx context.Context, stored *records, bucket journal.Bucket, head journal.Head, revision platform.Revision) (*claim, error) {
+func (s *service) takeOver(ctx context.Context, stored *records, bucket journal.Bucket, head journal.Head, revision outside.Revision) (*claim, error) {
 	segments, err := stored.readSegments(ctx, bucket, &head)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, outside.ErrNotFound) {
 		// The owner replaced a segment after the head was read.
 		return nil, errLost
 	}
--- a/daemon/services/journal/records.go
+++ b/daemon/services/journal/records.go
@@ -8,14 +8,14 @@
 	"github.com/pkg/errors"
 
 	"github.com/flamingobeam/flamingobeam/coord/journal"
-	"github.com/flamingobeam/flamingobeam/platform"
+	"github.com/flamingobeam/flamingobeam/outside"
 )
 
 // errLost means that another daemon changed the head of a bucket.
 var errLost = errors.New("journal: the bucket has another owner")
 
 // records reads and writes the values of the buckets.
-type records struct{ store platform.Store }
+type records struct{ store outside.Store }
 
 func headKey(bucket journal.Bucket) string { return fmt.Sprintf("journal/%d/head", bucket) }
 
@@ -25,10 +25,10 @@
 
 // readHead returns the head of a bucket, empty with revision zero when there
 // is none yet.
-func (r *records) readHead(ctx context.Context, bucket journal.Bucket) (journal.Head, platform.Revision, error) {
+func (r *records) readHead(ctx context.Context, bucket journal.Bucket) (journal.Head, outside.Revision, error) {
 	var head journal.Head
 	entry, err := r.store.Get(ctx, headKey(bucket))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, outside.ErrNotFound) {
 		return head, 0, nil
 	}
 	if err != nil {
@@ -58,7 +58,7 @@
 // It fails with errLost when the head was changed by another, and with an
 // error of package platform when the proposal has to be written again as it
 // is.
-func (r *records) write(ctx context.Context, bucket journal.Bucket, proposal *journal.Proposal, expected platform.Revision) (platform.Revision, error) {
+func (r *records) write(ctx context.Context, bucket journal.Bucket, proposal *journal.Proposal, expected outside.Revision) (outside.Revision, error) {
 	if err := r.writeSegment(ctx, bucket, proposal.Segment); err != nil {
 		return 0, err
 	}
@@ -67,7 +67,7 @@
 		return 0, err
 	}
 	revision, err := r.store.CompareAndSwap(ctx, headKey(bucket), expected, value, 0)
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, outside.ErrConflict) {
 		return r.readBack(ctx, bucket, proposal)
 	}
 	return revision, err
@@ -84,7 +84,7 @@
 		return err
 	}
 	_, err = r.store.CompareAndSwap(ctx, segmentKey(bucket, segment.Ref), 0, value, 0)
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, outside.ErrConflict) {
 		return nil
 	}
 	return err
@@ -92,7 +92,7 @@
 
 // readBack tells whether the head in the store is the one proposed, written by
 // an attempt whose answer was lost.
-func (r *records) readBack(ctx context.Context, bucket journal.Bucket, proposal *journal.Proposal) (platform.Revision, error) {
+func (r *records) readBack(ctx context.Context, bucket journal.Bucket, proposal *journal.Proposal) (outside.Revision, error) {
 	head, revision, err := r.readHead(ctx, bucket)
 	if err != nil {
 		return 0, err
--- a/daemon/services/journal/run.go
+++ b/daemon/services/journal/run.go
@@ -13,7 +13,7 @@
 	"github.com/flamingobeam/flamingobeam/coord/settings"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
-	"github.com/flamingobeam/flamingobeam/platform"
+	"github.com/flamingobeam/flamingobeam/outside"
 )
 
 // maxAttempts is on how many backend servers a submission is tried while no
@@ -105,7 +105,7 @@
 }
 
 // stateOf is what the journal keeps of an outcome.
-func stateOf(answer platform.Answer, err error) (journal.State, *journal.Answer) {
+func stateOf(answer outside.Answer, err error) (journal.State, *journal.Answer) {
 	switch {
 	case err == nil:
 		return journal.StateAnswered, journal.NewAnswer(answer.Status, answer.ContentType, answer.Body)
@@ -118,7 +118,7 @@
 
 // send sends a request to a backend server. It tries another one only while no
 // byte can have left.
-func (s *service) send(ctx context.Context, request contract.SubmitRequest, target structs.ServiceName, print quarantine.Fingerprint) (platform.Answer, error) {
+func (s *service) send(ctx context.Context, request contract.SubmitRequest, target structs.ServiceName, print quarantine.Fingerprint) (outside.Answer, error) {
 	due, _ := ctx.Deadline()
 	pick := contract.PickRequest{
 		Service:     target,
@@ -131,10 +131,10 @@
 	for range maxAttempts {
 		ticket, err := s.balancer.Pick(ctx, pick)
 		if err != nil && last != nil {
-			return platform.Answer{}, last
+			return outside.Answer{}, last
 		}
 		if err != nil {
-			return platform.Answer{}, err
+			return outside.Answer{}, err
 		}
 		answer, err := s.attempt(ctx, ticket, request)
 		if result.OutcomeOf(err) != result.NotRun {
@@ -143,17 +143,17 @@
 		last = err
 		pick.Avoid = append(pick.Avoid, ticket.Server.Name)
 	}
-	return platform.Answer{}, last
+	return outside.Answer{}, last
 }
 
-func (s *service) attempt(ctx context.Context, ticket contract.Ticket, request contract.SubmitRequest) (platform.Answer, error) {
+func (s *service) attempt(ctx context.Context, ticket contract.Ticket, request contract.SubmitRequest) (outside.Answer, error) {
 	begun := s.clock.Now()
 	if ctx.Err() != nil {
 		err := result.Wrap(result.DueTimePassed, ctx.Err())
 		ticket.Finish(contract.TicketOutcome{Err: result.Wrap(result.DueTimePassed, context.Canceled)})
-		return platform.Answer{}, err
+		return outside.Answer{}, err
 	}
-	call := platform.Call{Method: http.MethodPost, Path: request.Path, Key: request.Key, Body: request.Body}
+	call := outside.Call{Method: http.MethodPost, Path: request.Path, Key: request.Key, Body: request.Body}
 	answer, err := s.clients.Platform().Plain.Do(ctx, ticket.Server.Address, call)
 	err = refused(ticket, answer, err)
 	ticket.Finish(contract.TicketOutcome{
@@ -167,7 +167,7 @@
 // refused gives status 503 its code. The server has read the submission, and
 // nothing but its word says that it did not run it, so that the outcome is
 // unknown: it goes to no other server and is not recorded as not run.
-func refused(ticket contract.Ticket, answer platform.Answer, err error) error {
+func refused(ticket contract.Ticket, answer outside.Answer, err error) error {
 	if err == nil && answer.Status == http.StatusServiceUnavailable {
 		return result.New(result.BackendRefused, "%s", ticket.Server.Name)
 	}
@@ -206,7 +206,7 @@
 		return contract.SubmitReply{}, result.New(result.AnswerNotKept, "status %d, %d bytes, SHA-256 %s", answer.Status, answer.Length, answer.Digest)
 	}
 	return contract.SubmitReply{
-		Answer:   platform.Answer{Status: answer.Status, ContentType: answer.ContentType, Body: answer.Body},
+		Answer:   outside.Answer{Status: answer.Status, ContentType: answer.ContentType, Body: answer.Body},
 		Repeated: true,
 	}, nil
 }
--- a/daemon/services/plain/crash_test.go
+++ b/daemon/services/plain/crash_test.go
@@ -22,8 +22,8 @@
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/rpcserver"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/trust"
 	"github.com/flamingobeam/flamingobeam/kernel"
-	"github.com/flamingobeam/flamingobeam/platform"
-	"github.com/flamingobeam/flamingobeam/platform/httpclient"
+	"github.com/flamingobeam/flamingobeam/outside"
+	"github.com/flamingobeam/flamingobeam/outside/httpclient"
 )
 
 const poisonPath = "/records/poison"
@@ -41,10 +41,10 @@
 // fixedClients reaches plain services over HTTP.
 type fixedClients struct {
 	kernel.Base
-	plain platform.PlainService
+	plain outside.PlainService
 }
 
-func (f fixedClients) Platform() platform.Clients { return platform.Clients{Plain: f.plain} }
+func (f fixedClients) Platform() outside.Clients { return outside.Clients{Plain: f.plain} }
 
 // peekerWithView is a peeker whose document is empty.
 type peekerWithView struct{ peeker }
--- a/daemon/services/plain/hedge.go
+++ b/daemon/services/plain/hedge.go
@@ -10,7 +10,7 @@
 	"github.com/flamingobeam/flamingobeam/coord/retry"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
-	"github.com/flamingobeam/flamingobeam/platform"
+	"github.com/flamingobeam/flamingobeam/outside"
 )
 
 // errOutrun is the cause of the end of a request that a later one overtook.
@@ -32,12 +32,12 @@
 // not answered after a while and the budget has a retry left. The first whole
 // answer counts and the other request is cancelled. Servers that failed are
 // added to those to avoid. Only callers' own look-ups are worth a second server.
-func (s *service) hedged(ctx context.Context, pick *contract.PickRequest, path string, retrier contract.Retrier) (platform.Answer, error) {
+func (s *service) hedged(ctx context.Context, pick *contract.PickRequest, path string, retrier contract.Retrier) (outside.Answer, error) {
 	ticket, err := s.balancer.Pick(ctx, *pick)
 	if err != nil {
 		// Servers that failed before are better than none.
 		pick.Avoid = nil
-		return platform.Answer{}, err
+		return outside.Answer{}, err
 	}
 	r := &race{service: s, path: path, finished: make(chan attempt, 2)}
 	r.ctx, r.cancel = context.WithCancelCause(ctx)
@@ -60,7 +60,7 @@
 				pick.Avoid = append(pick.Avoid, done.server)
 			}
 			if r.running == 0 {
-				return platform.Answer{}, history.Verdict(done.err)
+				return outside.Answer{}, history.Verdict(done.err)
 			}
 		case <-timer.Chan():
 			if pick.Class <= structs.ClassDossier && retrier.Spend() {
--- a/daemon/services/plain/plain.go
+++ b/daemon/services/plain/plain.go
@@ -16,7 +16,7 @@
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
 	"github.com/flamingobeam/flamingobeam/kernel"
-	"github.com/flamingobeam/flamingobeam/platform"
+	"github.com/flamingobeam/flamingobeam/outside"
 )
 
 func init() {
@@ -53,10 +53,10 @@
 }
 
 // Lookup implements contract.Plain.
-func (s *service) Lookup(ctx context.Context, request contract.LookupRequest) (platform.Answer, error) {
+func (s *service) Lookup(ctx context.Context, request contract.LookupRequest) (outside.Answer, error) {
 	parameters, err := s.settings.Peek(request.Workspace)
 	if err != nil {
-		return platform.Answer{}, err
+		return outside.Answer{}, err
 	}
 	span := parameters.Due[request.Class]
 	due := s.clock.Now().Add(span)
@@ -75,7 +75,7 @@
 }
 
 // attempts tries servers one after the other.
-func (s *service) attempts(ctx context.Context, pick contract.PickRequest, path string) (platform.Answer, error) {
+func (s *service) attempts(ctx context.Context, pick contract.PickRequest, path string) (outside.Answer, error) {
 	retrier := s.retries.Begin(contract.RetryRequest{
 		Workspace: pick.Workspace, Class: pick.Class, Due: pick.Due, Idempotent: true,
 	})
@@ -85,7 +85,7 @@
 			return tried, nil
 		}
 		if err = retrier.Again(ctx, err); err != nil {
-			return platform.Answer{}, err
+			return outside.Answer{}, err
 		}
 	}
 }
@@ -93,7 +93,7 @@
 // attempt is one answer or failure of a server; server is empty when none was
 // had.
 type attempt struct {
-	answer platform.Answer
+	answer outside.Answer
 	server structs.HostName
 	err    error
 	// hedge marks the second of two servers.
@@ -103,7 +103,7 @@
 // try sends a look-up to one server.
 func (s *service) try(ctx context.Context, ticket contract.Ticket, path string) attempt {
 	begun := s.clock.Now()
-	call := platform.Call{Method: http.MethodGet, Path: path}
+	call := outside.Call{Method: http.MethodGet, Path: path}
 	answer, err := s.clients.Platform().Plain.Do(ctx, ticket.Server.Address, call)
 	if err == nil && answer.Status == http.StatusServiceUnavailable {
 		err = result.New(result.BackendRefused, "%s", ticket.Server.Name)
--- a/daemon/services/plain/plain_test.go
+++ b/daemon/services/plain/plain_test.go
@@ -19,8 +19,8 @@
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/retries"
 	"github.com/flamingobeam/flamingobeam/kernel"
-	"github.com/flamingobeam/flamingobeam/platform"
-	"github.com/flamingobeam/flamingobeam/platform/httpclient"
+	"github.com/flamingobeam/flamingobeam/outside"
+	"github.com/flamingobeam/flamingobeam/outside/httpclient"
 )
 
 // TestMain looks for leaked goroutines. The one ticker that go-metrics starts
@@ -34,7 +34,7 @@
 type neighbours struct {
 	kernel.Base
 	contract.Metrics
-	plain   platform.PlainService
+	plain   outside.PlainService
 	servers []structs.BackendServer
 
 	mu       sync.Mutex
@@ -42,7 +42,7 @@
 	good     int
 }
 
-func (n *neighbours) Platform() platform.Clients { return platform.Clients{Plain: n.plain} }
+func (n *neighbours) Platform() outside.Clients { return outside.Clients{Plain: n.plain} }
 
 func (n *neighbours) Count(string, int64) {}
 
--- a/daemon/services/rollout/harness_test.go
+++ b/daemon/services/rollout/harness_test.go
@@ -19,8 +19,8 @@
 	"github.com/flamingobeam/flamingobeam/emulate/engine"
 	plain "github.com/flamingobeam/flamingobeam/emulate/service"
 	"github.com/flamingobeam/flamingobeam/kernel"
-	"github.com/flamingobeam/flamingobeam/platform"
-	"github.com/flamingobeam/flamingobeam/platform/httpclient"
+	"github.com/flamingobeam/flamingobeam/outside"
+	"github.com/flamingobeam/flamingobeam/outside/httpclient"
 )
 
 const (
@@ -45,7 +45,7 @@
 	hosts   map[structs.ServiceName][]structs.BackendServer
 	rollout contract.Rollouts
 	// onChunk is called for each chunk before the service sees it.
-	onChunk func(address string, chunk platform.Chunk)
+	onChunk func(address string, chunk outside.Chunk)
 	// newest is the newest published version.
 	newest structs.WeightVersion
 
@@ -121,19 +121,19 @@
 }
 
 // Platform implements contract.Clients.
-func (b *bench) Platform() platform.Clients {
+func (b *bench) Platform() outside.Clients {
 	backend := httpclient.NewBackend(nil)
-	return platform.Clients{Plain: backend, Engine: watched{Engine: backend, bench: b}}
+	return outside.Clients{Plain: backend, Engine: watched{Engine: backend, bench: b}}
 }
 
 // watched is an engine client whose chunks the bench sees.
 type watched struct {
-	platform.Engine
+	outside.Engine
 	bench *bench
 }
 
-func (w watched) Generate(ctx context.Context, address string, generation platform.Generation, each func(platform.Chunk) error) error {
-	return w.Engine.Generate(ctx, address, generation, func(chunk platform.Chunk) error {
+func (w watched) Generate(ctx context.Context, address string, generation outside.Generation, each func(outside.Chunk) error) error {
+	return w.Engine.Generate(ctx, address, generation, func(chunk outside.Chunk) error {
 		if w.bench.onChunk != nil {
 			w.bench.onChunk(address, chunk)
 		}
--- a/daemon/services/rollout/judge.go
+++ b/daemon/services/rollout/judge.go
@@ -11,7 +11,7 @@
 	"github.com/flamingobeam/flamingobeam/coord/result"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
-	"github.com/flamingobeam/flamingobeam/platform"
+	"github.com/flamingobeam/flamingobeam/outside"
 )
 
 const (
@@ -121,8 +121,8 @@
 }
 
 // askJudge returns a judge's reward and the size of its answer in bytes.
-func askJudge(ctx context.Context, judge platform.PlainService, address string, question []byte) (float64, int, error) {
-	answer, err := judge.Do(ctx, address, platform.Call{Method: http.MethodPost, Path: judgePath, Body: question})
+func askJudge(ctx context.Context, judge outside.PlainService, address string, question []byte) (float64, int, error) {
+	answer, err := judge.Do(ctx, address, outside.Call{Method: http.MethodPost, Path: judgePath, Body: question})
 	if err != nil {
 		return 0, 0, err
 	}
@@ -131,7 +131,7 @@
 }
 
 // rewardIn reads the reward out of a judge's answer.
-func rewardIn(answer platform.Answer) (float64, error) {
+func rewardIn(answer outside.Answer) (float64, error) {
 	switch answer.Status {
 	case http.StatusOK:
 	case http.StatusServiceUnavailable:
--- a/daemon/services/rollout/rollout_test.go
+++ b/daemon/services/rollout/rollout_test.go
@@ -14,7 +14,7 @@
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
 	"github.com/flamingobeam/flamingobeam/emulate/engine"
-	"github.com/flamingobeam/flamingobeam/platform"
+	"github.com/flamingobeam/flamingobeam/outside"
 )
 
 func request(class structs.Class) contract.RolloutRequest {
@@ -24,7 +24,7 @@
 // lengthOf is how many tokens a sample of request has.
 func lengthOf(sample int) int {
 	asked := request(structs.ClassRollout)
-	return engine.LengthOf(platform.Generation{Prompt: prompt, MaxTokens: asked.MaxTokens, Seed: seedOf(asked, sample)})
+	return engine.LengthOf(outside.Generation{Prompt: prompt, MaxTokens: asked.MaxTokens, Seed: seedOf(asked, sample)})
 }
 
 // checkSamples recomputes each sample's spans from its body.
@@ -51,11 +51,11 @@
 	b := newBench(t, 1, defaultLimits)
 	b.engines[0].SetFaults(engine.Faults{StallAfter: 5})
 	var seen atomic.Int64
-	b.onChunk = func(_ string, chunk platform.Chunk) {
+	b.onChunk = func(_ string, chunk outside.Chunk) {
 		if seen.Add(int64(chunk.Tokens)) != 5*groupSize {
 			return
 		}
-		_, err := b.engines[0].Order(context.Background(), platform.Order{Version: 2, Term: 1})
+		_, err := b.engines[0].Order(context.Background(), outside.Order{Version: 2, Term: 1})
 		must.NoError(t, err)
 		b.engines[0].SetFaults(engine.Faults{})
 	}
@@ -124,7 +124,7 @@
 	b := newBench(t, 2, defaultLimits)
 	b.engines[0].SetFaults(engine.Faults{StallAfter: 3})
 	var seen atomic.Int64
-	b.onChunk = func(_ string, chunk platform.Chunk) {
+	b.onChunk = func(_ string, chunk outside.Chunk) {
 		if seen.Add(int64(chunk.Tokens)) == 3*groupSize {
 			b.engines[0].Crash()
 			b.servers[0].Listener.Close()
--- a/daemon/services/rollout/stream.go
+++ b/daemon/services/rollout/stream.go
@@ -10,7 +10,7 @@
 	"github.com/flamingobeam/flamingobeam/coord/result"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
-	"github.com/flamingobeam/flamingobeam/platform"
+	"github.com/flamingobeam/flamingobeam/outside"
 )
 
 // cancelTimeout bounds the call that ends a stream on its engine.
@@ -118,7 +118,7 @@
 func (st *stream) generate(server structs.BackendServer) error {
 	s := st.run.service
 	engine, wanted := s.clients.Platform().Engine, st.generation()
-	err := engine.Generate(st.ctx, server.Address, wanted, func(chunk platform.Chunk) error {
+	err := engine.Generate(st.ctx, server.Address, wanted, func(chunk outside.Chunk) error {
 		st.count(chunk)
 		st.tell(chunked{attempt: st.start.Attempt, chunk: group.Chunk(chunk)})
 		return st.ctx.Err()
@@ -133,7 +133,7 @@
 }
 
 // count adds a chunk to what the balancer learns.
-func (st *stream) count(chunk platform.Chunk) {
+func (st *stream) count(chunk outside.Chunk) {
 	st.whole = chunk.Last
 	st.tokens += chunk.Tokens
 	st.received += int64(len(chunk.Text))
@@ -153,10 +153,10 @@
 	})
 }
 
-func (st *stream) generation() platform.Generation {
+func (st *stream) generation() outside.Generation {
 	s, r := st.run.service, st.run
 	self := s.zone.Standing().Load().Self
-	return platform.Generation{
+	return outside.Generation{
 		ID:           fmt.Sprintf("%s-%d-%d", self.Host, self.Start, s.streams.Add(1)),
 		Prompt:       r.request.Prompt,
 		MaxTokens:    r.request.MaxTokens,
--- a/daemon/services/settings/decide.go
+++ b/daemon/services/settings/decide.go
@@ -11,7 +11,7 @@
 	"github.com/flamingobeam/flamingobeam/coord/settings"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/kernel"
-	"github.com/flamingobeam/flamingobeam/platform"
+	"github.com/flamingobeam/flamingobeam/outside"
 )
 
 // decide sets the time at which this collector writes the decision on the
@@ -105,7 +105,7 @@
 // the head that is then in force.
 func (s *service) writeHead(what string, next change.Head) {
 	expected := s.lead.headAt
-	s.write(what, func(ctx context.Context, store platform.Store) error {
+	s.write(what, func(ctx context.Context, store outside.Store) error {
 		value, err := json.Marshal(next)
 		if err != nil {
 			return err
@@ -122,18 +122,18 @@
 		return
 	}
 	document, expected, next := s.document, ld.headAt, ld.head.Fold()
-	s.write("fold", func(ctx context.Context, store platform.Store) error {
+	s.write("fold", func(ctx context.Context, store outside.Store) error {
 		return writeFolded(ctx, store, document, expected, next)
 	})
 }
 
-func writeFolded(ctx context.Context, store platform.Store, document *settings.Document, expected platform.Revision, next change.Head) error {
+func writeFolded(ctx context.Context, store outside.Store, document *settings.Document, expected outside.Revision, next change.Head) error {
 	whole, err := json.Marshal(document)
 	if err != nil {
 		return err
 	}
 	_, err = store.CompareAndSwap(ctx, documentKey(next.Base), 0, whole, 0)
-	if err != nil && !errors.Is(err, platform.ErrConflict) {
+	if err != nil && !errors.Is(err, outside.ErrConflict) {
 		return err
 	}
 	value, err := json.Marshal(next)
@@ -145,10 +145,10 @@
 }
 
 // write makes one write at a time on a worker.
-func (s *service) write(what string, act func(context.Context, platform.Store) error) {
+func (s *service) write(what string, act func(context.Context, outside.Store) error) {
 	ld, store := s.lead, s.clients.Platform().Store
 	ld.writing = true
-	kernel.Async(s.workers, platform.CallTimeout, s.written, func(ctx context.Context) (written, error) {
+	kernel.Async(s.workers, outside.CallTimeout, s.written, func(ctx context.Context) (written, error) {
 		return written{term: ld.term, what: what}, act(ctx, store)
 	})
 }
@@ -184,7 +184,7 @@
 	ld.acked = round
 	ack := change.Acknowledgement{Zone: s.config.Place.Zone, Term: ld.term, Round: round}
 	expected := ld.ackAt
-	s.write("acknowledge", func(ctx context.Context, store platform.Store) error {
+	s.write("acknowledge", func(ctx context.Context, store outside.Store) error {
 		value, err := json.Marshal(ack)
 		if err != nil {
 			return err
--- a/daemon/services/settings/lead.go
+++ b/daemon/services/settings/lead.go
@@ -15,7 +15,7 @@
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
 	"github.com/flamingobeam/flamingobeam/kernel"
-	"github.com/flamingobeam/flamingobeam/platform"
+	"github.com/flamingobeam/flamingobeam/outside"
 )
 
 // The keys under which the settings are kept in the store.
@@ -42,13 +42,13 @@
 // belongs to the control goroutine.
 type lead struct {
 	term    structs.Term
-	through platform.Revision
+	through outside.Revision
 	head    change.Head
 	// headAt, ackAt and lastAckAt are the store's revisions of the head, of
 	// this zone's acknowledgement and of the newest one of any zone.
-	headAt    platform.Revision
-	ackAt     platform.Revision
-	lastAckAt platform.Revision
+	headAt    outside.Revision
+	ackAt     outside.Revision
+	lastAckAt outside.Revision
 	acks      map[structs.ZoneName]change.Acknowledgement
 	// acked is the newest round whose acknowledgement was begun.
 	acked   change.Round
@@ -61,9 +61,9 @@
 // loaded is what a worker read from the store for the lead of a term.
 type loaded struct {
 	term     structs.Term
-	changes  platform.Changes
+	changes  outside.Changes
 	head     *change.Head
-	headAt   platform.Revision
+	headAt   outside.Revision
 	document *settings.Document
 }
 
@@ -103,7 +103,7 @@
 }
 
 // readHead decodes the head among the changes and brings a document up to it.
-func (l *loaded) readHead(ctx context.Context, store platform.Store, known *settings.Document, revision settings.Revision) error {
+func (l *loaded) readHead(ctx context.Context, store outside.Store, known *settings.Document, revision settings.Revision) error {
 	for _, entry := range l.changes.Entries {
 		if entry.Key != keyHead || entry.Value == nil {
 			continue
@@ -129,7 +129,7 @@
 
 // documentOf returns the document in force under a head, starting from a
 // known one where the head still has all rounds since.
-func documentOf(ctx context.Context, store platform.Store, head *change.Head, known *settings.Document, revision settings.Revision) (*settings.Document, error) {
+func documentOf(ctx context.Context, store outside.Store, head *change.Head, known *settings.Document, revision settings.Revision) (*settings.Document, error) {
 	if known != nil {
 		if rounds, ok := head.Since(revision); ok {
 			return change.Replay(known, rounds)
@@ -169,7 +169,7 @@
 	s.watch()
 }
 
-func (s *service) learnAcks(entries []platform.Entry) {
+func (s *service) learnAcks(entries []outside.Entry) {
 	for _, entry := range entries {
 		name, isAck := strings.CutPrefix(entry.Key, prefixAcks)
 		if !isAck {
--- a/daemon/services/settings/lead_test.go
+++ b/daemon/services/settings/lead_test.go
@@ -16,17 +16,17 @@
 	"github.com/flamingobeam/flamingobeam/daemon/config"
 	"github.com/flamingobeam/flamingobeam/emulate/store"
 	"github.com/flamingobeam/flamingobeam/kernel"
-	"github.com/flamingobeam/flamingobeam/platform"
+	"github.com/flamingobeam/flamingobeam/outside"
 )
 
 // clients gives a test's store.
-type clients struct{ store platform.Store }
+type clients struct{ store outside.Store }
 
-func (c clients) Platform() platform.Clients { return platform.Clients{Store: c.store} }
+func (c clients) Platform() outside.Clients { return outside.Clients{Store: c.store} }
 
 // leading returns a service that leads the first of two zones, on a clock that
 // stands still and a loop that does not run yet.
-func leading(clock *clockwork.FakeClock, s platform.Store) *service {
+func leading(clock *clockwork.FakeClock, s outside.Store) *service {
 	daemon := config.Default()
 	daemon.Place = structs.Place{Zone: "one", Region: "r"}
 	log := logrus.New()
@@ -56,7 +56,7 @@
 	s.lead.acks["two"] = change.Acknowledgement{Zone: "two", Round: 7}
 	s.lead.lastAckAt = 9 // the other zone acknowledged last and decides first
 	s.decide()
-	s.onWritten(kernel.Reply[written]{Value: written{term: 1, what: "acknowledge"}, Err: platform.ErrConflict})
+	s.onWritten(kernel.Reply[written]{Value: written{term: 1, what: "acknowledge"}, Err: outside.ErrConflict})
 	s.lead.head, s.lead.headAt = staged(8), 2
 
 	ctx, cancel := context.WithCancel(t.Context())
--- a/daemon/services/settings/operator.go
+++ b/daemon/services/settings/operator.go
@@ -13,7 +13,7 @@
 	"github.com/flamingobeam/flamingobeam/coord/settings"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
-	"github.com/flamingobeam/flamingobeam/platform"
+	"github.com/flamingobeam/flamingobeam/outside"
 )
 
 const (
@@ -103,7 +103,7 @@
 	uncertain := false
 	attempt := func() (struct{}, error) {
 		err := s.updateOnce(ctx, next)
-		uncertain = uncertain || errors.Is(err, platform.ErrUnavailable)
+		uncertain = uncertain || errors.Is(err, outside.ErrUnavailable)
 		if mayTryAgain(err) {
 			return struct{}{}, err
 		}
@@ -123,14 +123,14 @@
 }
 
 func mayTryAgain(err error) bool {
-	return errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrRateLimited) ||
-		errors.Is(err, platform.ErrUnavailable)
+	return errors.Is(err, outside.ErrConflict) || errors.Is(err, outside.ErrRateLimited) ||
+		errors.Is(err, outside.ErrUnavailable)
 }
 
 func (s *service) updateOnce(ctx context.Context, next func(*change.Head, *settings.Document) (change.Head, error)) error {
 	store := s.clients.Platform().Store
 	entry, err := store.Get(ctx, keyHead)
-	if errors.Is(err, platform.ErrUnavailable) {
+	if errors.Is(err, outside.ErrUnavailable) {
 		return result.Wrap(result.StoreUnavailable, err)
 	}
 	if err != nil {
@@ -162,7 +162,7 @@
 	ctx, cancel := context.WithTimeout(ctx, decisionWait)
 	defer cancel()
 	store := s.clients.Platform().Store
-	var after platform.Revision
+	var after outside.Revision
 	for ctx.Err() == nil {
 		changes, err := store.Watch(ctx, keyHead, after, watchWait)
 		if err != nil {
@@ -187,9 +187,9 @@
 	switch {
 	case err == nil:
 		return nil
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, outside.ErrConflict):
 		return result.Wrap(result.ChangeConflict, err)
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, outside.ErrUnavailable):
 		return result.Wrap(result.ChangeUnknown, err)
 	default:
 		return result.Wrap(result.StoreUnavailable, err)
@@ -206,9 +206,9 @@
 		return coded
 	case errors.Is(err, settings.ErrInvalid):
 		return result.Wrap(result.ChangeInvalid, err)
-	case errors.Is(err, change.ErrConflict), errors.Is(err, change.ErrForgotten), errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, change.ErrConflict), errors.Is(err, change.ErrForgotten), errors.Is(err, outside.ErrConflict):
 		return result.Wrap(result.ChangeConflict, err)
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, outside.ErrNotFound):
 		return result.New(result.ChangeInvalid, "there are no settings yet; create them first")
 	default:
 		return result.Wrap(result.StoreUnavailable, err)
--- a/daemon/services/steps/claim.go
+++ b/daemon/services/steps/claim.go
@@ -10,7 +10,7 @@
 	"github.com/flamingobeam/flamingobeam/coord/result"
 	"github.com/flamingobeam/flamingobeam/coord/step"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
-	"github.com/flamingobeam/flamingobeam/platform"
+	"github.com/flamingobeam/flamingobeam/outside"
 )
 
 // claimAttempts is how often a take-over that lost a race is tried again.
@@ -52,7 +52,7 @@
 			return found, nil
 		}
 		last = err
-		if !errors.Is(err, platform.ErrConflict) {
+		if !errors.Is(err, outside.ErrConflict) {
 			break
 		}
 	}
@@ -60,7 +60,7 @@
 }
 
 // claim takes over with a new term and reads what the head points to.
-func (s *service) claim(ctx context.Context, workspace structs.WorkspaceName, head step.Head, revision platform.Revision) (ownership, error) {
+func (s *service) claim(ctx context.Context, workspace structs.WorkspaceName, head step.Head, revision outside.Revision) (ownership, error) {
 	store := s.clients.Platform().Store
 	next := head.TakeOver(s.self())
 	revision, err := writeHead(ctx, store, workspace, revision, next)
@@ -77,9 +77,9 @@
 
 // readHead returns a workspace's head; a missing one is empty and has revision
 // zero.
-func readHead(ctx context.Context, store platform.Store, workspace structs.WorkspaceName) (step.Head, platform.Revision, error) {
+func readHead(ctx context.Context, store outside.Store, workspace structs.WorkspaceName) (step.Head, outside.Revision, error) {
 	entry, err := store.Get(ctx, headKey(workspace))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, outside.ErrNotFound) {
 		return step.Head{}, 0, nil
 	}
 	if err != nil {
@@ -91,7 +91,7 @@
 
 // writeHead replaces a head. When the answer is lost or the head is no longer
 // the expected one, it reads back whether the write took effect after all.
-func writeHead(ctx context.Context, store platform.Store, workspace structs.WorkspaceName, expected platform.Revision, head step.Head) (platform.Revision, error) {
+func writeHead(ctx context.Context, store outside.Store, workspace structs.WorkspaceName, expected outside.Revision, head step.Head) (outside.Revision, error) {
 	value, err := encodeHead(head)
 	if err != nil {
 		return 0, err
@@ -100,7 +100,7 @@
 	if err == nil {
 		return revision, nil
 	}
-	if !errors.Is(err, platform.ErrUnavailable) {
+	if !errors.Is(err, outside.ErrUnavailable) {
 		return 0, err
 	}
 	written, revision, readErr := readHead(ctx, store, workspace)
@@ -121,7 +121,7 @@
 	if err != nil {
 		return nil, err
 	}
-	byKey := make(map[string]platform.Entry, len(entries))
+	byKey := make(map[string]outside.Entry, len(entries))
 	for _, entry := range entries {
 		byKey[entry.Key] = entry
 	}
--- a/daemon/services/steps/encode_test.go
+++ b/daemon/services/steps/encode_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/flamingobeam/flamingobeam/coord/step"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
-	"github.com/flamingobeam/flamingobeam/platform"
+	"github.com/flamingobeam/flamingobeam/outside"
 )
 
 // maxStepSamples is the largest step that the settings allow.
@@ -25,7 +25,7 @@
 	}
 	value, err := encodeList(list)
 	must.NoError(t, err)
-	must.Less(t, platform.MaxValue, len(value))
+	must.Less(t, outside.MaxValue, len(value))
 	decoded, err := decodeList(value)
 	must.NoError(t, err)
 	must.Eq(t, list, decoded)
--- a/daemon/services/steps/fakes_test.go
+++ b/daemon/services/steps/fakes_test.go
@@ -11,7 +11,7 @@
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
 	"github.com/flamingobeam/flamingobeam/kernel"
-	"github.com/flamingobeam/flamingobeam/platform"
+	"github.com/flamingobeam/flamingobeam/outside"
 )
 
 // Call implements contract.Peers over net/rpc on a pipe.
@@ -44,30 +44,30 @@
 }
 
 // Platform implements contract.Clients.
-func (n *node) Platform() platform.Clients {
-	return platform.Clients{Store: &nodeStore{Store: n.cluster.store, node: n}}
+func (n *node) Platform() outside.Clients {
+	return outside.Clients{Store: &nodeStore{Store: n.cluster.store, node: n}}
 }
 
 // nodeStore is the key-value service as one daemon reaches it.
 type nodeStore struct {
-	platform.Store
+	outside.Store
 	node *node
 }
 
-func (ns *nodeStore) Get(ctx context.Context, key string) (platform.Entry, error) {
+func (ns *nodeStore) Get(ctx context.Context, key string) (outside.Entry, error) {
 	if ns.node.pass(ctx) != nil || ns.node.dead.Load() {
-		return platform.Entry{}, platform.ErrUnavailable
+		return outside.Entry{}, outside.ErrUnavailable
 	}
 	return ns.Store.Get(ctx, key)
 }
 
-func (ns *nodeStore) CompareAndSwap(ctx context.Context, key string, expected platform.Revision, value []byte, lease platform.LeaseID) (platform.Revision, error) {
+func (ns *nodeStore) CompareAndSwap(ctx context.Context, key string, expected outside.Revision, value []byte, lease outside.LeaseID) (outside.Revision, error) {
 	if ns.node.beforeSwap != nil {
 		ns.node.beforeSwap(key)
 	}
 	// A write that a frozen process had in hand leaves once it is thawed.
 	if ns.node.pass(context.WithoutCancel(ctx)) != nil || ns.node.dead.Load() {
-		return 0, platform.ErrUnavailable
+		return 0, outside.ErrUnavailable
 	}
 	revision, err := ns.Store.CompareAndSwap(ctx, key, expected, value, lease)
 	if ns.node.afterSwap != nil {
--- a/daemon/services/steps/faults_test.go
+++ b/daemon/services/steps/faults_test.go
@@ -12,7 +12,7 @@
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
 	"github.com/flamingobeam/flamingobeam/emulate/store"
-	"github.com/flamingobeam/flamingobeam/platform"
+	"github.com/flamingobeam/flamingobeam/outside"
 )
 
 // sealOnly seals a step at a node without fetching its bodies.
@@ -66,7 +66,7 @@
 		c.nodes[1].add(8, 1)
 		owner.afterSwap = func(_ string, err error) error {
 			must.NoError(t, err)
-			return platform.ErrUnavailable
+			return outside.ErrUnavailable
 		}
 		first := owner.must(1, 1)
 		owner.afterSwap = nil
@@ -85,7 +85,7 @@
 				return err
 			}
 			c.store.SetFaults(store.Faults{Down: true})
-			return platform.ErrUnavailable
+			return outside.ErrUnavailable
 		}
 		_, err := owner.ask(1, 1, time.Second)
 		must.Eq(t, result.SealUnknown, result.CodeOf(err))
--- a/daemon/services/steps/seal.go
+++ b/daemon/services/steps/seal.go
@@ -10,12 +10,12 @@
 	"github.com/flamingobeam/flamingobeam/coord/settings"
 	"github.com/flamingobeam/flamingobeam/coord/step"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
-	"github.com/flamingobeam/flamingobeam/platform"
+	"github.com/flamingobeam/flamingobeam/outside"
 )
 
 // writeLimit bounds the writing of a segment and its head. The writes go on
 // when the trainer that asked goes away, so that their outcome gets known.
-const writeLimit = 3 * platform.CallTimeout
+const writeLimit = 3 * outside.CallTimeout
 
 // seal seals the next step unless another request has sealed it meanwhile. It
 // fails with code StepNotReady, StoreUnavailable, SealUnknown or that of
@@ -129,7 +129,7 @@
 		return err
 	}
 	_, err = store.CompareAndSwap(ctx, key, 0, value, 0)
-	if errors.Is(err, platform.ErrUnavailable) {
+	if errors.Is(err, outside.ErrUnavailable) {
 		_, err = store.Get(ctx, key)
 	}
 	return err
@@ -147,14 +147,14 @@
 	switch {
 	case err == nil:
 		return sl.settle(head, revision)
-	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, outside.ErrUnavailable), errors.Is(err, outside.ErrConflict):
 		return sl.readBack(ctx, store)
 	default:
 		return result.Wrap(result.StoreUnavailable, err)
 	}
 }
 
-func (sl *sealer) expected() platform.Revision {
+func (sl *sealer) expected() outside.Revision {
 	sl.mu.Lock()
 	defer sl.mu.Unlock()
 	return sl.revision
@@ -164,7 +164,7 @@
 // has not changed settles nothing, because the write may still be on its way.
 // An earlier write that turns out to have taken effect is no failure: the
 // caller looks at the state again.
-func (sl *sealer) readBack(ctx context.Context, store platform.Store) error {
+func (sl *sealer) readBack(ctx context.Context, store outside.Store) error {
 	written, revision, err := readHead(ctx, store, sl.workspace)
 	if err != nil {
 		return result.Wrap(result.SealUnknown, err)
@@ -173,7 +173,7 @@
 }
 
 // settle takes in a head that is known to be in the store.
-func (sl *sealer) settle(written step.Head, revision platform.Revision) error {
+func (sl *sealer) settle(written step.Head, revision outside.Revision) error {
 	sl.mu.Lock()
 	verdict, unused := sl.decide.Commit(written)
 	if verdict == step.Committed {
@@ -200,7 +200,7 @@
 	}
 	store := sl.service.clients.Platform().Store
 	sl.service.workers.Go(func(ctx context.Context) {
-		ctx, cancel := context.WithTimeout(ctx, time.Duration(len(unused))*platform.CallTimeout)
+		ctx, cancel := context.WithTimeout(ctx, time.Duration(len(unused))*outside.CallTimeout)
 		defer cancel()
 		for _, version := range unused {
 			key := segmentKey(sl.workspace, version)
--- a/daemon/services/steps/sealer.go
+++ b/daemon/services/steps/sealer.go
@@ -8,7 +8,7 @@
 	"github.com/flamingobeam/flamingobeam/coord/result"
 	"github.com/flamingobeam/flamingobeam/coord/step"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
-	"github.com/flamingobeam/flamingobeam/platform"
+	"github.com/flamingobeam/flamingobeam/outside"
 )
 
 // sealer is the traffic state of a workspace whose steps this daemon owns.
@@ -23,13 +23,13 @@
 	mu     sync.Mutex
 	decide *step.Pool
 	// revision is that of the head in the store.
-	revision platform.Revision
+	revision outside.Revision
 	// news is closed when samples came in or a step was sealed.
 	news   chan struct{}
 	closed bool
 }
 
-func (s *service) newSealer(workspace structs.WorkspaceName, decide *step.Pool, revision platform.Revision) *sealer {
+func (s *service) newSealer(workspace structs.WorkspaceName, decide *step.Pool, revision outside.Revision) *sealer {
 	return &sealer{
 		service:   s,
 		workspace: workspace,
--- /dev/null
+++ b/daemon/services/swaps/swaps.go
@@ -0,0 +1,325 @@
+// Package swaps is the service "control.swaps": the daemon that leads orders
+// the model engines to run the versions that the trainers name. The store's
+// lease makes one daemon the leader, and its fencing token goes with each
+// order.
+package swaps
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/flamingobeam/flamingobeam/coord/catalog"
+	"github.com/flamingobeam/flamingobeam/coord/placement"
+	"github.com/flamingobeam/flamingobeam/coord/structs"
+	"github.com/flamingobeam/flamingobeam/daemon/contract"
+	"github.com/flamingobeam/flamingobeam/kernel"
+	"github.com/flamingobeam/flamingobeam/platform"
+)
+
+func init() {
+	kernel.Register(contract.NameSwaps, func() kernel.Service {
+		return &service{engines: make(map[structs.HostName]*engine)}
+	})
+}
+
+const (
+	// orderWithin bounds one order.
+	orderWithin = time.Second
+	// reportWithin bounds a look at an engine's report.
+	reportWithin = time.Second
+	// loadTime is how long a change of version takes at least.
+	loadTime = 900 * time.Millisecond
+	// lookAfter is when an engine is asked whether the order is done: its
+	// report is some hundred milliseconds old.
+	lookAfter = 1200 * time.Millisecond
+	// lookAgain is the pause before an engine is asked again.
+	lookAgain = 400 * time.Millisecond
+	// fencedFor is how long a daemon that was fenced gives no orders.
+	fencedFor = 4 * time.Second
+	// loadsShare is the part of a service's engines that load at once, and
+	// loadsLeast the least count: the weight store serves no more at full speed.
+	loadsShare = 0.22
+	loadsLeast = 2
+	// mailboxCapacity bounds the outcomes that wait for the control loop.
+	mailboxCapacity = 1024
+)
+
+type service struct {
+	kernel.Base
+	session   contract.Session
+	catalog   contract.Catalog
+	servers   contract.Servers
+	metrics   contract.Metrics
+	log       *logrus.Entry
+	loop      *kernel.Loop
+	workers   *kernel.Workers
+	transport *http.Transport
+	outcomes  *kernel.Mailbox[outcome]
+	reports   *kernel.Mailbox[report]
+
+	// What follows belongs to the control goroutine.
+	engines map[structs.HostName]*engine
+	fenced  time.Time
+}
+
+// engine is what the leader knows of a model engine.
+type engine struct {
+	started  int64
+	orders   uint64
+	versions map[structs.ServiceName]structs.WeightVersion
+	// busy is set while an order is given or carried out.
+	busy bool
+	// retry is when the next order may be given after a failed one.
+	retry time.Time
+}
+
+// Provision implements kernel.Service.
+func (s *service) Provision(ctx *kernel.Context) error {
+	err := kernel.FindAll(ctx,
+		kernel.Into(&s.session, contract.NameSession),
+		kernel.Into(&s.catalog, contract.NameCatalog),
+		kernel.Into(&s.servers, contract.NameServers),
+		kernel.Into(&s.metrics, contract.NameMetrics),
+	)
+	s.log, s.loop, s.workers = ctx.Log(), ctx.Loop(), ctx.Workers()
+	s.transport = &http.Transport{
+		DialContext: (&net.Dialer{Timeout: orderWithin}).DialContext, DisableCompression: true, DisableKeepAlives: true,
+	}
+	s.outcomes = kernel.NewMailbox(s.loop, mailboxCapacity, s.answered)
+	s.reports = kernel.NewMailbox(s.loop, mailboxCapacity, s.reported)
+	return err
+}
+
+// Start implements kernel.Service.
+func (s *service) Start() error {
+	kernel.Follow(s.loop, s.workers, s.catalog.Current(), func(*contract.CatalogView) { s.plan() })
+	kernel.Follow(s.loop, s.workers, s.servers.Entries(), func(*contract.ServersView) { s.plan() })
+	kernel.Follow(s.loop, s.workers, s.session.View(), func(*contract.SessionView) { s.plan() })
+	return nil
+}
+
+// leads reports whether this daemon may give orders now, and its token.
+func (s *service) leads() (uint64, bool) {
+	view := s.session.View().Load()
+	isLeader := view.Leader == view.Self.Name && view.Token != 0 && s.session.Holds()
+	return view.Token, isLeader && s.loop.Now().After(s.fenced)
+}
+
+// plan gives the orders that are missing, as many as may load at once.
+func (s *service) plan() {
+	if _, ok := s.leads(); !ok {
+		return
+	}
+	view := s.catalog.Current().Load()
+	if view.Catalog == nil {
+		return
+	}
+	for name := range view.Catalog.Services {
+		if models := view.Catalog.Models(name); len(models) > 0 {
+			s.planService(view, name, models)
+		}
+	}
+}
+
+// step is an order that is missing.
+type step struct {
+	server  catalog.Server
+	model   structs.ServiceName
+	version structs.WeightVersion
+	behind  structs.WeightVersion
+}
+
+func (s *service) planService(view *contract.CatalogView, name structs.ServiceName, models []structs.ServiceName) {
+	servers := s.servers.Entries().Load().ByService[name]
+	loading := 0
+	for _, server := range servers {
+		if s.engine(server).busy {
+			loading++
+		}
+	}
+	steps := s.missing(view, models, servers)
+	limit := max(loadsLeast, int(loadsShare*float64(len(servers))))
+	now := s.loop.Now()
+	for _, st := range steps {
+		known := s.engine(st.server)
+		if loading >= limit {
+			return
+		}
+		if known.busy || now.Before(known.retry) {
+			continue
+		}
+		loading++
+		s.give(st, known)
+	}
+}
+
+// missing lists the orders that would bring all home servers to their versions,
+// those first that are furthest behind.
+func (s *service) missing(view *contract.CatalogView, models []structs.ServiceName, servers []catalog.Server) []step {
+	var steps []step
+	for model, homes := range placement.Homes(models, servers) {
+		newest := view.Wanted[model]
+		for _, home := range homes {
+			wanted, runs := home.Wanted(newest), s.engine(home.Server).versions[model]
+			if runs < wanted {
+				steps = append(steps, step{server: home.Server, model: model, version: wanted, behind: wanted - runs})
+			}
+		}
+	}
+	slices.SortFunc(steps, func(a, b step) int {
+		if a.behind != b.behind {
+			return int(b.behind) - int(a.behind)
+		}
+		if a.model != b.model {
+			return compare(string(a.model), string(b.model))
+		}
+		return compare(string(a.server.ID), string(b.server.ID))
+	})
+	return steps
+}
+
+func compare(a, b string) int {
+	if a < b {
+		return -1
+	}
+	return 1
+}
+
+// engine returns what is known of a server, which its entry may add to.
+func (s *service) engine(server catalog.Server) *engine {
+	known := s.engines[server.ID]
+	if known == nil || known.started != server.Started {
+		known = &engine{started: server.Started, versions: make(map[structs.ServiceName]structs.WeightVersion)}
+		s.engines[server.ID] = known
+	}
+	known.orders = max(known.orders, server.Orders)
+	for model, version := range server.Versions {
+		known.versions[model] = max(known.versions[model], version)
+	}
+	return known
+}
+
+// outcome is what came of an order.
+type outcome struct {
+	step
+	known  *engine
+	result platform.OrderOutcome
+	err    error
+}
+
+func (s *service) give(st step, known *engine) {
+	token, ok := s.leads()
+	if !ok {
+		return
+	}
+	known.busy = true
+	order := platform.Order{
+		Server: st.server.ID, Address: st.server.Address, Model: st.model, Version: st.version,
+		Mode: platform.SwapRetain, Holder: s.session.View().Load().Self.Name, Token: token, After: known.orders,
+	}
+	s.log.WithFields(logrus.Fields{
+		"server": st.server.ID, "model": st.model, "version": st.version, "runs": known.versions[st.model],
+		"token": token, "after": known.orders,
+	}).Info("An order is given.")
+	s.metrics.Count("swaps.orders", 1)
+	s.workers.Go(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, orderWithin)
+		defer cancel()
+		done := outcome{step: st, known: known, result: platform.OrderRefused}
+		// The host may have been suspended since the order was decided.
+		if s.session.Holds() {
+			done.result, done.err = order.Give(ctx, s.transport)
+		}
+		if err := s.outcomes.Post(done); err != nil {
+			s.log.WithError(err).Error("The outcome of an order is lost.")
+		}
+	})
+}
+
+// answered takes in the outcome of an order on the control goroutine.
+func (s *service) answered(done outcome) {
+	entry := s.log.WithFields(logrus.Fields{
+		"server": done.server.ID, "model": done.model, "version": done.version, "outcome": done.result,
+	})
+	if done.err != nil {
+		entry = entry.WithError(done.err)
+	}
+	entry.Info("An order was answered.")
+	switch {
+	case done.err != nil:
+		// It may be carried out yet; the engine's count of orders keeps an old
+		// one from acting after a newer one.
+		s.lookLater(done.step, done.known, lookAgain)
+	case done.result == platform.OrderAccepted:
+		done.known.orders++
+		s.lookLater(done.step, done.known, lookAfter)
+	case done.result == platform.OrderHolds:
+		done.known.busy = false
+		done.known.versions[done.model] = max(done.known.versions[done.model], done.version)
+		s.plan()
+	case done.result == platform.OrderFenced:
+		done.known.busy = false
+		s.fenced = s.loop.Now().Add(fencedFor)
+		s.loop.After(fencedFor, s.plan)
+	case done.result == platform.OrderConflict:
+		s.lookLater(done.step, done.known, lookAgain)
+	default:
+		done.known.busy = false
+		done.known.retry = s.loop.Now().Add(loadTime)
+		s.loop.After(loadTime, s.plan)
+	}
+}
+
+// report is what an engine said after an order.
+type report struct {
+	step
+	known *engine
+	said  platform.Report
+	err   error
+}
+
+func (s *service) lookLater(st step, known *engine, after time.Duration) {
+	s.loop.After(after, func() {
+		s.metrics.Count("swaps.reports", 1)
+		s.workers.Go(func(ctx context.Context) {
+			ctx, cancel := context.WithTimeout(ctx, reportWithin)
+			defer cancel()
+			said, err := platform.ReadReport(ctx, s.transport, st.server.ID, st.server.Address)
+			if err := s.reports.Post(report{step: st, known: known, said: said, err: err}); err != nil {
+				s.log.WithError(err).Error("A report is lost.")
+			}
+		})
+	})
+}
+
+// reported takes in a report on the control goroutine.
+func (s *service) reported(r report) {
+	if current := s.engines[r.server.ID]; current != r.known {
+		return
+	}
+	if _, leads := s.leads(); !leads {
+		r.known.busy = false
+		return
+	}
+	if r.err != nil {
+		s.log.WithError(r.err).WithField("server", r.server.ID).Info("An engine gave no report.")
+		r.known.busy, r.known.retry = false, s.loop.Now().Add(loadTime)
+		s.loop.After(loadTime, s.plan)
+		return
+	}
+	if r.said.Swapping {
+		s.lookLater(r.step, r.known, lookAgain)
+		return
+	}
+	r.known.busy = false
+	r.known.orders = max(r.known.orders, r.said.Orders)
+	for model, version := range r.said.Versions {
+		r.known.versions[model] = max(r.known.versions[model], version)
+	}
+	s.plan()
+}
--- a/daemon/services/trust/trust.go
+++ b/daemon/services/trust/trust.go
@@ -62,9 +62,9 @@
 }
 
 // Validate implements kernel.Service: without certificates a daemon listens
-// on loopback only.
+// on loopback only, unless the platform keeps its network to itself.
 func (s *service) Validate() error {
-	if s.certificate != nil {
+	if s.certificate != nil || s.config.Fleet.ClosedNetwork {
 		return nil
 	}
 	for _, address := range []string{s.config.Listen.Callers, s.config.Listen.Peers} {
--- a/daemon/services/weights/collect.go
+++ b/daemon/services/weights/collect.go
@@ -9,7 +9,7 @@
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/coord/weights"
 	"github.com/flamingobeam/flamingobeam/kernel"
-	"github.com/flamingobeam/flamingobeam/platform"
+	"github.com/flamingobeam/flamingobeam/outside"
 )
 
 // published is what the weight store said of a model.
@@ -132,7 +132,7 @@
 	}
 	s.metrics.Count("weights.orders", 1)
 	limit := time.Duration(s.config.Weights.OrderWithin)
-	order := platform.Order{Model: action.Model, Version: action.Version, Term: action.Term}
+	order := outside.Order{Model: action.Model, Version: action.Version, Term: action.Term}
 	kernel.Async(s.workers, limit, s.done, func(ctx context.Context) (done, error) {
 		version, err := engine.Order(ctx, address, order)
 		return done{action: action, version: version}, err
@@ -160,7 +160,7 @@
 }
 
 func (s *service) onOrdered(action weights.Action, version structs.WeightVersion, err error) {
-	outcome := weights.OrderOutcome{Ran: version, Refused: errors.Is(err, platform.ErrFenced)}
+	outcome := weights.OrderOutcome{Ran: version, Refused: errors.Is(err, outside.ErrFenced)}
 	outcome.Failed = err != nil && !outcome.Refused
 	if outcome.Refused {
 		s.metrics.Count("weights.refused", 1)
--- a/daemon/services/weights/weights_test.go
+++ b/daemon/services/weights/weights_test.go
@@ -16,7 +16,7 @@
 	"github.com/flamingobeam/flamingobeam/emulate/engine"
 	"github.com/flamingobeam/flamingobeam/emulate/store"
 	"github.com/flamingobeam/flamingobeam/kernel"
-	"github.com/flamingobeam/flamingobeam/platform"
+	"github.com/flamingobeam/flamingobeam/outside"
 )
 
 const (
@@ -64,7 +64,7 @@
 // daemon is one daemon's double of all that the service finds.
 type daemon struct {
 	kernel.Base
-	platform.Engine
+	outside.Engine
 	*world
 	address  string
 	standing *kernel.Snapshot[contract.Standing]
@@ -112,8 +112,8 @@
 	})
 }
 
-func (d *daemon) Platform() platform.Clients {
-	return platform.Clients{Weights: d.fleet, Engine: d}
+func (d *daemon) Platform() outside.Clients {
+	return outside.Clients{Weights: d.fleet, Engine: d}
 }
 
 func (d *daemon) Standing() *kernel.Snapshot[contract.Standing] { return d.standing }
@@ -132,11 +132,11 @@
 	return (&Receiver{service: other}).Watch(args.(*WatchArgs), reply.(*WatchReply))
 }
 
-func (d *daemon) Load(_ context.Context, address string) (platform.Load, error) {
+func (d *daemon) Load(_ context.Context, address string) (outside.Load, error) {
 	return d.engines[address].Load(), nil
 }
 
-func (d *daemon) Order(ctx context.Context, address string, order platform.Order) (structs.WeightVersion, error) {
+func (d *daemon) Order(ctx context.Context, address string, order outside.Order) (structs.WeightVersion, error) {
 	return d.engines[address].Order(ctx, order)
 }
 
@@ -149,7 +149,7 @@
 
 // orderAs gives an order as the collector of a term would.
 func orderAs(e *engine.Engine, v structs.WeightVersion, term structs.Term) error {
-	_, err := e.Order(context.Background(), platform.Order{Model: model, Version: v, Term: term})
+	_, err := e.Order(context.Background(), outside.Order{Model: model, Version: v, Term: term})
 	return err
 }
 
@@ -178,7 +178,7 @@
 		w.start("entry-1", collects(7))
 		w.fleet.Publish(model, 2)
 		time.Sleep(soon)
-		must.ErrorIs(t, orderAs(fenced, 1, 6), platform.ErrFenced)
+		must.ErrorIs(t, orderAs(fenced, 1, 6), outside.ErrFenced)
 		must.NoError(t, orderAs(open, 1, 6))
 		must.Eq(t, 2, running(fenced))
 		must.Eq(t, 1, running(open))
--- a/daemon/services/zone/collect.go
+++ b/daemon/services/zone/collect.go
@@ -12,15 +12,15 @@
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/coord/zone"
 	"github.com/flamingobeam/flamingobeam/kernel"
-	"github.com/flamingobeam/flamingobeam/platform"
+	"github.com/flamingobeam/flamingobeam/outside"
 )
 
 // collects is the state of the collector's role. It belongs to the control
 // goroutine.
 type collects struct {
 	decide   *zone.Collector
-	lease    platform.LeaseID
-	rosterAt platform.Revision
+	lease    outside.LeaseID
+	rosterAt outside.Revision
 	held     []*heldAsk
 	// carries holds the settings that were encoded since the last news, by
 	// the revision of the followers that lack them.
@@ -33,17 +33,17 @@
 
 // taken is what a daemon has once it took the role.
 type taken struct {
-	lease  platform.LeaseID
+	lease  outside.LeaseID
 	record record
 	// until is when the lease ends, counted from when it was asked for.
 	until    zone.Instant
 	roster   zone.Roster
-	rosterAt platform.Revision
+	rosterAt outside.Revision
 }
 
 // takeRole makes this daemon the collector in the store. The roster is written
 // again with the new term, so that a late write of a former collector fails.
-func (s *service) takeRole(ctx context.Context, store platform.Store) (*taken, error) {
+func (s *service) takeRole(ctx context.Context, store outside.Store) (*taken, error) {
 	asked := s.now()
 	lease, err := store.Grant(ctx, s.ttl)
 	if err != nil {
@@ -64,9 +64,9 @@
 	return role, s.claimRoster(ctx, store, role)
 }
 
-func (s *service) claimRoster(ctx context.Context, store platform.Store, role *taken) error {
+func (s *service) claimRoster(ctx context.Context, store outside.Store, role *taken) error {
 	entry, err := store.Get(ctx, s.rosterKey())
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, outside.ErrNotFound) {
 		return err
 	}
 	var kept rosterRecord
@@ -143,7 +143,7 @@
 	if s.collects == nil || s.collects.decide.Term() != reply.Value.term {
 		return
 	}
-	if errors.Is(reply.Err, platform.ErrLeaseLost) {
+	if errors.Is(reply.Err, outside.ErrLeaseLost) {
 		s.log.Warn("The lease in the store has lapsed.")
 		s.stepDown()
 		return
--- a/daemon/services/zone/follow.go
+++ b/daemon/services/zone/follow.go
@@ -12,7 +12,7 @@
 	"github.com/flamingobeam/flamingobeam/coord/zone"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
 	"github.com/flamingobeam/flamingobeam/kernel"
-	"github.com/flamingobeam/flamingobeam/platform"
+	"github.com/flamingobeam/flamingobeam/outside"
 )
 
 // record is the collector's entry in the store.
@@ -153,7 +153,7 @@
 func (s *service) search(ctx context.Context) (finding, error) {
 	store := s.clients.Platform().Store
 	entry, err := store.Get(ctx, s.collectorKey())
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, outside.ErrNotFound) {
 		mine, err := s.takeRole(ctx, store)
 		return finding{mine: mine}, err
 	}
--- a/daemon/services/zone/roster.go
+++ b/daemon/services/zone/roster.go
@@ -10,7 +10,7 @@
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/coord/zone"
 	"github.com/flamingobeam/flamingobeam/kernel"
-	"github.com/flamingobeam/flamingobeam/platform"
+	"github.com/flamingobeam/flamingobeam/outside"
 )
 
 // rosterRecord is the roster as it is kept in the store.
@@ -20,7 +20,7 @@
 	Roster zone.Roster  `json:"roster"`
 }
 
-func writeRoster(ctx context.Context, store platform.Store, key string, expected platform.Revision, roster rosterRecord) (platform.Revision, error) {
+func writeRoster(ctx context.Context, store outside.Store, key string, expected outside.Revision, roster rosterRecord) (outside.Revision, error) {
 	value, err := json.Marshal(roster)
 	if err != nil {
 		return 0, err
@@ -39,7 +39,7 @@
 type rosterWrite struct {
 	term     structs.Term
 	roster   zone.Roster
-	revision platform.Revision
+	revision outside.Revision
 	// superseded says that the roster is another collector's.
 	superseded bool
 }
@@ -89,7 +89,7 @@
 		s.stepDown()
 	case reply.Err == nil:
 		s.adoptRoster(write)
-	case errors.Is(reply.Err, platform.ErrConflict):
+	case errors.Is(reply.Err, outside.ErrConflict):
 		s.readRosterBack(write)
 	default:
 		s.log.WithError(reply.Err).Debug("Whether the roster was written is not known.")
--- a/emulate/engine/engine.go
+++ b/emulate/engine/engine.go
@@ -10,7 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/flamingobeam/flamingobeam/coord/structs"
-	"github.com/flamingobeam/flamingobeam/platform"
+	"github.com/flamingobeam/flamingobeam/outside"
 )
 
 // Errors of the engine, in package terms; the HTTP handler gives them a status.
@@ -43,7 +43,7 @@
 	arrivals uint64
 	cache    *prefixCache
 	ticking  bool
-	report   platform.Load
+	report   outside.Load
 	reported time.Time
 	orders   []OrderRecord
 }
@@ -79,7 +79,7 @@
 }
 
 // Generate calls each for every chunk and returns nil after the last one.
-func (e *Engine) Generate(ctx context.Context, generation platform.Generation, each func(platform.Chunk) error) error {
+func (e *Engine) Generate(ctx context.Context, generation outside.Generation, each func(outside.Chunk) error) error {
 	st, err := e.admit(generation)
 	if err != nil {
 		return err
@@ -107,7 +107,7 @@
 }
 
 // admit queues a stream, or crashes on a marked one.
-func (e *Engine) admit(generation platform.Generation) (*stream, error) {
+func (e *Engine) admit(generation outside.Generation) (*stream, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	switch marker := e.faults.CrashMarker; {
@@ -168,7 +168,7 @@
 }
 
 // take returns the chunks not yet sent, and how the stream ended.
-func (e *Engine) take(st *stream) ([]platform.Chunk, Ending) {
+func (e *Engine) take(st *stream) ([]outside.Chunk, Ending) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	chunks := st.pending
@@ -186,7 +186,7 @@
 }
 
 // Load returns the load report, which may be as old as the lag.
-func (e *Engine) Load() platform.Load {
+func (e *Engine) Load() outside.Load {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
@@ -196,8 +196,8 @@
 	return e.report
 }
 
-func (e *Engine) load() platform.Load {
-	load := platform.Load{Version: e.weights.version, CacheHits: e.cache.hits, CacheMisses: e.cache.misses}
+func (e *Engine) load() outside.Load {
+	load := outside.Load{Version: e.weights.version, CacheHits: e.cache.hits, CacheMisses: e.cache.misses}
 	for _, st := range e.streams {
 		if st.running {
 			load.Running++
--- a/emulate/engine/engine_test.go
+++ b/emulate/engine/engine_test.go
@@ -13,18 +13,18 @@
 
 	"github.com/flamingobeam/flamingobeam/coord/result"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
-	"github.com/flamingobeam/flamingobeam/platform"
-	"github.com/flamingobeam/flamingobeam/platform/httpclient"
+	"github.com/flamingobeam/flamingobeam/outside"
+	"github.com/flamingobeam/flamingobeam/outside/httpclient"
 )
 
-func generation(prompt string) platform.Generation {
-	return platform.Generation{ID: "s1", Prompt: prompt, MaxTokens: 40, Seed: 7}
+func generation(prompt string) outside.Generation {
+	return outside.Generation{ID: "s1", Prompt: prompt, MaxTokens: 40, Seed: 7}
 }
 
 // collect runs a generation and returns its body and the error.
-func collect(e *Engine, wanted platform.Generation) (string, error) {
+func collect(e *Engine, wanted outside.Generation) (string, error) {
 	var body strings.Builder
-	err := e.Generate(context.Background(), wanted, func(chunk platform.Chunk) error {
+	err := e.Generate(context.Background(), wanted, func(chunk outside.Chunk) error {
 		body.WriteString(chunk.Text)
 		return nil
 	})
@@ -38,7 +38,7 @@
 		go func() {
 			synctest.Wait()
 			time.Sleep(time.Second)
-			version, err := e.Order(context.Background(), platform.Order{Version: 2, Term: 1})
+			version, err := e.Order(context.Background(), outside.Order{Version: 2, Term: 1})
 			must.NoError(t, err)
 			must.Eq(t, 2, version)
 			e.SetFaults(Faults{})
@@ -77,13 +77,13 @@
 		options.Fenced = true
 		fenced, open := New(options), New(DefaultOptions())
 		for _, e := range []*Engine{fenced, open} {
-			_, err := e.Order(context.Background(), platform.Order{Version: 3, Term: 8})
+			_, err := e.Order(context.Background(), outside.Order{Version: 3, Term: 8})
 			must.NoError(t, err)
 		}
-		_, err := fenced.Order(context.Background(), platform.Order{Version: 2, Term: 7})
-		must.ErrorIs(t, err, platform.ErrFenced)
+		_, err := fenced.Order(context.Background(), outside.Order{Version: 2, Term: 7})
+		must.ErrorIs(t, err, outside.ErrFenced)
 		must.Eq(t, 3, fenced.Load().Version)
-		_, err = open.Order(context.Background(), platform.Order{Version: 2, Term: 7})
+		_, err = open.Order(context.Background(), outside.Order{Version: 2, Term: 7})
 		must.NoError(t, err)
 		must.Eq(t, 2, open.Load().Version)
 	})
@@ -93,7 +93,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		e := New(DefaultOptions())
 		e.SetFaults(Faults{HalfSwap: true})
-		_, err := e.Order(context.Background(), platform.Order{Version: 2, Term: 1})
+		_, err := e.Order(context.Background(), outside.Order{Version: 2, Term: 1})
 		must.ErrorIs(t, err, ErrHalfSwapped)
 		must.Eq(t, 1, e.Load().Version)
 		bodies := make([]string, 2)
@@ -111,7 +111,7 @@
 		}
 		must.MapLen(t, 2, versions)
 		e.SetFaults(Faults{})
-		_, err = e.Order(context.Background(), platform.Order{Version: 2, Term: 1})
+		_, err = e.Order(context.Background(), outside.Order{Version: 2, Term: 1})
 		must.NoError(t, err)
 		time.Sleep(DefaultOptions().ReportLag)
 		must.Eq(t, 2, e.Load().Version)
@@ -165,7 +165,7 @@
 	defer server.Close()
 	address := server.Listener.Addr().String()
 	backend := httpclient.NewBackend(nil)
-	ignore := func(platform.Chunk) error { return nil }
+	ignore := func(outside.Chunk) error { return nil }
 
 	e.SetFaults(Faults{Leaving: true})
 	err := backend.Generate(t.Context(), address, generation("claim"), ignore)
@@ -180,12 +180,12 @@
 	must.Eq(t, result.BackendBroke, result.CodeOf(err))
 
 	e.SetFaults(Faults{StallAfter: 3, CrashMarker: "poison"})
-	err = backend.Generate(t.Context(), address, generation("claim"), func(platform.Chunk) error {
+	err = backend.Generate(t.Context(), address, generation("claim"), func(outside.Chunk) error {
 		go func() { _ = backend.Generate(context.Background(), address, generation("a poison pill"), ignore) }()
 		return nil
 	})
 	must.Eq(t, result.AnswerCut, result.CodeOf(err))
 	<-crashed
 	_, err = backend.Load(t.Context(), address)
-	must.ErrorIs(t, err, platform.ErrUnavailable)
+	must.ErrorIs(t, err, outside.ErrUnavailable)
 }
--- a/emulate/engine/order.go
+++ b/emulate/engine/order.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/flamingobeam/flamingobeam/coord/structs"
-	"github.com/flamingobeam/flamingobeam/platform"
+	"github.com/flamingobeam/flamingobeam/outside"
 )
 
 // weights are what the engine runs.
@@ -21,7 +21,7 @@
 
 // OrderRecord is the engine's own record of an order.
 type OrderRecord struct {
-	Order platform.Order `json:"order"`
+	Order outside.Order `json:"order"`
 	// Refused says that the term was too old.
 	Refused bool `json:"refused"`
 	// Ran is the version that ran after the order.
@@ -36,11 +36,11 @@
 }
 
 // Order swaps the weights and returns the version that runs afterwards. It
-// fails with platform.ErrFenced, ErrHalfSwapped, ErrCrashed or the error of
+// fails with outside.ErrFenced, ErrHalfSwapped, ErrCrashed or the error of
 // ctx, in which case the swap goes on.
-func (e *Engine) Order(ctx context.Context, order platform.Order) (structs.WeightVersion, error) {
+func (e *Engine) Order(ctx context.Context, order outside.Order) (structs.WeightVersion, error) {
 	if !e.accept(order) {
-		return 0, platform.ErrFenced
+		return 0, outside.ErrFenced
 	}
 	e.mu.Lock()
 	delay := e.faults.SwapDelay
@@ -56,7 +56,7 @@
 }
 
 // accept checks an order's term.
-func (e *Engine) accept(order platform.Order) bool {
+func (e *Engine) accept(order outside.Order) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.options.Fenced && order.Term < e.weights.term {
@@ -68,7 +68,7 @@
 }
 
 // swap puts an order's weights in place, or half of them.
-func (e *Engine) swap(order platform.Order) error {
+func (e *Engine) swap(order outside.Order) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.crashed {
@@ -77,7 +77,7 @@
 	if e.options.Fenced && order.Term < e.weights.term {
 		// A newer order came while this one was being carried out.
 		e.orders = append(e.orders, OrderRecord{Order: order, Refused: true, Ran: e.weights.version})
-		return platform.ErrFenced
+		return outside.ErrFenced
 	}
 	if e.faults.HalfSwap {
 		e.weights.half = order.Version
--- a/emulate/engine/server.go
+++ b/emulate/engine/server.go
@@ -7,8 +7,8 @@
 	"github.com/julienschmidt/httprouter"
 	"github.com/pkg/errors"
 
-	"github.com/flamingobeam/flamingobeam/platform"
-	"github.com/flamingobeam/flamingobeam/platform/httpclient"
+	"github.com/flamingobeam/flamingobeam/outside"
+	"github.com/flamingobeam/flamingobeam/outside/httpclient"
 )
 
 // Paths by which experiments steer the stand-in.
@@ -58,13 +58,13 @@
 // serveGenerate streams a line of JSON for each chunk. A stream that breaks
 // ends its connection, so that it cannot be taken for a whole one.
 func (e *Engine) serveGenerate(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-	var generation platform.Generation
+	var generation outside.Generation
 	if !e.decode(w, r, &generation) {
 		return
 	}
 	begun := false
 	lines, control := json.NewEncoder(w), http.NewResponseController(w)
-	err := e.Generate(r.Context(), generation, func(chunk platform.Chunk) error {
+	err := e.Generate(r.Context(), generation, func(chunk outside.Chunk) error {
 		if !begun {
 			w.Header().Set("Content-Type", "application/x-ndjson")
 			begun = true
@@ -102,7 +102,7 @@
 }
 
 func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-	var order platform.Order
+	var order outside.Order
 	if !e.decode(w, r, &order) {
 		return
 	}
@@ -110,7 +110,7 @@
 	switch {
 	case err == nil:
 		reply(w, httpclient.OrderReply{Version: version})
-	case errors.Is(err, platform.ErrFenced):
+	case errors.Is(err, outside.ErrFenced):
 		http.Error(w, err.Error(), http.StatusPreconditionFailed)
 	case errors.Is(err, ErrHalfSwapped):
 		http.Error(w, err.Error(), http.StatusInternalServerError)
--- a/emulate/engine/stream.go
+++ b/emulate/engine/stream.go
@@ -7,7 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/flamingobeam/flamingobeam/coord/structs"
-	"github.com/flamingobeam/flamingobeam/platform"
+	"github.com/flamingobeam/flamingobeam/outside"
 )
 
 // Ending says how a stream ended.
@@ -33,7 +33,7 @@
 
 // stream is a generation on the engine. The engine's lock guards it.
 type stream struct {
-	generation platform.Generation
+	generation outside.Generation
 	arrival    uint64
 	// slot is its place in the batch, and running whether it has one.
 	slot    int
@@ -44,13 +44,13 @@
 	made, total int
 	record      *StreamRecord
 	// pending are the chunks not yet sent; more is signalled for each.
-	pending []platform.Chunk
+	pending []outside.Chunk
 	more    chan struct{}
 }
 
 // LengthOf returns how many tokens the answer to a generation has. It depends
 // on the prompt and the seed only, so that a resumed answer is as long.
-func LengthOf(generation platform.Generation) int {
+func LengthOf(generation outside.Generation) int {
 	shortest := max(1, generation.MaxTokens/2)
 	digest := xxhash.New()
 	_, _ = fmt.Fprintf(digest, "%d/%s", generation.Seed, generation.Prompt)
@@ -102,10 +102,10 @@
 		st.made++
 	}
 	st.record.Spans = extend(st.record.Spans, version, count)
-	st.push(platform.Chunk{Text: text.String(), Tokens: count, Version: version, Last: st.left() == 0})
+	st.push(outside.Chunk{Text: text.String(), Tokens: count, Version: version, Last: st.left() == 0})
 }
 
-func (st *stream) push(chunk platform.Chunk) {
+func (st *stream) push(chunk outside.Chunk) {
 	st.pending = append(st.pending, chunk)
 	st.signal()
 }
--- a/emulate/load/balancer.go
+++ b/emulate/load/balancer.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"github.com/flamingobeam/flamingobeam/coord/result"
-	"github.com/flamingobeam/flamingobeam/platform/httpclient"
+	"github.com/flamingobeam/flamingobeam/outside/httpclient"
 )
 
 const (
--- a/emulate/store/fleet.go
+++ b/emulate/store/fleet.go
@@ -9,7 +9,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/flamingobeam/flamingobeam/coord/structs"
-	"github.com/flamingobeam/flamingobeam/platform"
+	"github.com/flamingobeam/flamingobeam/outside"
 )
 
 // Fleet is the host list and the weight store in memory. Changes of the list
@@ -26,8 +26,8 @@
 }
 
 var (
-	_ platform.HostList    = (*Fleet)(nil)
-	_ platform.WeightStore = (*Fleet)(nil)
+	_ outside.HostList    = (*Fleet)(nil)
+	_ outside.WeightStore = (*Fleet)(nil)
 )
 
 // weightReads is how many calls a second the weight store takes.
@@ -78,11 +78,11 @@
 	f.changed = make(chan struct{})
 }
 
-// Hosts implements platform.HostList.
-func (f *Fleet) Hosts(ctx context.Context, zone structs.ZoneName, after uint64, wait time.Duration) (platform.HostChanges, error) {
-	var changes platform.HostChanges
+// Hosts implements outside.HostList.
+func (f *Fleet) Hosts(ctx context.Context, zone structs.ZoneName, after uint64, wait time.Duration) (outside.HostChanges, error) {
+	var changes outside.HostChanges
 	err := f.await(ctx, wait, func() bool {
-		changes = platform.HostChanges{Through: f.revision}
+		changes = outside.HostChanges{Through: f.revision}
 		if f.revision <= after {
 			return false
 		}
@@ -108,10 +108,10 @@
 	return servers
 }
 
-// Newest implements platform.WeightStore.
+// Newest implements outside.WeightStore.
 func (f *Fleet) Newest(ctx context.Context, model structs.ServiceName, after structs.WeightVersion, wait time.Duration) (structs.WeightVersion, error) {
 	if !f.reads.Allow() {
-		return 0, platform.ErrRateLimited
+		return 0, outside.ErrRateLimited
 	}
 	var newest structs.WeightVersion
 	err := f.await(ctx, wait, func() bool {
@@ -137,7 +137,7 @@
 		case <-timer.C:
 			return nil
 		case <-ctx.Done():
-			return platform.ErrUnavailable
+			return outside.ErrUnavailable
 		}
 	}
 }
--- a/emulate/store/server.go
+++ b/emulate/store/server.go
@@ -9,8 +9,8 @@
 	"github.com/pkg/errors"
 
 	"github.com/flamingobeam/flamingobeam/coord/structs"
-	"github.com/flamingobeam/flamingobeam/platform"
-	"github.com/flamingobeam/flamingobeam/platform/httpclient"
+	"github.com/flamingobeam/flamingobeam/outside"
+	"github.com/flamingobeam/flamingobeam/outside/httpclient"
 )
 
 // Paths by which experiments steer the stand-in.
@@ -39,7 +39,7 @@
 }
 
 func storeRoutes(router *httprouter.Router, s *Store) {
-	serve(router, httpclient.PathGet, func(ctx context.Context, r httpclient.KeyRequest) (platform.Entry, error) {
+	serve(router, httpclient.PathGet, func(ctx context.Context, r httpclient.KeyRequest) (outside.Entry, error) {
 		return s.Get(ctx, r.Key)
 	})
 	serve(router, httpclient.PathList, func(ctx context.Context, r httpclient.KeyRequest) (httpclient.ListReply, error) {
@@ -53,7 +53,7 @@
 	serve(router, httpclient.PathDelete, func(ctx context.Context, r httpclient.SwapRequest) (struct{}, error) {
 		return struct{}{}, s.Delete(ctx, r.Key, r.Expected)
 	})
-	serve(router, httpclient.PathWatch, func(ctx context.Context, r httpclient.WatchRequest) (platform.Changes, error) {
+	serve(router, httpclient.PathWatch, func(ctx context.Context, r httpclient.WatchRequest) (outside.Changes, error) {
 		return s.Watch(ctx, r.Prefix, r.After, r.Wait)
 	})
 }
@@ -72,7 +72,7 @@
 }
 
 func fleetRoutes(router *httprouter.Router, f *Fleet) {
-	serve(router, httpclient.PathHosts, func(ctx context.Context, r httpclient.HostsRequest) (platform.HostChanges, error) {
+	serve(router, httpclient.PathHosts, func(ctx context.Context, r httpclient.HostsRequest) (outside.HostChanges, error) {
 		return f.Hosts(ctx, r.Zone, r.After, r.Wait)
 	})
 	serve(router, httpclient.PathWeights, func(ctx context.Context, r httpclient.WeightsRequest) (httpclient.WeightsReply, error) {
@@ -102,19 +102,19 @@
 }
 
 var errorStatus = map[error]int{
-	platform.ErrNotFound:    http.StatusNotFound,
-	platform.ErrConflict:    http.StatusConflict,
-	platform.ErrRateLimited: http.StatusTooManyRequests,
-	platform.ErrTooLarge:    http.StatusRequestEntityTooLarge,
-	platform.ErrLeaseLost:   http.StatusGone,
-	platform.ErrUnavailable: http.StatusServiceUnavailable,
+	outside.ErrNotFound:    http.StatusNotFound,
+	outside.ErrConflict:    http.StatusConflict,
+	outside.ErrRateLimited: http.StatusTooManyRequests,
+	outside.ErrTooLarge:    http.StatusRequestEntityTooLarge,
+	outside.ErrLeaseLost:   http.StatusGone,
+	outside.ErrUnavailable: http.StatusServiceUnavailable,
 }
 
 // serve decodes the message of a path, calls handle and encodes the reply.
 func serve[Q, A any](router *httprouter.Router, path string, handle func(context.Context, Q) (A, error)) {
 	router.POST(path, func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 		var request Q
-		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, 2*platform.MaxValue)).Decode(&request); err != nil {
+		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, 2*outside.MaxValue)).Decode(&request); err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
--- a/emulate/store/store.go
+++ b/emulate/store/store.go
@@ -11,7 +11,7 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/flamingobeam/flamingobeam/platform"
+	"github.com/flamingobeam/flamingobeam/outside"
 )
 
 // Limits are the rates of the service.
@@ -55,25 +55,25 @@
 	writes, reads *rate.Limiter
 
 	mu       sync.Mutex
-	entries  map[string]platform.Entry
-	leases   map[platform.LeaseID]*lease
-	revision platform.Revision
-	lastID   platform.LeaseID
+	entries  map[string]outside.Entry
+	leases   map[outside.LeaseID]*lease
+	revision outside.Revision
+	lastID   outside.LeaseID
 	changed  chan struct{}
 	faults   Faults
 	counts   Counts
 	random   *rand.Rand
 }
 
-var _ platform.Store = (*Store)(nil)
+var _ outside.Store = (*Store)(nil)
 
 // New returns an empty store. The seed fixes which answers are lost.
 func New(limits Limits, seed uint64) *Store {
 	return &Store{
 		writes:  limiter(limits.Writes),
 		reads:   limiter(limits.Reads),
-		entries: make(map[string]platform.Entry),
-		leases:  make(map[platform.LeaseID]*lease),
+		entries: make(map[string]outside.Entry),
+		leases:  make(map[outside.LeaseID]*lease),
 		changed: make(chan struct{}),
 		random:  rand.New(rand.NewPCG(seed, 0)),
 	}
@@ -103,7 +103,7 @@
 	faults := s.faults
 	s.mu.Unlock()
 	if faults.Down {
-		return platform.ErrUnavailable
+		return outside.ErrUnavailable
 	}
 	if err := pause(ctx, faults.Delay); err != nil {
 		return err
@@ -113,7 +113,7 @@
 	defer s.mu.Unlock()
 	if !allowed {
 		s.counts.Refused++
-		return platform.ErrRateLimited
+		return outside.ErrRateLimited
 	}
 	count(&s.counts)
 	return nil
@@ -133,42 +133,42 @@
 	case <-timer.C:
 		return nil
 	case <-ctx.Done():
-		return platform.ErrUnavailable
+		return outside.ErrUnavailable
 	}
 }
 
 // answered applies the fault that loses answers of finished writes.
 func (s *Store) answered() error {
 	if s.faults.LoseAnswers > 0 && s.random.Float64() < s.faults.LoseAnswers {
-		return platform.ErrUnavailable
+		return outside.ErrUnavailable
 	}
 	return nil
 }
 
-// Get implements platform.Store.
-func (s *Store) Get(ctx context.Context, key string) (platform.Entry, error) {
+// Get implements outside.Store.
+func (s *Store) Get(ctx context.Context, key string) (outside.Entry, error) {
 	if err := s.admit(ctx, s.reads, countRead); err != nil {
-		return platform.Entry{}, err
+		return outside.Entry{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
 	entry, ok := s.entries[key]
 	if !ok || entry.Value == nil {
-		return platform.Entry{}, platform.ErrNotFound
+		return outside.Entry{}, outside.ErrNotFound
 	}
 	return entry, nil
 }
 
-// List implements platform.Store.
-func (s *Store) List(ctx context.Context, prefix string) ([]platform.Entry, error) {
+// List implements outside.Store.
+func (s *Store) List(ctx context.Context, prefix string) ([]outside.Entry, error) {
 	if err := s.admit(ctx, s.reads, countRead); err != nil {
 		return nil, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
-	var found []platform.Entry
+	var found []outside.Entry
 	for key, entry := range s.entries {
 		if strings.HasPrefix(key, prefix) && entry.Value != nil {
 			found = append(found, entry)
@@ -177,10 +177,10 @@
 	return found, nil
 }
 
-// CompareAndSwap implements platform.Store.
-func (s *Store) CompareAndSwap(ctx context.Context, key string, expected platform.Revision, value []byte, id platform.LeaseID) (platform.Revision, error) {
-	if len(value) > platform.MaxValue {
-		return 0, platform.ErrTooLarge
+// CompareAndSwap implements outside.Store.
+func (s *Store) CompareAndSwap(ctx context.Context, key string, expected outside.Revision, value []byte, id outside.LeaseID) (outside.Revision, error) {
+	if len(value) > outside.MaxValue {
+		return 0, outside.ErrTooLarge
 	}
 	if value == nil {
 		value = []byte{}
@@ -192,12 +192,12 @@
 	defer s.mu.Unlock()
 	s.expire()
 	if s.currentRevision(key) != expected {
-		return 0, platform.ErrConflict
+		return 0, outside.ErrConflict
 	}
 	if id != 0 {
 		held, ok := s.leases[id]
 		if !ok {
-			return 0, platform.ErrLeaseLost
+			return 0, outside.ErrLeaseLost
 		}
 		held.keys[key] = true
 	}
@@ -205,8 +205,8 @@
 	return revision, s.answered()
 }
 
-// Delete implements platform.Store.
-func (s *Store) Delete(ctx context.Context, key string, expected platform.Revision) error {
+// Delete implements outside.Store.
+func (s *Store) Delete(ctx context.Context, key string, expected outside.Revision) error {
 	if err := s.admit(ctx, s.writes, countWrite); err != nil {
 		return err
 	}
@@ -214,13 +214,13 @@
 	defer s.mu.Unlock()
 	s.expire()
 	if s.currentRevision(key) != expected {
-		return platform.ErrConflict
+		return outside.ErrConflict
 	}
 	s.write(key, nil)
 	return s.answered()
 }
 
-func (s *Store) currentRevision(key string) platform.Revision {
+func (s *Store) currentRevision(key string) outside.Revision {
 	entry := s.entries[key]
 	if entry.Value == nil {
 		return 0
@@ -229,16 +229,16 @@
 }
 
 // write stores a value, or a deletion when it is nil, and wakes the watches.
-func (s *Store) write(key string, value []byte) platform.Revision {
+func (s *Store) write(key string, value []byte) outside.Revision {
 	s.revision++
-	s.entries[key] = platform.Entry{Key: key, Value: value, Revision: s.revision}
+	s.entries[key] = outside.Entry{Key: key, Value: value, Revision: s.revision}
 	close(s.changed)
 	s.changed = make(chan struct{})
 	return s.revision
 }
 
-// Grant implements platform.Store.
-func (s *Store) Grant(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+// Grant implements outside.Store.
+func (s *Store) Grant(ctx context.Context, ttl time.Duration) (outside.LeaseID, error) {
 	if err := s.admit(ctx, s.writes, countWrite); err != nil {
 		return 0, err
 	}
@@ -249,8 +249,8 @@
 	return s.lastID, s.answered()
 }
 
-// KeepAlive implements platform.Store.
-func (s *Store) KeepAlive(ctx context.Context, id platform.LeaseID) error {
+// KeepAlive implements outside.Store.
+func (s *Store) KeepAlive(ctx context.Context, id outside.LeaseID) error {
 	if err := s.admit(ctx, s.writes, countWrite); err != nil {
 		return err
 	}
@@ -259,14 +259,14 @@
 	s.expire()
 	held, ok := s.leases[id]
 	if !ok {
-		return platform.ErrLeaseLost
+		return outside.ErrLeaseLost
 	}
 	held.expires = time.Now().Add(held.ttl)
 	return s.answered()
 }
 
-// Revoke implements platform.Store.
-func (s *Store) Revoke(ctx context.Context, id platform.LeaseID) error {
+// Revoke implements outside.Store.
+func (s *Store) Revoke(ctx context.Context, id outside.LeaseID) error {
 	if err := s.admit(ctx, s.writes, countWrite); err != nil {
 		return err
 	}
@@ -289,7 +289,7 @@
 	}
 }
 
-func (s *Store) end(id platform.LeaseID, held *lease) {
+func (s *Store) end(id outside.LeaseID, held *lease) {
 	delete(s.leases, id)
 	for key := range held.keys {
 		if s.entries[key].Value != nil {
@@ -298,10 +298,10 @@
 	}
 }
 
-// Watch implements platform.Store. It counts as one read.
-func (s *Store) Watch(ctx context.Context, prefix string, after platform.Revision, wait time.Duration) (platform.Changes, error) {
+// Watch implements outside.Store. It counts as one read.
+func (s *Store) Watch(ctx context.Context, prefix string, after outside.Revision, wait time.Duration) (outside.Changes, error) {
 	if err := s.admit(ctx, s.reads, countRead); err != nil {
-		return platform.Changes{}, err
+		return outside.Changes{}, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
@@ -311,7 +311,7 @@
 		changes, changed, down, lapse := s.since(prefix, after), s.changed, s.faults.Down, s.nextLapse()
 		s.mu.Unlock()
 		if down {
-			return platform.Changes{}, platform.ErrUnavailable
+			return outside.Changes{}, outside.ErrUnavailable
 		}
 		if len(changes.Entries) > 0 || !await(ctx, changed, lapse) {
 			return changes, nil
@@ -341,8 +341,8 @@
 	return max(0, first)
 }
 
-func (s *Store) since(prefix string, after platform.Revision) platform.Changes {
-	changes := platform.Changes{Through: s.revision}
+func (s *Store) since(prefix string, after outside.Revision) outside.Changes {
+	changes := outside.Changes{Through: s.revision}
 	for key, entry := range s.entries {
 		if entry.Revision > after && strings.HasPrefix(key, prefix) {
 			changes.Entries = append(changes.Entries, entry)
--- a/histories/network_test.go
+++ b/histories/network_test.go
@@ -13,7 +13,7 @@
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
 	"github.com/flamingobeam/flamingobeam/emulate/store"
 	"github.com/flamingobeam/flamingobeam/kernel"
-	"github.com/flamingobeam/flamingobeam/platform"
+	"github.com/flamingobeam/flamingobeam/outside"
 )
 
 // callDelay is how long a call over a cut link waits before it fails.
@@ -89,56 +89,56 @@
 		case <-time.After(callDelay):
 		case <-ctx.Done():
 		}
-		return none, platform.ErrUnavailable
+		return none, outside.ErrUnavailable
 	}
 	ctx, cancel := s.network.whileLinked(ctx, s.host)
 	defer cancel()
 	value, err := call(ctx)
 	if cut, _ := s.network.storeIsCut(s.host); cut || ctx.Err() != nil {
-		return none, platform.ErrUnavailable
+		return none, outside.ErrUnavailable
 	}
 	return value, err
 }
 
-func (s linkedStore) Get(ctx context.Context, key string) (platform.Entry, error) {
-	return over(ctx, s, func(ctx context.Context) (platform.Entry, error) { return s.Store.Get(ctx, key) })
+func (s linkedStore) Get(ctx context.Context, key string) (outside.Entry, error) {
+	return over(ctx, s, func(ctx context.Context) (outside.Entry, error) { return s.Store.Get(ctx, key) })
 }
 
-func (s linkedStore) List(ctx context.Context, prefix string) ([]platform.Entry, error) {
-	return over(ctx, s, func(ctx context.Context) ([]platform.Entry, error) { return s.Store.List(ctx, prefix) })
+func (s linkedStore) List(ctx context.Context, prefix string) ([]outside.Entry, error) {
+	return over(ctx, s, func(ctx context.Context) ([]outside.Entry, error) { return s.Store.List(ctx, prefix) })
 }
 
-func (s linkedStore) CompareAndSwap(ctx context.Context, key string, expected platform.Revision, value []byte, lease platform.LeaseID) (platform.Revision, error) {
-	return over(ctx, s, func(ctx context.Context) (platform.Revision, error) {
+func (s linkedStore) CompareAndSwap(ctx context.Context, key string, expected outside.Revision, value []byte, lease outside.LeaseID) (outside.Revision, error) {
+	return over(ctx, s, func(ctx context.Context) (outside.Revision, error) {
 		return s.Store.CompareAndSwap(ctx, key, expected, value, lease)
 	})
 }
 
-func (s linkedStore) Grant(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
-	return over(ctx, s, func(ctx context.Context) (platform.LeaseID, error) { return s.Store.Grant(ctx, ttl) })
+func (s linkedStore) Grant(ctx context.Context, ttl time.Duration) (outside.LeaseID, error) {
+	return over(ctx, s, func(ctx context.Context) (outside.LeaseID, error) { return s.Store.Grant(ctx, ttl) })
 }
 
-func (s linkedStore) KeepAlive(ctx context.Context, lease platform.LeaseID) error {
+func (s linkedStore) KeepAlive(ctx context.Context, lease outside.LeaseID) error {
 	_, err := over(ctx, s, func(ctx context.Context) (struct{}, error) { return struct{}{}, s.Store.KeepAlive(ctx, lease) })
 	return err
 }
 
-func (s linkedStore) Revoke(ctx context.Context, lease platform.LeaseID) error {
+func (s linkedStore) Revoke(ctx context.Context, lease outside.LeaseID) error {
 	_, err := over(ctx, s, func(ctx context.Context) (struct{}, error) { return struct{}{}, s.Store.Revoke(ctx, lease) })
 	return err
 }
 
-func (s linkedStore) Watch(ctx context.Context, prefix string, after platform.Revision, wait time.Duration) (platform.Changes, error) {
-	return over(ctx, s, func(ctx context.Context) (platform.Changes, error) { return s.Store.Watch(ctx, prefix, after, wait) })
+func (s linkedStore) Watch(ctx context.Context, prefix string, after outside.Revision, wait time.Duration) (outside.Changes, error) {
+	return over(ctx, s, func(ctx context.Context) (outside.Changes, error) { return s.Store.Watch(ctx, prefix, after, wait) })
 }
 
 // clients takes the place of the service "platform.clients".
 type clients struct {
 	kernel.Base
-	store platform.Store
+	store outside.Store
 }
 
-func (c *clients) Platform() platform.Clients { return platform.Clients{Store: c.store} }
+func (c *clients) Platform() outside.Clients { return outside.Clients{Store: c.store} }
 
 // link takes the place of the services "rpc.peers" and "rpc.server": net/rpc
 // over pipes in memory.
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -52,6 +52,9 @@
 	Registry *Registry
 	// Services are the names to load; what they need is loaded as well.
 	Services []Name
+	// Provide names, for a service, another registered one that is loaded in
+	// its place; nil changes nothing.
+	Provide map[Name]Name
 	// Config is handed to the services; see ConfigOf.
 	Config any
 	// Clock is the source of time; nil means the real clock.
@@ -152,6 +155,9 @@
 
 // load provisions a service after those that it looks up.
 func (k *Kernel) load(name Name) (Service, error) {
+	if other, ok := k.options.Provide[name]; ok {
+		name = other
+	}
 	if service, ok := k.loaded[name]; ok {
 		return service, nil
 	}
@@ -223,6 +229,9 @@
 // Loaded returns a service of a kernel that has been started. It fails with
 // ErrUnknownService when it was not loaded, or ErrWrongType.
 func Loaded[T any](k *Kernel, name Name) (T, error) {
+	if other, ok := k.options.Provide[name]; ok {
+		name = other
+	}
 	service, ok := k.loaded[name]
 	if !ok {
 		var none T
--- a/platform/httpclient/backend.go
+++ b/outside/httpclient/backend.go
@@ -14,7 +14,7 @@
 
 	"github.com/flamingobeam/flamingobeam/coord/result"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
-	"github.com/flamingobeam/flamingobeam/platform"
+	"github.com/flamingobeam/flamingobeam/outside"
 )
 
 // Backend is a client of backend servers. It is safe for concurrent use.
@@ -25,8 +25,8 @@
 }
 
 var (
-	_ platform.PlainService = (*Backend)(nil)
-	_ platform.Engine       = (*Backend)(nil)
+	_ outside.PlainService = (*Backend)(nil)
+	_ outside.Engine       = (*Backend)(nil)
 )
 
 // NewBackend returns a client that opens connections with dial.
@@ -65,12 +65,12 @@
 	return result.Wrap(result.NoBackend, err)
 }
 
-// Do implements platform.PlainService.
-func (b *Backend) Do(ctx context.Context, address string, call platform.Call) (platform.Answer, error) {
+// Do implements outside.PlainService.
+func (b *Backend) Do(ctx context.Context, address string, call outside.Call) (outside.Answer, error) {
 	var trace sendTrace
 	request, err := http.NewRequestWithContext(trace.attach(ctx), call.Method, "http://"+address+call.Path, bytes.NewReader(call.Body))
 	if err != nil {
-		return platform.Answer{}, result.Wrap(result.BadRequest, err)
+		return outside.Answer{}, result.Wrap(result.BadRequest, err)
 	}
 	// A body without GetBody keeps the transport from sending it twice.
 	request.GetBody = nil
@@ -81,26 +81,26 @@
 	}
 	response, err := client.Do(request)
 	if err != nil {
-		return platform.Answer{}, trace.failure(err)
+		return outside.Answer{}, trace.failure(err)
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer+1))
 	if err != nil {
-		return platform.Answer{}, result.Wrap(result.AnswerCut, err)
+		return outside.Answer{}, result.Wrap(result.AnswerCut, err)
 	}
 	if len(body) > maxAnswer {
-		return platform.Answer{}, result.New(result.AnswerCut, "the answer is over %d bytes", maxAnswer)
+		return outside.Answer{}, result.New(result.AnswerCut, "the answer is over %d bytes", maxAnswer)
 	}
-	return platform.Answer{
+	return outside.Answer{
 		Status:      response.StatusCode,
 		ContentType: response.Header.Get(headerContentType),
 		Body:        body,
 	}, nil
 }
 
-// Generate implements platform.Engine. The engine answers with a line of JSON
+// Generate implements outside.Engine. The engine answers with a line of JSON
 // for each chunk.
-func (b *Backend) Generate(ctx context.Context, address string, generation platform.Generation, each func(platform.Chunk) error) error {
+func (b *Backend) Generate(ctx context.Context, address string, generation outside.Generation, each func(outside.Chunk) error) error {
 	var trace sendTrace
 	body, err := json.Marshal(generation)
 	if err != nil {
@@ -128,11 +128,11 @@
 }
 
 // readChunks calls each for every line until the chunk marked as the last.
-func readChunks(body io.Reader, each func(platform.Chunk) error) error {
+func readChunks(body io.Reader, each func(outside.Chunk) error) error {
 	lines := bufio.NewScanner(body)
 	lines.Buffer(nil, maxAnswer)
 	for lines.Scan() {
-		var chunk platform.Chunk
+		var chunk outside.Chunk
 		if err := json.Unmarshal(lines.Bytes(), &chunk); err != nil {
 			return result.Wrap(result.AnswerCut, err)
 		}
@@ -149,20 +149,20 @@
 	return result.Wrap(result.AnswerCut, errors.Errorf("the stream ended without its last chunk: %v", lines.Err()))
 }
 
-// Cancel implements platform.Engine.
+// Cancel implements outside.Engine.
 func (b *Backend) Cancel(ctx context.Context, address string, id string) error {
 	return call(ctx, b.client, "http://"+address+PathCancel, CancelRequest{ID: id}, nil)
 }
 
-// Load implements platform.Engine.
-func (b *Backend) Load(ctx context.Context, address string) (platform.Load, error) {
-	var load platform.Load
+// Load implements outside.Engine.
+func (b *Backend) Load(ctx context.Context, address string) (outside.Load, error) {
+	var load outside.Load
 	err := call(ctx, b.client, "http://"+address+PathLoad, struct{}{}, &load)
 	return load, err
 }
 
-// Order implements platform.Engine.
-func (b *Backend) Order(ctx context.Context, address string, order platform.Order) (structs.WeightVersion, error) {
+// Order implements outside.Engine.
+func (b *Backend) Order(ctx context.Context, address string, order outside.Order) (structs.WeightVersion, error) {
 	var reply OrderReply
 	err := call(ctx, b.client, "http://"+address+PathOrder, order, &reply)
 	return reply.Version, err
--- a/platform/httpclient/chunks_test.go
+++ b/outside/httpclient/chunks_test.go
@@ -7,7 +7,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/flamingobeam/flamingobeam/coord/result"
-	"github.com/flamingobeam/flamingobeam/platform"
+	"github.com/flamingobeam/flamingobeam/outside"
 )
 
 // FuzzReadChunks holds that a stream counts as whole only if its last chunk
@@ -17,8 +17,8 @@
 	f.Add([]byte("{\"tokens\":-1,\"last\":true}"))
 	f.Add([]byte("{\"text\":\"cut"))
 	f.Fuzz(func(t *testing.T, body []byte) {
-		var last platform.Chunk
-		err := readChunks(bytes.NewReader(body), func(chunk platform.Chunk) error {
+		var last outside.Chunk
+		err := readChunks(bytes.NewReader(body), func(chunk outside.Chunk) error {
 			must.False(t, last.Last)
 			must.Between(t, 0, chunk.Tokens, maxChunkTokens)
 			last = chunk
--- a/platform/httpclient/store.go
+++ b/outside/httpclient/store.go
@@ -8,7 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/flamingobeam/flamingobeam/coord/structs"
-	"github.com/flamingobeam/flamingobeam/platform"
+	"github.com/flamingobeam/flamingobeam/outside"
 )
 
 // Store is a client of the key-value service, the host list and the weight
@@ -19,9 +19,9 @@
 }
 
 var (
-	_ platform.Store       = (*Store)(nil)
-	_ platform.HostList    = (*Store)(nil)
-	_ platform.WeightStore = (*Store)(nil)
+	_ outside.Store       = (*Store)(nil)
+	_ outside.HostList    = (*Store)(nil)
+	_ outside.WeightStore = (*Store)(nil)
 )
 
 // NewStore returns a client of the service at an IP number and port.
@@ -30,12 +30,12 @@
 }
 
 var statusErrors = map[int]error{
-	http.StatusNotFound:              platform.ErrNotFound,
-	http.StatusConflict:              platform.ErrConflict,
-	http.StatusTooManyRequests:       platform.ErrRateLimited,
-	http.StatusRequestEntityTooLarge: platform.ErrTooLarge,
-	http.StatusGone:                  platform.ErrLeaseLost,
-	http.StatusPreconditionFailed:    platform.ErrFenced,
+	http.StatusNotFound:              outside.ErrNotFound,
+	http.StatusConflict:              outside.ErrConflict,
+	http.StatusTooManyRequests:       outside.ErrRateLimited,
+	http.StatusRequestEntityTooLarge: outside.ErrTooLarge,
+	http.StatusGone:                  outside.ErrLeaseLost,
+	http.StatusPreconditionFailed:    outside.ErrFenced,
 }
 
 // call makes a call and turns statuses into the errors of package platform.
@@ -45,16 +45,16 @@
 		return known
 	}
 	if err != nil {
-		return errors.Wrap(platform.ErrUnavailable, err.Error())
+		return errors.Wrap(outside.ErrUnavailable, err.Error())
 	}
 	if status != http.StatusOK {
-		return errors.Wrapf(platform.ErrUnavailable, "status %d", status)
+		return errors.Wrapf(outside.ErrUnavailable, "status %d", status)
 	}
 	return nil
 }
 
 func (s *Store) call(ctx context.Context, path string, message, answer any) error {
-	ctx, cancel := context.WithTimeout(ctx, platform.CallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, outside.CallTimeout)
 	defer cancel()
 	return call(ctx, s.client, s.base+path, message, answer)
 }
@@ -66,67 +66,67 @@
 	return call(ctx, s.client, s.base+path, message, answer)
 }
 
-// Get implements platform.Store.
-func (s *Store) Get(ctx context.Context, key string) (platform.Entry, error) {
-	var entry platform.Entry
+// Get implements outside.Store.
+func (s *Store) Get(ctx context.Context, key string) (outside.Entry, error) {
+	var entry outside.Entry
 	err := s.call(ctx, PathGet, KeyRequest{Key: key}, &entry)
 	return entry, err
 }
 
-// List implements platform.Store.
-func (s *Store) List(ctx context.Context, prefix string) ([]platform.Entry, error) {
+// List implements outside.Store.
+func (s *Store) List(ctx context.Context, prefix string) ([]outside.Entry, error) {
 	var reply ListReply
 	err := s.call(ctx, PathList, KeyRequest{Key: prefix}, &reply)
 	return reply.Entries, err
 }
 
-// CompareAndSwap implements platform.Store.
-func (s *Store) CompareAndSwap(ctx context.Context, key string, expected platform.Revision, value []byte, lease platform.LeaseID) (platform.Revision, error) {
-	if len(value) > platform.MaxValue {
-		return 0, platform.ErrTooLarge
+// CompareAndSwap implements outside.Store.
+func (s *Store) CompareAndSwap(ctx context.Context, key string, expected outside.Revision, value []byte, lease outside.LeaseID) (outside.Revision, error) {
+	if len(value) > outside.MaxValue {
+		return 0, outside.ErrTooLarge
 	}
 	var reply SwapReply
 	err := s.call(ctx, PathSwap, SwapRequest{Key: key, Expected: expected, Value: value, Lease: lease}, &reply)
 	return reply.Revision, err
 }
 
-// Delete implements platform.Store.
-func (s *Store) Delete(ctx context.Context, key string, expected platform.Revision) error {
+// Delete implements outside.Store.
+func (s *Store) Delete(ctx context.Context, key string, expected outside.Revision) error {
 	return s.call(ctx, PathDelete, SwapRequest{Key: key, Expected: expected}, nil)
 }
 
-// Grant implements platform.Store.
-func (s *Store) Grant(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+// Grant implements outside.Store.
+func (s *Store) Grant(ctx context.Context, ttl time.Duration) (outside.LeaseID, error) {
 	var reply LeaseReply
 	err := s.call(ctx, PathGrant, LeaseRequest{TTL: ttl}, &reply)
 	return reply.Lease, err
 }
 
-// KeepAlive implements platform.Store.
-func (s *Store) KeepAlive(ctx context.Context, lease platform.LeaseID) error {
+// KeepAlive implements outside.Store.
+func (s *Store) KeepAlive(ctx context.Context, lease outside.LeaseID) error {
 	return s.call(ctx, PathKeepAlive, LeaseRequest{Lease: lease}, nil)
 }
 
-// Revoke implements platform.Store.
-func (s *Store) Revoke(ctx context.Context, lease platform.LeaseID) error {
+// Revoke implements outside.Store.
+func (s *Store) Revoke(ctx context.Context, lease outside.LeaseID) error {
 	return s.call(ctx, PathRevoke, LeaseRequest{Lease: lease}, nil)
 }
 
-// Watch implements platform.Store.
-func (s *Store) Watch(ctx context.Context, prefix string, after platform.Revision, wait time.Duration) (platform.Changes, error) {
-	var changes platform.Changes
+// Watch implements outside.Store.
+func (s *Store) Watch(ctx context.Context, prefix string, after outside.Revision, wait time.Duration) (outside.Changes, error) {
+	var changes outside.Changes
 	err := s.wait(ctx, wait, PathWatch, WatchRequest{Prefix: prefix, After: after, Wait: wait}, &changes)
 	return changes, err
 }
 
-// Hosts implements platform.HostList.
-func (s *Store) Hosts(ctx context.Context, zone structs.ZoneName, after uint64, wait time.Duration) (platform.HostChanges, error) {
-	var changes platform.HostChanges
+// Hosts implements outside.HostList.
+func (s *Store) Hosts(ctx context.Context, zone structs.ZoneName, after uint64, wait time.Duration) (outside.HostChanges, error) {
+	var changes outside.HostChanges
 	err := s.wait(ctx, wait, PathHosts, HostsRequest{Zone: zone, After: after, Wait: wait}, &changes)
 	return changes, err
 }
 
-// Newest implements platform.WeightStore.
+// Newest implements outside.WeightStore.
 func (s *Store) Newest(ctx context.Context, model structs.ServiceName, after structs.WeightVersion, wait time.Duration) (structs.WeightVersion, error) {
 	var reply WeightsReply
 	err := s.wait(ctx, wait, PathWeights, WeightsRequest{Model: model, After: after, Wait: wait}, &reply)
--- a/platform/httpclient/wire.go
+++ b/outside/httpclient/wire.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/flamingobeam/flamingobeam/coord/structs"
-	"github.com/flamingobeam/flamingobeam/platform"
+	"github.com/flamingobeam/flamingobeam/outside"
 )
 
 // The paths of the platform's HTTP interfaces, each called by POST with the
@@ -33,38 +33,38 @@
 
 // SwapRequest asks for a conditional write or delete.
 type SwapRequest struct {
-	Key      string            `json:"key"`
-	Expected platform.Revision `json:"expected"`
-	Value    []byte            `json:"value,omitempty"`
-	Lease    platform.LeaseID  `json:"lease,omitempty"`
+	Key      string           `json:"key"`
+	Expected outside.Revision `json:"expected"`
+	Value    []byte           `json:"value,omitempty"`
+	Lease    outside.LeaseID  `json:"lease,omitempty"`
 }
 
 // SwapReply gives the new revision.
 type SwapReply struct {
-	Revision platform.Revision `json:"revision"`
+	Revision outside.Revision `json:"revision"`
 }
 
 // ListReply gives entries.
 type ListReply struct {
-	Entries []platform.Entry `json:"entries"`
+	Entries []outside.Entry `json:"entries"`
 }
 
 // LeaseRequest asks about a lease.
 type LeaseRequest struct {
-	Lease platform.LeaseID `json:"lease,omitempty"`
-	TTL   time.Duration    `json:"ttl,omitempty"`
+	Lease outside.LeaseID `json:"lease,omitempty"`
+	TTL   time.Duration   `json:"ttl,omitempty"`
 }
 
 // LeaseReply names a lease.
 type LeaseReply struct {
-	Lease platform.LeaseID `json:"lease"`
+	Lease outside.LeaseID `json:"lease"`
 }
 
 // WatchRequest waits for writes under a prefix.
 type WatchRequest struct {
-	Prefix string            `json:"prefix"`
-	After  platform.Revision `json:"after"`
-	Wait   time.Duration     `json:"wait"`
+	Prefix string           `json:"prefix"`
+	After  outside.Revision `json:"after"`
+	Wait   time.Duration    `json:"wait"`
 }
 
 // HostsRequest waits for a newer host list.
--- a/scripts/check-imports.sh
+++ b/scripts/check-imports.sh
@@ -25,8 +25,8 @@
   "$(imports ./coord/... | grep -E " $root/" | grep -v " $root/coord")"
 report "kernel must import nothing of the project" \
   "$(imports ./kernel/... | grep -E " $root/" | grep -v " $root/kernel")"
-report "platform may import only coord" \
-  "$(imports ./platform/... | grep -E " $root/" | grep -vE " $root/(coord|platform)")"
+report "outside may import only coord" \
+  "$(imports ./outside/... | grep -E " $root/" | grep -vE " $root/(coord|outside)")"
 report "services must find each other by name" \
   "$(imports ./daemon/services/... | grep -E "^$root/daemon/services/([^/ ]+)[^ ]* $root/daemon/services/" |
      awk -v p="$root/daemon/services/" '{ a=$1; b=$2; sub(p,"",a); sub(p,"",b); sub("/.*","",a); sub("/.*","",b); if (a!=b) print }')"
