Ask an engine for its count of orders before the first order

Cause: the field of an entry that counts its writes was taken for the count of orders, so that every order was refused as out of turn. Ruled out: sending no count, which would let a late order act after a newer one.

--- a/coord/catalog/catalog.go
+++ b/coord/catalog/catalog.go
@@ -168,8 +168,6 @@
 	// Started is the Unix millisecond of the server's start; a server that
 	// starts again under its old ID has another one.
 	Started int64
-	// Orders counts the orders that the server has accepted since its start.
-	Orders uint64
 	// Versions are the weights that the server says it runs, by model.
 	Versions map[structs.ServiceName]structs.WeightVersion
 }
--- a/daemon/services/swaps/swaps.go
+++ b/daemon/services/swaps/swaps.go
@@ -69,9 +69,11 @@
 
 // engine is what the leader knows of a model engine.
 type engine struct {
-	started  int64
-	orders   uint64
-	versions map[structs.ServiceName]structs.WeightVersion
+	started int64
+	// orders counts the orders that the engine has accepted, once isCounted.
+	orders    uint64
+	isCounted bool
+	versions  map[structs.ServiceName]structs.WeightVersion
 	// busy is set while an order is given or carried out.
 	busy bool
 	// retry is when the next order may be given after a failed one.
@@ -154,6 +156,11 @@
 			continue
 		}
 		loading++
+		if !known.isCounted {
+			known.busy = true
+			s.lookLater(st, known, 0)
+			continue
+		}
 		s.give(st, known)
 	}
 }
@@ -197,7 +204,6 @@
 		known = &engine{started: server.Started, versions: make(map[structs.ServiceName]structs.WeightVersion)}
 		s.engines[server.ID] = known
 	}
-	known.orders = max(known.orders, server.Orders)
 	for model, version := range server.Versions {
 		known.versions[model] = max(known.versions[model], version)
 	}
@@ -317,7 +323,7 @@
 		return
 	}
 	r.known.busy = false
-	r.known.orders = max(r.known.orders, r.said.Orders)
+	r.known.orders, r.known.isCounted = max(r.known.orders, r.said.Orders), true
 	for model, version := range r.said.Versions {
 		r.known.versions[model] = max(r.known.versions[model], version)
 	}
