Notice watches that were cut in silence, and tell all daemons of an engine's weights

One watch now waits 1.5 s at a time, and where one prefix lost history all are read whole. Waiting items all tried an engine that was not ready yet; one at a time does now, and the leader tells every daemon what an engine runs.

Ruled out: keep-alive probes, which the cut connection answered.

--- a/coord/placement/placement.go
+++ b/coord/placement/placement.go
@@ -136,7 +136,8 @@
 		}
 		expect := structs.WeightVersion(0)
 		if engine.Version < oldest {
-			if engine.Expected < oldest {
+			// One item at a time finds out whether the engine is ready.
+			if engine.Expected < oldest || engine.Own > 0 {
 				continue
 			}
 			expect = engine.Expected
--- a/daemon/contract/fleet.go
+++ b/daemon/contract/fleet.go
@@ -24,7 +24,7 @@
 	NameCatalog kernel.Name = "control.catalog"
 	// NameServers offers Servers.
 	NameServers kernel.Name = "control.servers"
-	// NameSwaps gives orders to change weights.
+	// NameSwaps offers Swaps and gives orders to change weights.
 	NameSwaps kernel.Name = "control.swaps"
 	// NameRetire answers orders to empty a storage host.
 	NameRetire kernel.Name = "control.retire"
@@ -48,12 +48,22 @@
 	Full bool
 }
 
+const (
+	// WatchShort is the wait of the watch that finds out for all when watches
+	// were cut in silence: a change must be in force within three seconds.
+	WatchShort = 1500 * time.Millisecond
+	// WatchLong is the wait of the others: each watch is charged as a call.
+	WatchLong = 15 * time.Second
+)
+
 // Ledger is the platform's store with a time limit on each call.
 type Ledger interface {
 	outside.Ledger
 	// Track hands all changes under a prefix to a handler on the control
-	// goroutine, in order. It must be called while services are provisioned.
-	Track(prefix string, handle func(News))
+	// goroutine, in order. Each watch waits for news so long; one that is cut
+	// is noticed no sooner, and has the other prefixes read again as well. It
+	// must be called while services are provisioned.
+	Track(prefix string, wait time.Duration, handle func(News))
 	// ReachedSince returns since when calls have been answered, and false
 	// while they are not. It may be called from any goroutine.
 	ReachedSince() (time.Time, bool)
@@ -233,6 +243,21 @@
 	Results []batch.Result
 }
 
+// EngineNews is what the leader learned of a model engine's weights.
+type EngineNews struct {
+	Server structs.HostName
+	// Started tells the engine's runs apart.
+	Started  int64
+	Versions map[structs.ServiceName]structs.WeightVersion
+}
+
+// Swaps tells which weights the model engines run.
+type Swaps interface {
+	// OnNews adds a function to call on the control goroutine for each piece
+	// of news. It must be called while services are provisioned.
+	OnNews(call func(EngineNews))
+}
+
 // Jobs runs batch jobs. Errors are of package result: NotFound is certain.
 type Jobs interface {
 	// Submit accepts a job, once for each ID. Source is the submitted body,
--- a/daemon/services/catalog/catalog.go
+++ b/daemon/services/catalog/catalog.go
@@ -46,7 +46,7 @@
 	s.log = ctx.Log()
 	s.view = kernel.NewSnapshot(&contract.CatalogView{Wanted: map[structs.ServiceName]structs.WeightVersion{}})
 	s.workspaces = kernel.NewSnapshot(&contract.SettingsView{})
-	ledger.Track(platform.OperatorPrefix, s.take)
+	ledger.Track(platform.OperatorPrefix, contract.WatchShort, s.take)
 	return nil
 }
 
--- a/daemon/services/dispatch/send.go
+++ b/daemon/services/dispatch/send.go
@@ -21,6 +21,9 @@
 // bytes; a longer one is passed on as it comes.
 const maxBuffered = 1 << 20
 
+// maxRefusal bounds what is read of a refusal, in bytes.
+const maxRefusal = 4 << 10
+
 // try is what came of sending a request to one server.
 type try struct {
 	forwarded contract.Forwarded
@@ -84,7 +87,11 @@
 	answer := platform.DecodeAnswer(response, request.ID)
 	code := codeOf(request, response.StatusCode, answer)
 	if code != result.OK && code != result.BackendBroke || !answer.Own {
-		// The body stays unread, which closes the connection.
+		if answer.NotRun {
+			// Read to its end, the connection serves again.
+			_, _ = io.CopyN(io.Discard, response.Body, maxRefusal)
+		}
+		// A body that stays unread closes the connection.
 		_ = response.Body.Close()
 		return try{err: result.New(code, "status %d", response.StatusCode)}
 	}
--- a/daemon/services/engines/engines.go
+++ b/daemon/services/engines/engines.go
@@ -39,6 +39,8 @@
 	// nextWithin bounds the wait for the next event: it is longer than the
 	// pause that a change of weights makes.
 	nextWithin = 1600 * time.Millisecond
+	// maxRefusal bounds what is read of a refusal, in bytes.
+	maxRefusal = 4 << 10
 )
 
 var (
@@ -128,6 +130,10 @@
 	run := contract.Run{Status: response.StatusCode, Version: answer.Version}
 	run.End, run.Err = begin(request, response.StatusCode, answer)
 	if run.Err != nil {
+		if answer.NotRun {
+			// Read to its end, the connection serves again.
+			_, _ = io.CopyN(io.Discard, response.Body, maxRefusal)
+		}
 		return run
 	}
 	request.Text.Version = answer.Version
--- a/daemon/services/gate/answer.go
+++ b/daemon/services/gate/answer.go
@@ -236,7 +236,9 @@
 
 // end ends a batch job.
 func (s *service) end(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
-	if err := s.jobs.End(r.Context(), params.ByName(platform.ParamID)); err != nil {
+	ctx, cancel := context.WithTimeout(r.Context(), acceptWithin)
+	defer cancel()
+	if err := s.jobs.End(ctx, params.ByName(platform.ParamID)); err != nil {
 		s.refuse(w, r, platform.DecodeRequest(r), err)
 		return
 	}
--- a/daemon/services/jobs/commit.go
+++ b/daemon/services/jobs/commit.go
@@ -157,6 +157,7 @@
 		return
 	}
 	if ended.written {
+		j.verified = s.loop.Now()
 		j.log = ended.log
 		j.pending = j.pending[min(len(ended.results), len(j.pending)):]
 		j.pendingSince = s.loop.Now()
@@ -174,3 +175,48 @@
 	}
 	s.commit(j)
 }
+
+// verifyAfter is how long an owner works on a job without a word of the store
+// that the job is still its own and not ended.
+const verifyAfter = 1500 * time.Millisecond
+
+// verdict is what the store says of an owned job.
+type verdict struct {
+	id    string
+	epoch uint64
+	own   ownRecord
+	err   error
+}
+
+// verify asks the store whether a job is still owned here.
+func (s *service) verify(j *job, now time.Time) {
+	if j.verifying || j.committing || now.Sub(j.verified) < verifyAfter {
+		return
+	}
+	j.verifying = true
+	id, epoch := j.ID, j.own.Epoch
+	s.workers.Go(func(ctx context.Context) {
+		came := verdict{id: id, epoch: epoch}
+		came.own, came.err = s.keeper.owner(ctx, id)
+		if err := s.verdicts.Post(came); err != nil {
+			s.log.WithError(err).WithField("job", id).Error("A word of the store is lost.")
+		}
+	})
+}
+
+func (s *service) verdictCame(came verdict) {
+	j := s.owned[came.id]
+	if j == nil || j.own.Epoch != came.epoch {
+		return
+	}
+	j.verifying = false
+	switch {
+	case came.err != nil:
+	case came.own.Epoch != j.own.Epoch:
+		s.drop(j, "another daemon owns it")
+	case came.own.Ended:
+		s.ended(j, came.own)
+	default:
+		j.verified = s.loop.Now()
+	}
+}
--- a/daemon/services/jobs/jobs.go
+++ b/daemon/services/jobs/jobs.go
@@ -53,6 +53,7 @@
 	runs      *kernel.Mailbox[runEnded]
 	judged    *kernel.Mailbox[judgement]
 	committed *kernel.Mailbox[commitEnded]
+	verdicts  *kernel.Mailbox[verdict]
 
 	// What follows belongs to the control goroutine.
 	owned     map[string]*job
@@ -91,6 +92,11 @@
 	if err != nil {
 		return err
 	}
+	swaps, err := kernel.Find[contract.Swaps](ctx, contract.NameSwaps)
+	if err != nil {
+		return err
+	}
+	swaps.OnNews(s.engineNews)
 	rpc, err := kernel.Find[contract.RPC](ctx, contract.NameRPC)
 	if err != nil {
 		return err
@@ -103,6 +109,7 @@
 	s.runs = kernel.NewMailbox(s.loop, mailboxCapacity, s.runEnded)
 	s.judged = kernel.NewMailbox(s.loop, mailboxCapacity, s.judgementCame)
 	s.committed = kernel.NewMailbox(s.loop, mailboxCapacity, s.commitCame)
+	s.verdicts = kernel.NewMailbox(s.loop, mailboxCapacity, s.verdictCame)
 	s.heirs.prepare(s)
 	s.loop.After(tickEvery, s.tick)
 	return rpc.Register(rpcName, &Receiver{service: s})
@@ -139,9 +146,13 @@
 	pending      []batch.Result
 	pendingSince time.Time
 	committing   bool
-	view         *kernel.Snapshot[jobView]
-	ctx          context.Context
-	cancel       context.CancelFunc
+	// verified is when the store last said that the job is owned here and not
+	// ended, and verifying is set while it is asked.
+	verified  time.Time
+	verifying bool
+	view      *kernel.Snapshot[jobView]
+	ctx       context.Context
+	cancel    context.CancelFunc
 }
 
 // jobView is the immutable snapshot of a job's log.
@@ -180,7 +191,7 @@
 	}
 	j := &job{
 		Job: *a.job, own: a.own, log: a.log,
-		submitted: time.UnixMilli(a.own.Submitted),
+		submitted: time.UnixMilli(a.own.Submitted), verified: s.loop.Now(),
 	}
 	j.ctx, j.cancel = context.WithCancel(context.Background())
 	listed := make(map[batch.ItemID]bool, len(a.results))
--- a/daemon/services/jobs/read.go
+++ b/daemon/services/jobs/read.go
@@ -21,8 +21,8 @@
 	// peerWithin bounds a call to the owner beyond the wait that it is asked
 	// for: a round trip between regions and the owner's turn.
 	peerWithin = 500 * time.Millisecond
-	// endAttempts bounds the attempts to write that a job has ended.
-	endAttempts = 20
+	// tellAttempts bounds the attempts to tell an owner that its job was ended.
+	tellAttempts = 3
 )
 
 type ownerEntry struct {
@@ -172,11 +172,26 @@
 	return nil, result.New(result.NotFound, "item %s of batch job %s", wanted, id)
 }
 
-// End implements contract.Jobs.
+// End implements contract.Jobs. An end that could not be written for its caller
+// is written later all the same: the caller wants no more work done.
 func (s *service) End(ctx context.Context, id string) error {
+	err := s.end(ctx, id)
+	if err != nil && result.CodeOf(err) != result.NotFound {
+		s.log.WithError(err).WithField("job", id).Warn("The end of a batch job is not written yet.")
+		s.workers.Go(func(ctx context.Context) {
+			ctx, cancel := context.WithTimeout(ctx, settleWithin)
+			defer cancel()
+			if err := s.end(ctx, id); err != nil {
+				s.log.WithError(err).WithField("job", id).Warn("The end of a batch job was not written.")
+			}
+		})
+	}
+	return err
+}
+
+func (s *service) end(ctx context.Context, id string) error {
 	pause := newPause()
-	var last error
-	for range endAttempts {
+	for {
 		own, err := s.keeper.owner(ctx, id)
 		if errors.Is(err, errGone) {
 			return s.unread(id, err)
@@ -190,33 +205,36 @@
 			s.tellEnded(id, own)
 			return nil
 		}
-		last = err
+		wait := time.Duration(0)
 		if !errors.Is(err, outside.ErrConflict) {
-			select {
-			case <-time.After(pause.NextBackOff()):
-			case <-ctx.Done():
-				return result.Wrap(result.StoreUnavailable, last)
-			}
+			wait = pause.NextBackOff()
+		}
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+			return result.Wrap(result.StoreUnavailable, err)
 		}
 	}
-	return result.Wrap(result.StoreUnavailable, last)
 }
 
-// tellEnded lets the owner know at once; it would find out at its next write.
+// tellEnded lets the owner know at once; it would find out by itself later.
 func (s *service) tellEnded(id string, own ownRecord) {
 	s.rememberOwner(id, own)
-	if address := s.addressOf(own.Owner); address != "" {
-		s.workers.Go(func(ctx context.Context) {
+	s.workers.Go(func(ctx context.Context) {
+		address := s.addressOf(own.Owner)
+		if address == "" {
+			if err := s.calls.Do(ctx, func() { s.endHere(id, own) }); err != nil {
+				s.log.WithError(err).WithField("job", id).Warn("The end of an owned job was not taken in.")
+			}
+			return
+		}
+		for range tellAttempts {
 			var reply struct{}
-			if err := s.call(ctx, address, "Ended", EndedRPC{ID: id, Own: own.Ownership, Revision: uint64(own.revision)}, &reply, 0); err != nil {
-				s.log.WithError(err).WithField("job", id).Info("The owner was not told that its job was ended.")
+			err := s.call(ctx, address, "Ended", EndedRPC{ID: id, Own: own.Ownership, Revision: uint64(own.revision)}, &reply, 0)
+			if err == nil {
+				return
 			}
-		})
-		return
-	}
-	s.workers.Go(func(ctx context.Context) {
-		if err := s.calls.Do(ctx, func() { s.endHere(id, own) }); err != nil {
-			s.log.WithError(err).WithField("job", id).Warn("The end of an owned job was not taken in.")
+			s.log.WithError(err).WithField("job", id).Info("The owner was not told that its job was ended.")
 		}
 	})
 }
--- a/daemon/services/jobs/schedule.go
+++ b/daemon/services/jobs/schedule.go
@@ -28,7 +28,7 @@
 	blockedFor = 250 * time.Millisecond
 	// loadWithin is how long after a version was named an engine that should
 	// run it is asked for it before it has said so.
-	loadWithin = 1300 * time.Millisecond
+	loadWithin = 2500 * time.Millisecond
 	// rewardWithin bounds one round of attempts at a reward call.
 	rewardWithin = 4 * time.Second
 	// rewardPause is the pause before a failed reward call is made again.
@@ -128,6 +128,22 @@
 	return known
 }
 
+// engineNews takes in what the leader learned of an engine.
+func (s *service) engineNews(news contract.EngineNews) {
+	server, listed := s.servers.Entries().Load().All[news.Server]
+	if !listed || server.Started != news.Started {
+		return
+	}
+	known := s.engine(server)
+	for model, version := range news.Versions {
+		if version > known.versions[model] {
+			known.versions[model] = version
+			delete(known.blocked, model)
+		}
+	}
+	s.wake()
+}
+
 // wake has the waiting items placed in this turn of the control loop.
 func (s *service) wake() {
 	if s.scheduled {
@@ -144,6 +160,7 @@
 	for _, j := range s.owned {
 		if j.open() {
 			s.watch(j, now)
+			s.verify(j, now)
 		}
 		s.sweep(j, now)
 	}
--- a/daemon/services/ledger/ledger.go
+++ b/daemon/services/ledger/ledger.go
@@ -28,9 +28,9 @@
 	// callTimeout bounds a call: the store answers in 4 ms, and sixty times
 	// slower while it is overloaded.
 	callTimeout = 1500 * time.Millisecond
-	// followWait is how long a watch waits for news. Each watch is charged as
-	// a call, so it is long; keep-alive probes find a dead connection sooner.
-	followWait = 15 * time.Second
+	// answerWithin bounds the wait for a watch's answer beyond the time that
+	// it was asked to wait.
+	answerWithin = 700 * time.Millisecond
 	// retryFirst and retryMost bound the pause before a failed call to the
 	// store is made again.
 	retryFirst = 60 * time.Millisecond
@@ -135,6 +135,21 @@
 	}
 }
 
+// resync has every prefix read whole: where one watch lost history, the others
+// may be cut as well and not know it.
+func (s *service) resync() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	last := s.reach.Load()
+	if last.since.IsZero() {
+		return
+	}
+	next := &reach{since: last.since}
+	next.lost, next.lose = context.WithCancel(context.Background())
+	s.reach.Publish(next)
+	last.lose()
+}
+
 // isAbsence reports whether an error means that the store does not serve.
 func isAbsence(err error) bool {
 	return errors.Is(err, outside.ErrUnavailable) || errors.Is(err, outside.ErrRefused)
@@ -170,7 +185,7 @@
 // Follow implements outside.Ledger.
 func (s *service) Follow(ctx context.Context, prefix string, after outside.Revision, wait time.Duration) ([]outside.Record, outside.Revision, error) {
 	revision := after
-	records, err := timed(ctx, s, "follow", wait+callTimeout, func(ctx context.Context) ([]outside.Record, error) {
+	records, err := timed(ctx, s, "follow", wait+answerWithin, func(ctx context.Context) ([]outside.Record, error) {
 		records, through, err := s.store.Follow(ctx, prefix, after, wait)
 		revision = through
 		return records, err
@@ -216,13 +231,14 @@
 type track struct {
 	service *service
 	prefix  string
+	wait    time.Duration
 	news    *kernel.Mailbox[contract.News]
 }
 
 // Track implements contract.Ledger.
-func (s *service) Track(prefix string, handle func(contract.News)) {
+func (s *service) Track(prefix string, wait time.Duration, handle func(contract.News)) {
 	s.tracks = append(s.tracks, &track{
-		service: s, prefix: prefix, news: kernel.NewMailbox(s.loop, newsCapacity, handle),
+		service: s, prefix: prefix, wait: wait, news: kernel.NewMailbox(s.loop, newsCapacity, handle),
 	})
 }
 
@@ -238,13 +254,15 @@
 		} else {
 			revision, err = t.whole(ctx)
 		}
-		known = (known || err == nil) && !errors.Is(err, outside.ErrCompacted)
+		// A watch that was cut may have missed news that came before the cut.
+		known = err == nil
 		if err == nil {
 			pause.Reset()
 			continue
 		}
 		if errors.Is(err, outside.ErrCompacted) {
-			t.service.log.WithField("prefix", t.prefix).Info("The history is gone; the prefix is read whole.")
+			t.service.log.WithField("prefix", t.prefix).Info("The history is gone; the prefixes are read whole.")
+			t.service.resync()
 			continue
 		}
 		t.rest(ctx, pause.NextBackOff())
@@ -291,7 +309,7 @@
 		defer cancel()
 		defer context.AfterFunc(lost, cancel)()
 	}
-	records, through, err := t.service.Follow(ctx, t.prefix, after, followWait)
+	records, through, err := t.service.Follow(ctx, t.prefix, after, t.wait)
 	if err != nil || len(records) == 0 {
 		return through, err
 	}
--- a/daemon/services/retire/retire.go
+++ b/daemon/services/retire/retire.go
@@ -43,7 +43,7 @@
 	if s.ledger, err = kernel.Find[contract.Ledger](ctx, contract.NameLedger); err != nil {
 		return err
 	}
-	s.ledger.Track(platform.RetirePrefix, s.take)
+	s.ledger.Track(platform.RetirePrefix, contract.WatchLong, s.take)
 	return nil
 }
 
--- a/daemon/services/servers/servers.go
+++ b/daemon/services/servers/servers.go
@@ -61,7 +61,7 @@
 	s.loop, s.log = ctx.Loop(), ctx.Log()
 	s.view = kernel.NewSnapshot(&contract.ServersView{})
 	s.hosts = kernel.NewSnapshot(&contract.HostView{})
-	s.ledger.Track(platform.ServerPrefix, s.take)
+	s.ledger.Track(platform.ServerPrefix, contract.WatchLong, s.take)
 	return nil
 }
 
--- a/daemon/services/session/session.go
+++ b/daemon/services/session/session.go
@@ -80,7 +80,7 @@
 		Peers: daemon.Listen.Peers,
 	}})
 	s.replies = kernel.NewMailbox(s.loop, 1, s.renewed)
-	s.ledger.Track(prefix, s.take)
+	s.ledger.Track(prefix, contract.WatchLong, s.take)
 	s.calls = kernel.NewCalls(s.loop)
 	s.loop.After(0, s.renew)
 	return nil
--- a/daemon/services/swaps/swaps.go
+++ b/daemon/services/swaps/swaps.go
@@ -36,9 +36,9 @@
 	loadTime = 900 * time.Millisecond
 	// lookAfter is when an engine is asked whether the order is done: its
 	// report is some hundred milliseconds old.
-	lookAfter = 1200 * time.Millisecond
+	lookAfter = 1100 * time.Millisecond
 	// lookAgain is the pause before an engine is asked again.
-	lookAgain = 400 * time.Millisecond
+	lookAgain = 250 * time.Millisecond
 	// fencedFor is how long a daemon that was fenced gives no orders.
 	fencedFor = 4 * time.Second
 	// loadsShare is the part of a service's engines that load at once, and
@@ -61,6 +61,9 @@
 	transport *http.Transport
 	outcomes  *kernel.Mailbox[outcome]
 	reports   *kernel.Mailbox[report]
+	peers     contract.Peers
+	news      *kernel.Mailbox[contract.EngineNews]
+	listeners []func(contract.EngineNews)
 
 	// What follows belongs to the control goroutine.
 	engines map[structs.HostName]*engine
@@ -87,14 +90,23 @@
 		kernel.Into(&s.catalog, contract.NameCatalog),
 		kernel.Into(&s.servers, contract.NameServers),
 		kernel.Into(&s.metrics, contract.NameMetrics),
+		kernel.Into(&s.peers, contract.NamePeers),
 	)
+	if err != nil {
+		return err
+	}
+	rpc, err := kernel.Find[contract.RPC](ctx, contract.NameRPC)
+	if err != nil {
+		return err
+	}
 	s.log, s.loop, s.workers = ctx.Log(), ctx.Loop(), ctx.Workers()
 	s.transport = &http.Transport{
 		DialContext: (&net.Dialer{Timeout: orderWithin}).DialContext, DisableCompression: true, DisableKeepAlives: true,
 	}
 	s.outcomes = kernel.NewMailbox(s.loop, mailboxCapacity, s.answered)
 	s.reports = kernel.NewMailbox(s.loop, mailboxCapacity, s.reported)
-	return err
+	s.news = kernel.NewMailbox(s.loop, mailboxCapacity, s.learned)
+	return rpc.Register(rpcName, &Receiver{service: s})
 }
 
 // Start implements kernel.Service.
@@ -267,6 +279,7 @@
 	case done.result == platform.OrderHolds:
 		done.known.busy = false
 		done.known.versions[done.model] = max(done.known.versions[done.model], done.version)
+		s.tell(done.server.ID, done.known)
 		s.plan()
 	case done.result == platform.OrderFenced:
 		done.known.busy = false
@@ -327,5 +340,6 @@
 	for model, version := range r.said.Versions {
 		r.known.versions[model] = max(r.known.versions[model], version)
 	}
+	s.tell(r.server.ID, r.known)
 	s.plan()
 }
