--- a/daemon/services/swaps/swaps.go
+++ b/daemon/services/swaps/swaps.go
@@ -44,7 +44,7 @@
 	// loadsShare is the part of a service's engines that load at once, and
 	// loadsLeast the least count: the weight store serves no more at full speed.
 	loadsShare = 0.22
-	loadsLeast = 2
+	loadsLeast = 4
 	// mailboxCapacity bounds the outcomes that wait for the control loop.
 	mailboxCapacity = 1024
 )
