Move runs only from a real pace, rank items by slack, load by readiness

Cause: a run's pace counted the wait for its first event, so runs were moved after four events, some to engines that were loading; waiting items asked engines that were not ready over and over; the rank of a route made one trainer's items preempt the others'; loads went first to engines far behind, not to models without a ready engine.

Ruled out: asking engines for a version that they have not confirmed; the leader's news comes as soon.

--- a/coord/placement/placement.go
+++ b/coord/placement/placement.go
@@ -19,24 +19,36 @@
 // use.
 type Progress struct {
 	events atomic.Int64
+	first  atomic.Int64
 	last   atomic.Int64
 }
 
 // Note records one more event at a time.
 func (p *Progress) Note(now time.Time) {
-	p.events.Add(1)
+	if p.events.Add(1) == 1 {
+		p.first.Store(now.UnixNano())
+	}
 	p.last.Store(now.UnixNano())
 }
 
+// Pace is the time between the events so far, up to a time at which the next
+// one has not come; false while there are too few.
+func (p *Progress) Pace(now time.Time) (time.Duration, bool) {
+	events := p.events.Load()
+	if events < enoughEvents {
+		return 0, false
+	}
+	first, last := time.Unix(0, p.first.Load()), time.Unix(0, p.last.Load())
+	pace := last.Sub(first) / time.Duration(events-1)
+	if silent := now.Sub(last); silent > pace {
+		pace = now.Sub(first) / time.Duration(events)
+	}
+	return pace, true
+}
+
 // Events counts the events since the run began.
 func (p *Progress) Events() int { return int(p.events.Load()) }
 
-// Last is when the newest event came; false before the first.
-func (p *Progress) Last() (time.Time, bool) {
-	at := p.last.Load()
-	return time.Unix(0, at), at != 0
-}
-
 // Home is the part of a model's home servers that takes every version of one
 // parity, so that each server loads every second version and one half is warm
 // whenever the other loads.
@@ -89,9 +101,6 @@
 	// Version is the newest version of the item's model that the engine is
 	// known to run.
 	Version structs.WeightVersion
-	// Expected is the version that the engine should run by now, though it has
-	// not said so; zero is none.
-	Expected structs.WeightVersion
 	// Home says that the engine is one of the model's own.
 	Home bool
 	// Own counts the items that this daemon runs there.
@@ -114,43 +123,23 @@
 	// strangeness is added for an engine that is not a home of the model: its
 	// own models need it.
 	strangeness = 400 * time.Millisecond
-	// doubt is added for an engine that has not said that it runs the version.
-	doubt = 250 * time.Millisecond
 )
 
-// Choice is the engine for an item.
-type Choice struct {
-	Index int
-	// Expect is the version that the engine must be asked for; zero is none.
-	Expect structs.WeightVersion
-}
-
 // Place chooses the engine on which an item of so many events ends soonest, and
 // false when none can take it now.
-func Place(engines []Engine, oldest structs.WeightVersion, events int, avoid []structs.HostName) (Choice, bool) {
-	best, bestCost := Choice{Index: -1}, time.Duration(0)
+func Place(engines []Engine, oldest structs.WeightVersion, events int, avoid []structs.HostName) (int, bool) {
+	best, bestCost := -1, time.Duration(0)
 	for i := range engines {
 		engine := &engines[i]
-		if engine.Blocked || engine.Own >= engine.Server.Slots || slices.Contains(avoid, engine.Server.ID) {
+		if engine.Blocked || engine.Own >= engine.Server.Slots || engine.Version < oldest ||
+			slices.Contains(avoid, engine.Server.ID) {
 			continue
 		}
-		expect := structs.WeightVersion(0)
-		if engine.Version < oldest {
-			// One item at a time finds out whether the engine is ready.
-			if engine.Expected < oldest || engine.Own > 0 {
-				continue
-			}
-			expect = engine.Expected
-		}
-		cost := engine.cost(events)
-		if expect != 0 {
-			cost += doubt
-		}
-		if best.Index < 0 || cost < bestCost {
-			best, bestCost = Choice{Index: i, Expect: expect}, cost
+		if cost := engine.cost(events); best < 0 || cost < bestCost {
+			best, bestCost = i, cost
 		}
 	}
-	return best, best.Index >= 0
+	return best, best >= 0
 }
 
 func (e *Engine) cost(events int) time.Duration {
@@ -174,18 +163,41 @@
 	// it is moved.
 	slowFactor = 1.6
 	// enoughEvents is how many events tell a run's pace.
-	enoughEvents = 4
+	enoughEvents = 8
 )
 
 // ShouldMove reports whether a run with so many events left should go on at an
 // engine of another pace.
-func ShouldMove(made, left int, pace, elsewhere time.Duration) bool {
-	if made < enoughEvents || elsewhere == 0 || float64(pace) < slowFactor*float64(elsewhere) {
+func ShouldMove(left int, pace, elsewhere time.Duration) bool {
+	if float64(pace) < slowFactor*float64(elsewhere) {
 		return false
 	}
 	return time.Duration(left)*(pace-elsewhere) > worthMoving
 }
 
+// The urgency of an item at its engine, from 0, the first, to 9.
+const (
+	urgencyLate  = 1
+	urgencyTight = 3
+	urgencyUsual = 5
+	// tightSlack and lateSlack are the times to spare before the results are
+	// due, below which an item goes before others.
+	tightSlack = 3 * time.Second
+	lateSlack  = time.Second
+)
+
+// Urgency ranks an item by the time to spare when so many events are left.
+func Urgency(left int, due time.Duration) int {
+	slack := due - time.Duration(left)*DefaultPace
+	switch {
+	case slack < lateSlack:
+		return urgencyLate
+	case slack < tightSlack:
+		return urgencyTight
+	}
+	return urgencyUsual
+}
+
 // paceSmoothing is the weight of a new run in the pace of an engine.
 const paceSmoothing = 0.4
 
--- a/daemon/contract/fleet.go
+++ b/daemon/contract/fleet.go
@@ -179,8 +179,6 @@
 	Text *Text
 	// Patience is how long the engine may work on it.
 	Patience time.Duration
-	// Expect is the version that the server must run, or zero.
-	Expect structs.WeightVersion
 	// Single asks for a text made by one version alone.
 	Single bool
 }
--- a/daemon/services/engines/engines.go
+++ b/daemon/services/engines/engines.go
@@ -116,7 +116,7 @@
 		Method: http.MethodPost, Host: request.Job.Host, Target: request.Item.Path,
 		Header: header, Body: request.Item.Body, ID: string(request.Item.ID),
 		Patience: request.Patience, Urgency: request.Urgency,
-		Version: request.Expect, ResumeAfter: request.Text.Last,
+		ResumeAfter: request.Text.Last,
 	}.NewRequest(ctx)
 	if err != nil {
 		return contract.Run{End: contract.RunImpossible, Err: err}
--- a/daemon/services/jobs/jobs.go
+++ b/daemon/services/jobs/jobs.go
@@ -58,8 +58,6 @@
 	// What follows belongs to the control goroutine.
 	owned     map[string]*job
 	engines   map[structs.HostName]*engine
-	namedAt   map[structs.ServiceName]time.Time
-	wanted    map[structs.ServiceName]structs.WeightVersion
 	scheduled bool
 	stopping  bool
 	heirs     heirs
@@ -103,8 +101,6 @@
 	}
 	s.log, s.loop, s.workers, s.calls = ctx.Log(), ctx.Loop(), ctx.Workers(), kernel.NewCalls(ctx.Loop())
 	s.keeper = newKeeper(s.ledger)
-	s.namedAt = make(map[structs.ServiceName]time.Time)
-	s.wanted = make(map[structs.ServiceName]structs.WeightVersion)
 	s.adoptions = kernel.NewMailbox(s.loop, mailboxCapacity, s.adopt)
 	s.runs = kernel.NewMailbox(s.loop, mailboxCapacity, s.runEnded)
 	s.judged = kernel.NewMailbox(s.loop, mailboxCapacity, s.judgementCame)
@@ -122,12 +118,7 @@
 	return nil
 }
 
-func (s *service) catalogChanged(view *contract.CatalogView) {
-	for model, version := range view.Wanted {
-		if s.wanted[model] != version {
-			s.wanted[model], s.namedAt[model] = version, time.Now()
-		}
-	}
+func (s *service) catalogChanged(*contract.CatalogView) {
 	for _, j := range s.owned {
 		s.setTerms(j)
 	}
--- a/daemon/services/jobs/schedule.go
+++ b/daemon/services/jobs/schedule.go
@@ -26,9 +26,6 @@
 	// blockedFor is how long an engine that refused an item is left alone: a
 	// load of weights takes about a second, a queue empties sooner.
 	blockedFor = 250 * time.Millisecond
-	// loadWithin is how long after a version was named an engine that should
-	// run it is asked for it before it has said so.
-	loadWithin = 2500 * time.Millisecond
 	// rewardWithin bounds one round of attempts at a reward call.
 	rewardWithin = 4 * time.Second
 	// rewardPause is the pause before a failed reward call is made again.
@@ -211,8 +208,8 @@
 		if !ok {
 			continue
 		}
-		engines[choice.Index].Own++
-		s.start(j, it, engines[choice.Index].Server, choice.Expect, now)
+		engines[choice].Own++
+		s.start(j, it, engines[choice].Server, events, now)
 	}
 }
 
@@ -236,23 +233,16 @@
 		return nil
 	}
 	servers := s.servers.Entries().Load().ByService[j.terms.service]
-	homes := placement.Homes(view.Catalog.Models(j.terms.service), servers)[j.Model]
-	newest := view.Wanted[j.Model]
-	expected := make(map[structs.HostName]structs.WeightVersion, len(homes))
-	for _, home := range homes {
-		version := home.Wanted(newest)
-		if version == newest && now.Sub(s.namedAt[j.Model]) < loadWithin {
-			version = max(1, newest) - 1
-		}
-		expected[home.Server.ID] = version
+	homes := make(map[structs.HostName]bool)
+	for _, home := range placement.Homes(view.Catalog.Models(j.terms.service), servers)[j.Model] {
+		homes[home.Server.ID] = true
 	}
 	engines := make([]placement.Engine, 0, len(servers))
 	for _, server := range servers {
 		known := s.engine(server)
-		version, home := expected[server.ID]
 		engines = append(engines, placement.Engine{
 			Server: server, Version: max(server.Versions[j.Model], known.versions[j.Model]),
-			Expected: version, Home: home, Own: known.own, Pace: known.pace,
+			Home: homes[server.ID], Own: known.own, Pace: known.pace,
 			Distance: s.distance(server.Zone), Blocked: now.Before(known.blocked[j.Model]),
 		})
 	}
@@ -279,14 +269,14 @@
 }
 
 // start runs an item on an engine.
-func (s *service) start(j *job, it *item, server catalog.Server, expect structs.WeightVersion, now time.Time) {
+func (s *service) start(j *job, it *item, server catalog.Server, events int, now time.Time) {
 	ctx, stop := context.WithCancel(j.ctx)
 	it.phase, it.server, it.begun, it.stop, it.moving = phaseRunning, server.ID, now, stop, false
 	it.progress = &placement.Progress{}
 	s.engine(server).own++
 	request := contract.RunRequest{
-		Job: &j.Job, Item: it.Item, Server: server, Urgency: min(max(0, j.terms.rank), 9), Text: it.text,
-		Patience: max(time.Second, j.submitted.Add(j.terms.itemLife).Sub(now)), Expect: expect, Single: j.terms.single,
+		Job: &j.Job, Item: it.Item, Server: server, Urgency: placement.Urgency(events, j.due().Sub(now)), Text: it.text,
+		Patience: max(time.Second, j.submitted.Add(j.terms.itemLife).Sub(now)), Single: j.terms.single,
 	}
 	progress := it.progress
 	id, epoch := j.ID, j.own.Epoch
@@ -358,25 +348,12 @@
 			known.blocked[j.Model] = now.Add(blockedFor)
 		}
 	}
-	if pace, ok := it.paceSeen(); ok {
-		known.pace = placement.Smooth(known.pace, pace)
-	}
-}
-
-// paceEvents is how many events a run needs to show a pace.
-const paceEvents = 4
-
-// paceSeen is the time between the events of the present run.
-func (it *item) paceSeen() (time.Duration, bool) {
 	if it.progress == nil {
-		return 0, false
+		return
 	}
-	last, ok := it.progress.Last()
-	made := it.progress.Events()
-	if !ok || made < paceEvents {
-		return 0, false
+	if pace, ok := it.progress.Pace(now); ok {
+		known.pace = placement.Smooth(known.pace, pace)
 	}
-	return last.Sub(it.begun) / time.Duration(made), true
 }
 
 // watch moves the runs of a job that are slow.
@@ -386,31 +363,30 @@
 		if it.phase != phaseRunning || it.moving {
 			continue
 		}
-		made := it.progress.Events()
-		if made < paceEvents {
+		pace, ok := it.progress.Pace(now)
+		if !ok {
 			continue
 		}
-		pace := now.Sub(it.begun) / time.Duration(made)
 		if engines == nil {
 			engines = s.candidates(j, now)
 		}
-		left := s.eventsLeft(j, it) - made
+		left := s.eventsLeft(j, it) - it.progress.Events()
 		choice, ok := placement.Place(engines, j.MinVersion, max(1, left), append(slices.Clone(it.avoid), it.server))
 		if !ok {
 			continue
 		}
-		elsewhere := engines[choice.Index].Pace
+		elsewhere := engines[choice].Pace
 		if elsewhere == 0 {
 			elsewhere = placement.DefaultPace
 		}
-		if !placement.ShouldMove(made, left, pace, elsewhere) {
+		if !placement.ShouldMove(left, pace, elsewhere) {
 			continue
 		}
 		s.log.WithFields(logrus.Fields{
 			"job": j.ID, "item": it.ID, "from": it.server, "pace_ms": pace.Milliseconds(), "left": left,
 			"elsewhere_ms": elsewhere.Milliseconds(),
 		}).Info("A slow run is moved.")
-		engines[choice.Index].Own++
+		engines[choice].Own++
 		if known := s.engines[it.server]; known != nil {
 			known.pace = placement.Smooth(known.pace, pace)
 		}
--- a/daemon/services/swaps/swaps.go
+++ b/daemon/services/swaps/swaps.go
@@ -5,6 +5,7 @@
 package swaps
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -145,7 +146,8 @@
 	server  catalog.Server
 	model   structs.ServiceName
 	version structs.WeightVersion
-	behind  structs.WeightVersion
+	// ready counts the model's home servers that a step may use by now.
+	ready int
 }
 
 func (s *service) planService(view *contract.CatalogView, name structs.ServiceName, models []structs.ServiceName) {
@@ -178,37 +180,30 @@
 }
 
 // missing lists the orders that would bring all home servers to their versions,
-// those first that are furthest behind.
+// those first whose model has the fewest servers that its next step may use.
 func (s *service) missing(view *contract.CatalogView, models []structs.ServiceName, servers []catalog.Server) []step {
 	var steps []step
 	for model, homes := range placement.Homes(models, servers) {
 		newest := view.Wanted[model]
+		ready := 0
+		for _, home := range homes {
+			if s.engine(home.Server).versions[model]+1 >= newest {
+				ready++
+			}
+		}
 		for _, home := range homes {
 			wanted, runs := home.Wanted(newest), s.engine(home.Server).versions[model]
 			if runs < wanted {
-				steps = append(steps, step{server: home.Server, model: model, version: wanted, behind: wanted - runs})
+				steps = append(steps, step{server: home.Server, model: model, version: wanted, ready: ready})
 			}
 		}
 	}
 	slices.SortFunc(steps, func(a, b step) int {
-		if a.behind != b.behind {
-			return int(b.behind) - int(a.behind)
-		}
-		if a.model != b.model {
-			return compare(string(a.model), string(b.model))
-		}
-		return compare(string(a.server.ID), string(b.server.ID))
+		return cmp.Or(cmp.Compare(a.ready, b.ready), cmp.Compare(a.model, b.model), cmp.Compare(a.server.ID, b.server.ID))
 	})
 	return steps
 }
 
-func compare(a, b string) int {
-	if a < b {
-		return -1
-	}
-	return 1
-}
-
 // engine returns what is known of a server, which its entry may add to.
 func (s *service) engine(server catalog.Server) *engine {
 	known := s.engines[server.ID]
