Resume whole texts at their judge, and expect items that outlive their hint to go on

Cause: an heir asked an engine for the rest of a text that had none left and took the answer, which names no version, for a failure, over and over; a slow run with a low hint was never moved. Ruled out: longer leases, which only delay an heir.

--- a/daemon/contract/fleet.go
+++ b/daemon/contract/fleet.go
@@ -190,6 +190,8 @@
 	Versions []structs.WeightVersion
 	// Version made the last event.
 	Version structs.WeightVersion
+	// Whole is set once the stream has ended after its last event.
+	Whole bool
 }
 
 // RunEnd says how a run ended.
--- a/daemon/services/engines/engines.go
+++ b/daemon/services/engines/engines.go
@@ -44,10 +44,10 @@
 )
 
 var (
-	errSilent  = errors.New("engines: the stream fell silent")
-	errNoStamp = errors.New("engines: the answer names no version")
-	errForeign = errors.New("engines: the answer belongs to another request")
-	errMixed   = errors.New("engines: the weights changed within a text that must have one version")
+	errSilent    = errors.New("engines: the stream fell silent")
+	errNoVersion = errors.New("engines: the answer names no version")
+	errForeign   = errors.New("engines: the answer belongs to another request")
+	errMixed     = errors.New("engines: the weights changed within a text that must have one version")
 )
 
 type service struct {
@@ -136,6 +136,7 @@
 		}
 		return run
 	}
+	// A stream that is asked for after its last event names no version.
 	request.Text.Version = answer.Version
 	run.End, run.Err = read(request, response.Body, progress, silence)
 	run.Version = request.Text.Version
@@ -155,11 +156,11 @@
 		return contract.RunFailed, errors.Errorf("status %d", status)
 	case status != http.StatusOK:
 		return contract.RunCut, errors.Errorf("status %d", status)
-	case answer.Version == 0:
-		return contract.RunCut, errNoStamp
-	case answer.Version < request.Job.MinVersion:
+	case answer.Version == 0 && request.Text.Last == 0:
+		return contract.RunCut, errNoVersion
+	case answer.Version != 0 && answer.Version < request.Job.MinVersion:
 		return contract.RunStale, errors.Errorf("version %d", answer.Version)
-	case request.Single && request.Text.Last > 0 && request.Text.Version != answer.Version:
+	case request.Single && request.Text.Last > 0 && answer.Version != 0 && request.Text.Version != answer.Version:
 		return contract.RunStale, errMixed
 	}
 	return contract.RunWhole, nil
@@ -172,6 +173,7 @@
 	for {
 		event, err := events.Next()
 		if err == io.EOF {
+			text.Whole = true
 			return contract.RunWhole, nil
 		}
 		if err != nil {
@@ -186,6 +188,9 @@
 			}
 			text.Version = event.Version
 		}
+		if text.Version == 0 {
+			return contract.RunCut, errNoVersion
+		}
 		silence.Reset(nextWithin)
 		progress.Note(time.Now())
 		text.Last = event.ID
--- a/daemon/services/jobs/jobs.go
+++ b/daemon/services/jobs/jobs.go
@@ -185,21 +185,21 @@
 		submitted: time.UnixMilli(a.own.Submitted), verified: s.loop.Now(),
 	}
 	j.ctx, j.cancel = context.WithCancel(context.Background())
+	s.setTerms(j)
 	listed := make(map[batch.ItemID]bool, len(a.results))
 	for _, result := range a.results {
 		listed[result.ID] = true
 	}
 	for _, index := range batch.Order(j.Items) {
 		it := &item{Item: &j.Items[index], text: &contract.Text{}}
-		if text := a.texts[it.ID]; text != nil {
-			it.text = text
+		if held := a.texts[it.ID]; held != nil && (held.Last == 0 || j.Fits(held.Versions, j.terms.single)) {
+			it.text, it.held = held, len(held.Events)
 		}
 		if listed[it.ID] {
 			it.phase = phaseFinished
 		}
 		j.items = append(j.items, it)
 	}
-	s.setTerms(j)
 	j.view = kernel.NewSnapshot(&jobView{total: len(j.items), results: a.results, ended: a.own.Ended})
 	s.owned[j.ID] = j
 	s.views.Store(j.ID, j.view)
--- a/daemon/services/jobs/schedule.go
+++ b/daemon/services/jobs/schedule.go
@@ -197,6 +197,10 @@
 			s.finish(j, it, batch.Result{ID: it.ID, Dead: true})
 			continue
 		}
+		if it.text.Whole {
+			s.judge(j, it)
+			continue
+		}
 		if engines == nil {
 			engines = s.candidates(j, now)
 		}
@@ -216,6 +220,8 @@
 // defaultTokensPerEvent holds where the operator does not say.
 const defaultTokensPerEvent = 64
 
+// eventsLeft estimates how many events an item still needs. The caller's hint is
+// often far off: an item that has outlived it is likely to go on for long.
 func (s *service) eventsLeft(j *job, it *item) int {
 	per := defaultTokensPerEvent
 	if view := s.catalog.Current().Load(); view.Catalog != nil {
@@ -223,7 +229,11 @@
 			per = service.Engine.TokensPerEvent
 		}
 	}
-	return max(1, it.LengthHint/per-it.held)
+	made := it.held
+	if it.phase == phaseRunning {
+		made += it.progress.Events()
+	}
+	return max(1, it.LengthHint/per-made, made/2)
 }
 
 // candidates are the engines that may run a job's items.
@@ -370,8 +380,8 @@
 		if engines == nil {
 			engines = s.candidates(j, now)
 		}
-		left := s.eventsLeft(j, it) - it.progress.Events()
-		choice, ok := placement.Place(engines, j.MinVersion, max(1, left), append(slices.Clone(it.avoid), it.server))
+		left := s.eventsLeft(j, it)
+		choice, ok := placement.Place(engines, j.MinVersion, left, append(slices.Clone(it.avoid), it.server))
 		if !ok {
 			continue
 		}
--- a/daemon/services/session/session.go
+++ b/daemon/services/session/session.go
@@ -29,8 +29,11 @@
 	prefix       = "flamingobeam/session/"
 	memberPrefix = prefix + "member/"
 	leaderKey    = prefix + "leader"
+	// leaseFor is the time to live of a session: short, since a daemon's batch
+	// jobs wait that long for another owner when it dies.
+	leaseFor = 2 * time.Second
 	// renewEvery is how often the lease is renewed: four times within it.
-	renewEvery = 700 * time.Millisecond
+	renewEvery = 500 * time.Millisecond
 	// retryEvery is the pause before a failed renewal is made again.
 	retryEvery = 300 * time.Millisecond
 	// absence is how long a daemon must be missing from the list, with the
@@ -50,7 +53,6 @@
 	view    *kernel.Snapshot[contract.SessionView]
 	replies *kernel.Mailbox[kernel.Reply[renewal]]
 	calls   *kernel.Calls
-	ttl     time.Duration
 
 	records map[string]outside.Record
 	lease   outside.LeaseID
@@ -73,7 +75,6 @@
 		return err
 	}
 	s.loop, s.workers, s.log = ctx.Loop(), ctx.Workers(), ctx.Log()
-	s.ttl = daemon.Fleet.Lease
 	s.records = make(map[string]outside.Record)
 	s.view = kernel.NewSnapshot(&contract.SessionView{Self: contract.Member{
 		Name:  fmt.Sprintf("%s.%x", daemon.Host, time.Now().UnixNano()),
@@ -119,10 +120,10 @@
 
 func (s *service) keep(ctx context.Context, lease outside.LeaseID, self contract.Member, missing, leaderless bool) (renewal, error) {
 	asked := sinceBoot()
-	ttl := s.ttl
+	ttl := leaseFor
 	var err error
 	if lease == 0 {
-		lease, ttl, err = s.ledger.Grant(ctx, s.ttl)
+		lease, ttl, err = s.ledger.Grant(ctx, leaseFor)
 	} else {
 		err = s.ledger.KeepAlive(ctx, lease)
 	}
