Keep checkpoints of unfinished texts, and take back a host's own jobs at once

Cause: an heir began every text anew, and after a power loss jobs lay still for five seconds while all waited for the old sessions to lapse. Watches of the servers' list rest for 600 ms after news, since each entry of an engine that changed its weights woke every daemon.

Ruled out: checkpoints in memory of other daemons, which a power loss takes too.

--- a/daemon/contract/fleet.go
+++ b/daemon/contract/fleet.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/http"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/flamingobeam/flamingobeam/coord/batch"
@@ -48,22 +50,22 @@
 	Full bool
 }
 
-const (
-	// WatchShort is the wait of the watch that finds out for all when watches
-	// were cut in silence: a change must be in force within three seconds.
-	WatchShort = 1500 * time.Millisecond
-	// WatchLong is the wait of the others: each watch is charged as a call.
-	WatchLong = 15 * time.Second
-)
+// WatchPace says how closely a prefix is followed; each watch is charged as a
+// call.
+type WatchPace struct {
+	// Wait is how long a watch waits for news. One that is cut in silence is
+	// noticed no sooner, and has the other prefixes read again as well.
+	Wait time.Duration
+	// Rest is the pause after news, in which further news gathers.
+	Rest time.Duration
+}
 
 // Ledger is the platform's store with a time limit on each call.
 type Ledger interface {
 	outside.Ledger
 	// Track hands all changes under a prefix to a handler on the control
-	// goroutine, in order. Each watch waits for news so long; one that is cut
-	// is noticed no sooner, and has the other prefixes read again as well. It
-	// must be called while services are provisioned.
-	Track(prefix string, wait time.Duration, handle func(News))
+	// goroutine, in order. It must be called while services are provisioned.
+	Track(prefix string, pace WatchPace, handle func(News))
 	// ReachedSince returns since when calls have been answered, and false
 	// while they are not. It may be called from any goroutine.
 	ReachedSince() (time.Time, bool)
@@ -97,6 +99,9 @@
 type Session interface {
 	// View returns the snapshot; it may be called from any goroutine.
 	View() *kernel.Snapshot[SessionView]
+	// Succeeds reports whether a name is that of an earlier run of this host's
+	// daemon. It may be called from any goroutine.
+	Succeeds(name string) bool
 	// Holds reports whether the lease of this daemon surely still runs, by the
 	// clock that goes on while the host is suspended. It may be called from
 	// any goroutine.
@@ -183,7 +188,8 @@
 	Single bool
 }
 
-// Text is what has been generated of an item. One goroutine owns it.
+// Text is what has been generated of an item. One goroutine at a time adds to
+// it; others may only Copy it.
 type Text struct {
 	Events   []string
 	Last     uint64
@@ -192,6 +198,35 @@
 	Version structs.WeightVersion
 	// Whole is set once the stream has ended after its last event.
 	Whole bool
+
+	mu sync.Mutex
+}
+
+// Add appends an event that a version made.
+func (t *Text) Add(id uint64, event string, version structs.WeightVersion) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.Last, t.Version = id, version
+	t.Events = append(t.Events, event)
+	t.Versions = batch.AddVersion(t.Versions, version)
+}
+
+// End records that the last event has come.
+func (t *Text) End() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.Whole = true
+}
+
+// Copy returns the events from a position on, with all versions of the text and
+// whether it is whole. It may be called from any goroutine.
+func (t *Text) Copy(from int) ([]string, []structs.WeightVersion, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if from > len(t.Events) {
+		return nil, nil, false
+	}
+	return slices.Clone(t.Events[from:]), slices.Clone(t.Versions), t.Whole
 }
 
 // RunEnd says how a run ended.
--- a/daemon/services/catalog/catalog.go
+++ b/daemon/services/catalog/catalog.go
@@ -7,6 +7,7 @@
 	"context"
 	"maps"
 	"strings"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -23,6 +24,10 @@
 	kernel.Register(contract.NameCatalog, func() kernel.Service { return &service{} })
 }
 
+// pace finds a watch that was cut in time for a change to be in force within
+// three seconds; versions of several models are named at nearly the same time.
+var pace = contract.WatchPace{Wait: 1500 * time.Millisecond, Rest: 200 * time.Millisecond}
+
 type service struct {
 	kernel.Base
 	log  *logrus.Entry
@@ -46,7 +51,7 @@
 	s.log = ctx.Log()
 	s.view = kernel.NewSnapshot(&contract.CatalogView{Wanted: map[structs.ServiceName]structs.WeightVersion{}})
 	s.workspaces = kernel.NewSnapshot(&contract.SettingsView{})
-	ledger.Track(platform.OperatorPrefix, contract.WatchShort, s.take)
+	ledger.Track(platform.OperatorPrefix, pace, s.take)
 	return nil
 }
 
--- a/daemon/services/engines/engines.go
+++ b/daemon/services/engines/engines.go
@@ -12,7 +12,6 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
-	"github.com/flamingobeam/flamingobeam/coord/batch"
 	"github.com/flamingobeam/flamingobeam/coord/placement"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
 	"github.com/flamingobeam/flamingobeam/kernel"
@@ -169,11 +168,12 @@
 // read adds the events of a stream to the text.
 func read(request contract.RunRequest, body io.Reader, progress *placement.Progress, silence *time.Timer) (contract.RunEnd, error) {
 	text := request.Text
+	version := text.Version
 	events := platform.NewEventReader(body)
 	for {
 		event, err := events.Next()
 		if err == io.EOF {
-			text.Whole = true
+			text.End()
 			return contract.RunWhole, nil
 		}
 		if err != nil {
@@ -183,18 +183,16 @@
 			return contract.RunCut, errors.Errorf("event %d after event %d", event.ID, text.Last)
 		}
 		if event.Version != 0 {
-			if request.Single && event.Version != text.Version {
+			if request.Single && event.Version != version {
 				return contract.RunCut, errMixed
 			}
-			text.Version = event.Version
+			version = event.Version
 		}
-		if text.Version == 0 {
+		if version == 0 {
 			return contract.RunCut, errNoVersion
 		}
 		silence.Reset(nextWithin)
 		progress.Note(time.Now())
-		text.Last = event.ID
-		text.Events = append(text.Events, event.Data)
-		text.Versions = batch.AddVersion(text.Versions, text.Version)
+		text.Add(event.ID, event.Data, version)
 	}
 }
--- a/daemon/services/jobs/heirs.go
+++ b/daemon/services/jobs/heirs.go
@@ -41,6 +41,10 @@
 	// look is when to look for jobs next; zero is never.
 	look    time.Time
 	looking bool
+	// began is set once the jobs of this host's earlier runs were looked for,
+	// and settled once that look has ended.
+	began   bool
+	settled bool
 	orphans *kernel.Mailbox[kernel.Reply[int]]
 }
 
@@ -73,26 +77,44 @@
 	}
 	isSettled := !view.Settled.IsZero() && now.After(view.Settled)
 	_, isSelfLive := view.Live[view.Self.Name]
-	if h.look.IsZero() || now.Before(h.look) || h.looking || !isSettled || !isSelfLive || h.service.stopping {
+	if !isSelfLive || h.looking || h.service.stopping {
 		return
 	}
+	if !h.began {
+		// Earlier runs of this host's daemon are gone for sure.
+		h.began = true
+		h.inherit(view, func(owner string) bool { return h.service.session.Succeeds(owner) })
+		return
+	}
+	if h.look.IsZero() || now.Before(h.look) || !isSettled {
+		return
+	}
+	h.inherit(view, func(owner string) bool {
+		_, isLive := view.Live[owner]
+		return !isLive
+	})
+}
+
+// inherit looks for jobs whose owner is gone.
+func (h *heirs) inherit(view *contract.SessionView, isGone func(owner string) bool) {
 	h.looking = true
 	live := slices.Collect(maps.Keys(view.Live))
 	kernel.Async(h.service.workers, 0, h.orphans, func(ctx context.Context) (int, error) {
-		return h.service.inherit(ctx, live, view.Self.Name)
+		return h.service.inherit(ctx, live, view.Self.Name, isGone)
 	})
 }
 
 func (h *heirs) looked(reply kernel.Reply[int]) {
-	h.looking, h.look = false, time.Time{}
-	if reply.Err != nil || reply.Value > 0 {
+	h.looking = false
+	if h.look = (time.Time{}); reply.Err != nil || reply.Value > 0 || !h.settled {
 		h.look = h.service.loop.Now().Add(lookAgain)
 	}
+	h.settled = true
 }
 
 // inherit takes over the jobs that fall to this daemon, and returns how many
 // have no live owner.
-func (s *service) inherit(ctx context.Context, live []string, self string) (int, error) {
+func (s *service) inherit(ctx context.Context, live []string, self string, isGone func(owner string) bool) (int, error) {
 	listing, err := s.ledger.Scan(ctx, ownPrefix)
 	if err != nil {
 		return 0, err
@@ -105,14 +127,14 @@
 			continue
 		}
 		id := strings.TrimPrefix(record.Key, ownPrefix)
-		if own.Ended || slices.Contains(live, own.Owner) {
+		if own.Ended || !isGone(own.Owner) {
 			if own.Owner == self && !own.Ended {
 				s.reclaim(ctx, id, self)
 			}
 			continue
 		}
 		orphans++
-		if batch.Heir(id, live) == self {
+		if batch.Heir(id, live) == self || s.session.Succeeds(own.Owner) {
 			own.revision = record.Revision
 			s.takeOver(ctx, id, own, self)
 		}
@@ -144,6 +166,9 @@
 		if errors.Is(err, errGone) || err == nil && all.own.Owner != self {
 			return
 		}
+		if err == nil && texts == nil {
+			texts, err = s.keeper.texts(ctx, id)
+		}
 		if err == nil && s.adoptions.Post(adoption{kept: all, texts: texts}) == nil {
 			return
 		}
--- a/daemon/services/jobs/jobs.go
+++ b/daemon/services/jobs/jobs.go
@@ -55,6 +55,8 @@
 	committed *kernel.Mailbox[commitEnded]
 	verdicts  *kernel.Mailbox[verdict]
 
+	checkpoints *kernel.Mailbox[checkpointed]
+
 	// What follows belongs to the control goroutine.
 	owned     map[string]*job
 	engines   map[structs.HostName]*engine
@@ -106,6 +108,7 @@
 	s.judged = kernel.NewMailbox(s.loop, mailboxCapacity, s.judgementCame)
 	s.committed = kernel.NewMailbox(s.loop, mailboxCapacity, s.commitCame)
 	s.verdicts = kernel.NewMailbox(s.loop, mailboxCapacity, s.verdictCame)
+	s.checkpoints = kernel.NewMailbox(s.loop, mailboxCapacity, s.checkpointCame)
 	s.heirs.prepare(s)
 	s.loop.After(tickEvery, s.tick)
 	return rpc.Register(rpcName, &Receiver{service: s})
@@ -141,9 +144,14 @@
 	// ended, and verifying is set while it is asked.
 	verified  time.Time
 	verifying bool
-	view      *kernel.Snapshot[jobView]
-	ctx       context.Context
-	cancel    context.CancelFunc
+	// checkpointed is when the texts were kept last, checkpointing is set while
+	// they are, and checkpoints counts those of this epoch.
+	checkpointed  time.Time
+	checkpointing bool
+	checkpoints   int
+	view          *kernel.Snapshot[jobView]
+	ctx           context.Context
+	cancel        context.CancelFunc
 }
 
 // jobView is the immutable snapshot of a job's log.
@@ -182,7 +190,7 @@
 	}
 	j := &job{
 		Job: *a.job, own: a.own, log: a.log,
-		submitted: time.UnixMilli(a.own.Submitted), verified: s.loop.Now(),
+		submitted: time.UnixMilli(a.own.Submitted), verified: s.loop.Now(), checkpointed: s.loop.Now(),
 	}
 	j.ctx, j.cancel = context.WithCancel(context.Background())
 	s.setTerms(j)
--- a/daemon/services/jobs/keeper.go
+++ b/daemon/services/jobs/keeper.go
@@ -273,6 +273,13 @@
 	for number := range log.Chunks {
 		removals = append(removals, chunkKey(id, number))
 	}
+	listing, err := k.ledger.Scan(ctx, textPrefix+url.PathEscape(id)+"/")
+	if err != nil {
+		return err
+	}
+	for _, record := range listing.Records {
+		removals = append(removals, record.Key)
+	}
 	const atOnce = 24
 	for len(removals) > atOnce {
 		last := removals[len(removals)-atOnce:]
@@ -281,7 +288,7 @@
 		}
 		removals = removals[:len(removals)-atOnce]
 	}
-	_, err := k.ledger.Commit(ctx, outside.Transaction{
+	_, err = k.ledger.Commit(ctx, outside.Transaction{
 		Conditions: []outside.Condition{{Key: ownKey(id), Revision: own.revision}}, Removals: removals,
 	})
 	return err
--- a/daemon/services/jobs/read.go
+++ b/daemon/services/jobs/read.go
@@ -14,8 +14,9 @@
 )
 
 const (
-	// ownerFor is how long it is remembered who owns a job.
-	ownerFor = 3 * time.Second
+	// ownerFor is how long it is remembered who owns a job; an owner that is
+	// asked in vain is looked up again at once.
+	ownerFor = 30 * time.Second
 	// ownersMost bounds the owners that are remembered.
 	ownersMost = 4096
 	// peerWithin bounds a call to the owner beyond the wait that it is asked
--- a/daemon/services/jobs/schedule.go
+++ b/daemon/services/jobs/schedule.go
@@ -76,6 +76,8 @@
 	failures int
 	// judged counts failures of the reward call.
 	judged int
+	// kept counts the events that checkpoints of this epoch hold.
+	kept int
 	// held counts the events that the present run goes on after.
 	held     int
 	server   structs.HostName
@@ -158,6 +160,7 @@
 		if j.open() {
 			s.watch(j, now)
 			s.verify(j, now)
+			s.checkpoint(j, now)
 		}
 		s.sweep(j, now)
 	}
@@ -324,7 +327,7 @@
 	case contract.RunCut:
 		it.addAvoid(ended.server.ID)
 		if j.terms.single || len(run.Text.Versions) > 0 && !j.Fits(run.Text.Versions, false) {
-			it.text, it.held = &text{}, 0
+			it.text, it.held, it.kept = &text{}, 0, 0
 		}
 	}
 	s.wake()
--- a/daemon/services/ledger/ledger.go
+++ b/daemon/services/ledger/ledger.go
@@ -231,14 +231,14 @@
 type track struct {
 	service *service
 	prefix  string
-	wait    time.Duration
+	pace    contract.WatchPace
 	news    *kernel.Mailbox[contract.News]
 }
 
 // Track implements contract.Ledger.
-func (s *service) Track(prefix string, wait time.Duration, handle func(contract.News)) {
+func (s *service) Track(prefix string, pace contract.WatchPace, handle func(contract.News)) {
 	s.tracks = append(s.tracks, &track{
-		service: s, prefix: prefix, wait: wait, news: kernel.NewMailbox(s.loop, newsCapacity, handle),
+		service: s, prefix: prefix, pace: pace, news: kernel.NewMailbox(s.loop, newsCapacity, handle),
 	})
 }
 
@@ -309,11 +309,18 @@
 		defer cancel()
 		defer context.AfterFunc(lost, cancel)()
 	}
-	records, through, err := t.service.Follow(ctx, t.prefix, after, t.wait)
+	records, through, err := t.service.Follow(ctx, t.prefix, after, t.pace.Wait)
 	if err != nil || len(records) == 0 {
 		return through, err
 	}
-	return through, t.post(contract.News{Records: records})
+	if err := t.post(contract.News{Records: records}); err != nil {
+		return through, err
+	}
+	select {
+	case <-time.After(t.pace.Rest):
+	case <-ctx.Done():
+	}
+	return through, nil
 }
 
 // post hands news to the control loop. A full mailbox loses history, so the
--- a/daemon/services/retire/retire.go
+++ b/daemon/services/retire/retire.go
@@ -25,6 +25,9 @@
 // retryEvery is the pause before a failed answer is written again.
 const retryEvery = 500 * time.Millisecond
 
+// pace hears of an order at once.
+var pace = contract.WatchPace{Wait: 15 * time.Second}
+
 type service struct {
 	kernel.Base
 	host    string
@@ -43,7 +46,7 @@
 	if s.ledger, err = kernel.Find[contract.Ledger](ctx, contract.NameLedger); err != nil {
 		return err
 	}
-	s.ledger.Track(platform.RetirePrefix, contract.WatchLong, s.take)
+	s.ledger.Track(platform.RetirePrefix, pace, s.take)
 	return nil
 }
 
--- a/daemon/services/servers/servers.go
+++ b/daemon/services/servers/servers.go
@@ -28,6 +28,10 @@
 // its entry again, as the platform's pages have it, with the time of the notice.
 const returnWithin = 2200 * time.Millisecond
 
+// pace leaves time for the entries of several engines that changed their weights
+// to gather; a server that leaves must get no work after three seconds.
+var pace = contract.WatchPace{Wait: 15 * time.Second, Rest: 600 * time.Millisecond}
+
 type service struct {
 	kernel.Base
 	ledger  contract.Ledger
@@ -61,7 +65,7 @@
 	s.loop, s.log = ctx.Loop(), ctx.Log()
 	s.view = kernel.NewSnapshot(&contract.ServersView{})
 	s.hosts = kernel.NewSnapshot(&contract.HostView{})
-	s.ledger.Track(platform.ServerPrefix, contract.WatchLong, s.take)
+	s.ledger.Track(platform.ServerPrefix, pace, s.take)
 	return nil
 }
 
--- a/daemon/services/session/session.go
+++ b/daemon/services/session/session.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -44,6 +45,9 @@
 	stopWithin = 500 * time.Millisecond
 )
 
+// pace hears of a daemon that went at once.
+var pace = contract.WatchPace{Wait: 15 * time.Second}
+
 type service struct {
 	kernel.Base
 	ledger  contract.Ledger
@@ -81,7 +85,7 @@
 		Peers: daemon.Listen.Peers,
 	}})
 	s.replies = kernel.NewMailbox(s.loop, 1, s.renewed)
-	s.ledger.Track(prefix, contract.WatchLong, s.take)
+	s.ledger.Track(prefix, pace, s.take)
 	s.calls = kernel.NewCalls(s.loop)
 	s.loop.After(0, s.renew)
 	return nil
@@ -93,6 +97,20 @@
 // Holds implements contract.Session.
 func (s *service) Holds() bool { return sinceBoot() < time.Duration(s.runsUntil.Load()) }
 
+// Succeeds implements contract.Session.
+func (s *service) Succeeds(name string) bool {
+	self := s.view.Load().Self.Name
+	return name != self && hostOf(name) == hostOf(self)
+}
+
+// hostOf is the host in the name of one run of a daemon.
+func hostOf(name string) string {
+	if dot := strings.LastIndexByte(name, '.'); dot >= 0 {
+		return name[:dot]
+	}
+	return name
+}
+
 // renewal is the outcome of keeping the session alive.
 type renewal struct {
 	lease     outside.LeaseID
