--- /dev/null
+++ b/coord/batch/batch_test.go
@@ -0,0 +1,55 @@
+package batch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/flamingobeam/flamingobeam/coord/structs"
+)
+
+func TestOrder_LongestFirst(t *testing.T) {
+	items := []Item{{ID: "a", LengthHint: 3}, {ID: "b", LengthHint: 90}, {ID: "c", LengthHint: 3}}
+	must.Eq(t, []int{1, 0, 2}, Order(items))
+}
+
+func TestLog_WithAddsAPositionAndLeavesTheOldLogAsItWas(t *testing.T) {
+	first := Log{Epoch: 1, Total: 5}.With(1, 2)
+	second, third := first.With(1, 1), first.With(2, 3)
+	must.Eq(t, 2, first.Positions())
+	must.Eq(t, 3, second.Positions())
+	must.Eq(t, 5, third.Positions())
+	must.Eq(t, 2, third.Epoch)
+}
+
+func TestJob_Fits(t *testing.T) {
+	job := Job{MinVersion: 4}
+	must.True(t, job.Fits([]structs.WeightVersion{4, 6}, false))
+	must.False(t, job.Fits([]structs.WeightVersion{4, 6}, true))
+	must.False(t, job.Fits([]structs.WeightVersion{3, 4}, false))
+	must.False(t, job.Fits(nil, false))
+}
+
+func TestHeir_SameForAllAndSpread(t *testing.T) {
+	live := []string{"a", "b", "c"}
+	counts := map[string]int{}
+	for i := range 300 {
+		id := fmt.Sprintf("job-%d", i)
+		heir := Heir(id, live)
+		must.Eq(t, heir, Heir(id, []string{"c", "a", "b"}))
+		counts[heir]++
+	}
+	for _, name := range live {
+		must.Greater(t, 50, counts[name])
+	}
+	must.Eq(t, "", Heir("job", nil))
+}
+
+func TestExpired(t *testing.T) {
+	at := time.Unix(100, 0)
+	must.False(t, Expired(at, at.Add(time.Hour), 0))
+	must.True(t, Expired(at, at.Add(time.Minute), time.Minute))
+	must.False(t, Expired(at, at.Add(time.Second), time.Minute))
+}
--- a/coord/placement/placement.go
+++ b/coord/placement/placement.go
@@ -6,7 +6,6 @@
 import (
 	"cmp"
 	"slices"
-	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -15,40 +14,6 @@
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 )
 
-// Progress is what a running item tells of itself. It is safe for concurrent
-// use.
-type Progress struct {
-	events atomic.Int64
-	first  atomic.Int64
-	last   atomic.Int64
-}
-
-// Note records one more event at a time.
-func (p *Progress) Note(now time.Time) {
-	if p.events.Add(1) == 1 {
-		p.first.Store(now.UnixNano())
-	}
-	p.last.Store(now.UnixNano())
-}
-
-// Pace is the time between the events so far, up to a time at which the next
-// one has not come; false while there are too few.
-func (p *Progress) Pace(now time.Time) (time.Duration, bool) {
-	events := p.events.Load()
-	if events < enoughEvents {
-		return 0, false
-	}
-	first, last := time.Unix(0, p.first.Load()), time.Unix(0, p.last.Load())
-	pace := last.Sub(first) / time.Duration(events-1)
-	if silent := now.Sub(last); silent > pace {
-		pace = now.Sub(first) / time.Duration(events)
-	}
-	return pace, true
-}
-
-// Events counts the events since the run began.
-func (p *Progress) Events() int { return int(p.events.Load()) }
-
 // Home is the part of a model's home servers that takes every version of one
 // parity, so that each server loads every second version and one half is warm
 // whenever the other loads.
@@ -162,8 +127,8 @@
 	// slowFactor is how many times the pace elsewhere a run must take before
 	// it is moved.
 	slowFactor = 1.6
-	// enoughEvents is how many events tell a run's pace.
-	enoughEvents = 8
+	// EnoughEvents is how many events tell a run's pace.
+	EnoughEvents = 8
 )
 
 // ShouldMove reports whether a run with so many events left should go on at an
--- a/daemon/contract/fleet.go
+++ b/daemon/contract/fleet.go
@@ -9,7 +9,6 @@
 
 	"github.com/flamingobeam/flamingobeam/coord/batch"
 	"github.com/flamingobeam/flamingobeam/coord/catalog"
-	"github.com/flamingobeam/flamingobeam/coord/placement"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/kernel"
 	"github.com/flamingobeam/flamingobeam/outside"
@@ -261,7 +260,7 @@
 // Engines runs items on model engines.
 type Engines interface {
 	// Run blocks until the run ends. Progress is updated on the way.
-	Run(ctx context.Context, request RunRequest, progress *placement.Progress) Run
+	Run(ctx context.Context, request RunRequest, progress *Progress) Run
 }
 
 // ResultsRequest reads the results of a batch job from a position on.
--- a/daemon/services/engines/engines.go
+++ b/daemon/services/engines/engines.go
@@ -12,7 +12,6 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
-	"github.com/flamingobeam/flamingobeam/coord/placement"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
 	"github.com/flamingobeam/flamingobeam/kernel"
 	"github.com/flamingobeam/flamingobeam/platform"
@@ -80,7 +79,7 @@
 }
 
 // Run implements contract.Engines.
-func (s *service) Run(ctx context.Context, request contract.RunRequest, progress *placement.Progress) contract.Run {
+func (s *service) Run(ctx context.Context, request contract.RunRequest, progress *contract.Progress) contract.Run {
 	started := time.Now()
 	before := request.Text.Last
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -105,7 +104,7 @@
 	return run
 }
 
-func (s *service) run(ctx context.Context, request contract.RunRequest, progress *placement.Progress, silence *time.Timer) contract.Run {
+func (s *service) run(ctx context.Context, request contract.RunRequest, progress *contract.Progress, silence *time.Timer) contract.Run {
 	header := make(http.Header, len(request.Item.Headers))
 	for name, value := range request.Item.Headers {
 		header.Set(name, value)
@@ -166,7 +165,7 @@
 }
 
 // read adds the events of a stream to the text.
-func read(request contract.RunRequest, body io.Reader, progress *placement.Progress, silence *time.Timer) (contract.RunEnd, error) {
+func read(request contract.RunRequest, body io.Reader, progress *contract.Progress, silence *time.Timer) (contract.RunEnd, error) {
 	text := request.Text
 	version := text.Version
 	events := platform.NewEventReader(body)
--- a/daemon/services/jobs/schedule.go
+++ b/daemon/services/jobs/schedule.go
@@ -82,7 +82,7 @@
 	held     int
 	server   structs.HostName
 	begun    time.Time
-	progress *placement.Progress
+	progress *contract.Progress
 	stop     context.CancelFunc
 	// moving is set when the run was stopped to go on elsewhere.
 	moving bool
@@ -285,7 +285,7 @@
 func (s *service) start(j *job, it *item, server catalog.Server, events int, now time.Time) {
 	ctx, stop := context.WithCancel(j.ctx)
 	it.phase, it.server, it.begun, it.stop, it.moving = phaseRunning, server.ID, now, stop, false
-	it.progress = &placement.Progress{}
+	it.progress = &contract.Progress{}
 	s.engine(server).own++
 	request := contract.RunRequest{
 		Job: &j.Job, Item: it.Item, Server: server, Urgency: placement.Urgency(events, j.due().Sub(now)), Text: it.text,
--- /dev/null
+++ b/histories/managed/managed_test.go
@@ -0,0 +1,211 @@
+package managed
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// calm is a world with two plain servers and two engines.
+func calm(t *testing.T, events int, pace time.Duration) *world {
+	w := newWorld(t)
+	w.configure(1, route("/status/", "idempotent"), route("/claims/", "non_idempotent"))
+	w.addPlain("plain-1")
+	w.addEngine("engine-1", events, pace)
+	w.addEngine("engine-2", events, pace)
+	return w
+}
+
+func submit(w *world, d *daemon, id, body string) {
+	w.t.Helper()
+	w.until("job "+id+" is accepted", func() bool {
+		got := d.call(http.MethodPost, "/train/"+id, id, nil, body)
+		return got.status == http.StatusAccepted
+	})
+}
+
+func TestManaged_StepIsReadWholeWithItsScores(t *testing.T) {
+	w := calm(t, 5, time.Millisecond)
+	first, second := w.start("daemon-1"), w.start("daemon-2")
+	got := first.call(http.MethodPost, "/status/7?x=%2F", "look-1", nil, "body")
+	must.Eq(t, http.StatusOK, got.status)
+	must.Eq(t, "POST /status/7?x=%2F by look-1", got.body)
+	must.Eq(t, stamp("look-1"), got.header.Get("Server-Stamp"))
+
+	submit(w, first, "job-1", jobOf("job-1", 0, 1, 3, 2))
+	results := w.whole(second, "job-1", 6)
+	w.check("job-1", results, 5, 1)
+	body := second.call(http.MethodGet, "/api/items/job-1?id=job-1-3", "", nil, "")
+	must.Eq(t, "prompt of job-1-3", body.body)
+	again, _ := first.results("job-1", 2)
+	must.Eq(t, results[2:], again.Results)
+	must.Eq(t, http.StatusOK, second.call(http.MethodDelete, "/api/lots/job-1", "", nil, "").status)
+	must.Eq(t, http.StatusOK, first.call(http.MethodDelete, "/api/lots/job-1", "", nil, "").status)
+	_, status := first.results("job-unknown", 0)
+	must.Eq(t, http.StatusNotFound, status)
+}
+
+func TestManaged_SubmissionIsAcceptedOnceWhenTheAnswerIsLost(t *testing.T) {
+	w := calm(t, 3, time.Millisecond)
+	first, second := w.start("daemon-1"), w.start("daemon-2")
+	w.store.set(func(s *store) { s.loseNext = 1 })
+	submit(w, first, "job-1", jobOf("job-1", 0, 1, 2, 1))
+	submit(w, second, "job-1", jobOf("job-1", 0, 1, 2, 1))
+	w.check("job-1", w.whole(second, "job-1", 2), 3, 1)
+	for _, e := range w.engines {
+		for _, r := range e.seen() {
+			must.Eq(t, 0, r.after)
+		}
+	}
+}
+
+func TestManaged_VersionIsOrderedAndNextStepIsFresh(t *testing.T) {
+	w := calm(t, 4, time.Millisecond)
+	d := w.start("daemon-1")
+	submit(w, d, "job-1", jobOf("job-1", 0, 1, 2, 1))
+	w.whole(d, "job-1", 2)
+	w.store.put("op/version/"+modelName, map[string]any{"model": modelName, "version": 2})
+	submit(w, d, "job-2", jobOf("job-2", 2, 2, 2, 2))
+	w.check("job-2", w.whole(d, "job-2", 4), 4, 2)
+}
+
+func TestManaged_WeightsChangeWithinATextAndAreTold(t *testing.T) {
+	w := newWorld(t)
+	w.configure(1)
+	w.addPlain("plain-1")
+	e := w.addEngine("engine-1", 30, 10*time.Millisecond)
+	d := w.start("daemon-1")
+	submit(w, d, "job-1", jobOf("job-1", 0, 1, 1, 1))
+	w.until("the run has begun", func() bool { return len(e.seen()) > 0 })
+	e.loaded(2)
+	results := w.whole(d, "job-1", 1)
+	w.check("job-1", results, 30, 1)
+	must.Eq(t, []uint64{1, 2}, results[0].Versions)
+}
+
+// TestManaged_OwnerCutFromTheStore lets another daemon take the job over; what
+// the cut one makes is not listed twice, and texts go on from the checkpoint.
+func TestManaged_OwnerCutFromTheStore(t *testing.T) {
+	w := calm(t, 200, 20*time.Millisecond)
+	first, second := w.start("daemon-1"), w.start("daemon-2")
+	submit(w, first, "job-1", jobOf("job-1", 0, 1, 2, 1))
+	w.until("a checkpoint is kept", func() bool { return len(w.store.find("flamingobeam/job/text/")) > 0 })
+	first.link.set(true)
+	results := w.whole(second, "job-1", 2)
+	w.check("job-1", results, 200, 1)
+	resumed := false
+	for _, e := range w.engines {
+		for _, r := range e.seen() {
+			resumed = resumed || r.after > 0
+		}
+	}
+	must.True(t, resumed)
+	first.link.set(false)
+	w.until("the owner of before reads the same", func() bool {
+		read, status := first.results("job-1", 0)
+		must.NotEq(t, http.StatusNotFound, status)
+		return len(read.Results) == 2 && fmt.Sprint(read.Results) == fmt.Sprint(results)
+	})
+}
+
+func TestManaged_StoreAwayForSeconds(t *testing.T) {
+	w := calm(t, 100, 10*time.Millisecond)
+	first, second := w.start("daemon-1"), w.start("daemon-2")
+	submit(w, first, "job-1", jobOf("job-1", 0, 1, 2, 2))
+	w.store.set(func(s *store) { s.down = true })
+	_, status := second.results("job-unknown", 0)
+	must.Eq(t, http.StatusServiceUnavailable, status)
+	refused := second.call(http.MethodPost, "/train/job-2", "job-2", map[string]string{"Deadline-Ms": "500"}, jobOf("job-2", 1, 1, 1, 1))
+	must.Eq(t, http.StatusServiceUnavailable, refused.status)
+	must.True(t, first.isReady())
+	must.Eq(t, http.StatusOK, first.call(http.MethodPost, "/status/1", "look-1", nil, "").status)
+	time.Sleep(2500 * time.Millisecond) // Longer than a session's lease.
+	w.store.set(func(s *store) { s.down = false })
+	w.check("job-1", w.whole(second, "job-1", 4), 100, 1)
+	for _, e := range w.engines {
+		for _, r := range e.seen() {
+			must.StrHasPrefix(t, "job-1", r.item)
+		}
+	}
+}
+
+func TestManaged_ConfigurationAfterAWatchThatHearsNothing(t *testing.T) {
+	w := calm(t, 1, time.Millisecond)
+	d := w.start("daemon-1")
+	must.Eq(t, http.StatusNotFound, d.call(http.MethodPost, "/new/1", "look-1", nil, "").status)
+	w.store.set(func(s *store) { s.deaf = true })
+	w.configure(5, route("/new/", "idempotent"))
+	w.store.set(func(s *store) { s.floor, s.history = s.revision, nil })
+	w.until("the new route is served", func() bool {
+		return d.call(http.MethodPost, "/new/1", "look-2", nil, "").status == http.StatusOK
+	})
+	w.store.set(func(s *store) { s.deaf = false })
+	w.configure(3)
+	w.configure(6, route("/new/", "idempotent"), route("/newer/", "idempotent"))
+	w.until("the newest version is served", func() bool {
+		must.Eq(t, http.StatusOK, d.call(http.MethodPost, "/new/1", "look-3", nil, "").status)
+		return d.call(http.MethodPost, "/newer/1", "look-4", nil, "").status == http.StatusOK
+	})
+}
+
+func TestManaged_EndedJobStartsNothing(t *testing.T) {
+	w := calm(t, 50, 20*time.Millisecond)
+	first, second := w.start("daemon-1"), w.start("daemon-2")
+	submit(w, first, "job-1", jobOf("job-1", 0, 1, 20, 2))
+	must.Eq(t, http.StatusOK, second.call(http.MethodDelete, "/api/lots/job-1", "", nil, "").status)
+	var ended time.Time
+	w.until("no run is under way", func() bool {
+		ended = time.Now()
+		for _, e := range w.engines {
+			for _, r := range e.seen() {
+				if ended.Sub(r.at) < 300*time.Millisecond {
+					return false
+				}
+			}
+		}
+		return true
+	})
+	submit(w, second, "job-1", jobOf("job-1", 0, 1, 20, 2))
+	_, status := first.results("job-1", 0)
+	must.Eq(t, http.StatusOK, status)
+}
+
+func TestManaged_LeavingServerGetsNoWork(t *testing.T) {
+	w := calm(t, 1, time.Millisecond)
+	leaving := w.addPlain("plain-2")
+	d := w.start("daemon-1")
+	w.list("plain-2", plainService, leaving.server.Listener.Addr().String(), "draining", nil)
+	calm := 0
+	w.until("twenty requests in a row pass it by", func() bool {
+		before := len(leaving.requests())
+		must.Eq(t, http.StatusOK, d.call(http.MethodPost, "/status/1", fmt.Sprintf("look-%d", calm), nil, "").status)
+		if calm++; len(leaving.requests()) > before {
+			calm = 0
+		}
+		return calm == 20
+	})
+}
+
+func TestManaged_EntriesOfOtherWritersNameNoServer(t *testing.T) {
+	w := calm(t, 1, time.Millisecond)
+	w.store.put("servers/bad-1", map[string]any{"service": plainService, "address": 7, "state": "ready"})
+	w.store.put("servers/bad-2", map[string]any{"service": plainService, "address": "127.0.0.1:1", "state": "new"})
+	w.store.put("servers/bad-3", "text")
+	d := w.start("daemon-1")
+	for i := range 20 {
+		must.Eq(t, http.StatusOK, d.call(http.MethodPost, "/status/1", fmt.Sprintf("look-%d", i), nil, "").status)
+	}
+}
+
+func TestManaged_PlannedStopHandsTheJobOver(t *testing.T) {
+	w := calm(t, 300, 20*time.Millisecond)
+	first, second := w.start("daemon-1"), w.start("daemon-2")
+	submit(w, first, "job-1", jobOf("job-1", 0, 1, 2, 1))
+	w.until("a run is under way", func() bool { return len(w.engines[0].seen())+len(w.engines[1].seen()) == 2 })
+	must.NoError(t, first.kernel.Stop(context.Background()))
+	w.check("job-1", w.whole(second, "job-1", 2), 300, 1)
+}
--- a/scripts/check-imports.sh
+++ b/scripts/check-imports.sh
@@ -27,6 +27,14 @@
   "$(imports ./kernel/... | grep -E " $root/" | grep -v " $root/kernel")"
 report "outside may import only coord" \
   "$(imports ./outside/... | grep -E " $root/" | grep -vE " $root/(coord|outside)")"
+report "platform may import only coord and outside" \
+  "$(imports ./platform/... | grep -E " $root/" | grep -vE " $root/(coord|outside|platform)")"
+report "platform must not decide: it may not import the packages that do" \
+  "$(imports ./platform/... | grep -E " $root/coord/(placement|limit|retry|route|quarantine|weights|step|group|change)")"
+# Words of the managed platform's messages, which only its adapter and tests know.
+words='Attempt-Id|Server-Stamp|Not-Executed|Expect-Instance|Instance-Id|Weight-Versions|Prompt-Prefix|Token-Count|Deadline-Ms|Length-Hint|Request-Priority|Last-Event-Id|Wait-Ms|/api/|kv-txn|kv-watch|kv-key|kv-range|scoringEndpoint|desiredCount|trainStep|minVersion|targetLatencyMs|resultDeadlineMs|itemTtlS|routeType|pathPrefix|fencingToken|kvCapacityTokens|platformConfig|listenAddrs|FLAMINGOBEAM_NODE_FILE|"op/|"servers/|"draining"'
+report "only platform may know the words of the managed platform" \
+  "$(git grep -nE "$words" -- '*.go' ':!platform' ':!*_test.go')"
 report "services must find each other by name" \
   "$(imports ./daemon/services/... | grep -E "^$root/daemon/services/([^/ ]+)[^ ]* $root/daemon/services/" |
      awk -v p="$root/daemon/services/" '{ a=$1; b=$2; sub(p,"",a); sub(p,"",b); sub("/.*","",a); sub("/.*","",b); if (a!=b) print }')"
