Make fewer calls to the store and fewer connections

Of 1,100 new connections 465 went to engines after eight idle seconds, 176 to orders and reports that kept none, and the balancer probed servers that had only answered with a failure.

Ruled out: one watch for all prefixes, which the store does not offer.

--- a/daemon/services/catalog/catalog.go
+++ b/daemon/services/catalog/catalog.go
@@ -26,7 +26,7 @@
 
 // pace finds a watch that was cut in time for a change to be in force within
 // three seconds; versions of several models are named at nearly the same time.
-var pace = contract.WatchPace{Wait: 1500 * time.Millisecond, Rest: 200 * time.Millisecond}
+var pace = contract.WatchPace{Wait: 1500 * time.Millisecond, Rest: 400 * time.Millisecond}
 
 type service struct {
 	kernel.Base
--- a/daemon/services/dispatch/dispatch.go
+++ b/daemon/services/dispatch/dispatch.go
@@ -27,11 +27,11 @@
 	// dialTimeout bounds a new connection: a round trip between regions takes
 	// 60 ms, and a lost packet costs a second.
 	dialTimeout = 700 * time.Millisecond
-	// idleTimeout is how long a connection is kept; servers close theirs
-	// sooner or later, so it is short of what they usually allow.
-	idleTimeout = 8 * time.Second
+	// idleTimeout is how long a connection is kept. One that the server has
+	// closed meanwhile shows it before a request is written.
+	idleTimeout = 30 * time.Second
 	// idlePerServer bounds the idle connections to one server.
-	idlePerServer = 8
+	idlePerServer = 16
 	// headerBytes bounds the headers of an answer.
 	headerBytes = 64 << 10
 	// probeIdle, probeEvery and probeCount find a silent connection within
--- a/daemon/services/dispatch/send.go
+++ b/daemon/services/dispatch/send.go
@@ -85,8 +85,9 @@
 // judge decides what an answer is worth and reads it.
 func (s *service) judge(ctx context.Context, request contract.Proxied, response *http.Response) try {
 	answer := platform.DecodeAnswer(response, request.ID)
-	code := codeOf(request, response.StatusCode, answer)
-	if code != result.OK && code != result.BackendBroke || !answer.Own {
+	code := codeOf(response.StatusCode, answer)
+	hasFailed := isFailure(response.StatusCode, answer)
+	if code != result.OK && !hasFailed {
 		if answer.NotRun {
 			// Read to its end, the connection serves again.
 			_, _ = io.CopyN(io.Discard, response.Body, maxRefusal)
@@ -96,7 +97,7 @@
 		return try{err: result.New(code, "status %d", response.StatusCode)}
 	}
 	forwarded := contract.Forwarded{Status: response.StatusCode, Header: response.Header, Stamp: answer.Stamp}
-	if isStream(request.Route, response) {
+	if !hasFailed && isStream(request.Route, response) {
 		forwarded.Stream = response
 		return try{forwarded: forwarded}
 	}
@@ -106,7 +107,7 @@
 		return try{err: failed(ctx, result.AnswerCut, err)}
 	}
 	forwarded.Body = body
-	if code == result.BackendBroke {
+	if hasFailed {
 		return try{failure: &forwarded, err: result.New(code, "status %d", response.StatusCode)}
 	}
 	return try{forwarded: forwarded}
@@ -118,9 +119,13 @@
 		strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream")
 }
 
-// codeOf says what an answer's headers stand for: OK to pass it on, BackendBroke
-// for a failure of the server.
-func codeOf(request contract.Proxied, status int, answer platform.Answer) result.Code {
+// isFailure reports whether the server itself answered that it failed.
+func isFailure(status int, answer platform.Answer) bool {
+	return status >= http.StatusInternalServerError && status != http.StatusServiceUnavailable && answer.Own && !answer.NotRun
+}
+
+// codeOf says what an answer's headers stand for; OK is an answer to pass on.
+func codeOf(status int, answer platform.Answer) result.Code {
 	switch {
 	case answer.OtherServer:
 		return result.NoBackend
@@ -130,11 +135,10 @@
 		return result.BackendBroke
 	case status < http.StatusMultipleChoices && answer.Stamp == "":
 		return result.OutcomeUnknown
-	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
-		// Without the server's word the request may have run.
+	case status == http.StatusTooManyRequests || status >= http.StatusInternalServerError:
+		// The request may have run, also when the server is short of room and
+		// does not say that it has not.
 		return result.OutcomeUnknown
-	case status >= http.StatusInternalServerError:
-		return result.BackendBroke
 	}
 	return result.OK
 }
--- a/daemon/services/engines/engines.go
+++ b/daemon/services/engines/engines.go
@@ -24,8 +24,9 @@
 const (
 	// dialTimeout bounds a new connection to an engine.
 	dialTimeout = 700 * time.Millisecond
-	// idleTimeout is how long a connection is kept for the next item.
-	idleTimeout = 8 * time.Second
+	// idleTimeout is how long a connection is kept for the next item. One that
+	// the engine has closed meanwhile costs another attempt, not a result.
+	idleTimeout = 60 * time.Second
 	// idlePerServer holds as many as an engine runs at once.
 	idlePerServer = 16
 	probeIdle     = time.Second
--- a/daemon/services/jobs/commit.go
+++ b/daemon/services/jobs/commit.go
@@ -11,9 +11,14 @@
 	"github.com/flamingobeam/flamingobeam/outside"
 )
 
-// commitWait is how long a finished result waits for others of its group
-// before it is listed: each write to the store is charged.
-const commitWait = 400 * time.Millisecond
+const (
+	// commitWait is how long a finished result waits for others before it is
+	// listed: each write to the store is charged.
+	commitWait = 700 * time.Millisecond
+	// commitMargin is the time before the results are due from which none
+	// waits any longer.
+	commitMargin = time.Second
+)
 
 // finish records the result of an item.
 func (s *service) finish(j *job, it *item, result batch.Result) {
@@ -26,13 +31,15 @@
 	s.commit(j)
 }
 
-// commit lists what is pending once a group is whole, nothing is left to wait
-// for, or the oldest result has waited long enough.
+// commit lists what is pending once the trainer has the groups that it waits
+// for, the results are nearly due, or the oldest one has waited long enough.
 func (s *service) commit(j *job) {
 	if j.committing || len(j.pending) == 0 || j.own.Ended {
 		return
 	}
-	if wait := commitWait - s.loop.Now().Sub(j.pendingSince); wait > 0 && j.open() && !j.anyGroupWhole() {
+	now := s.loop.Now()
+	wait := min(commitWait-now.Sub(j.pendingSince), j.due().Add(-commitMargin).Sub(now))
+	if wait > 0 && j.open() && !j.isEnough() {
 		s.loop.After(wait, func() { s.commit(j) })
 		return
 	}
@@ -47,20 +54,18 @@
 	})
 }
 
-// anyGroupWhole reports whether a group became whole with the pending results.
-func (j *job) anyGroupWhole() bool {
+// isEnough reports whether the trainer has as many whole groups as it waits for
+// once the pending results are listed.
+func (j *job) isEnough() bool {
 	open := make(map[string]bool)
+	groups := make(map[string]bool)
 	for _, it := range j.items {
+		groups[it.Group] = true
 		if it.phase != phaseFinished {
 			open[it.Group] = true
 		}
 	}
-	for _, result := range j.pending {
-		if it := j.find(result.ID); it != nil && !open[it.Group] {
-			return true
-		}
-	}
-	return false
+	return len(groups)-len(open) >= j.WantedGroups
 }
 
 func (j *job) find(id batch.ItemID) *item {
--- a/daemon/services/jobs/read.go
+++ b/daemon/services/jobs/read.go
@@ -40,7 +40,7 @@
 	if err != nil {
 		return contract.ResultsReply{}, err
 	}
-	if address := s.addressOf(own.Owner); address != "" && !own.Ended {
+	if address := s.addressOf(own.Owner); address != "" {
 		var reply ResultsRPC
 		err := s.call(ctx, address, "Results", request, &reply, request.Wait)
 		if err == nil && reply.Known {
--- a/daemon/services/session/session.go
+++ b/daemon/services/session/session.go
@@ -33,8 +33,9 @@
 	// leaseFor is the time to live of a session: short, since a daemon's batch
 	// jobs wait that long for another owner when it dies.
 	leaseFor = 2 * time.Second
-	// renewEvery is how often the lease is renewed: four times within it.
-	renewEvery = 500 * time.Millisecond
+	// renewEvery is how often the lease is renewed: about three times within
+	// it.
+	renewEvery = 650 * time.Millisecond
 	// retryEvery is the pause before a failed renewal is made again.
 	retryEvery = 300 * time.Millisecond
 	// absence is how long a daemon must be missing from the list, with the
--- a/daemon/services/swaps/swaps.go
+++ b/daemon/services/swaps/swaps.go
@@ -40,6 +40,9 @@
 	lookAfter = 1100 * time.Millisecond
 	// lookAgain is the pause before an engine is asked again.
 	lookAgain = 250 * time.Millisecond
+	// idleTimeout is how long a connection is kept: an engine is ordered, looked
+	// after and ordered again within seconds.
+	idleTimeout = 30 * time.Second
 	// fencedFor is how long a daemon that was fenced gives no orders.
 	fencedFor = 4 * time.Second
 	// loadsShare is the part of a service's engines that load at once, and
@@ -102,7 +105,8 @@
 	}
 	s.log, s.loop, s.workers = ctx.Log(), ctx.Loop(), ctx.Workers()
 	s.transport = &http.Transport{
-		DialContext: (&net.Dialer{Timeout: orderWithin}).DialContext, DisableCompression: true, DisableKeepAlives: true,
+		DialContext: (&net.Dialer{Timeout: orderWithin}).DialContext, DisableCompression: true,
+		IdleConnTimeout: idleTimeout,
 	}
 	s.outcomes = kernel.NewMailbox(s.loop, mailboxCapacity, s.answered)
 	s.reports = kernel.NewMailbox(s.loop, mailboxCapacity, s.reported)
