Divide the engines over the models by demand

Ruled out: shares that each daemon works out for itself; the owner of each new job tells all daemons its size, and the leader alone decides on homes.

--- a/coord/placement/placement.go
+++ b/coord/placement/placement.go
@@ -23,10 +23,38 @@
 	Parity uint64
 }
 
+// Demand is what the steps of each model ask for, in any unit; a model that is
+// not there counts as the mean of the others.
+type Demand map[structs.ServiceName]float64
+
+// shares divides a count over models by their demand.
+func (d Demand) shares(models []structs.ServiceName, count int) []int {
+	sum, known := 0.0, 0
+	for _, model := range models {
+		if d[model] > 0 {
+			sum += d[model]
+			known++
+		}
+	}
+	mean := 1.0
+	if known > 0 {
+		mean = sum / float64(known)
+	}
+	total := sum + mean*float64(len(models)-known)
+	shares := make([]int, len(models))
+	for i, model := range models {
+		part := d[model]
+		if part <= 0 {
+			part = mean
+		}
+		shares[i] = int(float64(count) * part / total)
+	}
+	return shares
+}
+
 // Homes gives each model its home servers among those of a service: two shares
-// of the servers for each model, one for each parity. Every daemon that sees
-// the same servers and models comes to the same homes.
-func Homes(models []structs.ServiceName, servers []catalog.Server) map[structs.ServiceName][]Home {
+// of the servers for each model, one for each parity, divided by demand.
+func Homes(models []structs.ServiceName, servers []catalog.Server, demand Demand) map[structs.ServiceName][]Home {
 	homes := make(map[structs.ServiceName][]Home, len(models))
 	if len(models) == 0 || len(servers) == 0 {
 		return homes
@@ -35,14 +63,14 @@
 	slices.SortFunc(sorted, func(a, b catalog.Server) int { return cmp.Compare(weight(a.ID), weight(b.ID)) })
 	ordered := slices.Clone(models)
 	slices.Sort(ordered)
-	share := max(1, len(sorted)/len(ordered))
-	for i, model := range ordered {
-		first := i * len(sorted) / len(ordered)
-		count := min(2*share, len(sorted))
+	first := 0
+	for i, share := range demand.shares(ordered, len(sorted)) {
+		count := min(2*max(1, share), len(sorted))
 		for j := range count {
 			server := sorted[(first+j)%len(sorted)]
-			homes[model] = append(homes[model], Home{Server: server, Parity: uint64(j/max(1, (count+1)/2)) % 2})
+			homes[ordered[i]] = append(homes[ordered[i]], Home{Server: server, Parity: uint64(j/max(1, (count+1)/2)) % 2})
 		}
+		first += count
 	}
 	return homes
 }
@@ -66,8 +94,6 @@
 	// Version is the newest version of the item's model that the engine is
 	// known to run.
 	Version structs.WeightVersion
-	// Home says that the engine is one of the model's own.
-	Home bool
 	// Own counts the items that this daemon runs there.
 	Own int
 	// Pace is the time between events; zero is unknown.
@@ -85,9 +111,6 @@
 	// crowding is the part by which a run takes longer in the reckoning for a
 	// full engine, so that items spread over engines of equal pace.
 	crowding = 0.5
-	// strangeness is added for an engine that is not a home of the model: its
-	// own models need it.
-	strangeness = 400 * time.Millisecond
 )
 
 // Place chooses the engine on which an item of so many events ends soonest, and
@@ -113,11 +136,7 @@
 		pace = DefaultPace
 	}
 	full := float64(e.Own) / float64(e.Server.Slots)
-	cost := time.Duration(float64(pace) * float64(max(1, events)) * (1 + crowding*full))
-	if !e.Home {
-		cost += strangeness
-	}
-	return cost + e.Distance
+	return time.Duration(float64(pace)*float64(max(1, events))*(1+crowding*full)) + e.Distance
 }
 
 const (
@@ -163,8 +182,20 @@
 	return urgencyUsual
 }
 
-// paceSmoothing is the weight of a new run in the pace of an engine.
-const paceSmoothing = 0.4
+const (
+	// paceSmoothing is the weight of a new run in the pace of an engine.
+	paceSmoothing = 0.4
+	// demandSmoothing is the weight of a new step in the demand for a model.
+	demandSmoothing = 0.3
+)
+
+// Add takes in the size of one more step of a model.
+func (d Demand) Add(model structs.ServiceName, size float64) {
+	if old, ok := d[model]; ok {
+		size = old + demandSmoothing*(size-old)
+	}
+	d[model] = size
+}
 
 // Smooth adds the pace of one more run to that of an engine.
 func Smooth(old, seen time.Duration) time.Duration {
--- a/coord/placement/placement_test.go
+++ b/coord/placement/placement_test.go
@@ -24,7 +24,7 @@
 func TestHomes_LoadsPerVersionAreOneShare(t *testing.T) {
 	models := []structs.ServiceName{"a", "b", "c"}
 	for _, count := range []int{3, 9, 30, 44} {
-		homes := Homes(models, fleet(count))
+		homes := Homes(models, fleet(count), nil)
 		for _, model := range models {
 			parities := map[uint64]int{}
 			seen := map[structs.HostName]bool{}
@@ -45,7 +45,18 @@
 	servers := fleet(9)
 	turned := append(append([]catalog.Server(nil), servers[4:]...), servers[:4]...)
 	models := []structs.ServiceName{"a", "b"}
-	must.Eq(t, Homes(models, servers), Homes([]structs.ServiceName{"b", "a"}, turned))
+	must.Eq(t, Homes(models, servers, nil), Homes([]structs.ServiceName{"b", "a"}, turned, nil))
+}
+
+func TestHomes_FollowDemand(t *testing.T) {
+	demand := Demand{}
+	demand.Add("a", 100)
+	demand.Add("b", 200)
+	homes := Homes([]structs.ServiceName{"a", "b"}, fleet(9), demand)
+	must.Len(t, 6, homes["a"])
+	must.Len(t, 9, homes["b"]) // Two shares of six, of nine servers.
+	demand.Add("b", 0)
+	must.Eq(t, 140, demand["b"])
 }
 
 func TestHome_WantedAlternates(t *testing.T) {
--- a/daemon/contract/fleet.go
+++ b/daemon/contract/fleet.go
@@ -285,11 +285,21 @@
 	Versions map[structs.ServiceName]structs.WeightVersion
 }
 
+// ModelDemand is what one step of a model asks for.
+type ModelDemand struct {
+	Model structs.ServiceName
+	// Size is in tokens, as far as the callers' hints go.
+	Size float64
+}
+
 // Swaps tells which weights the model engines run.
 type Swaps interface {
 	// OnNews adds a function to call on the control goroutine for each piece
 	// of news. It must be called while services are provisioned.
 	OnNews(call func(EngineNews))
+	// Asked takes in what a step asks for, so that busier models get more
+	// engines. It must be called on the control goroutine.
+	Asked(demand ModelDemand)
 }
 
 // Jobs runs batch jobs. Errors are of package result: NotFound is certain.
--- a/daemon/services/jobs/jobs.go
+++ b/daemon/services/jobs/jobs.go
@@ -42,6 +42,7 @@
 	runner  contract.Engines
 	sender  contract.Dispatch
 	peers   contract.Peers
+	swaps   contract.Swaps
 	metrics contract.Metrics
 	log     *logrus.Entry
 	loop    *kernel.Loop
@@ -92,11 +93,10 @@
 	if err != nil {
 		return err
 	}
-	swaps, err := kernel.Find[contract.Swaps](ctx, contract.NameSwaps)
-	if err != nil {
+	if s.swaps, err = kernel.Find[contract.Swaps](ctx, contract.NameSwaps); err != nil {
 		return err
 	}
-	swaps.OnNews(s.engineNews)
+	s.swaps.OnNews(s.engineNews)
 	rpc, err := kernel.Find[contract.RPC](ctx, contract.NameRPC)
 	if err != nil {
 		return err
@@ -209,6 +209,7 @@
 		j.items = append(j.items, it)
 	}
 	j.view = kernel.NewSnapshot(&jobView{total: len(j.items), results: a.results, ended: a.own.Ended})
+	s.swaps.Asked(contract.ModelDemand{Model: j.Model, Size: sizeOf(&j.Job)})
 	s.owned[j.ID] = j
 	s.views.Store(j.ID, j.view)
 	s.log.WithFields(logrus.Fields{
@@ -218,6 +219,15 @@
 	s.wake()
 }
 
+// sizeOf is what a job asks for, in tokens.
+func sizeOf(job *batch.Job) float64 {
+	size := 0
+	for i := range job.Items {
+		size += max(1, job.Items[i].LengthHint)
+	}
+	return float64(size)
+}
+
 // drop forgets a job that another daemon owns now.
 func (s *service) drop(j *job, why string) {
 	s.log.WithFields(logrus.Fields{"job": j.ID, "epoch": j.own.Epoch, "why": why}).Info("A batch job is no longer owned here.")
--- a/daemon/services/jobs/schedule.go
+++ b/daemon/services/jobs/schedule.go
@@ -246,16 +246,12 @@
 		return nil
 	}
 	servers := s.servers.Entries().Load().ByService[j.terms.service]
-	homes := make(map[structs.HostName]bool)
-	for _, home := range placement.Homes(view.Catalog.Models(j.terms.service), servers)[j.Model] {
-		homes[home.Server.ID] = true
-	}
 	engines := make([]placement.Engine, 0, len(servers))
 	for _, server := range servers {
 		known := s.engine(server)
 		engines = append(engines, placement.Engine{
 			Server: server, Version: max(server.Versions[j.Model], known.versions[j.Model]),
-			Home: homes[server.ID], Own: known.own, Pace: known.pace,
+			Own: known.own, Pace: known.pace,
 			Distance: s.distance(server.Zone), Blocked: now.Before(known.blocked[j.Model]),
 		})
 	}
--- a/daemon/services/swaps/news.go
+++ b/daemon/services/swaps/news.go
@@ -25,6 +25,18 @@
 	return r.service.news.Post(news)
 }
 
+// Asked takes in what a step of a model asks for.
+func (r *Receiver) Asked(demand contract.ModelDemand, _ *struct{}) error {
+	return r.service.demands.Post(demand)
+}
+
+// Asked implements contract.Swaps. Every daemon is told, since each may lead
+// next.
+func (s *service) Asked(demand contract.ModelDemand) {
+	s.demand.Add(demand.Model, demand.Size)
+	s.broadcast("Asked", demand)
+}
+
 // OnNews implements contract.Swaps.
 func (s *service) OnNews(call func(contract.EngineNews)) { s.listeners = append(s.listeners, call) }
 
@@ -39,6 +51,12 @@
 func (s *service) tell(server structs.HostName, known *engine) {
 	news := contract.EngineNews{Server: server, Started: known.started, Versions: maps.Clone(known.versions)}
 	s.learned(news)
+	s.broadcast("Learned", news)
+}
+
+// broadcast tells all other daemons; one that does not hear goes by the entries
+// of the store's list.
+func (s *service) broadcast(method string, news any) {
 	view := s.session.View().Load()
 	for name, member := range view.Live {
 		if name == view.Self.Name {
@@ -48,8 +66,8 @@
 			ctx, cancel := context.WithTimeout(ctx, tellWithin)
 			defer cancel()
 			var reply struct{}
-			if err := s.peers.Call(ctx, member.Peers, rpcName+".Learned", news, &reply); err != nil {
-				s.log.WithError(err).WithField("daemon", member.Name).Info("A daemon was not told of an engine's weights.")
+			if err := s.peers.Call(ctx, member.Peers, rpcName+"."+method, news, &reply); err != nil {
+				s.log.WithError(err).WithField("daemon", member.Name).Info("A daemon was not told of the engines.")
 			}
 		})
 	}
--- a/daemon/services/swaps/swaps.go
+++ b/daemon/services/swaps/swaps.go
@@ -24,7 +24,7 @@
 
 func init() {
 	kernel.Register(contract.NameSwaps, func() kernel.Service {
-		return &service{engines: make(map[structs.HostName]*engine)}
+		return &service{engines: make(map[structs.HostName]*engine), demand: make(placement.Demand)}
 	})
 }
 
@@ -66,12 +66,14 @@
 	outcomes  *kernel.Mailbox[outcome]
 	reports   *kernel.Mailbox[report]
 	peers     contract.Peers
+	demands   *kernel.Mailbox[contract.ModelDemand]
 	news      *kernel.Mailbox[contract.EngineNews]
 	listeners []func(contract.EngineNews)
 
 	// What follows belongs to the control goroutine.
 	engines map[structs.HostName]*engine
 	fenced  time.Time
+	demand  placement.Demand
 }
 
 // engine is what the leader knows of a model engine.
@@ -110,6 +112,7 @@
 	}
 	s.outcomes = kernel.NewMailbox(s.loop, mailboxCapacity, s.answered)
 	s.reports = kernel.NewMailbox(s.loop, mailboxCapacity, s.reported)
+	s.demands = kernel.NewMailbox(s.loop, mailboxCapacity, func(d contract.ModelDemand) { s.demand.Add(d.Model, d.Size) })
 	s.news = kernel.NewMailbox(s.loop, mailboxCapacity, s.learned)
 	return rpc.Register(rpcName, &Receiver{service: s})
 }
@@ -187,7 +190,7 @@
 // those first whose model has the fewest servers that its next step may use.
 func (s *service) missing(view *contract.CatalogView, models []structs.ServiceName, servers []catalog.Server) []step {
 	var steps []step
-	for model, homes := range placement.Homes(models, servers) {
+	for model, homes := range placement.Homes(models, servers, s.demand) {
 		newest := view.Wanted[model]
 		ready := 0
 		for _, home := range homes {
