Make calls to the store through another daemon while it does not serve this one

Cause: where the store turns some hosts away, or a host is cut off from it, its daemon could accept no job, list no result and lost its jobs to an heir after two seconds. Each call now goes through another daemon, the nearest first, when the store gives this one no answer; the renewal of the session finds out when it is back. A write that may have been applied twice is refused by its own condition.

Ruled out: handing submissions alone to another daemon, which leaves reads and results behind.

--- a/daemon/contract/fleet.go
+++ b/daemon/contract/fleet.go
@@ -65,6 +65,10 @@
 	// Track hands all changes under a prefix to a handler on the control
 	// goroutine, in order. It must be called while services are provisioned.
 	Track(prefix string, pace WatchPace, handle func(News))
+	// SetRelays names the daemons, the nearest first, that make calls for this
+	// one while the store does not serve it. It may be called from any
+	// goroutine.
+	SetRelays(addresses []string)
 	// ReachedSince returns since when calls have been answered, and false
 	// while they are not. It may be called from any goroutine.
 	ReachedSince() (time.Time, bool)
@@ -75,7 +79,8 @@
 	// Name names one run of a daemon.
 	Name string `json:"name"`
 	// Peers is its address for net/rpc.
-	Peers string `json:"peers"`
+	Peers string           `json:"peers"`
+	Zone  structs.ZoneName `json:"zone"`
 }
 
 // SessionView is the immutable snapshot of the live daemons.
--- a/daemon/services/ledger/ledger.go
+++ b/daemon/services/ledger/ledger.go
@@ -31,13 +31,13 @@
 	// answerWithin bounds the wait for a watch's answer beyond the time that
 	// it was asked to wait.
 	answerWithin = 700 * time.Millisecond
+	// renewTimeout bounds the renewal of a lease, so that there is time for
+	// another daemon to renew it before it ends.
+	renewTimeout = 600 * time.Millisecond
 	// retryFirst and retryMost bound the pause before a failed call to the
 	// store is made again.
 	retryFirst = 60 * time.Millisecond
-	retryMost  = 600 * time.Millisecond
-	// lostPause is how long a track waits for another call to find the store
-	// again before it looks for itself.
-	lostPause = 2 * time.Second
+	retryMost  = 1200 * time.Millisecond
 	// newsCapacity bounds the batches of news that wait for the control loop.
 	newsCapacity = 1024
 	// probeIdle, probeEvery and probeCount find a silent connection within
@@ -56,6 +56,8 @@
 	workers *kernel.Workers
 	log     *logrus.Entry
 	metrics contract.Metrics
+	peers   contract.Peers
+	relays  relays
 	tracks  []*track
 
 	mu    sync.Mutex
@@ -79,7 +81,15 @@
 	if err != nil {
 		return err
 	}
-	if s.metrics, err = kernel.Find[contract.Metrics](ctx, contract.NameMetrics); err != nil {
+	err = kernel.FindAll(ctx, kernel.Into(&s.metrics, contract.NameMetrics), kernel.Into(&s.peers, contract.NamePeers))
+	if err != nil {
+		return err
+	}
+	rpc, err := kernel.Find[contract.RPC](ctx, contract.NameRPC)
+	if err != nil {
+		return err
+	}
+	if err := rpc.Register(rpcName, &Receiver{service: s}); err != nil {
 		return err
 	}
 	s.loop, s.workers, s.log = ctx.Loop(), ctx.Workers(), ctx.Log()
@@ -155,75 +165,51 @@
 	return errors.Is(err, outside.ErrUnavailable) || errors.Is(err, outside.ErrRefused)
 }
 
-// timed makes a call with a time limit and records how it went. A call that
-// its own caller gave up says nothing of the store.
-func timed[T any](ctx context.Context, s *service, call string, limit time.Duration, do func(context.Context) (T, error)) (T, error) {
-	bounded, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
-	started := time.Now()
-	value, err := do(bounded)
-	if err == nil || ctx.Err() == nil {
-		s.saw(call, started, err)
-	}
-	return value, err
-}
-
 // Read implements outside.Ledger.
 func (s *service) Read(ctx context.Context, key string) (outside.Record, error) {
-	return timed(ctx, s, "read", callTimeout, func(ctx context.Context) (outside.Record, error) {
-		return s.store.Read(ctx, key)
-	})
+	reply, err := s.do(ctx, "read", callTimeout, Call{Op: OpRead, Key: key})
+	if err != nil || len(reply.Records) == 0 {
+		return outside.Record{}, err
+	}
+	return reply.Records[0], nil
 }
 
 // Scan implements outside.Ledger.
 func (s *service) Scan(ctx context.Context, prefix string) (outside.Listing, error) {
-	return timed(ctx, s, "scan", 2*callTimeout, func(ctx context.Context) (outside.Listing, error) {
-		return s.store.Scan(ctx, prefix)
-	})
+	reply, err := s.do(ctx, "scan", 2*callTimeout, Call{Op: OpScan, Key: prefix})
+	return outside.Listing{Records: reply.Records, AsOf: reply.Revision}, err
 }
 
 // Follow implements outside.Ledger.
 func (s *service) Follow(ctx context.Context, prefix string, after outside.Revision, wait time.Duration) ([]outside.Record, outside.Revision, error) {
-	revision := after
-	records, err := timed(ctx, s, "follow", wait+answerWithin, func(ctx context.Context) ([]outside.Record, error) {
-		records, through, err := s.store.Follow(ctx, prefix, after, wait)
-		revision = through
-		return records, err
-	})
-	return records, revision, err
+	if _, reached := s.ReachedSince(); !reached {
+		wait = min(wait, relayFollow)
+	}
+	reply, err := s.do(ctx, "follow", wait+answerWithin, Call{Op: OpFollow, Key: prefix, After: after, Wait: wait})
+	return reply.Records, max(after, reply.Revision), err
 }
 
 // Commit implements outside.Ledger.
 func (s *service) Commit(ctx context.Context, transaction outside.Transaction) (outside.Revision, error) {
-	return timed(ctx, s, "commit", callTimeout, func(ctx context.Context) (outside.Revision, error) {
-		return s.store.Commit(ctx, transaction)
-	})
+	reply, err := s.do(ctx, "commit", callTimeout, Call{Op: OpCommit, Transaction: transaction})
+	return reply.Revision, err
 }
 
 // Grant implements outside.Ledger.
 func (s *service) Grant(ctx context.Context, ttl time.Duration) (outside.LeaseID, time.Duration, error) {
-	granted := ttl
-	lease, err := timed(ctx, s, "grant", callTimeout, func(ctx context.Context) (outside.LeaseID, error) {
-		lease, applies, err := s.store.Grant(ctx, ttl)
-		granted = applies
-		return lease, err
-	})
-	return lease, granted, err
+	reply, err := s.do(ctx, "grant", renewTimeout, Call{Op: OpGrant, Wait: ttl})
+	return reply.Lease, reply.TTL, err
 }
 
 // KeepAlive implements outside.Ledger.
 func (s *service) KeepAlive(ctx context.Context, lease outside.LeaseID) error {
-	_, err := timed(ctx, s, "keep-alive", callTimeout, func(ctx context.Context) (struct{}, error) {
-		return struct{}{}, s.store.KeepAlive(ctx, lease)
-	})
+	_, err := s.do(ctx, "keep-alive", renewTimeout, Call{Op: OpKeepAlive, Lease: lease})
 	return err
 }
 
 // Revoke implements outside.Ledger.
 func (s *service) Revoke(ctx context.Context, lease outside.LeaseID) error {
-	_, err := timed(ctx, s, "revoke", callTimeout, func(ctx context.Context) (struct{}, error) {
-		return struct{}{}, s.store.Revoke(ctx, lease)
-	})
+	_, err := s.do(ctx, "revoke", renewTimeout, Call{Op: OpRevoke, Lease: lease})
 	return err
 }
 
@@ -269,14 +255,12 @@
 	}
 }
 
-// rest waits before a failed call is made again; while the store is lost, until
-// another call has reached it or the longest pause has passed.
+// rest waits before a failed call is made again, or until another call has found
+// the store again.
 func (t *track) rest(ctx context.Context, pause time.Duration) {
 	now, replaced := t.service.reach.Watch()
 	if !now.since.IsZero() {
 		replaced = nil
-	} else {
-		pause = lostPause
 	}
 	select {
 	case <-time.After(pause):
--- a/daemon/services/session/session.go
+++ b/daemon/services/session/session.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/daemon/config"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
 	"github.com/flamingobeam/flamingobeam/kernel"
@@ -56,6 +57,7 @@
 	workers *kernel.Workers
 	log     *logrus.Entry
 	view    *kernel.Snapshot[contract.SessionView]
+	zone    structs.ZoneName
 	replies *kernel.Mailbox[kernel.Reply[renewal]]
 	calls   *kernel.Calls
 
@@ -84,7 +86,9 @@
 	s.view = kernel.NewSnapshot(&contract.SessionView{Self: contract.Member{
 		Name:  fmt.Sprintf("%s.%x", daemon.Host, time.Now().UnixNano()),
 		Peers: daemon.Listen.Peers,
+		Zone:  daemon.Place.Zone,
 	}})
+	s.zone = daemon.Place.Zone
 	s.replies = kernel.NewMailbox(s.loop, 1, s.renewed)
 	s.ledger.Track(prefix, pace, s.take)
 	s.calls = kernel.NewCalls(s.loop)
@@ -245,6 +249,22 @@
 		return
 	}
 	s.view.Publish(next)
+	s.ledger.SetRelays(s.relaysOf(next))
+}
+
+// relaysOf lists the other daemons, those of the own zone first.
+func (s *service) relaysOf(view *contract.SessionView) []string {
+	var near, far []string
+	for name, member := range view.Live {
+		switch {
+		case name == view.Self.Name:
+		case member.Zone == s.zone:
+			near = append(near, member.Peers)
+		default:
+			far = append(far, member.Peers)
+		}
+	}
+	return append(near, far...)
 }
 
 // Stop implements kernel.Service. It ends the lease, so that others need not
