Let items that come again go on from the texts of their earlier job

Cause: groups that were not whole come again in a later step and were made anew.

Ruled out: reading earlier checkpoints from the store, which costs calls for every job.

--- a/daemon/contract/fleet.go
+++ b/daemon/contract/fleet.go
@@ -222,6 +222,15 @@
 	t.Whole = true
 }
 
+// Snapshot returns a copy. It may be called from any goroutine.
+func (t *Text) Snapshot() *Text {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return &Text{
+		Events: slices.Clone(t.Events), Last: t.Last, Versions: slices.Clone(t.Versions), Version: t.Version, Whole: t.Whole,
+	}
+}
+
 // Copy returns the events from a position on, with all versions of the text and
 // whether it is whole. It may be called from any goroutine.
 func (t *Text) Copy(from int) ([]string, []structs.WeightVersion, bool) {
--- a/daemon/services/jobs/commit.go
+++ b/daemon/services/jobs/commit.go
@@ -23,7 +23,6 @@
 // finish records the result of an item.
 func (s *service) finish(j *job, it *item, result batch.Result) {
 	it.phase = phaseFinished
-	it.text = &text{}
 	if len(j.pending) == 0 {
 		j.pendingSince = s.loop.Now()
 	}
--- a/daemon/services/jobs/jobs.go
+++ b/daemon/services/jobs/jobs.go
@@ -57,6 +57,7 @@
 	verdicts  *kernel.Mailbox[verdict]
 
 	checkpoints *kernel.Mailbox[checkpointed]
+	carries     *kernel.Mailbox[carried]
 
 	// What follows belongs to the control goroutine.
 	owned     map[string]*job
@@ -109,6 +110,7 @@
 	s.committed = kernel.NewMailbox(s.loop, mailboxCapacity, s.commitCame)
 	s.verdicts = kernel.NewMailbox(s.loop, mailboxCapacity, s.verdictCame)
 	s.checkpoints = kernel.NewMailbox(s.loop, mailboxCapacity, s.checkpointCame)
+	s.carries = kernel.NewMailbox(s.loop, mailboxCapacity, s.carry)
 	s.heirs.prepare(s)
 	s.loop.After(tickEvery, s.tick)
 	return rpc.Register(rpcName, &Receiver{service: s})
@@ -149,9 +151,11 @@
 	checkpointed  time.Time
 	checkpointing bool
 	checkpoints   int
-	view          *kernel.Snapshot[jobView]
-	ctx           context.Context
-	cancel        context.CancelFunc
+	// endedAt is when the job was ended, while its texts are kept for others.
+	endedAt time.Time
+	view    *kernel.Snapshot[jobView]
+	ctx     context.Context
+	cancel  context.CancelFunc
 }
 
 // jobView is the immutable snapshot of a job's log.
@@ -211,6 +215,9 @@
 	j.view = kernel.NewSnapshot(&jobView{total: len(j.items), results: a.results, ended: a.own.Ended})
 	s.swaps.Asked(contract.ModelDemand{Model: j.Model, Size: sizeOf(&j.Job)})
 	s.owned[j.ID] = j
+	if a.texts == nil && len(a.results) == 0 {
+		s.askCarried(j)
+	}
 	s.views.Store(j.ID, j.view)
 	s.log.WithFields(logrus.Fields{
 		"job": j.ID, "epoch": j.own.Epoch, "model": j.Model, "step": j.Step, "min_version": j.MinVersion,
@@ -241,7 +248,7 @@
 
 // ended takes in that a job was ended.
 func (s *service) ended(j *job, own ownRecord) {
-	j.own = own
+	j.own, j.endedAt = own, s.loop.Now()
 	j.cancel()
 	j.pending = nil
 	next := *j.view.Load()
--- a/daemon/services/jobs/schedule.go
+++ b/daemon/services/jobs/schedule.go
@@ -86,7 +86,9 @@
 	stop     context.CancelFunc
 	// moving is set when the run was stopped to go on elsewhere.
 	moving bool
-	avoid  []structs.HostName
+	// carried is a text of an earlier job that replaces the stopped run's.
+	carried *text
+	avoid   []structs.HostName
 }
 
 // engine is what this daemon has learned of a model engine.
@@ -162,6 +164,7 @@
 			s.verify(j, now)
 			s.checkpoint(j, now)
 		}
+		j.forget(now)
 		s.sweep(j, now)
 	}
 	s.schedule()
@@ -308,6 +311,14 @@
 		return
 	}
 	it.phase, it.held = phaseWaiting, len(run.Text.Events)
+	if carried := it.carried; carried != nil {
+		it.carried = nil
+		if carried.Last > it.text.Last && run.End != contract.RunWhole {
+			it.text, it.held, it.kept = carried, len(carried.Events), 0
+			s.wake()
+			return
+		}
+	}
 	switch run.End {
 	case contract.RunWhole:
 		s.judge(j, it)
