Say that nothing is listed only on a fresh word of the store

An owner that has had no word of the store for 800 ms, by the clock that goes on in suspension, leaves such a read to the store.

Ruled out: asking the store for every read. The rank of a route now decides among items of equal urgency.

--- a/coord/placement/placement.go
+++ b/coord/placement/placement.go
@@ -164,22 +164,26 @@
 	urgencyLate  = 1
 	urgencyTight = 3
 	urgencyUsual = 5
+	// mostRank bounds what the rank of a route adds.
+	mostRank = 1
 	// tightSlack and lateSlack are the times to spare before the results are
 	// due, below which an item goes before others.
 	tightSlack = 3 * time.Second
 	lateSlack  = time.Second
 )
 
-// Urgency ranks an item by the time to spare when so many events are left.
-func Urgency(left int, due time.Duration) int {
+// Urgency ranks an item by the time to spare when so many events are left, and
+// among items alike by the rank of their route, of which zero is the first.
+func Urgency(left int, due time.Duration, rank int) int {
 	slack := due - time.Duration(left)*DefaultPace
+	urgency := urgencyUsual
 	switch {
 	case slack < lateSlack:
-		return urgencyLate
+		urgency = urgencyLate
 	case slack < tightSlack:
-		return urgencyTight
+		urgency = urgencyTight
 	}
-	return urgencyUsual
+	return urgency + min(max(0, rank), mostRank)
 }
 
 const (
--- a/coord/placement/placement_test.go
+++ b/coord/placement/placement_test.go
@@ -94,7 +94,8 @@
 }
 
 func TestUrgency_RisesAsTheDueTimeComes(t *testing.T) {
-	must.Greater(t, Urgency(180, 7500*time.Millisecond), Urgency(20, 7500*time.Millisecond))
+	must.Greater(t, Urgency(180, 7500*time.Millisecond, 0), Urgency(20, 7500*time.Millisecond, 0))
+	must.Greater(t, Urgency(20, 7500*time.Millisecond, 0), Urgency(20, 7500*time.Millisecond, 3))
 }
 
 // BenchmarkPlace10000 keeps the choice of an engine within two microseconds for
--- a/daemon/services/jobs/commit.go
+++ b/daemon/services/jobs/commit.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/flamingobeam/flamingobeam/coord/batch"
+	"github.com/flamingobeam/flamingobeam/daemon/boottime"
 	"github.com/flamingobeam/flamingobeam/outside"
 )
 
@@ -99,6 +100,8 @@
 	// owns the job.
 	written bool
 	lost    bool
+	// begun is when the last call to the store was made.
+	begun time.Duration
 }
 
 // write adds results to a job's log until it is certain what became of them.
@@ -106,6 +109,7 @@
 	ended := commitEnded{id: id, epoch: own.Epoch, own: own, log: log, results: results}
 	pause := newPause()
 	for ctx.Err() == nil {
+		ended.begun = boottime.Now()
 		next, err := s.keeper.add(ctx, id, ended.own, log, results)
 		if err == nil {
 			ended.log, ended.written = next, true
@@ -161,11 +165,12 @@
 		return
 	}
 	if ended.written {
-		j.verified = s.loop.Now()
+		j.verified = ended.begun
 		j.log = ended.log
 		j.pending = j.pending[min(len(ended.results), len(j.pending)):]
 		j.pendingSince = s.loop.Now()
 		next := *j.view.Load()
+		next.verified = j.verified
 		next.results = append(next.results[:len(next.results):len(next.results)], ended.results...)
 		j.view.Publish(&next)
 		s.log.WithFields(logrus.Fields{"job": j.ID, "listed": len(next.results), "of": len(j.items)}).Info("Results are listed.")
@@ -189,18 +194,19 @@
 	id    string
 	epoch uint64
 	own   ownRecord
+	begun time.Duration
 	err   error
 }
 
 // verify asks the store whether a job is still owned here.
-func (s *service) verify(j *job, now time.Time) {
-	if j.verifying || j.committing || now.Sub(j.verified) < verifyAfter {
+func (s *service) verify(j *job) {
+	if j.verifying || j.committing || boottime.Since(j.verified) < verifyAfter {
 		return
 	}
 	j.verifying = true
 	id, epoch := j.ID, j.own.Epoch
 	s.workers.Go(func(ctx context.Context) {
-		came := verdict{id: id, epoch: epoch}
+		came := verdict{id: id, epoch: epoch, begun: boottime.Now()}
 		came.own, came.err = s.keeper.owner(ctx, id)
 		if err := s.verdicts.Post(came); err != nil {
 			s.log.WithError(err).WithField("job", id).Error("A word of the store is lost.")
@@ -221,6 +227,9 @@
 	case came.own.Ended:
 		s.ended(j, came.own)
 	default:
-		j.verified = s.loop.Now()
+		j.verified = came.begun
+		next := *j.view.Load()
+		next.verified = came.begun
+		j.view.Publish(&next)
 	}
 }
--- a/daemon/services/jobs/jobs.go
+++ b/daemon/services/jobs/jobs.go
@@ -16,6 +16,7 @@
 
 	"github.com/flamingobeam/flamingobeam/coord/batch"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
+	"github.com/flamingobeam/flamingobeam/daemon/boottime"
 	"github.com/flamingobeam/flamingobeam/daemon/config"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
 	"github.com/flamingobeam/flamingobeam/kernel"
@@ -144,7 +145,7 @@
 	committing   bool
 	// verified is when the store last said that the job is owned here and not
 	// ended, and verifying is set while it is asked.
-	verified  time.Time
+	verified  time.Duration
 	verifying bool
 	// checkpointed is when the texts were kept last, checkpointing is set while
 	// they are, and checkpoints counts those of this epoch.
@@ -163,6 +164,9 @@
 	total   int
 	results []batch.Result
 	ended   bool
+	// verified is when the store last said that the log is no longer than this,
+	// by the clock that goes on in suspension.
+	verified time.Duration
 	// lost is set when another daemon has taken the job over.
 	lost bool
 }
@@ -194,7 +198,7 @@
 	}
 	j := &job{
 		Job: *a.job, own: a.own, log: a.log,
-		submitted: time.UnixMilli(a.own.Submitted), verified: s.loop.Now(), checkpointed: s.loop.Now(),
+		submitted: time.UnixMilli(a.own.Submitted), verified: boottime.Now(), checkpointed: s.loop.Now(),
 	}
 	j.ctx, j.cancel = context.WithCancel(context.Background())
 	s.setTerms(j)
@@ -212,7 +216,7 @@
 		}
 		j.items = append(j.items, it)
 	}
-	j.view = kernel.NewSnapshot(&jobView{total: len(j.items), results: a.results, ended: a.own.Ended})
+	j.view = kernel.NewSnapshot(&jobView{total: len(j.items), results: a.results, ended: a.own.Ended, verified: j.verified})
 	s.swaps.Asked(contract.ModelDemand{Model: j.Model, Size: sizeOf(&j.Job)})
 	s.owned[j.ID] = j
 	if a.texts == nil && len(a.results) == 0 {
--- a/daemon/services/jobs/read.go
+++ b/daemon/services/jobs/read.go
@@ -8,6 +8,7 @@
 
 	"github.com/flamingobeam/flamingobeam/coord/batch"
 	"github.com/flamingobeam/flamingobeam/coord/result"
+	"github.com/flamingobeam/flamingobeam/daemon/boottime"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
 	"github.com/flamingobeam/flamingobeam/kernel"
 	"github.com/flamingobeam/flamingobeam/outside"
@@ -17,6 +18,9 @@
 	// ownerFor is how long it is remembered who owns a job; an owner that is
 	// asked in vain is looked up again at once.
 	ownerFor = 30 * time.Second
+	// trustFor is how long after a word of the store an owner may say that no
+	// more is listed: what was read must be read again a second later.
+	trustFor = 800 * time.Millisecond
 	// ownersMost bounds the owners that are remembered.
 	ownersMost = 4096
 	// peerWithin bounds a call to the owner beyond the wait that it is asked
@@ -66,20 +70,27 @@
 		if view.lost {
 			return contract.ResultsReply{}, false
 		}
-		whole := view.ended || len(view.results) == view.total
-		if len(view.results) > request.After || whole || request.Wait == 0 {
+		whole := len(view.results) == view.total
+		if len(view.results) > request.After || whole {
 			return page(view.total, view.results, request.After), true
 		}
+		if view.ended || request.Wait == 0 {
+			return page(view.total, view.results, request.After), view.isTrusted()
+		}
 		select {
 		case <-replaced:
 		case <-timer.C:
-			return page(view.total, view.results, request.After), true
+			request.Wait = 0
 		case <-ctx.Done():
-			return page(view.total, view.results, request.After), true
+			request.Wait = 0
 		}
 	}
 }
 
+// isTrusted reports whether this daemon may say that there is no result at a
+// position: another one that has taken the job over may have listed more.
+func (v *jobView) isTrusted() bool { return boottime.Since(v.verified) < trustFor }
+
 func page(total int, results []batch.Result, after int) contract.ResultsReply {
 	after = min(max(0, after), len(results))
 	return contract.ResultsReply{Total: total, Results: results[after:]}
--- a/daemon/services/jobs/schedule.go
+++ b/daemon/services/jobs/schedule.go
@@ -161,7 +161,7 @@
 	for _, j := range s.owned {
 		if j.open() {
 			s.watch(j, now)
-			s.verify(j, now)
+			s.verify(j)
 			s.checkpoint(j, now)
 		}
 		j.forget(now)
@@ -287,7 +287,7 @@
 	it.progress = &contract.Progress{}
 	s.engine(server).own++
 	request := contract.RunRequest{
-		Job: &j.Job, Item: it.Item, Server: server, Urgency: placement.Urgency(events, j.due().Sub(now)), Text: it.text,
+		Job: &j.Job, Item: it.Item, Server: server, Urgency: placement.Urgency(events, j.due().Sub(now), j.terms.rank), Text: it.text,
 		Patience: max(time.Second, j.submitted.Add(j.terms.itemLife).Sub(now)), Single: j.terms.single,
 	}
 	progress := it.progress
--- a/daemon/services/session/session.go
+++ b/daemon/services/session/session.go
@@ -16,6 +16,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/flamingobeam/flamingobeam/coord/structs"
+	"github.com/flamingobeam/flamingobeam/daemon/boottime"
 	"github.com/flamingobeam/flamingobeam/daemon/config"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
 	"github.com/flamingobeam/flamingobeam/kernel"
@@ -100,7 +101,7 @@
 func (s *service) View() *kernel.Snapshot[contract.SessionView] { return s.view }
 
 // Holds implements contract.Session.
-func (s *service) Holds() bool { return sinceBoot() < time.Duration(s.runsUntil.Load()) }
+func (s *service) Holds() bool { return boottime.Now() < time.Duration(s.runsUntil.Load()) }
 
 // Succeeds implements contract.Session.
 func (s *service) Succeeds(name string) bool {
@@ -142,7 +143,7 @@
 }
 
 func (s *service) keep(ctx context.Context, lease outside.LeaseID, self contract.Member, missing, leaderless bool) (renewal, error) {
-	asked := sinceBoot()
+	asked := boottime.Now()
 	ttl := leaseFor
 	var err error
 	if lease == 0 {
--- a/histories/managed/process_test.go
+++ b/histories/managed/process_test.go
@@ -95,7 +95,8 @@
 }
 
 // TestManaged_OwnerFrozen stops a daemon for longer than its lease. It thaws
-// after another one owns its job: both read the same results.
+// after another one has listed the results of its job: it must not say that
+// nothing is listed, and both read the same.
 func TestManaged_OwnerFrozen(t *testing.T) {
 	w := calm(t, 200, 20*time.Millisecond)
 	first, second := w.spawn("daemon-1"), w.start("daemon-2")
@@ -103,9 +104,12 @@
 	w.until("a checkpoint is kept", func() bool { return len(w.store.find("flamingobeam/job/text/")) > 0 })
 	must.NoError(t, first.command.Process.Signal(syscall.SIGSTOP))
 	w.until("another daemon owns the job", func() bool { return w.ownerOf("job-1") == "daemon-2" })
-	must.NoError(t, first.command.Process.Signal(syscall.SIGCONT))
 	results := w.whole(second, "job-1", 2)
 	w.check("job-1", results, 200, 1)
+	must.NoError(t, first.command.Process.Signal(syscall.SIGCONT))
+	if read, status := first.results("job-1", 0); status == http.StatusOK {
+		must.Eq(t, results, read.Results)
+	}
 	must.Eq(t, results, w.whole(&first.daemon, "job-1", 2))
 }
 
