Bound the log and never block on it

Cause: lines went straight to standard output, so a reader that does not read would have stopped every request, and a storm of failures would have filled the log. Lines wait in a queue of 2,048; a kind has 200 a second, and the next one says how many were left out. Each answered request has its line.

Ruled out: a lower level under load, which loses the rare lines too.

--- a/daemon/agent/fleet.go
+++ b/daemon/agent/fleet.go
@@ -55,6 +55,8 @@
 	// stopMargin is kept back from the time between the signal to stop and the
 	// kill.
 	stopMargin = 500 * time.Millisecond
+	// logMargin is how long the last lines may wait for a reader.
+	logMargin = 200 * time.Millisecond
 )
 
 // FleetServices lists what a role runs. What these need is loaded as well.
@@ -109,10 +111,13 @@
 	if err != nil {
 		return result.Wrap(result.SettingsInvalid, err)
 	}
-	log, err := logs.New(os.Stdout, "info", "json")
+	queue := logs.NewQueue(os.Stdout)
+	defer queue.Close(logMargin)
+	log, err := logs.New(queue, "info", "json")
 	if err != nil {
 		return result.Wrap(result.SettingsInvalid, err)
 	}
+	log.SetFormatter(logs.NewLimited(log.Formatter))
 	entry := log.WithField(kernel.PartField, "agent")
 	if host.Memory > 0 {
 		debug.SetMemoryLimit(int64(memoryPart * float64(host.Memory)))
--- a/daemon/contract/fleet.go
+++ b/daemon/contract/fleet.go
@@ -168,6 +168,9 @@
 	Stamp string
 	// Failures counts the servers that answered that they failed.
 	Failures int
+	// Server gave the answer, and Sent counts the servers that were asked.
+	Server structs.HostName
+	Sent   int
 }
 
 // Dispatch forwards requests to plain services. Errors are of package result.
--- a/daemon/services/dispatch/exchange.go
+++ b/daemon/services/dispatch/exchange.go
@@ -32,6 +32,7 @@
 	for {
 		forwarded, err := e.race(ctx)
 		if err == nil {
+			forwarded.Sent = e.sent
 			return forwarded, nil
 		}
 		if e.sent < e.request.Route.MaxAttempts {
@@ -40,6 +41,7 @@
 			}
 		}
 		if e.failure != nil {
+			e.failure.Sent = e.sent
 			return *e.failure, nil
 		}
 		return contract.Forwarded{}, err
--- a/daemon/services/dispatch/send.go
+++ b/daemon/services/dispatch/send.go
@@ -37,6 +37,10 @@
 	started := time.Now()
 	done := s.exchange(ctx, request, ticket)
 	latency := time.Since(started)
+	done.forwarded.Server = ticket.Server.Name
+	if done.failure != nil {
+		done.failure.Server = ticket.Server.Name
+	}
 	finish := contract.TicketOutcome{
 		Err: done.err, Latency: latency, Bytes: int64(len(request.Body) + len(done.forwarded.Body)),
 	}
--- a/daemon/services/gate/answer.go
+++ b/daemon/services/gate/answer.go
@@ -119,6 +119,11 @@
 		s.refuse(w, r, asked, err)
 		return
 	}
+	s.metrics.Time("gate.answered", time.Since(started))
+	s.log.WithFields(logrus.Fields{
+		"request": asked.ID, "route": route.Name, "configuration": current.Version, "server": forwarded.Server,
+		"servers_asked": forwarded.Sent, "status": forwarded.Status, "ms": time.Since(started).Milliseconds(),
+	}).Info("A request was answered.")
 	platform.CopyAnswer(w.Header(), forwarded.Header)
 	if forwarded.Stream != nil {
 		s.stream(w, asked, forwarded)
