Hand the texts of running items over at a planned stop

Ruled out: waiting for the runs to end, which takes longer than the stop may. Test: TestManaged_PlannedStopHandsTheJobOver fails before (a run from event 0) and passes after.

--- a/daemon/services/jobs/heirs.go
+++ b/daemon/services/jobs/heirs.go
@@ -210,9 +210,8 @@
 		if j.open() && !j.own.Ended {
 			given := leaving{id: j.ID, own: j.own, texts: make(map[batch.ItemID]*contract.Text)}
 			for _, it := range j.items {
-				// The text of a running item belongs to its run.
-				if it.phase == phaseWaiting || it.phase == phaseJudging {
-					given.texts[it.ID] = it.text
+				if held := it.text.Snapshot(); held.Last > 0 && it.phase != phaseFinished {
+					given.texts[it.ID] = held
 				}
 			}
 			jobs = append(jobs, given)
--- a/histories/managed/managed_test.go
+++ b/histories/managed/managed_test.go
@@ -233,4 +233,9 @@
 	w.until("a run is under way", func() bool { return len(w.engines[0].seen())+len(w.engines[1].seen()) == 2 })
 	must.NoError(t, first.kernel.Stop(context.Background()))
 	w.check("job-1", w.whole(second, "job-1", 2), 300, 1)
+	for _, e := range w.engines {
+		for _, r := range e.seen()[1:] {
+			must.Greater(t, 100, r.after, must.Sprint("the heir began a text anew"))
+		}
+	}
 }
