Tell all daemons of requests that crash servers

Cause: the balancer tells the daemons of its host list, which was empty here, so a request that came again at another daemon crashed a fourth server. The live daemons stand in the list now, and on a managed platform all are told, since a caller may come again at any of them.

Ruled out: a record in the store, which costs calls and comes later. Test: TestManaged_RequestThatCrashesServersIsHeldBack fails before (4 servers, 3 allowed), three times of three, and passes after. Tests for early answers, callers that leave, the time that is left and bad input came with it and passed at once.

--- a/daemon/services/balance/suspects.go
+++ b/daemon/services/balance/suspects.go
@@ -140,16 +140,19 @@
 	if notice.isEmpty() {
 		return
 	}
-	for _, address := range s.zoneDaemons() {
+	for _, address := range s.mates() {
 		s.tell(address, notice, 1)
 	}
 }
 
-// zoneDaemons returns the addresses of the other daemons of the zone.
-func (s *service) zoneDaemons() []string {
+// mates returns the addresses of the other daemons at which a caller may come
+// again: those of the zone, and on a managed platform, whose balancer knows no
+// zones of callers for long, all.
+func (s *service) mates() []string {
 	var addresses []string
 	for _, daemon := range s.control.hosts.Daemons {
-		if daemon.Name != s.config.Host && daemon.Place.Zone == s.config.Place.Zone {
+		isOwn := daemon.Name == s.config.Host || daemon.Address == s.config.Listen.Peers
+		if !isOwn && (daemon.Place.Zone == s.config.Place.Zone || s.config.Fleet.ClosedNetwork) {
 			addresses = append(addresses, daemon.Address)
 		}
 	}
@@ -207,7 +210,7 @@
 		return
 	}
 	s.control.joined = true
-	addresses := s.zoneDaemons()
+	addresses := s.mates()
 	for _, address := range addresses[:min(len(addresses), joinPeers)] {
 		s.tell(address, Notice{}, 1)
 	}
--- a/daemon/services/servers/servers.go
+++ b/daemon/services/servers/servers.go
@@ -35,6 +35,8 @@
 type service struct {
 	kernel.Base
 	ledger  contract.Ledger
+	session contract.Session
+	workers *kernel.Workers
 	loop    *kernel.Loop
 	log     *logrus.Entry
 	regions map[structs.ZoneName]structs.RegionName
@@ -62,13 +64,22 @@
 	if s.ledger, err = kernel.Find[contract.Ledger](ctx, contract.NameLedger); err != nil {
 		return err
 	}
-	s.loop, s.log = ctx.Loop(), ctx.Log()
+	if s.session, err = kernel.Find[contract.Session](ctx, contract.NameSession); err != nil {
+		return err
+	}
+	s.loop, s.workers, s.log = ctx.Loop(), ctx.Workers(), ctx.Log()
 	s.view = kernel.NewSnapshot(&contract.ServersView{})
 	s.hosts = kernel.NewSnapshot(&contract.HostView{})
 	s.ledger.Track(platform.ServerPrefix, pace, s.take)
 	return nil
 }
 
+// Start implements kernel.Service.
+func (s *service) Start() error {
+	kernel.Follow(s.loop, s.workers, s.session.View(), func(*contract.SessionView) { s.publish() })
+	return nil
+}
+
 // Entries implements contract.Servers.
 func (s *service) Entries() *kernel.Snapshot[contract.ServersView] { return s.view }
 
@@ -169,6 +180,12 @@
 // hostView is the list as the balancer takes it.
 func (s *service) hostView(entries *contract.ServersView) *contract.HostView {
 	view := &contract.HostView{Services: make(map[structs.ServiceName][]structs.BackendServer), Known: entries.Known}
+	for name, member := range s.session.View().Load().Live {
+		view.Daemons = append(view.Daemons, structs.BackendServer{
+			Name: structs.HostName(name), Kind: structs.KindDaemon, Address: member.Peers,
+			Place: structs.Place{Zone: member.Zone, Region: s.regions[member.Zone]},
+		})
+	}
 	for service, servers := range entries.ByService {
 		for _, server := range servers {
 			view.Services[service] = append(view.Services[service], structs.BackendServer{
--- a/histories/managed/answers_test.go
+++ b/histories/managed/answers_test.go
@@ -2,7 +2,13 @@
 
 import (
 	"fmt"
+	"io"
+	"net"
 	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -109,3 +115,150 @@
 	must.Eq(t, http.StatusServiceUnavailable, got.status)
 	must.NotEq(t, "", got.header.Get("Retry-After"))
 }
+
+// TestManaged_RequestThatCrashesServersIsHeldBack sends a request that crashes
+// each server that runs it, again and again at two daemons. Only so many servers
+// may fall to it, while other requests are served.
+func TestManaged_RequestThatCrashesServersIsHeldBack(t *testing.T) {
+	w := newWorld(t)
+	w.configure(1, route("/status/", "idempotent"))
+	crashes := &crashes{world: w}
+	for i := range 6 {
+		crashes.add(fmt.Sprintf("plain-%d", i))
+	}
+	first, second := w.start("daemon-1"), w.start("daemon-2")
+	w.until("both daemons are live", func() bool { return len(w.store.find("flamingobeam/session/member/")) == 2 })
+	for i := range 12 {
+		d := []*daemon{first, second}[i%2]
+		d.call(http.MethodPost, "/status/crash", fmt.Sprintf("crash-%d", i), nil, "the same body")
+		got := d.call(http.MethodPost, "/status/1", fmt.Sprintf("look-%d", i), nil, "")
+		must.NotEq(t, http.StatusNotFound, got.status)
+	}
+	must.LessEq(t, 3, crashes.count())
+}
+
+// crashes are plain servers that close their listener for good at the path
+// /status/crash.
+type crashes struct {
+	world *world
+	mu    sync.Mutex
+	fell  int
+}
+
+func (c *crashes) add(id string) {
+	p := &plain{id: id}
+	p.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/status/crash" {
+			p.ServeHTTP(w, r)
+			return
+		}
+		c.mu.Lock()
+		c.fell++
+		c.mu.Unlock()
+		_ = p.server.Listener.Close()
+		hijack(w, "", true)
+	}))
+	c.world.t.Cleanup(p.server.CloseClientConnections)
+	c.world.list(id, plainService, p.server.Listener.Addr().String(), "ready", nil)
+}
+
+func (c *crashes) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.fell
+}
+
+// TestManaged_EarlyAnswerToALongBody answers before the body is read and reads
+// on: the caller gets that answer, and the next request its own.
+func TestManaged_EarlyAnswerToALongBody(t *testing.T) {
+	w := newWorld(t)
+	w.configure(1, route("/claims/", "non_idempotent"))
+	p := w.addPlain("plain-1")
+	d := w.start("daemon-1")
+	p.faults = append(p.faults, func(w http.ResponseWriter, r *http.Request) bool {
+		_ = http.NewResponseController(w).EnableFullDuplex()
+		w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
+		w.Header().Set("Server-Stamp", "early")
+		w.WriteHeader(http.StatusUnprocessableEntity)
+		_ = http.NewResponseController(w).Flush()
+		_, _ = io.Copy(io.Discard, r.Body)
+		return true
+	})
+	got := d.call(http.MethodPost, "/claims/1", "claim-1", nil, strings.Repeat("x", 800<<10))
+	must.Eq(t, http.StatusUnprocessableEntity, got.status)
+	must.Eq(t, "early", got.header.Get("Server-Stamp"))
+	next := d.call(http.MethodPost, "/claims/2", "claim-2", nil, "y")
+	must.Eq(t, "POST /claims/2 by claim-2", next.body)
+}
+
+// TestManaged_ServerStopsWhenTheCallerHasLeft closes a caller's connection while
+// a server works for it.
+func TestManaged_ServerStopsWhenTheCallerHasLeft(t *testing.T) {
+	w := newWorld(t)
+	w.configure(1, route("/status/", "idempotent"))
+	p := w.addPlain("plain-1")
+	d := w.start("daemon-1")
+	began, left := make(chan struct{}), make(chan struct{})
+	p.faults = append(p.faults, func(_ http.ResponseWriter, r *http.Request) bool {
+		_, _ = io.Copy(io.Discard, r.Body)
+		close(began)
+		<-r.Context().Done()
+		close(left)
+		return true
+	})
+	conn, err := net.Dial("tcp", d.address)
+	must.NoError(t, err)
+	_, err = fmt.Fprintf(conn, "POST /status/1 HTTP/1.1\r\nHost: %s\r\nAttempt-Id: look-1\r\nContent-Length: 0\r\n\r\n", host)
+	must.NoError(t, err)
+	<-began
+	must.NoError(t, conn.Close())
+	<-left
+}
+
+// TestManaged_ServerIsGivenTheTimeThatIsLeft reads the time that servers are
+// given, at the first attempt and at one after a failure that took a while.
+func TestManaged_ServerIsGivenTheTimeThatIsLeft(t *testing.T) {
+	w := newWorld(t)
+	w.configure(1, route("/status/", "idempotent"))
+	var mu sync.Mutex
+	var given []int
+	slow := func(w http.ResponseWriter, r *http.Request) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		ms, _ := strconv.Atoi(r.Header.Get("Deadline-Ms"))
+		if given = append(given, ms); len(given) > 1 {
+			return false
+		}
+		time.Sleep(50 * time.Millisecond)
+		return hijack(w, "", true)
+	}
+	for i := range 2 {
+		p := w.addPlain(fmt.Sprintf("plain-%d", i))
+		p.faults = append(p.faults, slow, slow)
+	}
+	d := w.start("daemon-1")
+	must.Eq(t, http.StatusOK, d.call(http.MethodPost, "/status/1", "look-1", map[string]string{"Deadline-Ms": "3000"}, "").status)
+	must.LessEq(t, 3000, given[0])
+	must.LessEq(t, given[0]-50, given[1])
+}
+
+// TestManaged_BadInputIsRefusedByNumber sends what cannot be served.
+func TestManaged_BadInputIsRefusedByNumber(t *testing.T) {
+	w := calm(t, 1, time.Millisecond)
+	d := w.start("daemon-1")
+	for _, c := range []struct {
+		path, id, body string
+		status         int
+		code           string
+	}{
+		{"/train/job", "job", "no JSON", http.StatusBadRequest, `{"code":2000}`},
+		{"/train/job", "", jobOf("job", 0, 1, 1, 1), http.StatusBadRequest, `{"code":2000}`},
+		{"/train/job", "job", `{"items":[]}`, http.StatusBadRequest, `{"code":2000}`},
+		{"/status/1", "look", strings.Repeat("x", 1<<20+1), http.StatusRequestEntityTooLarge, `{"code":2004}`},
+		{"/nowhere/1", "look", "", http.StatusNotFound, `{"code":2008}`},
+	} {
+		got := d.call(http.MethodPost, c.path, c.id, nil, c.body)
+		must.Eq(t, c.status, got.status, must.Sprint(c.path))
+		must.Eq(t, c.code, got.body)
+	}
+}
