Model the ownership and the log of a batch job

Cause: take-over, lost answers and late writes were shown by histories only.

Ruled out: a reader process of its own, which made 40 million states without an end; every position is read as it is written instead.

--- a/scripts/check-models.sh
+++ b/scripts/check-models.sh
@@ -21,6 +21,7 @@
 settings-2-rounds-2 good settings $two -DTERMS=2 -DROUNDS=2 | $full
 settings-2-late-read good settings $two -DTERMS=2 -DROUNDS=1 -DLATE_READ | $full
 journal good journal -DREVISIONS=12 | $small
+jobs good jobs -DDAEMONS=2 -DEPOCHS=3 | $small
 bad-wait-t bad settings $two -DTERMS=2 -DROUNDS=1 -DBAD_WAIT_T | $full
 bad-no-majority bad settings $two -DTERMS=2 -DROUNDS=1 -DBAD_NO_MAJORITY | $full
 bad-no-count bad settings $three -DHORIZON=6 -DBAD_NO_COUNT | $full
@@ -31,6 +32,10 @@
 bad-ack-cut bad settings $two -DTERMS=2 -DROUNDS=1 -DBAD_ACK_CUT | $full
 bad-no-fence bad journal -DBAD_NO_FENCE | $small
 bad-numbered bad journal -DBAD_NUMBERED | $small
+bad-jobs-no-owner bad jobs -DBAD_NO_OWNER | $small
+bad-jobs-no-log bad jobs -DBAD_NO_LOG | $small
+bad-jobs-early-read bad jobs -DBAD_EARLY_READ | $small
+bad-jobs-blind-retry bad jobs -DBAD_BLIND_RETRY | $small
 LIST
 }
 
