Follow the store once for each zone

The first live daemon of a zone follows the store; the others wait for its news by net/rpc, and follow for themselves for three seconds when it gives none. It says that there is no news only while its own shortest watch was answered within 2.3 s, by the clock that goes on in suspension.

Ruled out: the zone's collector of the project's own deployment, which grants settings and needs a round of acknowledgements.

--- a/daemon/contract/fleet.go
+++ b/daemon/contract/fleet.go
@@ -69,6 +69,9 @@
 	// one while the store does not serve it. It may be called from any
 	// goroutine.
 	SetRelays(addresses []string)
+	// SetFollower names the daemon that follows the store for the zone; empty
+	// when it is this one. It may be called from any goroutine.
+	SetFollower(address string)
 	// ReachedSince returns since when calls have been answered, and false
 	// while they are not. It may be called from any goroutine.
 	ReachedSince() (time.Time, bool)
--- a/daemon/services/ledger/ledger.go
+++ b/daemon/services/ledger/ledger.go
@@ -7,12 +7,14 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/flamingobeam/flamingobeam/daemon/boottime"
 	"github.com/flamingobeam/flamingobeam/daemon/config"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
 	"github.com/flamingobeam/flamingobeam/kernel"
@@ -58,7 +60,13 @@
 	metrics contract.Metrics
 	peers   contract.Peers
 	relays  relays
-	tracks  []*track
+	// follower is the address of the daemon that follows the store for the
+	// zone; empty when it is this one.
+	follower atomic.Pointer[string]
+	// heard is when the store last answered a watch of a short wait, by the
+	// clock that goes on in suspension.
+	heard  atomic.Int64
+	tracks []*track
 
 	mu    sync.Mutex
 	reach *kernel.Snapshot[reach]
@@ -218,13 +226,16 @@
 	service *service
 	prefix  string
 	pace    contract.WatchPace
-	news    *kernel.Mailbox[contract.News]
+	hub     *hub
+	// distrusted is when the zone's follower last gave no news.
+	distrusted time.Duration
+	news       *kernel.Mailbox[contract.News]
 }
 
 // Track implements contract.Ledger.
 func (s *service) Track(prefix string, pace contract.WatchPace, handle func(contract.News)) {
 	s.tracks = append(s.tracks, &track{
-		service: s, prefix: prefix, pace: pace, news: kernel.NewMailbox(s.loop, newsCapacity, handle),
+		service: s, prefix: prefix, pace: pace, hub: newHub(), news: kernel.NewMailbox(s.loop, newsCapacity, handle),
 	})
 }
 
@@ -241,7 +252,9 @@
 			revision, err = t.whole(ctx)
 		}
 		// A watch that was cut may have missed news that came before the cut.
-		known = err == nil
+		if known = err == nil; !known {
+			t.hub.lose()
+		}
 		if err == nil {
 			pause.Reset()
 			continue
@@ -281,19 +294,19 @@
 	if err != nil {
 		return 0, err
 	}
+	t.hub.reset(listing.AsOf)
 	return listing.AsOf, t.post(contract.News{Records: listing.Records, Full: true})
 }
 
+// changes waits for news from the zone's follower or, where there is none, from
+// the store itself.
 func (t *track) changes(ctx context.Context, after outside.Revision) (outside.Revision, error) {
-	// A watch that waits on a store that no longer serves would hear nothing of
-	// its return.
-	if lost := t.service.reach.Load().lost; lost != nil {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithCancel(ctx)
-		defer cancel()
-		defer context.AfterFunc(lost, cancel)()
+	rest := time.Duration(0)
+	records, through, err := t.heardFrom(ctx, after)
+	if errors.Is(err, errNoHub) {
+		rest = t.pace.Rest
+		records, through, err = t.watch(ctx, after)
 	}
-	records, through, err := t.service.Follow(ctx, t.prefix, after, t.pace.Wait)
 	if err != nil || len(records) == 0 {
 		return through, err
 	}
@@ -301,12 +314,33 @@
 		return through, err
 	}
 	select {
-	case <-time.After(t.pace.Rest):
+	case <-time.After(rest):
 	case <-ctx.Done():
 	}
 	return through, nil
 }
 
+// watch waits for news from the store and keeps it for the rest of the zone.
+func (t *track) watch(ctx context.Context, after outside.Revision) ([]outside.Record, outside.Revision, error) {
+	// A watch that waits on a store that no longer serves would hear nothing of
+	// its return.
+	if lost := t.service.reach.Load().lost; lost != nil {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithCancel(ctx)
+		defer cancel()
+		defer context.AfterFunc(lost, cancel)()
+	}
+	records, through, err := t.service.Follow(ctx, t.prefix, after, t.pace.Wait)
+	if err != nil {
+		return nil, through, err
+	}
+	t.hub.add(records, through)
+	if t.pace.Wait < freshFor {
+		t.service.heard.Store(int64(boottime.Now()))
+	}
+	return records, through, nil
+}
+
 // post hands news to the control loop. A full mailbox loses history, so the
 // prefix must then be read whole.
 func (t *track) post(news contract.News) error {
--- a/daemon/services/session/session.go
+++ b/daemon/services/session/session.go
@@ -251,6 +251,26 @@
 	}
 	s.view.Publish(next)
 	s.ledger.SetRelays(s.relaysOf(next))
+	s.ledger.SetFollower(s.followerOf(next))
+}
+
+// followerOf is the daemon of the zone that follows the store for the others,
+// the first by name; empty when it is this one. A daemon that is not live follows
+// for itself.
+func (s *service) followerOf(view *contract.SessionView) string {
+	first := view.Self
+	if _, isLive := view.Live[view.Self.Name]; !isLive {
+		return ""
+	}
+	for _, member := range view.Live {
+		if member.Zone == s.zone && member.Name < first.Name {
+			first = member
+		}
+	}
+	if first.Name == view.Self.Name {
+		return ""
+	}
+	return first.Peers
 }
 
 // relaysOf lists the other daemons, those of the own zone first.
