--- a/daemon/config/page_test.go
+++ b/daemon/config/page_test.go
@@ -17,7 +17,12 @@
 	var paths []string
 	for i := range kind.NumField() {
 		field := kind.Field(i)
-		path := prefix + strings.Split(field.Tag.Get("yaml"), ",")[0]
+		name := strings.Split(field.Tag.Get("yaml"), ",")[0]
+		if name == "-" {
+			// It has no place in the file, and a strict decoder refuses it there.
+			continue
+		}
+		path := prefix + name
 		inner := field.Type
 		if inner.Kind() == reflect.Slice {
 			inner, path = inner.Elem(), path+"[]"
--- a/daemon/services/dispatch/dispatch.go
+++ b/daemon/services/dispatch/dispatch.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"time"
 
@@ -16,6 +15,7 @@
 	"github.com/flamingobeam/flamingobeam/coord/result"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
+	"github.com/flamingobeam/flamingobeam/daemon/transport"
 	"github.com/flamingobeam/flamingobeam/kernel"
 )
 
@@ -32,13 +32,6 @@
 	idleTimeout = 30 * time.Second
 	// idlePerServer bounds the idle connections to one server.
 	idlePerServer = 16
-	// headerBytes bounds the headers of an answer.
-	headerBytes = 64 << 10
-	// probeIdle, probeEvery and probeCount find a silent connection within
-	// two seconds.
-	probeIdle  = time.Second
-	probeEvery = 500 * time.Millisecond
-	probeCount = 2
 	// hedgePart is the part of the objective after which an idempotent request
 	// without an answer goes to a second server as well.
 	hedgePart = 0.4
@@ -60,14 +53,7 @@
 // Provision implements kernel.Service.
 func (s *service) Provision(ctx *kernel.Context) error {
 	s.log = ctx.Log()
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
-		Enable: true, Idle: probeIdle, Interval: probeEvery, Count: probeCount,
-	}}
-	s.transport = &http.Transport{
-		DialContext: dialer.DialContext, DisableCompression: true,
-		MaxIdleConnsPerHost: idlePerServer, IdleConnTimeout: idleTimeout,
-		MaxResponseHeaderBytes: headerBytes,
-	}
+	s.transport = transport.New(transport.Options{Dial: dialTimeout, Idle: idleTimeout, IdlePerHost: idlePerServer})
 	return kernel.FindAll(ctx,
 		kernel.Into(&s.balancer, contract.NameBalance),
 		kernel.Into(&s.retries, contract.NameRetries),
--- a/daemon/services/engines/engines.go
+++ b/daemon/services/engines/engines.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"time"
 
@@ -13,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
+	"github.com/flamingobeam/flamingobeam/daemon/transport"
 	"github.com/flamingobeam/flamingobeam/kernel"
 	"github.com/flamingobeam/flamingobeam/platform"
 )
@@ -29,9 +29,6 @@
 	idleTimeout = 60 * time.Second
 	// idlePerServer holds as many as an engine runs at once.
 	idlePerServer = 16
-	probeIdle     = time.Second
-	probeEvery    = 500 * time.Millisecond
-	probeCount    = 2
 	// firstWithin bounds the wait for an answer: an engine that loads weights
 	// says so at once, and one that queues is worth less than another.
 	firstWithin = 2500 * time.Millisecond
@@ -61,13 +58,7 @@
 // Provision implements kernel.Service.
 func (s *service) Provision(ctx *kernel.Context) error {
 	s.log = ctx.Log()
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
-		Enable: true, Idle: probeIdle, Interval: probeEvery, Count: probeCount,
-	}}
-	s.transport = &http.Transport{
-		DialContext: dialer.DialContext, DisableCompression: true,
-		MaxIdleConnsPerHost: idlePerServer, IdleConnTimeout: idleTimeout,
-	}
+	s.transport = transport.New(transport.Options{Dial: dialTimeout, Idle: idleTimeout, IdlePerHost: idlePerServer})
 	var err error
 	s.metrics, err = kernel.Find[contract.Metrics](ctx, contract.NameMetrics)
 	return err
--- a/daemon/services/gate/gate.go
+++ b/daemon/services/gate/gate.go
@@ -32,13 +32,11 @@
 	unreadyFor = 3 * time.Second
 	// drainWithin is how long requests in flight may take after that.
 	drainWithin = 2800 * time.Millisecond
-	// headerTimeout and idleTimeout hold until the operator's limits are known.
+	// headerTimeout and idleTimeout are longer than the operator's limits, so
+	// that no request of a caller within them crosses a close.
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 60 * time.Second
-	// idleSlack is added to the operator's idle timeout, so that a request on
-	// a connection that a caller may still use does not cross its close.
-	idleSlack = 2 * time.Second
-	// headerBytes bounds the headers of a request until the limits are known.
+	// headerBytes bounds the headers of a request.
 	headerBytes = 64 << 10
 )
 
@@ -89,7 +87,6 @@
 	router.NotFound = http.HandlerFunc(s.request)
 	s.callers = &http.Server{
 		Handler: router, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
-		ErrorLog: nil,
 	}
 	probes := httprouter.New()
 	probes.GET(platform.ReadinessPath, s.ready)
--- /dev/null
+++ b/daemon/services/jobs/runs.go
@@ -0,0 +1,161 @@
+package jobs
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/flamingobeam/flamingobeam/coord/catalog"
+	"github.com/flamingobeam/flamingobeam/coord/placement"
+	"github.com/flamingobeam/flamingobeam/coord/structs"
+	"github.com/flamingobeam/flamingobeam/daemon/contract"
+)
+
+// avoidMost is how many engines an item remembers to avoid.
+const avoidMost = 2
+
+// runEnded is the end of an item's run.
+type runEnded struct {
+	job    string
+	epoch  uint64
+	item   *item
+	server catalog.Server
+	run    contract.Run
+}
+
+// start runs an item on an engine.
+func (s *service) start(j *job, it *item, server catalog.Server, events int, now time.Time) {
+	ctx, stop := context.WithCancel(j.ctx)
+	it.phase, it.server, it.begun, it.stop, it.moving = phaseRunning, server.ID, now, stop, false
+	it.progress = &contract.Progress{}
+	s.engine(server).own++
+	request := contract.RunRequest{
+		Job: &j.Job, Item: it.Item, Server: server, Urgency: placement.Urgency(events, j.due().Sub(now), j.terms.rank), Text: it.text,
+		Patience: max(time.Second, j.submitted.Add(j.terms.itemLife).Sub(now)), Single: j.terms.single,
+	}
+	progress := it.progress
+	id, epoch := j.ID, j.own.Epoch
+	s.workers.Go(func(context.Context) {
+		defer stop()
+		ended := runEnded{job: id, epoch: epoch, item: it, server: server, run: s.runner.Run(ctx, request, progress)}
+		if err := s.runs.Post(ended); err != nil {
+			s.log.WithError(err).WithField("job", id).Error("The end of a run is lost.")
+		}
+	})
+}
+
+// runEnded takes in the end of a run on the control goroutine.
+func (s *service) runEnded(ended runEnded) {
+	it, run := ended.item, ended.run
+	now := s.loop.Now()
+	s.learn(ended, now)
+	j := s.owned[ended.job]
+	if j == nil || j.own.Epoch != ended.epoch || it.phase != phaseRunning {
+		return
+	}
+	it.phase, it.held = phaseWaiting, len(run.Text.Events)
+	if carried := it.carried; carried != nil {
+		it.carried = nil
+		if carried.Last > it.text.Last && run.End != contract.RunWhole {
+			it.text, it.held, it.kept = carried, len(carried.Events), 0
+			s.wake()
+			return
+		}
+	}
+	switch run.End {
+	case contract.RunWhole:
+		s.judge(j, it)
+	case contract.RunImpossible:
+		s.giveUp(j, it, "a server said that it can never be done")
+	case contract.RunFailed:
+		it.failures++
+		if it.failures >= j.terms.maxAttempts {
+			s.giveUp(j, it, "its attempts failed")
+			break
+		}
+		it.addAvoid(ended.server.ID)
+	case contract.RunCut:
+		it.addAvoid(ended.server.ID)
+		if j.terms.single || len(run.Text.Versions) > 0 && !j.Fits(run.Text.Versions, false) {
+			it.text, it.held, it.kept = &text{}, 0, 0
+		}
+	}
+	s.wake()
+}
+
+func (it *item) addAvoid(server structs.HostName) {
+	it.avoid = append(it.avoid, server)
+	if len(it.avoid) > avoidMost {
+		it.avoid = it.avoid[1:]
+	}
+}
+
+// learn takes in what a run showed of its engine.
+func (s *service) learn(ended runEnded, now time.Time) {
+	known := s.engines[ended.server.ID]
+	if known == nil {
+		return
+	}
+	known.own = max(0, known.own-1)
+	if known.started != ended.server.Started {
+		return
+	}
+	it, run := ended.item, ended.run
+	if run.Version != 0 {
+		if j := s.owned[ended.job]; j != nil {
+			known.versions[j.Model] = run.Version
+		}
+	}
+	if run.End == contract.RunNotStarted || run.End == contract.RunStale {
+		if j := s.owned[ended.job]; j != nil {
+			known.blocked[j.Model] = now.Add(blockedFor)
+		}
+	}
+	if it.progress == nil {
+		return
+	}
+	if pace, ok := it.progress.Pace(now); ok {
+		known.pace = placement.Smooth(known.pace, pace)
+	}
+}
+
+// watch moves the runs of a job that are slow.
+func (s *service) watch(j *job, now time.Time) {
+	var engines []placement.Engine
+	for _, it := range j.items {
+		if it.phase != phaseRunning || it.moving {
+			continue
+		}
+		pace, ok := it.progress.Pace(now)
+		if !ok {
+			continue
+		}
+		if engines == nil {
+			engines = s.candidates(j, now)
+		}
+		left := s.eventsLeft(j, it)
+		choice, ok := placement.Place(engines, j.MinVersion, left, append(slices.Clone(it.avoid), it.server))
+		if !ok {
+			continue
+		}
+		elsewhere := engines[choice].Pace
+		if elsewhere == 0 {
+			elsewhere = placement.DefaultPace
+		}
+		if !placement.ShouldMove(left, pace, elsewhere) {
+			continue
+		}
+		s.log.WithFields(logrus.Fields{
+			"job": j.ID, "item": it.ID, "from": it.server, "pace_ms": pace.Milliseconds(), "left": left,
+			"elsewhere_ms": elsewhere.Milliseconds(),
+		}).Info("A slow run is moved.")
+		engines[choice].Own++
+		if known := s.engines[it.server]; known != nil {
+			known.pace = placement.Smooth(known.pace, pace)
+		}
+		it.moving = true
+		it.stop()
+	}
+}
--- a/daemon/services/jobs/schedule.go
+++ b/daemon/services/jobs/schedule.go
@@ -3,17 +3,13 @@
 import (
 	"cmp"
 	"context"
-	"net/http"
 	"slices"
 	"strings"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"github.com/flamingobeam/flamingobeam/coord/batch"
 	"github.com/flamingobeam/flamingobeam/coord/catalog"
 	"github.com/flamingobeam/flamingobeam/coord/placement"
-	"github.com/flamingobeam/flamingobeam/coord/result"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
 )
@@ -26,12 +22,6 @@
 	// blockedFor is how long an engine that refused an item is left alone: a
 	// load of weights takes about a second, a queue empties sooner.
 	blockedFor = 250 * time.Millisecond
-	// rewardWithin bounds one round of attempts at a reward call.
-	rewardWithin = 4 * time.Second
-	// rewardPause is the pause before a failed reward call is made again.
-	rewardPause = 100 * time.Millisecond
-	// avoidMost is how many engines an item remembers to avoid.
-	avoidMost = 2
 	// regionTrip and zoneTrip are round trips beyond the own zone.
 	regionTrip = 60 * time.Millisecond
 	zoneTrip   = 2 * time.Millisecond
@@ -199,8 +189,7 @@
 			continue
 		}
 		if batch.Expired(j.submitted, now, j.terms.itemLife) {
-			s.log.WithFields(logrus.Fields{"job": j.ID, "item": it.ID}).Info("An item is given up: its time is over.")
-			s.finish(j, it, batch.Result{ID: it.ID, Dead: true})
+			s.giveUp(j, it, "its time is over")
 			continue
 		}
 		if it.text.Whole {
@@ -270,235 +259,3 @@
 	}
 	return regionTrip
 }
-
-// runEnded is the end of an item's run.
-type runEnded struct {
-	job    string
-	epoch  uint64
-	item   *item
-	server catalog.Server
-	run    contract.Run
-}
-
-// start runs an item on an engine.
-func (s *service) start(j *job, it *item, server catalog.Server, events int, now time.Time) {
-	ctx, stop := context.WithCancel(j.ctx)
-	it.phase, it.server, it.begun, it.stop, it.moving = phaseRunning, server.ID, now, stop, false
-	it.progress = &contract.Progress{}
-	s.engine(server).own++
-	request := contract.RunRequest{
-		Job: &j.Job, Item: it.Item, Server: server, Urgency: placement.Urgency(events, j.due().Sub(now), j.terms.rank), Text: it.text,
-		Patience: max(time.Second, j.submitted.Add(j.terms.itemLife).Sub(now)), Single: j.terms.single,
-	}
-	progress := it.progress
-	id, epoch := j.ID, j.own.Epoch
-	s.workers.Go(func(context.Context) {
-		defer stop()
-		ended := runEnded{job: id, epoch: epoch, item: it, server: server, run: s.runner.Run(ctx, request, progress)}
-		if err := s.runs.Post(ended); err != nil {
-			s.log.WithError(err).WithField("job", id).Error("The end of a run is lost.")
-		}
-	})
-}
-
-// runEnded takes in the end of a run on the control goroutine.
-func (s *service) runEnded(ended runEnded) {
-	it, run := ended.item, ended.run
-	now := s.loop.Now()
-	s.learn(ended, now)
-	j := s.owned[ended.job]
-	if j == nil || j.own.Epoch != ended.epoch || it.phase != phaseRunning {
-		return
-	}
-	it.phase, it.held = phaseWaiting, len(run.Text.Events)
-	if carried := it.carried; carried != nil {
-		it.carried = nil
-		if carried.Last > it.text.Last && run.End != contract.RunWhole {
-			it.text, it.held, it.kept = carried, len(carried.Events), 0
-			s.wake()
-			return
-		}
-	}
-	switch run.End {
-	case contract.RunWhole:
-		s.judge(j, it)
-	case contract.RunImpossible:
-		s.finish(j, it, batch.Result{ID: it.ID, Dead: true})
-	case contract.RunFailed:
-		it.failures++
-		if it.failures >= j.terms.maxAttempts {
-			s.finish(j, it, batch.Result{ID: it.ID, Dead: true})
-			break
-		}
-		it.addAvoid(ended.server.ID)
-	case contract.RunCut:
-		it.addAvoid(ended.server.ID)
-		if j.terms.single || len(run.Text.Versions) > 0 && !j.Fits(run.Text.Versions, false) {
-			it.text, it.held, it.kept = &text{}, 0, 0
-		}
-	}
-	s.wake()
-}
-
-func (it *item) addAvoid(server structs.HostName) {
-	it.avoid = append(it.avoid, server)
-	if len(it.avoid) > avoidMost {
-		it.avoid = it.avoid[1:]
-	}
-}
-
-// learn takes in what a run showed of its engine.
-func (s *service) learn(ended runEnded, now time.Time) {
-	known := s.engines[ended.server.ID]
-	if known == nil {
-		return
-	}
-	known.own = max(0, known.own-1)
-	if known.started != ended.server.Started {
-		return
-	}
-	it, run := ended.item, ended.run
-	if run.Version != 0 {
-		if j := s.owned[ended.job]; j != nil {
-			known.versions[j.Model] = run.Version
-		}
-	}
-	if run.End == contract.RunNotStarted || run.End == contract.RunStale {
-		if j := s.owned[ended.job]; j != nil {
-			known.blocked[j.Model] = now.Add(blockedFor)
-		}
-	}
-	if it.progress == nil {
-		return
-	}
-	if pace, ok := it.progress.Pace(now); ok {
-		known.pace = placement.Smooth(known.pace, pace)
-	}
-}
-
-// watch moves the runs of a job that are slow.
-func (s *service) watch(j *job, now time.Time) {
-	var engines []placement.Engine
-	for _, it := range j.items {
-		if it.phase != phaseRunning || it.moving {
-			continue
-		}
-		pace, ok := it.progress.Pace(now)
-		if !ok {
-			continue
-		}
-		if engines == nil {
-			engines = s.candidates(j, now)
-		}
-		left := s.eventsLeft(j, it)
-		choice, ok := placement.Place(engines, j.MinVersion, left, append(slices.Clone(it.avoid), it.server))
-		if !ok {
-			continue
-		}
-		elsewhere := engines[choice].Pace
-		if elsewhere == 0 {
-			elsewhere = placement.DefaultPace
-		}
-		if !placement.ShouldMove(left, pace, elsewhere) {
-			continue
-		}
-		s.log.WithFields(logrus.Fields{
-			"job": j.ID, "item": it.ID, "from": it.server, "pace_ms": pace.Milliseconds(), "left": left,
-			"elsewhere_ms": elsewhere.Milliseconds(),
-		}).Info("A slow run is moved.")
-		engines[choice].Own++
-		if known := s.engines[it.server]; known != nil {
-			known.pace = placement.Smooth(known.pace, pace)
-		}
-		it.moving = true
-		it.stop()
-	}
-}
-
-// judgement is the outcome of a reward call.
-type judgement struct {
-	job      string
-	epoch    uint64
-	item     *item
-	score    string
-	failures int
-	attempts int
-	err      error
-}
-
-// judge sends the reward call of an item whose text is whole.
-func (s *service) judge(j *job, it *item) {
-	if it.Reward == nil {
-		s.complete(j, it, "")
-		return
-	}
-	it.phase = phaseJudging
-	id, epoch, ctx := j.ID, j.own.Epoch, j.ctx
-	due := s.loop.Now().Add(rewardWithin)
-	s.workers.Go(func(context.Context) {
-		came := s.reward(ctx, it.Reward, due)
-		came.job, came.epoch, came.item = id, epoch, it
-		if err := s.judged.Post(came); err != nil {
-			s.log.WithError(err).WithField("job", id).Error("The outcome of a reward call is lost.")
-		}
-	})
-}
-
-func (s *service) reward(ctx context.Context, reward *batch.Reward, due time.Time) judgement {
-	current := s.catalog.Current().Load().Catalog
-	route := current.Match(reward.Host, reward.Path)
-	if route == nil {
-		return judgement{err: result.New(result.NotFound, "no route for %s%s", reward.Host, reward.Path)}
-	}
-	ctx, cancel := context.WithDeadline(ctx, due)
-	defer cancel()
-	forwarded, err := s.sender.Forward(ctx, contract.Proxied{
-		Route: route, ID: reward.ID, Method: http.MethodPost, Host: reward.Host, Target: reward.Path,
-		Header: http.Header{}, Body: reward.Body, Due: due,
-	})
-	if err != nil {
-		return judgement{err: err, attempts: route.MaxAttempts}
-	}
-	if forwarded.Status >= http.StatusMultipleChoices || forwarded.Stamp == "" {
-		return judgement{
-			failures: forwarded.Failures, attempts: route.MaxAttempts,
-			err: result.New(result.BackendBroke, "status %d", forwarded.Status),
-		}
-	}
-	return judgement{score: forwarded.Stamp}
-}
-
-// judgementCame takes in the outcome of a reward call on the control goroutine.
-func (s *service) judgementCame(came judgement) {
-	j, it := s.owned[came.job], came.item
-	if j == nil || j.own.Epoch != came.epoch || it.phase != phaseJudging || j.own.Ended {
-		return
-	}
-	if came.err == nil {
-		s.complete(j, it, came.score)
-		return
-	}
-	it.judged += came.failures
-	s.log.WithError(came.err).WithFields(logrus.Fields{"job": j.ID, "item": it.ID, "failures": it.judged}).
-		Info("A reward call failed.")
-	if it.judged > 0 && it.judged >= max(came.attempts, j.terms.maxAttempts) {
-		s.finish(j, it, batch.Result{ID: it.ID, Dead: true})
-		return
-	}
-	if batch.Expired(j.submitted, s.loop.Now(), j.terms.itemLife) {
-		s.finish(j, it, batch.Result{ID: it.ID, Dead: true})
-		return
-	}
-	s.loop.After(rewardPause, func() {
-		if it.phase == phaseJudging && s.owned[came.job] == j && !j.own.Ended {
-			s.judge(j, it)
-		}
-	})
-}
-
-// complete records a whole and judged text.
-func (s *service) complete(j *job, it *item, score string) {
-	s.finish(j, it, batch.Result{
-		ID: it.ID, Output: strings.Join(it.text.Events, "\n"), Versions: it.text.Versions, Score: score,
-	})
-}
--- a/daemon/services/ledger/ledger.go
+++ b/daemon/services/ledger/ledger.go
@@ -4,8 +4,6 @@
 
 import (
 	"context"
-	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,6 +15,7 @@
 	"github.com/flamingobeam/flamingobeam/daemon/boottime"
 	"github.com/flamingobeam/flamingobeam/daemon/config"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
+	"github.com/flamingobeam/flamingobeam/daemon/transport"
 	"github.com/flamingobeam/flamingobeam/kernel"
 	"github.com/flamingobeam/flamingobeam/outside"
 	"github.com/flamingobeam/flamingobeam/platform"
@@ -42,11 +41,8 @@
 	retryMost  = 1200 * time.Millisecond
 	// newsCapacity bounds the batches of news that wait for the control loop.
 	newsCapacity = 1024
-	// probeIdle, probeEvery and probeCount find a silent connection within
-	// two seconds, half of the time after which bounds hold again.
-	probeIdle  = time.Second
-	probeEvery = 500 * time.Millisecond
-	probeCount = 2
+	// idleTimeout is how long a connection is kept: calls come every second.
+	idleTimeout = 30 * time.Second
 	// maxConnections bounds the connections to the store.
 	maxConnections = 64
 )
@@ -102,13 +98,9 @@
 	}
 	s.loop, s.workers, s.log = ctx.Loop(), ctx.Workers(), ctx.Log()
 	s.reach = kernel.NewSnapshot(&reach{})
-	dialer := &net.Dialer{Timeout: callTimeout, KeepAliveConfig: net.KeepAliveConfig{
-		Enable: true, Idle: probeIdle, Interval: probeEvery, Count: probeCount,
-	}}
-	s.store = platform.NewStore(daemon.Store, &http.Transport{
-		DialContext: dialer.DialContext, DisableCompression: true,
-		MaxIdleConnsPerHost: maxConnections, MaxConnsPerHost: maxConnections,
-	})
+	s.store = platform.NewStore(daemon.Store, transport.New(transport.Options{
+		Dial: callTimeout, Idle: idleTimeout, IdlePerHost: maxConnections, PerHost: maxConnections,
+	}))
 	return nil
 }
 
--- a/daemon/services/swaps/swaps.go
+++ b/daemon/services/swaps/swaps.go
@@ -7,7 +7,6 @@
 import (
 	"cmp"
 	"context"
-	"net"
 	"net/http"
 	"slices"
 	"time"
@@ -18,6 +17,7 @@
 	"github.com/flamingobeam/flamingobeam/coord/placement"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
+	"github.com/flamingobeam/flamingobeam/daemon/transport"
 	"github.com/flamingobeam/flamingobeam/kernel"
 	"github.com/flamingobeam/flamingobeam/platform"
 )
@@ -43,6 +43,8 @@
 	// idleTimeout is how long a connection is kept: an engine is ordered, looked
 	// after and ordered again within seconds.
 	idleTimeout = 30 * time.Second
+	// idlePerEngine is one for an order and one for a look at the report.
+	idlePerEngine = 2
 	// fencedFor is how long a daemon that was fenced gives no orders.
 	fencedFor = 4 * time.Second
 	// loadsShare is the part of a service's engines that load at once, and
@@ -106,10 +108,7 @@
 		return err
 	}
 	s.log, s.loop, s.workers = ctx.Log(), ctx.Loop(), ctx.Workers()
-	s.transport = &http.Transport{
-		DialContext: (&net.Dialer{Timeout: orderWithin}).DialContext, DisableCompression: true,
-		IdleConnTimeout: idleTimeout,
-	}
+	s.transport = transport.New(transport.Options{Dial: orderWithin, Idle: idleTimeout, IdlePerHost: idlePerEngine})
 	s.outcomes = kernel.NewMailbox(s.loop, mailboxCapacity, s.answered)
 	s.reports = kernel.NewMailbox(s.loop, mailboxCapacity, s.reported)
 	s.demands = kernel.NewMailbox(s.loop, mailboxCapacity, func(d contract.ModelDemand) { s.demand.Add(d.Model, d.Size) })
--- /dev/null
+++ b/daemon/transport/transport.go
@@ -0,0 +1,41 @@
+// Package transport makes the HTTP transports of a daemon on a managed platform.
+package transport
+
+import (
+	"net"
+	"net/http"
+	"time"
+)
+
+const (
+	// probeIdle, probeEvery and probeCount find a connection that fell silent
+	// within two seconds, half of the time after which bounds hold again.
+	probeIdle  = time.Second
+	probeEvery = 500 * time.Millisecond
+	probeCount = 2
+	// headerBytes bounds the headers of an answer.
+	headerBytes = 64 << 10
+)
+
+// Options says how connections are made and kept.
+type Options struct {
+	// Dial bounds a new connection, and Idle how long one is kept unused.
+	Dial time.Duration
+	Idle time.Duration
+	// IdlePerHost bounds the unused connections to one address.
+	IdlePerHost int
+	// PerHost bounds all connections to one address; zero is no bound.
+	PerHost int
+}
+
+// New returns a transport that asks for no compression, so that bodies are passed
+// on as they are.
+func New(options Options) *http.Transport {
+	dialer := &net.Dialer{Timeout: options.Dial, KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: probeIdle, Interval: probeEvery, Count: probeCount,
+	}}
+	return &http.Transport{
+		DialContext: dialer.DialContext, DisableCompression: true, MaxResponseHeaderBytes: headerBytes,
+		IdleConnTimeout: options.Idle, MaxIdleConnsPerHost: options.IdlePerHost, MaxConnsPerHost: options.PerHost,
+	}
+}
--- a/histories/managed/managed_test.go
+++ b/histories/managed/managed_test.go
@@ -215,6 +215,22 @@
 	})
 }
 
+func TestManaged_ServerWhoseEntryIsGoneGetsNoWork(t *testing.T) {
+	w := calm(t, 1, time.Millisecond)
+	gone := w.addPlain("plain-2")
+	d := w.start("daemon-1")
+	w.store.take("servers/plain-2")
+	calm := 0
+	w.until("twenty requests in a row pass it by", func() bool {
+		before := len(gone.requests())
+		must.Eq(t, http.StatusOK, d.call(http.MethodPost, "/status/1", fmt.Sprintf("look-%d", calm), nil, "").status)
+		if calm++; len(gone.requests()) > before {
+			calm = 0
+		}
+		return calm == 20
+	})
+}
+
 func TestManaged_EntriesOfOtherWritersNameNoServer(t *testing.T) {
 	w := calm(t, 1, time.Millisecond)
 	w.store.put("servers/bad-1", map[string]any{"service": plainService, "address": 7, "state": "ready"})
