Wait for the word of a crash where a test sends the request again

Cause: the whole script failed once on the test of requests that crash servers (4 servers, 3 allowed): it sent the request at the second daemon before the first had told it, within 130 ms; a notice takes two probes of 300 ms. That a request in that window crashes one server more is no fault: nobody knows yet.

The test now waits until the second daemon, which has seen no crash, refuses the request, and holds that no server falls from then on; as strict, since without the notices it never ends (seen: it ran out of its time). Ruled out: a sleep, whose verdict would hang on the machine.

--- a/histories/managed/answers_test.go
+++ b/histories/managed/answers_test.go
@@ -13,6 +13,11 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/flamingobeam/flamingobeam/coord/quarantine"
+	coded "github.com/flamingobeam/flamingobeam/coord/result"
+	"github.com/flamingobeam/flamingobeam/daemon/contract"
+	"github.com/flamingobeam/flamingobeam/kernel"
 )
 
 // hijack takes the connection and writes bytes of its own.
@@ -117,8 +122,9 @@
 }
 
 // TestManaged_RequestThatCrashesServersIsHeldBack sends a request that crashes
-// each server that runs it, again and again at two daemons. Only so many servers
-// may fall to it, while other requests are served.
+// each server that runs it until a daemon refuses it, which must be after the
+// third at the latest. The other daemon, which has seen no crash, must come to
+// refuse it as well, and no further server may fall to it.
 func TestManaged_RequestThatCrashesServersIsHeldBack(t *testing.T) {
 	w := newWorld(t)
 	w.configure(1, route("/status/", "idempotent"))
@@ -128,13 +134,23 @@
 	}
 	first, second := w.start("daemon-1"), w.start("daemon-2")
 	w.until("both daemons are live", func() bool { return len(w.store.find("flamingobeam/session/member/")) == 2 })
-	for i := range 12 {
-		d := []*daemon{first, second}[i%2]
-		d.call(http.MethodPost, "/status/crash", fmt.Sprintf("crash-%d", i), nil, "the same body")
-		got := d.call(http.MethodPost, "/status/1", fmt.Sprintf("look-%d", i), nil, "")
-		must.NotEq(t, http.StatusNotFound, got.status)
+	const target, body = "/status/crash", "the same body"
+	fingerprint := quarantine.FingerprintOf(http.MethodPost, host, target, body)
+	for i, d := range []*daemon{first, second} {
+		held, err := kernel.Loaded[contract.Quarantine](d.kernel, contract.NameBalance)
+		must.NoError(t, err)
+		w.until("the request is quarantined", func() bool {
+			if d == first {
+				d.call(http.MethodPost, target, fmt.Sprintf("crash-%d", crashes.count()), nil, body)
+			}
+			return coded.CodeOf(held.Clear(t.Context(), fingerprint)) == coded.Quarantined
+		})
+		must.LessEq(t, 3, crashes.count())
+		fell := crashes.count()
+		must.NotEq(t, http.StatusOK, d.call(http.MethodPost, target, fmt.Sprintf("again-%d", i), nil, body).status)
+		must.Eq(t, fell, crashes.count())
+		must.Eq(t, http.StatusOK, d.call(http.MethodPost, "/status/1", fmt.Sprintf("look-%d", i), nil, "").status)
 	}
-	must.LessEq(t, 3, crashes.count())
 }
 
 // crashes are plain servers that close their listener for good at the path
