--- a/daemon/agent/fleet.go
+++ b/daemon/agent/fleet.go
@@ -49,6 +49,10 @@
 	// memoryPart is the part of a process's memory that the garbage collector
 	// keeps to; the rest is for stacks and buffers of the system.
 	memoryPart = 0.6
+	// collectAt is the growth of the heap, in percent, at which garbage is
+	// collected: memory at its peak is charged, the heap is small, and the
+	// processor is idle most of the time.
+	collectAt = 40
 	// fleetWorkers bounds the blocking calls at once: each item in flight has
 	// one.
 	fleetWorkers = 4096
@@ -119,6 +123,7 @@
 	}
 	log.SetFormatter(logs.NewLimited(log.Formatter))
 	entry := log.WithField(kernel.PartField, "agent")
+	debug.SetGCPercent(collectAt)
 	if host.Memory > 0 {
 		debug.SetMemoryLimit(int64(memoryPart * float64(host.Memory)))
 	}
