--- a/daemon/agent/fleet.go
+++ b/daemon/agent/fleet.go
@@ -93,8 +93,6 @@
 		Readiness:     host.Readiness,
 		Metrics:       fmt.Sprintf("%s:%d", host.IP, metricsPort),
 		Regions:       host.Regions,
-		Lease:         host.Bounds.Lease,
-		Grace:         host.Bounds.Grace,
 		ResultsKept:   host.Bounds.ResultsKept,
 	}
 	return daemon
--- a/daemon/config/config.go
+++ b/daemon/config/config.go
@@ -51,11 +51,6 @@
 	Metrics string
 	// Regions maps every availability zone to its region.
 	Regions map[structs.ZoneName]structs.RegionName
-	// Lease is the span within which two holders of a lease must not both
-	// give orders.
-	Lease time.Duration
-	// Grace is the time between the signal to stop and the kill.
-	Grace time.Duration
 	// ResultsKept is how long the results of a batch job must stay readable.
 	ResultsKept time.Duration
 }
--- a/daemon/contract/fleet.go
+++ b/daemon/contract/fleet.go
@@ -267,6 +267,11 @@
 	RunStale
 )
 
+// String names the end for the log.
+func (e RunEnd) String() string {
+	return [...]string{"whole", "cut", "not started", "failed", "impossible", "stale weights"}[e]
+}
+
 // Run is the outcome of a run; Text has grown by what was made.
 type Run struct {
 	End    RunEnd
--- a/daemon/services/engines/engines.go
+++ b/daemon/services/engines/engines.go
@@ -86,7 +86,7 @@
 	s.metrics.Time("engines.run", time.Since(started))
 	entry := s.log.WithFields(logrus.Fields{
 		"job": request.Job.ID, "item": request.Item.ID, "server": request.Server.ID, "model": request.Job.Model,
-		"version": run.Version, "after": before, "last": run.Text.Last, "end": run.End, "status": run.Status,
+		"version": run.Version, "after": before, "last": run.Text.Last, "end": run.End.String(), "status": run.Status,
 		"ms": time.Since(started).Milliseconds(),
 	})
 	if run.Err != nil {
--- a/daemon/services/gate/answer.go
+++ b/daemon/services/gate/answer.go
@@ -59,7 +59,7 @@
 		"request": asked.ID, "host": r.Host, "path": r.URL.Path, "code": int(coded.Code), "status": status,
 		"outcome": entry.Outcome, "why": coded.Detail,
 	}).Info("A request was not answered by a server.")
-	platform.Refuse(w.Header(), asked.ID, after)
+	platform.Reply(w.Header(), asked.ID, after)
 	w.Header().Set("Content-Type", jsonType)
 	w.WriteHeader(status)
 	if _, err := io.WriteString(w, `{"code":`+strconv.Itoa(int(coded.Code))+`}`); err != nil {
@@ -195,7 +195,7 @@
 		s.refuse(w, r, asked, err)
 		return
 	}
-	platform.Refuse(w.Header(), asked.ID, 0)
+	platform.Reply(w.Header(), asked.ID, 0)
 	w.WriteHeader(http.StatusAccepted)
 }
 
--- a/daemon/services/jobs/jobs.go
+++ b/daemon/services/jobs/jobs.go
@@ -51,12 +51,11 @@
 	calls   *kernel.Calls
 	keeper  *keeper
 
-	adoptions *kernel.Mailbox[adoption]
-	runs      *kernel.Mailbox[runEnded]
-	judged    *kernel.Mailbox[judgement]
-	committed *kernel.Mailbox[commitEnded]
-	verdicts  *kernel.Mailbox[verdict]
-
+	adoptions   *kernel.Mailbox[adoption]
+	runs        *kernel.Mailbox[runEnded]
+	judged      *kernel.Mailbox[judgement]
+	committed   *kernel.Mailbox[commitEnded]
+	verdicts    *kernel.Mailbox[verdict]
 	checkpoints *kernel.Mailbox[checkpointed]
 	carries     *kernel.Mailbox[carried]
 
@@ -90,14 +89,12 @@
 		kernel.Into(&s.runner, contract.NameEngines),
 		kernel.Into(&s.sender, contract.NameDispatch),
 		kernel.Into(&s.peers, contract.NamePeers),
+		kernel.Into(&s.swaps, contract.NameSwaps),
 		kernel.Into(&s.metrics, contract.NameMetrics),
 	)
 	if err != nil {
 		return err
 	}
-	if s.swaps, err = kernel.Find[contract.Swaps](ctx, contract.NameSwaps); err != nil {
-		return err
-	}
 	s.swaps.OnNews(s.engineNews)
 	rpc, err := kernel.Find[contract.RPC](ctx, contract.NameRPC)
 	if err != nil {
--- a/daemon/services/swaps/swaps.go
+++ b/daemon/services/swaps/swaps.go
@@ -263,7 +263,7 @@
 // answered takes in the outcome of an order on the control goroutine.
 func (s *service) answered(done outcome) {
 	entry := s.log.WithFields(logrus.Fields{
-		"server": done.server.ID, "model": done.model, "version": done.version, "outcome": done.result,
+		"server": done.server.ID, "model": done.model, "version": done.version, "outcome": done.result.String(),
 	})
 	if done.err != nil {
 		entry = entry.WithError(done.err)
