Let runs end before a change of weights where texts must have one version

Ruled out: ordering such engines between steps, which a trainer's schedule does not leave room for. Test: TestManaged_SingleVersionsWaitForTheirRuns fails before (6 runs of 4 items) and passes after.

--- a/coord/catalog/catalog.go
+++ b/coord/catalog/catalog.go
@@ -131,6 +131,20 @@
 // Has reports whether a host has a route at all.
 func (c *Catalog) Has(host string) bool { return len(c.routes[strings.ToLower(host)]) > 0 }
 
+// WantsSingleVersions reports whether a batch route of a service asks for texts
+// that one weight version made.
+func (c *Catalog) WantsSingleVersions(service structs.ServiceName) bool {
+	for _, ofHost := range c.routes {
+		for _, route := range ofHost {
+			isOf := slices.ContainsFunc(route.Targets, func(t Target) bool { return t.Service == service })
+			if route.Kind == KindBatch && route.SingleVersion && isOf {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Models lists the models that a service's engines serve.
 func (c *Catalog) Models(service structs.ServiceName) []structs.ServiceName {
 	if engine := c.Services[service].Engine; engine != nil {
--- a/daemon/services/swaps/swaps.go
+++ b/daemon/services/swaps/swaps.go
@@ -239,7 +239,7 @@
 	known.busy = true
 	order := platform.Order{
 		Server: st.server.ID, Address: st.server.Address, Model: st.model, Version: st.version,
-		Mode: platform.SwapRetain, Holder: s.session.View().Load().Self.Name, Token: token, After: known.orders,
+		Mode: s.modeOf(st.server.Service), Holder: s.session.View().Load().Self.Name, Token: token, After: known.orders,
 	}
 	s.log.WithFields(logrus.Fields{
 		"server": st.server.ID, "model": st.model, "version": st.version, "runs": known.versions[st.model],
@@ -260,6 +260,15 @@
 	})
 }
 
+// modeOf lets the runs of a service go on through a change of weights, unless
+// their texts must have one version.
+func (s *service) modeOf(service structs.ServiceName) platform.SwapMode {
+	if current := s.catalog.Current().Load().Catalog; current != nil && current.WantsSingleVersions(service) {
+		return platform.SwapAwait
+	}
+	return platform.SwapRetain
+}
+
 // answered takes in the outcome of an order on the control goroutine.
 func (s *service) answered(done outcome) {
 	entry := s.log.WithFields(logrus.Fields{
--- a/histories/managed/daemon_test.go
+++ b/histories/managed/daemon_test.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -157,6 +158,8 @@
 		{"name": "judge", "hostname": host, "pathPrefix": "/judge/", "routeType": "idempotent", "service": plainService,
 			"targetLatencyMs": 1000, "timeoutMs": 10000, "maxAttempts": 4},
 	}, routes...)
+	// A route of the test goes before the usual one of its prefix.
+	slices.Reverse(all)
 	w.store.put("op/config", map[string]any{
 		"version": version, "routes": all,
 		"services": []map[string]any{
--- a/histories/managed/managed_test.go
+++ b/histories/managed/managed_test.go
@@ -89,6 +89,25 @@
 	must.Eq(t, []uint64{1, 2}, results[0].Versions)
 }
 
+// TestManaged_SingleVersionsWaitForTheirRuns names a version while items of a
+// route run whose texts must have one version each.
+func TestManaged_SingleVersionsWaitForTheirRuns(t *testing.T) {
+	w := calm(t, 60, 20*time.Millisecond)
+	single := route("/train/", "rollout")
+	single["service"], single["singleVersion"], single["resultDeadlineMs"], single["itemTtlS"] = engineService, true, 20000, 60
+	w.configure(2, single)
+	d := w.start("daemon-1")
+	submit(w, d, "job-1", jobOf("job-1", 0, 1, 2, 2))
+	w.until("every item runs", func() bool { return len(w.engines[0].seen())+len(w.engines[1].seen()) == 4 })
+	w.store.put("op/version/"+modelName, map[string]any{"model": modelName, "version": 2})
+	results := w.whole(d, "job-1", 4)
+	w.check("job-1", results, 60, 1)
+	for _, r := range results {
+		must.Eq(t, []uint64{1}, r.Versions)
+	}
+	must.Eq(t, 4, len(w.engines[0].seen())+len(w.engines[1].seen()))
+}
+
 // resumed reports whether a run went on after a text.
 func (w *world) resumed() bool {
 	for _, e := range w.engines {
--- a/histories/managed/servers_test.go
+++ b/histories/managed/servers_test.go
@@ -99,7 +99,9 @@
 	made     int
 	version  uint64
 	finished bool
-	at       time.Time
+	// left is set when the caller went before the end.
+	left bool
+	at   time.Time
 }
 
 func (w *world) addEngine(id string, events int, pace time.Duration) *engine {
@@ -134,6 +136,7 @@
 		After   uint64 `json:"expected"`
 		Holder  string `json:"holder"`
 		Model   string `json:"model"`
+		Mode    string `json:"mode"`
 	}
 	if err := json.NewDecoder(r.Body).Decode(&asked); err != nil || asked.Holder == "" || asked.Model != modelName {
 		w.WriteHeader(http.StatusBadRequest)
@@ -151,11 +154,29 @@
 	default:
 		e.fence, e.loading = asked.Token, true
 		e.orders++
-		time.AfterFunc(50*time.Millisecond, func() { e.loaded(asked.Version) })
+		e.load(asked.Version, asked.Mode)
 		w.WriteHeader(http.StatusAccepted)
 	}
 }
 
+// load begins to load a version, after the runs under way if the mode says so;
+// the caller holds the lock.
+func (e *engine) load(version uint64, mode string) {
+	isIdle := true
+	for _, r := range e.runs {
+		isIdle = isIdle && (r.finished || r.left)
+	}
+	if mode == "await" && !isIdle {
+		time.AfterFunc(10*time.Millisecond, func() {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			e.load(version, mode)
+		})
+		return
+	}
+	time.AfterFunc(50*time.Millisecond, func() { e.loaded(version) })
+}
+
 func (e *engine) loaded(version uint64) {
 	e.mu.Lock()
 	e.version, e.loading = version, false
@@ -207,6 +228,9 @@
 		select {
 		case <-time.After(pace):
 		case <-r.Context().Done():
+			e.mu.Lock()
+			e.runs[index].left = true
+			e.mu.Unlock()
 			return
 		}
 		fmt.Fprintf(w, "id: %d\n", number)
