Start nothing of a job whose end came while it was taken over

By reading: after all processes had been killed an heir read the job, the job was ended, and the one that ended it told nobody, because the heir was not yet on its list; the heir counted its last word of the store from the adoption, not from the read, and asked again only when no write was under way.

Now the owner is told for two seconds, also once it appears on the list; an end that comes before the adoption counts; the last word dates from the read; the owner asks every 1.2 s, also during writes, and starts no item on a word older than 2.5 s while the store is reached.

Ruled out: a watch of all owners' records, which costs calls for each job and daemon. Tests: TestAdopt_AnEndThatCameFirstCounts (fails without) and TestMayStart_OnlyOnAFreshWordWhileTheStoreIsReached.

--- a/daemon/services/jobs/commit.go
+++ b/daemon/services/jobs/commit.go
@@ -187,7 +187,18 @@
 
 // verifyAfter is how long an owner works on a job without a word of the store
 // that the job is still its own and not ended.
-const verifyAfter = 1500 * time.Millisecond
+const verifyAfter = 1200 * time.Millisecond
+
+// startWithin is how old the last word of the store may be for an item to be
+// started, while the store is reached: nothing may start three seconds after the
+// end of its job.
+const startWithin = 2500 * time.Millisecond
+
+// mayStart reports whether items of a job may be started.
+func (s *service) mayStart(j *job) bool {
+	_, reached := s.ledger.ReachedSince()
+	return !reached || boottime.Since(j.verified) < startWithin
+}
 
 // verdict is what the store says of an owned job.
 type verdict struct {
@@ -200,7 +211,7 @@
 
 // verify asks the store whether a job is still owned here.
 func (s *service) verify(j *job) {
-	if j.verifying || j.committing || boottime.Since(j.verified) < verifyAfter {
+	if j.verifying || boottime.Since(j.verified) < verifyAfter {
 		return
 	}
 	j.verifying = true
--- a/daemon/services/jobs/jobs.go
+++ b/daemon/services/jobs/jobs.go
@@ -16,7 +16,6 @@
 
 	"github.com/flamingobeam/flamingobeam/coord/batch"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
-	"github.com/flamingobeam/flamingobeam/daemon/boottime"
 	"github.com/flamingobeam/flamingobeam/daemon/config"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
 	"github.com/flamingobeam/flamingobeam/kernel"
@@ -26,6 +25,7 @@
 	kernel.Register(contract.NameJobs, func() kernel.Service {
 		return &service{
 			owned: make(map[string]*job), engines: make(map[structs.HostName]*engine), owners: make(map[string]ownerEntry),
+			endedEarly: make(map[string]ownRecord),
 		}
 	})
 }
@@ -65,6 +65,8 @@
 	scheduled bool
 	stopping  bool
 	heirs     heirs
+	// endedEarly holds ends that came before their jobs were adopted here.
+	endedEarly map[string]ownRecord
 
 	// views gives traffic goroutines the logs of the owned jobs.
 	views sync.Map
@@ -193,9 +195,13 @@
 	if _, known := s.owned[a.job.ID]; known {
 		return
 	}
+	if own, ok := s.endedEarly[a.job.ID]; ok && own.Epoch >= a.own.Epoch {
+		a.own = own
+	}
+	delete(s.endedEarly, a.job.ID)
 	j := &job{
 		Job: *a.job, own: a.own, log: a.log,
-		submitted: time.UnixMilli(a.own.Submitted), verified: boottime.Now(), checkpointed: s.loop.Now(),
+		submitted: time.UnixMilli(a.own.Submitted), verified: a.read, checkpointed: s.loop.Now(),
 	}
 	j.ctx, j.cancel = context.WithCancel(context.Background())
 	s.setTerms(j)
--- a/daemon/services/jobs/keeper.go
+++ b/daemon/services/jobs/keeper.go
@@ -6,10 +6,12 @@
 	"fmt"
 	"net/url"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/flamingobeam/flamingobeam/coord/batch"
+	"github.com/flamingobeam/flamingobeam/daemon/boottime"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
 	"github.com/flamingobeam/flamingobeam/outside"
 	"github.com/flamingobeam/flamingobeam/platform"
@@ -69,6 +71,9 @@
 	own     ownRecord
 	log     logRecord
 	results []batch.Result
+	// read is when the store was asked who owns the job, by the clock that
+	// goes on in suspension.
+	read time.Duration
 }
 
 // keeper reads and writes batch jobs in the store.
@@ -212,7 +217,7 @@
 
 // whole reads all that the store holds of a job.
 func (k *keeper) whole(ctx context.Context, id string) (kept, error) {
-	var all kept
+	all := kept{read: boottime.Now()}
 	var err error
 	if all.own, err = k.owner(ctx, id); err != nil {
 		return all, err
@@ -229,7 +234,7 @@
 
 // create writes a new job. ErrConflict means that there is one already.
 func (k *keeper) create(ctx context.Context, job *batch.Job, source []byte, own batch.Ownership) (kept, error) {
-	log := batch.Log{Epoch: own.Epoch, Total: len(job.Items)}
+	log, begun := batch.Log{Epoch: own.Epoch, Total: len(job.Items)}, boottime.Now()
 	revision, err := k.ledger.Commit(ctx, outside.Transaction{
 		Conditions: []outside.Condition{{Key: ownKey(job.ID)}},
 		Writes: []outside.Write{
@@ -240,6 +245,7 @@
 	})
 	return kept{
 		job: job, own: ownRecord{Ownership: own, revision: revision}, log: logRecord{Log: log, revision: revision},
+		read: begun,
 	}, err
 }
 
--- a/daemon/services/jobs/read.go
+++ b/daemon/services/jobs/read.go
@@ -27,7 +27,10 @@
 	// for: a round trip between regions and the owner's turn.
 	peerWithin = 500 * time.Millisecond
 	// tellAttempts bounds the attempts to tell an owner that its job was ended.
-	tellAttempts = 3
+	tellAttempts = 8
+	// tellAgain is the pause between two attempts: a session is on the list
+	// within that time of its start.
+	tellAgain = 300 * time.Millisecond
 )
 
 type ownerEntry struct {
@@ -233,18 +236,27 @@
 func (s *service) tellEnded(id string, own ownRecord) {
 	s.rememberOwner(id, own)
 	s.workers.Go(func(ctx context.Context) {
-		address := s.addressOf(own.Owner)
-		if address == "" {
+		if own.Owner == s.session.View().Load().Self.Name {
 			if err := s.calls.Do(ctx, func() { s.endHere(id, own) }); err != nil {
 				s.log.WithError(err).WithField("job", id).Warn("The end of an owned job was not taken in.")
 			}
 			return
 		}
-		for range tellAttempts {
-			var reply struct{}
-			err := s.call(ctx, address, "Ended", EndedRPC{ID: id, Own: own.Ownership, Revision: uint64(own.revision)}, &reply, 0)
-			if err == nil {
-				return
+		for attempt := 0; attempt < tellAttempts && ctx.Err() == nil; attempt++ {
+			if attempt > 0 {
+				select {
+				case <-time.After(tellAgain):
+				case <-ctx.Done():
+				}
+			}
+			// An owner that has just started may not be on the list yet.
+			var err error = result.New(result.PeerUnreachable, "%s is not on the list", own.Owner)
+			if address := s.addressOf(own.Owner); address != "" {
+				var reply struct{}
+				call := EndedRPC{ID: id, Own: own.Ownership, Revision: uint64(own.revision)}
+				if err = s.call(ctx, address, "Ended", call, &reply, 0); err == nil {
+					return
+				}
 			}
 			s.log.WithError(err).WithField("job", id).Info("The owner was not told that its job was ended.")
 		}
@@ -253,6 +265,13 @@
 
 // endHere ends a job on the control goroutine if it is owned here.
 func (s *service) endHere(id string, own ownRecord) {
+	if s.owned[id] == nil {
+		// The job is being taken over: what was read of it may be older.
+		if len(s.endedEarly) >= ownersMost {
+			clear(s.endedEarly)
+		}
+		s.endedEarly[id] = own
+	}
 	if j := s.owned[id]; j != nil && own.Epoch == j.own.Epoch && !j.own.Ended {
 		s.ended(j, own)
 	}
--- a/daemon/services/jobs/read_test.go
+++ b/daemon/services/jobs/read_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"io"
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/shoenig/test/must"
+	"github.com/sirupsen/logrus"
 
 	"github.com/flamingobeam/flamingobeam/coord/batch"
 	"github.com/flamingobeam/flamingobeam/daemon/boottime"
@@ -35,6 +38,63 @@
 	must.Len(t, 0, reply.Results)
 }
 
+// fakes stand in for the services that adopting a job needs.
+type fakes struct {
+	contract.Ledger
+	contract.Swaps
+	contract.Session
+	catalog *kernel.Snapshot[contract.CatalogView]
+	session *kernel.Snapshot[contract.SessionView]
+}
+
+func (f *fakes) Asked(contract.ModelDemand)                      {}
+func (f *fakes) Current() *kernel.Snapshot[contract.CatalogView] { return f.catalog }
+func (f *fakes) View() *kernel.Snapshot[contract.SessionView]    { return f.session }
+func (f *fakes) ReachedSince() (time.Time, bool)                 { return time.Now(), true }
+
+func newService() *service {
+	f := &fakes{
+		catalog: kernel.NewSnapshot(&contract.CatalogView{}),
+		session: kernel.NewSnapshot(&contract.SessionView{}),
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return &service{
+		ledger: f, swaps: f, session: f, catalog: f, log: logrus.NewEntry(log), loop: kernel.NewLoop(clockwork.NewFakeClock()),
+		workers: kernel.NewWorkers(1), owned: make(map[string]*job), endedEarly: make(map[string]ownRecord),
+	}
+}
+
+func taken(epoch uint64) adoption {
+	return adoption{kept: kept{
+		job: &batch.Job{ID: "job", Items: []batch.Item{{ID: "a"}}}, read: boottime.Now(),
+		own: ownRecord{Ownership: batch.Ownership{Owner: "me", Epoch: epoch}},
+	}}
+}
+
+// TestAdopt_AnEndThatCameFirstCounts tells a daemon of the end of a job while it
+// still reads the job: nothing of it may run.
+func TestAdopt_AnEndThatCameFirstCounts(t *testing.T) {
+	s := newService()
+	s.endHere("job", ownRecord{Ownership: batch.Ownership{Owner: "me", Epoch: 2, Ended: true}, revision: 9})
+	s.adopt(taken(2))
+	must.False(t, s.owned["job"].open())
+	s = newService()
+	s.endHere("job", ownRecord{Ownership: batch.Ownership{Owner: "other", Epoch: 1, Ended: true}, revision: 3})
+	s.adopt(taken(2))
+	must.True(t, s.owned["job"].open())
+}
+
+// TestMayStart_OnlyOnAFreshWordWhileTheStoreIsReached holds that items wait for
+// the store's word that their job goes on.
+func TestMayStart_OnlyOnAFreshWordWhileTheStoreIsReached(t *testing.T) {
+	s := newService()
+	s.adopt(taken(1))
+	must.True(t, s.mayStart(s.owned["job"]))
+	s.owned["job"].verified -= startWithin
+	must.False(t, s.mayStart(s.owned["job"]))
+}
+
 func TestCommit_ChunksStayWithinAValueOfTheStore(t *testing.T) {
 	big := batch.Result{Output: string(make([]byte, maxChunk-1000))}
 	must.Len(t, 1, firstChunk([]batch.Result{big, big}))
--- a/daemon/services/jobs/schedule.go
+++ b/daemon/services/jobs/schedule.go
@@ -178,7 +178,9 @@
 	})
 	now := s.loop.Now()
 	for _, j := range jobs {
-		s.place(j, now)
+		if s.mayStart(j) {
+			s.place(j, now)
+		}
 	}
 }
 
