Count only failed attempts against a reward call

Ruled out: counting none, which would ask for ever. Test: TestManaged_RewardCallThatTimesOutKillsNoItem fails before (dead) and passes after; TestManaged_RewardCallThatAlwaysFailsKillsItsItem holds the other side.

--- a/daemon/contract/fleet.go
+++ b/daemon/contract/fleet.go
@@ -169,7 +169,8 @@
 	Stream *http.Response
 	// Stamp is the server's signature.
 	Stamp string
-	// Failures counts the servers that answered that they failed.
+	// Failures counts the servers that answered that the attempt failed; those
+	// that ran out of time are not among them.
 	Failures int
 	// Server gave the answer, and Sent counts the servers that were asked.
 	Server structs.HostName
--- a/daemon/services/dispatch/exchange.go
+++ b/daemon/services/dispatch/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -21,7 +22,7 @@
 	// sent counts the servers that the request was sent to.
 	sent int
 	// failure is the last failure that a server itself answered, and failures
-	// counts them.
+	// counts the failed attempts: a server's own time-out is none.
 	failures int
 	failure  *contract.Forwarded
 }
@@ -74,7 +75,9 @@
 		case done := <-tries:
 			running--
 			if done.failure != nil {
-				e.failures++
+				if done.failure.Status == http.StatusInternalServerError {
+					e.failures++
+				}
 				done.failure.Failures = e.failures
 				e.failure = done.failure
 			}
--- a/histories/managed/answers_test.go
+++ b/histories/managed/answers_test.go
@@ -258,6 +258,47 @@
 	must.LessEq(t, given[0]-50, given[1])
 }
 
+// TestManaged_RewardCallThatTimesOutKillsNoItem answers reward calls with 504,
+// which is no failed attempt of the call, and then as usual.
+func TestManaged_RewardCallThatTimesOutKillsNoItem(t *testing.T) {
+	w := newWorld(t)
+	w.configure(1)
+	w.addEngine("engine-1", 3, time.Millisecond)
+	p := w.addPlain("plain-1")
+	for range 12 {
+		p.faults = append(p.faults, func(w http.ResponseWriter, r *http.Request) bool {
+			w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
+			w.Header().Set("Server-Stamp", "late")
+			w.WriteHeader(http.StatusGatewayTimeout)
+			return true
+		})
+	}
+	d := w.start("daemon-1")
+	submit(w, d, "job-1", jobOf("job-1", 0, 1, 1, 1))
+	w.check("job-1", w.whole(d, "job-1", 1), 3, 1)
+}
+
+// TestManaged_RewardCallThatAlwaysFailsKillsItsItem answers every reward call
+// with 500.
+func TestManaged_RewardCallThatAlwaysFailsKillsItsItem(t *testing.T) {
+	w := newWorld(t)
+	w.configure(1)
+	w.addEngine("engine-1", 3, time.Millisecond)
+	p := w.addPlain("plain-1")
+	for range 40 {
+		p.faults = append(p.faults, func(w http.ResponseWriter, r *http.Request) bool {
+			w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
+			w.Header().Set("Server-Stamp", "failed")
+			w.WriteHeader(http.StatusInternalServerError)
+			return true
+		})
+	}
+	d := w.start("daemon-1")
+	submit(w, d, "job-1", jobOf("job-1", 0, 1, 1, 1))
+	must.Eq(t, "dead", w.whole(d, "job-1", 1)[0].State)
+	must.GreaterEq(t, 4, len(p.requests()))
+}
+
 // TestManaged_BadInputIsRefusedByNumber sends what cannot be served.
 func TestManaged_BadInputIsRefusedByNumber(t *testing.T) {
 	w := calm(t, 1, time.Millisecond)
