Give the tests of whole daemons ports of their own

The ports now lie below those that the system gives to outgoing connections, and each is handed out once.

Ruled out: trying again, which hides a daemon that does not start.

--- a/histories/managed/daemon_test.go
+++ b/histories/managed/daemon_test.go
@@ -13,6 +13,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -92,14 +93,27 @@
 	link    *link
 }
 
+// Ports of this package: below those that the system gives to outgoing
+// connections, and each is handed out once.
+const (
+	firstPort = 24000
+	lastPort  = 29999
+)
+
+var nextPort atomic.Int64
+
 // freePorts finds ports that nothing listens on.
 func freePorts(t *testing.T, count int) []int {
-	ports := make([]int, count)
-	for i := range ports {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		must.NoError(t, err)
-		defer listener.Close()
-		ports[i] = listener.Addr().(*net.TCPAddr).Port
+	var ports []int
+	for len(ports) < count {
+		port := firstPort + int(nextPort.Add(1))
+		must.LessEq(t, lastPort, port)
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue
+		}
+		must.NoError(t, listener.Close())
+		ports = append(ports, port)
 	}
 	return ports
 }
