Say once how a stand-in answers with a status

Cause: two tests of reward calls wrote the same answer out by hand. Ruled out: the start-up of services, which stands alike because each lists what it needs. Both tests passed after.

--- a/histories/managed/answers_test.go
+++ b/histories/managed/answers_test.go
@@ -258,6 +258,16 @@
 	must.LessEq(t, given[0]-50, given[1])
 }
 
+// answered is a server's own answer with a status and no body.
+func answered(status int) func(w http.ResponseWriter, r *http.Request) bool {
+	return func(w http.ResponseWriter, r *http.Request) bool {
+		w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
+		w.Header().Set("Server-Stamp", "status")
+		w.WriteHeader(status)
+		return true
+	}
+}
+
 // TestManaged_RewardCallThatTimesOutKillsNoItem answers reward calls with 504,
 // which is no failed attempt of the call, and then as usual.
 func TestManaged_RewardCallThatTimesOutKillsNoItem(t *testing.T) {
@@ -266,12 +276,7 @@
 	w.addEngine("engine-1", 3, time.Millisecond)
 	p := w.addPlain("plain-1")
 	for range 12 {
-		p.faults = append(p.faults, func(w http.ResponseWriter, r *http.Request) bool {
-			w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
-			w.Header().Set("Server-Stamp", "late")
-			w.WriteHeader(http.StatusGatewayTimeout)
-			return true
-		})
+		p.faults = append(p.faults, answered(http.StatusGatewayTimeout))
 	}
 	d := w.start("daemon-1")
 	submit(w, d, "job-1", jobOf("job-1", 0, 1, 1, 1))
@@ -286,12 +291,7 @@
 	w.addEngine("engine-1", 3, time.Millisecond)
 	p := w.addPlain("plain-1")
 	for range 40 {
-		p.faults = append(p.faults, func(w http.ResponseWriter, r *http.Request) bool {
-			w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
-			w.Header().Set("Server-Stamp", "failed")
-			w.WriteHeader(http.StatusInternalServerError)
-			return true
-		})
+		p.faults = append(p.faults, answered(http.StatusInternalServerError))
 	}
 	d := w.start("daemon-1")
 	submit(w, d, "job-1", jobOf("job-1", 0, 1, 1, 1))
