Share the engines' paces, plan loads by need, leave dead engines alone

Loads were over capacity: nine a round at two per 0.9 s take as long as the round (four at once took 1.8 s each, nine 3.5 s).

Changed: service control.paces keeps best and recent paces and tells all daemons; a run is moved by the pace of its newest eight events; engines of unknown pace count as usual ones; what is left of a text follows its hint as measured (half of the lengths within 0.7 to 1.4 of it). A failed connection keeps an engine aside for 250 ms to 4 s.

TestManaged_PaceOfAnEngineIsKnownToOtherDaemons fails on the parent.

--- a/daemon/contract/fleet.go
+++ b/daemon/contract/fleet.go
@@ -9,6 +9,7 @@
 
 	"github.com/flamingobeam/flamingobeam/coord/batch"
 	"github.com/flamingobeam/flamingobeam/coord/catalog"
+	"github.com/flamingobeam/flamingobeam/coord/placement"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/kernel"
 	"github.com/flamingobeam/flamingobeam/outside"
@@ -27,6 +28,8 @@
 	NameServers kernel.Name = "control.servers"
 	// NameSwaps offers Swaps and gives orders to change weights.
 	NameSwaps kernel.Name = "control.swaps"
+	// NamePaces offers Paces.
+	NamePaces kernel.Name = "control.paces"
 	// NameRetire answers orders to empty a storage host.
 	NameRetire kernel.Name = "control.retire"
 	// NameDispatch offers Dispatch.
@@ -264,13 +267,16 @@
 	RunFailed
 	// RunImpossible means that the item can never be done.
 	RunImpossible
+	// RunUnreachable means that the server takes no connection; the run did not
+	// begin.
+	RunUnreachable
 	// RunStale means that the server's weights are older than the job allows.
 	RunStale
 )
 
 // String names the end for the log.
 func (e RunEnd) String() string {
-	return [...]string{"whole", "cut", "not started", "failed", "impossible", "stale weights"}[e]
+	return [...]string{"whole", "cut", "not started", "failed", "impossible", "unreachable", "stale weights"}[e]
 }
 
 // Run is the outcome of a run; Text has grown by what was made.
@@ -328,6 +334,16 @@
 	Asked(demand ModelDemand)
 }
 
+// Paces tells how fast the model engines are. All of it must be called on the
+// control goroutine.
+type Paces interface {
+	// Saw takes in what a run shows of its engine.
+	Saw(server catalog.Server, sample placement.Sample)
+	// Of estimates the time between the events of a run that begins now, and
+	// gives the shortest one seen; zero is unknown.
+	Of(server catalog.Server) (pace, best time.Duration)
+}
+
 // Jobs runs batch jobs. Errors are of package result: NotFound is certain.
 type Jobs interface {
 	// Submit accepts a job, once for each ID. Source is the submitted body,
--- a/daemon/contract/progress.go
+++ b/daemon/contract/progress.go
@@ -1,7 +1,7 @@
 package contract
 
 import (
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/flamingobeam/flamingobeam/coord/placement"
@@ -10,33 +10,59 @@
 // Progress is what a running item tells of itself. It is safe for concurrent
 // use.
 type Progress struct {
-	events atomic.Int64
-	first  atomic.Int64
-	last   atomic.Int64
+	mu     sync.Mutex
+	events int
+	first  time.Time
+	// times holds when the newest events came, the event n at n modulo its length.
+	times [placement.EnoughEvents]time.Time
 }
 
 // Note records one more event at a time.
 func (p *Progress) Note(now time.Time) {
-	if p.events.Add(1) == 1 {
-		p.first.Store(now.UnixNano())
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.events == 0 {
+		p.first = now
 	}
-	p.last.Store(now.UnixNano())
+	p.times[p.events%len(p.times)] = now
+	p.events++
 }
 
-// Pace is the time between the events so far, up to a time at which the next
-// one has not come; false while there are too few.
-func (p *Progress) Pace(now time.Time) (time.Duration, bool) {
-	events := p.events.Load()
-	if events < placement.EnoughEvents {
-		return 0, false
+// Sample is the pace of the run, up to a time at which the next event has not
+// come; false while there are too few events.
+func (p *Progress) Sample(now time.Time) (placement.Sample, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	count := len(p.times)
+	if p.events < count {
+		return placement.Sample{Events: p.events}, false
 	}
-	first, last := time.Unix(0, p.first.Load()), time.Unix(0, p.last.Load())
-	pace := last.Sub(first) / time.Duration(events-1)
-	if silent := now.Sub(last); silent > pace {
-		pace = now.Sub(first) / time.Duration(events)
+	oldest, last := p.times[p.events%count], p.times[(p.events-1)%count]
+	sample := placement.Sample{
+		Recent: last.Sub(oldest) / time.Duration(count-1),
+		Mean:   last.Sub(p.first) / time.Duration(p.events-1),
+		Events: p.events,
 	}
-	return pace, true
+	if silent := now.Sub(last); silent > sample.Recent {
+		sample.Recent = now.Sub(oldest) / time.Duration(count)
+	}
+	return sample, true
 }
 
 // Events counts the events since the run began.
-func (p *Progress) Events() int { return int(p.events.Load()) }
+func (p *Progress) Events() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.events
+}
+
+// FirstAfter is how long after a time the first event came, and zero while none
+// has.
+func (p *Progress) FirstAfter(begun time.Time) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.events == 0 {
+		return 0
+	}
+	return p.first.Sub(begun)
+}
--- a/daemon/services/dispatch/send.go
+++ b/daemon/services/dispatch/send.go
@@ -3,17 +3,16 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/flamingobeam/flamingobeam/coord/catalog"
 	"github.com/flamingobeam/flamingobeam/coord/result"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
+	"github.com/flamingobeam/flamingobeam/daemon/transport"
 	"github.com/flamingobeam/flamingobeam/platform"
 )
 
@@ -79,8 +78,7 @@
 
 // sendCode tells a request that cannot have left from one that may have.
 func sendCode(err error) result.Code {
-	var operation *net.OpError
-	if errors.As(err, &operation) && operation.Op == "dial" {
+	if transport.IsDialFailure(err) {
 		return result.NoBackend
 	}
 	return result.BackendBroke
--- a/daemon/services/engines/engines.go
+++ b/daemon/services/engines/engines.go
@@ -87,7 +87,7 @@
 	entry := s.log.WithFields(logrus.Fields{
 		"job": request.Job.ID, "item": request.Item.ID, "server": request.Server.ID, "model": request.Job.Model,
 		"version": run.Version, "after": before, "last": run.Text.Last, "end": run.End.String(), "status": run.Status,
-		"ms": time.Since(started).Milliseconds(),
+		"ms": time.Since(started).Milliseconds(), "first_ms": progress.FirstAfter(started).Milliseconds(), "urgency": request.Urgency,
 	})
 	if run.Err != nil {
 		entry = entry.WithError(run.Err)
@@ -112,6 +112,9 @@
 		return contract.Run{End: contract.RunImpossible, Err: err}
 	}
 	response, err := s.transport.RoundTrip(outgoing)
+	if transport.IsDialFailure(err) {
+		return contract.Run{End: contract.RunUnreachable, Err: err}
+	}
 	if err != nil {
 		return contract.Run{End: contract.RunCut, Err: err}
 	}
--- a/daemon/services/jobs/jobs.go
+++ b/daemon/services/jobs/jobs.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
 	"github.com/flamingobeam/flamingobeam/coord/batch"
@@ -44,12 +45,15 @@
 	sender  contract.Dispatch
 	peers   contract.Peers
 	swaps   contract.Swaps
+	paces   contract.Paces
 	metrics contract.Metrics
 	log     *logrus.Entry
 	loop    *kernel.Loop
 	workers *kernel.Workers
 	calls   *kernel.Calls
 	keeper  *keeper
+	// salt tells the daemons apart where they would all choose alike.
+	salt uint64
 
 	adoptions   *kernel.Mailbox[adoption]
 	runs        *kernel.Mailbox[runEnded]
@@ -92,6 +96,7 @@
 		kernel.Into(&s.sender, contract.NameDispatch),
 		kernel.Into(&s.peers, contract.NamePeers),
 		kernel.Into(&s.swaps, contract.NameSwaps),
+		kernel.Into(&s.paces, contract.NamePaces),
 		kernel.Into(&s.metrics, contract.NameMetrics),
 	)
 	if err != nil {
@@ -104,6 +109,7 @@
 	}
 	s.log, s.loop, s.workers, s.calls = ctx.Log(), ctx.Loop(), ctx.Workers(), kernel.NewCalls(ctx.Loop())
 	s.keeper = newKeeper(s.ledger)
+	s.salt = xxhash.Sum64String(s.session.View().Load().Self.Name)
 	s.adoptions = kernel.NewMailbox(s.loop, mailboxCapacity, s.adopt)
 	s.runs = kernel.NewMailbox(s.loop, mailboxCapacity, s.runEnded)
 	s.judged = kernel.NewMailbox(s.loop, mailboxCapacity, s.judgementCame)
--- a/daemon/services/jobs/runs.go
+++ b/daemon/services/jobs/runs.go
@@ -20,26 +20,30 @@
 type runEnded struct {
 	job    string
 	epoch  uint64
+	model  structs.ServiceName
 	item   *item
 	server catalog.Server
 	run    contract.Run
+	// at is when the run ended.
+	at time.Time
 }
 
 // start runs an item on an engine.
-func (s *service) start(j *job, it *item, server catalog.Server, events int, now time.Time) {
+func (s *service) start(j *job, it *item, server catalog.Server, left int, pace time.Duration, now time.Time) {
 	ctx, stop := context.WithCancel(j.ctx)
 	it.phase, it.server, it.begun, it.stop, it.moving = phaseRunning, server.ID, now, stop, false
 	it.progress = &contract.Progress{}
 	s.engine(server).own++
 	request := contract.RunRequest{
-		Job: &j.Job, Item: it.Item, Server: server, Urgency: placement.Urgency(events, j.due().Sub(now), j.terms.rank), Text: it.text,
+		Job: &j.Job, Item: it.Item, Server: server, Urgency: placement.Urgency(left, pace, j.due().Sub(now), j.terms.rank), Text: it.text,
 		Patience: max(time.Second, j.submitted.Add(j.terms.itemLife).Sub(now)), Single: j.terms.single,
 	}
 	progress := it.progress
-	id, epoch := j.ID, j.own.Epoch
+	id, epoch, model := j.ID, j.own.Epoch, j.Model
 	s.workers.Go(func(context.Context) {
 		defer stop()
-		ended := runEnded{job: id, epoch: epoch, item: it, server: server, run: s.runner.Run(ctx, request, progress)}
+		ended := runEnded{job: id, epoch: epoch, model: model, item: it, server: server, run: s.runner.Run(ctx, request, progress)}
+		ended.at = time.Now()
 		if err := s.runs.Post(ended); err != nil {
 			s.log.WithError(err).WithField("job", id).Error("The end of a run is lost.")
 		}
@@ -102,59 +106,63 @@
 	if known.started != ended.server.Started {
 		return
 	}
-	it, run := ended.item, ended.run
+	run := ended.run
 	if run.Version != 0 {
-		if j := s.owned[ended.job]; j != nil {
-			known.versions[j.Model] = run.Version
-		}
-	}
-	if run.End == contract.RunNotStarted || run.End == contract.RunStale {
-		if j := s.owned[ended.job]; j != nil {
-			known.blocked[j.Model] = now.Add(blockedFor)
-		}
+		known.versions[ended.model] = run.Version
 	}
-	if it.progress == nil {
+	switch run.End {
+	case contract.RunUnreachable:
+		known.notReached(now)
 		return
+	case contract.RunNotStarted, contract.RunStale:
+		known.blocked[ended.model] = now.Add(blockedFor)
 	}
-	if pace, ok := it.progress.Pace(now); ok {
-		known.pace = placement.Smooth(known.pace, pace)
+	known.unreached = 0
+	if sample, ok := ended.item.progress.Sample(ended.at); ok {
+		s.paces.Saw(ended.server, sample)
 	}
 }
 
-// watch moves the runs of a job that are slow.
+// notReached keeps items from an engine for longer with each round of connections
+// that failed.
+func (e *engine) notReached(now time.Time) {
+	if now.Before(e.unreachable) {
+		return
+	}
+	const mostDoublings = 8
+	e.unreachable = now.Add(min(unreachableFirst<<min(e.unreached, mostDoublings), unreachableMost))
+	e.unreached++
+}
+
+// watch learns from the running items of a job how fast the engines are, and moves
+// the runs that are slow.
 func (s *service) watch(j *job, now time.Time) {
-	var engines []placement.Engine
+	var board *placement.Board
+	listed := s.servers.Entries().Load().All
 	for _, it := range j.items {
 		if it.phase != phaseRunning || it.moving {
 			continue
 		}
-		pace, ok := it.progress.Pace(now)
+		sample, ok := it.progress.Sample(now)
 		if !ok {
 			continue
 		}
-		if engines == nil {
-			engines = s.candidates(j, now)
+		if server, isListed := listed[it.server]; isListed {
+			s.paces.Saw(server, sample)
 		}
-		left := s.eventsLeft(j, it)
-		choice, ok := placement.Place(engines, j.MinVersion, left, append(slices.Clone(it.avoid), it.server))
-		if !ok {
-			continue
+		if board == nil {
+			board = s.board(j, now)
 		}
-		elsewhere := engines[choice].Pace
-		if elsewhere == 0 {
-			elsewhere = placement.DefaultPace
-		}
-		if !placement.ShouldMove(left, pace, elsewhere) {
+		left := s.eventsLeft(j, it)
+		choice, ok := board.Best(left, append(slices.Clone(it.avoid), it.server))
+		if !ok || !placement.ShouldMove(left, sample.Recent, board.PaceOf(choice)) {
 			continue
 		}
 		s.log.WithFields(logrus.Fields{
-			"job": j.ID, "item": it.ID, "from": it.server, "pace_ms": pace.Milliseconds(), "left": left,
-			"elsewhere_ms": elsewhere.Milliseconds(),
+			"job": j.ID, "item": it.ID, "from": it.server, "pace_ms": sample.Recent.Milliseconds(), "left": left,
+			"elsewhere_ms": board.PaceOf(choice).Milliseconds(),
 		}).Info("A slow run is moved.")
-		engines[choice].Own++
-		if known := s.engines[it.server]; known != nil {
-			known.pace = placement.Smooth(known.pace, pace)
-		}
+		board.Take(choice)
 		it.moving = true
 		it.stop()
 	}
--- a/daemon/services/jobs/schedule.go
+++ b/daemon/services/jobs/schedule.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -22,6 +23,10 @@
 	// blockedFor is how long an engine that refused an item is left alone: a
 	// load of weights takes about a second, a queue empties sooner.
 	blockedFor = 250 * time.Millisecond
+	// unreachableFirst and unreachableMost bound how long an engine is left alone
+	// that takes no connections: one that has crashed is back after some seconds.
+	unreachableFirst = 250 * time.Millisecond
+	unreachableMost  = 4 * time.Second
 	// regionTrip and zoneTrip are round trips beyond the own zone.
 	regionTrip = 60 * time.Millisecond
 	zoneTrip   = 2 * time.Millisecond
@@ -85,9 +90,14 @@
 type engine struct {
 	started  int64
 	own      int
-	pace     time.Duration
 	versions map[structs.ServiceName]structs.WeightVersion
-	blocked  map[structs.ServiceName]time.Time
+	// blocked is until when a model's items are kept from an engine that refused
+	// one.
+	blocked map[structs.ServiceName]time.Time
+	// unreached counts the connections in a row that failed, and unreachable is
+	// until when no other is tried.
+	unreached   int
+	unreachable time.Time
 }
 
 // serversChanged forgets engines that are gone or have started again, and
@@ -184,8 +194,9 @@
 	}
 }
 
+// place starts the waiting items of a job, those with the most events left first.
 func (s *service) place(j *job, now time.Time) {
-	var engines []placement.Engine
+	var waiting []waitingItem
 	for _, it := range j.items {
 		if it.phase != phaseWaiting {
 			continue
@@ -198,27 +209,36 @@
 			s.judge(j, it)
 			continue
 		}
-		if engines == nil {
-			engines = s.candidates(j, now)
-		}
-		events := s.eventsLeft(j, it)
-		choice, ok := placement.Place(engines, j.MinVersion, events, it.avoid)
+		waiting = append(waiting, waitingItem{item: it, left: s.eventsLeft(j, it)})
+	}
+	if len(waiting) == 0 {
+		return
+	}
+	slices.SortStableFunc(waiting, func(a, b waitingItem) int { return cmp.Compare(b.left, a.left) })
+	board := s.board(j, now)
+	for _, w := range waiting {
+		choice, ok := board.Best(w.left, w.item.avoid)
 		if !ok {
-			choice, ok = placement.Place(engines, j.MinVersion, events, nil)
+			choice, ok = board.Best(w.left, nil)
 		}
 		if !ok {
-			continue
+			return
 		}
-		engines[choice].Own++
-		s.start(j, it, engines[choice].Server, events, now)
+		board.Take(choice)
+		s.start(j, w.item, board.Engine(choice).Server, w.left, board.PaceOf(choice), now)
 	}
 }
 
+// waitingItem is an item that has no engine.
+type waitingItem struct {
+	item *item
+	left int
+}
+
 // defaultTokensPerEvent holds where the operator does not say.
 const defaultTokensPerEvent = 64
 
-// eventsLeft estimates how many events an item still needs. The caller's hint is
-// often far off: an item that has outlived it is likely to go on for long.
+// eventsLeft estimates how many events an item still needs.
 func (s *service) eventsLeft(j *job, it *item) int {
 	per := defaultTokensPerEvent
 	if view := s.catalog.Current().Load(); view.Catalog != nil {
@@ -230,26 +250,23 @@
 	if it.phase == phaseRunning {
 		made += it.progress.Events()
 	}
-	return max(1, it.LengthHint/per-made, made/2)
+	return int(math.Ceil(placement.Remaining(float64(it.LengthHint)/float64(per), float64(made))))
 }
 
-// candidates are the engines that may run a job's items.
-func (s *service) candidates(j *job, now time.Time) []placement.Engine {
-	view := s.catalog.Current().Load()
-	if view.Catalog == nil {
-		return nil
-	}
+// board offers the engines that may run a job's items.
+func (s *service) board(j *job, now time.Time) *placement.Board {
 	servers := s.servers.Entries().Load().ByService[j.terms.service]
 	engines := make([]placement.Engine, 0, len(servers))
 	for _, server := range servers {
 		known := s.engine(server)
+		pace, best := s.paces.Of(server)
 		engines = append(engines, placement.Engine{
 			Server: server, Version: max(server.Versions[j.Model], known.versions[j.Model]),
-			Own: known.own, Pace: known.pace,
-			Distance: s.distance(server.Zone), Blocked: now.Before(known.blocked[j.Model]),
+			Own: known.own, Pace: pace, Best: best, Distance: s.distance(server.Zone),
+			Blocked: now.Before(known.blocked[j.Model]) || now.Before(known.unreachable),
 		})
 	}
-	return engines
+	return placement.NewBoard(engines, j.MinVersion, s.salt)
 }
 
 func (s *service) distance(zone structs.ZoneName) time.Duration {
--- a/daemon/services/swaps/news.go
+++ b/daemon/services/swaps/news.go
@@ -1,7 +1,6 @@
 package swaps
 
 import (
-	"context"
 	"maps"
 	"time"
 
@@ -34,7 +33,7 @@
 // next.
 func (s *service) Asked(demand contract.ModelDemand) {
 	s.demand.Add(demand.Model, demand.Size)
-	s.broadcast("Asked", demand)
+	s.others.Each(rpcName+".Asked", demand)
 }
 
 // OnNews implements contract.Swaps.
@@ -51,24 +50,5 @@
 func (s *service) tell(server structs.HostName, known *engine) {
 	news := contract.EngineNews{Server: server, Started: known.started, Versions: maps.Clone(known.versions)}
 	s.learned(news)
-	s.broadcast("Learned", news)
-}
-
-// broadcast tells all other daemons; one that does not hear goes by the entries
-// of the store's list.
-func (s *service) broadcast(method string, news any) {
-	view := s.session.View().Load()
-	for name, member := range view.Live {
-		if name == view.Self.Name {
-			continue
-		}
-		s.workers.Go(func(ctx context.Context) {
-			ctx, cancel := context.WithTimeout(ctx, tellWithin)
-			defer cancel()
-			var reply struct{}
-			if err := s.peers.Call(ctx, member.Peers, rpcName+"."+method, news, &reply); err != nil {
-				s.log.WithError(err).WithField("daemon", member.Name).Info("A daemon was not told of the engines.")
-			}
-		})
-	}
+	s.others.Each(rpcName+".Learned", news)
 }
--- a/daemon/services/swaps/swaps.go
+++ b/daemon/services/swaps/swaps.go
@@ -5,10 +5,8 @@
 package swaps
 
 import (
-	"cmp"
 	"context"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -17,6 +15,7 @@
 	"github.com/flamingobeam/flamingobeam/coord/placement"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
+	"github.com/flamingobeam/flamingobeam/daemon/tell"
 	"github.com/flamingobeam/flamingobeam/daemon/transport"
 	"github.com/flamingobeam/flamingobeam/kernel"
 	"github.com/flamingobeam/flamingobeam/platform"
@@ -48,9 +47,10 @@
 	// fencedFor is how long a daemon that was fenced gives no orders.
 	fencedFor = 4 * time.Second
 	// loadsShare is the part of a service's engines that load at once, and
-	// loadsLeast the least count: the weight store serves no more at full speed.
+	// loadsLeast the least count: more only take longer each, as the weight store
+	// serves no more at full speed.
 	loadsShare = 0.22
-	loadsLeast = 4
+	loadsLeast = 2
 	// mailboxCapacity bounds the outcomes that wait for the control loop.
 	mailboxCapacity = 1024
 )
@@ -67,7 +67,8 @@
 	transport *http.Transport
 	outcomes  *kernel.Mailbox[outcome]
 	reports   *kernel.Mailbox[report]
-	peers     contract.Peers
+	paces     contract.Paces
+	others    tell.Others
 	demands   *kernel.Mailbox[contract.ModelDemand]
 	news      *kernel.Mailbox[contract.EngineNews]
 	listeners []func(contract.EngineNews)
@@ -87,6 +88,10 @@
 	versions  map[structs.ServiceName]structs.WeightVersion
 	// busy is set while an order is given or carried out.
 	busy bool
+	// loading is the order under way, and isFetching is set while the engine
+	// draws on the weight store for it.
+	loading    placement.Load
+	isFetching bool
 	// retry is when the next order may be given after a failed one.
 	retry time.Time
 }
@@ -98,7 +103,9 @@
 		kernel.Into(&s.catalog, contract.NameCatalog),
 		kernel.Into(&s.servers, contract.NameServers),
 		kernel.Into(&s.metrics, contract.NameMetrics),
-		kernel.Into(&s.peers, contract.NamePeers),
+		kernel.Into(&s.paces, contract.NamePaces),
+		kernel.Into(&s.others.Peers, contract.NamePeers),
+		kernel.Into(&s.others.Session, contract.NameSession),
 	)
 	if err != nil {
 		return err
@@ -108,6 +115,7 @@
 		return err
 	}
 	s.log, s.loop, s.workers = ctx.Log(), ctx.Loop(), ctx.Workers()
+	s.others.Workers, s.others.Log, s.others.Within = s.workers, s.log, tellWithin
 	s.transport = transport.New(transport.Options{Dial: orderWithin, Idle: idleTimeout, IdlePerHost: idlePerEngine})
 	s.outcomes = kernel.NewMailbox(s.loop, mailboxCapacity, s.answered)
 	s.reports = kernel.NewMailbox(s.loop, mailboxCapacity, s.reported)
@@ -147,68 +155,44 @@
 	}
 }
 
-// step is an order that is missing.
+// step is an order to one engine.
 type step struct {
 	server  catalog.Server
 	model   structs.ServiceName
 	version structs.WeightVersion
-	// ready counts the model's home servers that a step may use by now.
-	ready int
 }
 
 func (s *service) planService(view *contract.CatalogView, name structs.ServiceName, models []structs.ServiceName) {
 	servers := s.servers.Entries().Load().ByService[name]
-	loading := 0
-	for _, server := range servers {
-		if s.engine(server).busy {
-			loading++
-		}
-	}
-	steps := s.missing(view, models, servers)
-	limit := max(loadsLeast, int(loadsShare*float64(len(servers))))
+	runners := make([]placement.Runner, len(servers))
 	now := s.loop.Now()
-	for _, st := range steps {
-		known := s.engine(st.server)
-		if loading >= limit {
-			return
+	fetching := 0
+	for i, server := range servers {
+		known := s.engine(server)
+		if known.isFetching {
+			fetching++
 		}
-		if known.busy || now.Before(known.retry) {
-			continue
+		pace, _ := s.paces.Of(server)
+		runners[i] = placement.Runner{
+			Server: server, Versions: known.versions, Loading: known.loading,
+			Busy: known.busy || now.Before(known.retry), Pace: pace,
 		}
-		loading++
-		if !known.isCounted {
-			known.busy = true
+	}
+	limit := max(loadsLeast, int(loadsShare*float64(len(servers))))
+	for _, load := range placement.Loads(models, view.Wanted, s.demand, runners, limit-fetching) {
+		known := s.engine(servers[load.Runner])
+		st := step{server: servers[load.Runner], model: load.Model, version: load.Version}
+		known.busy, known.isFetching, known.loading = true, true, load
+		if known.isCounted {
+			s.give(st, known)
+		} else {
 			s.lookLater(st, known, 0)
-			continue
 		}
-		s.give(st, known)
 	}
 }
 
-// missing lists the orders that would bring all home servers to their versions,
-// those first whose model has the fewest servers that its next step may use.
-func (s *service) missing(view *contract.CatalogView, models []structs.ServiceName, servers []catalog.Server) []step {
-	var steps []step
-	for model, homes := range placement.Homes(models, servers, s.demand) {
-		newest := view.Wanted[model]
-		ready := 0
-		for _, home := range homes {
-			if s.engine(home.Server).versions[model]+1 >= newest {
-				ready++
-			}
-		}
-		for _, home := range homes {
-			wanted, runs := home.Wanted(newest), s.engine(home.Server).versions[model]
-			if runs < wanted {
-				steps = append(steps, step{server: home.Server, model: model, version: wanted, ready: ready})
-			}
-		}
-	}
-	slices.SortFunc(steps, func(a, b step) int {
-		return cmp.Or(cmp.Compare(a.ready, b.ready), cmp.Compare(a.model, b.model), cmp.Compare(a.server.ID, b.server.ID))
-	})
-	return steps
-}
+// settle frees an engine for its next order.
+func (e *engine) settle() { e.busy, e.isFetching, e.loading = false, false, placement.Load{} }
 
 // engine returns what is known of a server, which its entry may add to.
 func (s *service) engine(server catalog.Server) *engine {
@@ -234,9 +218,9 @@
 func (s *service) give(st step, known *engine) {
 	token, ok := s.leads()
 	if !ok {
+		known.settle()
 		return
 	}
-	known.busy = true
 	order := platform.Order{
 		Server: st.server.ID, Address: st.server.Address, Model: st.model, Version: st.version,
 		Mode: s.modeOf(st.server.Service), Holder: s.session.View().Load().Self.Name, Token: token, After: known.orders,
@@ -285,20 +269,24 @@
 		s.lookLater(done.step, done.known, lookAgain)
 	case done.result == platform.OrderAccepted:
 		done.known.orders++
+		s.loop.After(loadTime, func() {
+			done.known.isFetching = false
+			s.plan()
+		})
 		s.lookLater(done.step, done.known, lookAfter)
 	case done.result == platform.OrderHolds:
-		done.known.busy = false
+		done.known.settle()
 		done.known.versions[done.model] = max(done.known.versions[done.model], done.version)
 		s.tell(done.server.ID, done.known)
 		s.plan()
 	case done.result == platform.OrderFenced:
-		done.known.busy = false
+		done.known.settle()
 		s.fenced = s.loop.Now().Add(fencedFor)
 		s.loop.After(fencedFor, s.plan)
 	case done.result == platform.OrderConflict:
 		s.lookLater(done.step, done.known, lookAgain)
 	default:
-		done.known.busy = false
+		done.known.settle()
 		done.known.retry = s.loop.Now().Add(loadTime)
 		s.loop.After(loadTime, s.plan)
 	}
@@ -332,12 +320,13 @@
 		return
 	}
 	if _, leads := s.leads(); !leads {
-		r.known.busy = false
+		r.known.settle()
 		return
 	}
 	if r.err != nil {
 		s.log.WithError(r.err).WithField("server", r.server.ID).Info("An engine gave no report.")
-		r.known.busy, r.known.retry = false, s.loop.Now().Add(loadTime)
+		r.known.settle()
+		r.known.retry = s.loop.Now().Add(loadTime)
 		s.loop.After(loadTime, s.plan)
 		return
 	}
@@ -345,7 +334,7 @@
 		s.lookLater(r.step, r.known, lookAgain)
 		return
 	}
-	r.known.busy = false
+	r.known.settle()
 	r.known.orders, r.known.isCounted = max(r.known.orders, r.said.Orders), true
 	for model, version := range r.said.Versions {
 		r.known.versions[model] = max(r.known.versions[model], version)
--- a/daemon/transport/transport.go
+++ b/daemon/transport/transport.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 const (
@@ -39,3 +41,10 @@
 		IdleConnTimeout: options.Idle, MaxIdleConnsPerHost: options.IdlePerHost, MaxConnsPerHost: options.PerHost,
 	}
 }
+
+// IsDialFailure reports whether a request failed because no connection was had,
+// so that nothing of it left.
+func IsDialFailure(err error) bool {
+	var operation *net.OpError
+	return errors.As(err, &operation) && operation.Op == "dial"
+}
--- a/histories/managed/managed_test.go
+++ b/histories/managed/managed_test.go
@@ -274,3 +274,51 @@
 		}
 	}
 }
+
+// runsOf are the runs of items whose ID begins with a prefix, at one engine.
+func (e *engine) runsOf(prefix string) []run {
+	var runs []run
+	for _, r := range e.seen() {
+		if strings.HasPrefix(r.item, prefix) {
+			runs = append(runs, r)
+		}
+	}
+	return runs
+}
+
+// TestManaged_PaceOfAnEngineIsKnownToOtherDaemons lets one daemon find out which
+// of two engines is slow; the items of another daemon then go to the fast one.
+func TestManaged_PaceOfAnEngineIsKnownToOtherDaemons(t *testing.T) {
+	w := newWorld(t)
+	w.configure(1)
+	w.addPlain("plain-1")
+	slow := w.addEngine("engine-1", 40, 40*time.Millisecond)
+	fast := w.addEngine("engine-2", 40, 10*time.Millisecond)
+	first, second := w.start("daemon-1"), w.start("daemon-2")
+	w.until("both daemons are live", func() bool { return len(w.store.find("flamingobeam/session/member/")) == 2 })
+	submit(w, first, "job-1", jobOf("job-1", 0, 1, 12, 1))
+	w.whole(first, "job-1", 12)
+	must.SliceNotEmpty(t, slow.runsOf("job-1"))
+	submit(w, second, "job-2", jobOf("job-2", 1, 1, 3, 1))
+	w.check("job-2", w.whole(second, "job-2", 3), 40, 1)
+	must.SliceEmpty(t, slow.runsOf("job-2"))
+	must.Len(t, 3, fast.runsOf("job-2"))
+}
+
+// TestManaged_SlowRunGoesOnAtAnotherEngine slows an engine down in the middle of a
+// text.
+func TestManaged_SlowRunGoesOnAtAnotherEngine(t *testing.T) {
+	w := newWorld(t)
+	w.configure(1)
+	w.addPlain("plain-1")
+	first := w.addEngine("engine-1", 120, 20*time.Millisecond)
+	d := w.start("daemon-1")
+	submit(w, d, "job-1", jobOf("job-1", 0, 1, 1, 1))
+	w.until("the text has begun", func() bool { return len(first.seen()) > 0 && first.seen()[0].made > 10 })
+	second := w.addEngine("engine-2", 120, 20*time.Millisecond)
+	first.setPace(200 * time.Millisecond)
+	w.check("job-1", w.whole(d, "job-1", 1), 120, 1)
+	must.Len(t, 1, second.seen())
+	must.Greater(t, 10, int(second.seen()[0].after))
+	must.Less(t, 40, int(second.seen()[0].after))
+}
--- a/histories/managed/servers_test.go
+++ b/histories/managed/servers_test.go
@@ -213,7 +213,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	version, events, pace := e.version, e.events, e.pace
+	version, events := e.version, e.events
 	e.runs = append(e.runs, run{item: item, after: after, version: version, at: time.Now()})
 	index := len(e.runs) - 1
 	e.mu.Unlock()
@@ -225,6 +225,9 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	control := http.NewResponseController(w)
 	for number := int(after) + 1; number <= events; number++ {
+		e.mu.Lock()
+		pace := e.pace
+		e.mu.Unlock()
 		select {
 		case <-time.After(pace):
 		case <-r.Context().Done():
@@ -251,6 +254,12 @@
 	e.mu.Unlock()
 }
 
+func (e *engine) setPace(pace time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.pace = pace
+}
+
 func (e *engine) seen() []run {
 	e.mu.Lock()
 	defer e.mu.Unlock()
