Take a host's own jobs back at its start, and let one daemon look for the others

And each lost daemon made all others read the list of owners: 34 restarts on 66 daemons are 2,200 calls.

Changed: the jobs of a host's earlier runs are looked for at the start, all jobs at once, their parts in parallel.

Ruled out: a longer or shorter lease (its own jobs do not depend on it).

--- a/daemon/contract/fleet.go
+++ b/daemon/contract/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -82,13 +83,23 @@
 
 // Member is a live daemon.
 type Member struct {
-	// Name names one run of a daemon.
+	// Name names one run of a daemon: its host, a dot and the time of its start.
 	Name string `json:"name"`
 	// Peers is its address for net/rpc.
 	Peers string           `json:"peers"`
 	Zone  structs.ZoneName `json:"zone"`
 }
 
+// SameHost reports whether two names are those of runs on one host.
+func SameHost(a, b string) bool { return hostOf(a) == hostOf(b) }
+
+func hostOf(name string) string {
+	if dot := strings.LastIndexByte(name, '.'); dot >= 0 {
+		return name[:dot]
+	}
+	return name
+}
+
 // SessionView is the immutable snapshot of the live daemons.
 type SessionView struct {
 	Self Member
--- a/daemon/services/jobs/heirs.go
+++ b/daemon/services/jobs/heirs.go
@@ -5,10 +5,13 @@
 	"maps"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/pool"
 
 	"github.com/flamingobeam/flamingobeam/coord/batch"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
@@ -21,9 +24,13 @@
 	// its jobs are looked for; one whose keys were taken away by mistake writes
 	// them again sooner.
 	missingFor = 700 * time.Millisecond
-	// lookAgain is the pause between two looks while jobs without a live owner
-	// are left.
+	// lookAgain is the pause before a failed look is repeated.
 	lookAgain = 2 * time.Second
+	// sweepEvery is how often one of the daemons looks for jobs that nobody has
+	// taken over, because whoever was to do it failed as well.
+	sweepEvery = 20 * time.Second
+	// sweepName picks the daemon that does so.
+	sweepName = "orphaned jobs"
 	// handOverWithin bounds the hand-over at a planned stop.
 	handOverWithin = 1500 * time.Millisecond
 	// keptFactor is how many times the time that results must be readable they
@@ -31,8 +38,9 @@
 	keptFactor = 2
 )
 
-// heirs looks for jobs whose owner is gone. It belongs to the control
-// goroutine.
+// heirs looks for jobs whose owner is gone. A daemon takes back the jobs of its
+// host's earlier runs; those of a host that does not come back fall to the daemon
+// that all others pick as well. It belongs to the control goroutine.
 type heirs struct {
 	service *service
 	// live are the daemons seen at the last tick, and missing those that went.
@@ -40,11 +48,8 @@
 	missing map[string]time.Time
 	// look is when to look for jobs next; zero is never.
 	look    time.Time
+	sweep   time.Time
 	looking bool
-	// began is set once the jobs of this host's earlier runs were looked for,
-	// and settled once that look has ended.
-	began   bool
-	settled bool
 	orphans *kernel.Mailbox[kernel.Reply[int]]
 }
 
@@ -52,10 +57,26 @@
 	h.service = s
 	h.live, h.missing = make(map[string]bool), make(map[string]time.Time)
 	h.orphans = kernel.NewMailbox(s.loop, 1, h.looked)
-	h.look = s.loop.Now()
 }
 
-// tick notices daemons that went and looks for their jobs.
+// begin takes back the jobs of this host's earlier runs, which are gone for sure.
+func (h *heirs) begin() {
+	s := h.service
+	h.looking = true
+	kernel.Async(s.workers, 0, h.orphans, func(ctx context.Context) (int, error) {
+		return s.inherit(ctx, s.session.Succeeds)
+	})
+}
+
+// looked takes in the end of a look.
+func (h *heirs) looked(reply kernel.Reply[int]) {
+	h.looking = false
+	if h.look = (time.Time{}); reply.Err != nil || reply.Value > 0 {
+		h.look = h.service.loop.Now().Add(lookAgain)
+	}
+}
+
+// tick notices daemons that went and looks for the jobs that fall to this one.
 func (h *heirs) tick(now time.Time) {
 	view := h.service.session.View().Load()
 	for name := range h.live {
@@ -69,107 +90,115 @@
 		delete(h.missing, name)
 	}
 	for name, since := range h.missing {
-		if now.Sub(since) >= missingFor {
-			delete(h.missing, name)
+		if now.Sub(since) < missingFor {
+			continue
+		}
+		delete(h.missing, name)
+		if h.isHeirOf(name, view) {
 			h.look = now
 			h.service.log.WithField("daemon", name).Info("A daemon is gone; its batch jobs are looked for.")
 		}
 	}
-	isSettled := !view.Settled.IsZero() && now.After(view.Settled)
-	_, isSelfLive := view.Live[view.Self.Name]
-	if !isSelfLive || h.looking || h.service.stopping {
-		return
-	}
-	if !h.began {
-		// Earlier runs of this host's daemon are gone for sure.
-		h.began = true
-		h.inherit(view, func(owner string) bool { return h.service.session.Succeeds(owner) })
-		return
+	if h.isSweeper(view) && now.After(h.sweep) {
+		h.look, h.sweep = now, now.Add(sweepEvery)
 	}
-	if h.look.IsZero() || now.Before(h.look) || !isSettled {
+	isSettled := !view.Settled.IsZero() && now.After(view.Settled)
+	if h.looking || h.service.stopping || h.look.IsZero() || now.Before(h.look) || !isSettled {
 		return
 	}
-	h.inherit(view, func(owner string) bool {
-		_, isLive := view.Live[owner]
-		return !isLive
-	})
-}
-
-// inherit looks for jobs whose owner is gone.
-func (h *heirs) inherit(view *contract.SessionView, isGone func(owner string) bool) {
 	h.looking = true
-	live := slices.Collect(maps.Keys(view.Live))
+	isSweep := h.isSweeper(view)
 	kernel.Async(h.service.workers, 0, h.orphans, func(ctx context.Context) (int, error) {
-		return h.service.inherit(ctx, live, view.Self.Name, isGone)
+		return h.service.inherit(ctx, func(owner string) bool {
+			_, isLive := view.Live[owner]
+			return !isLive && (isSweep || h.isHeirOf(owner, view)) || h.service.session.Succeeds(owner)
+		})
 	})
 }
 
-func (h *heirs) looked(reply kernel.Reply[int]) {
-	h.looking = false
-	if h.look = (time.Time{}); reply.Err != nil || reply.Value > 0 || !h.settled {
-		h.look = h.service.loop.Now().Add(lookAgain)
+// isHeirOf reports whether the jobs of a daemon that is gone fall to this one.
+// Another run on its host takes them back itself. It may be called from any
+// goroutine.
+func (h *heirs) isHeirOf(name string, view *contract.SessionView) bool {
+	if _, isLive := view.Live[view.Self.Name]; !isLive {
+		return false
 	}
-	h.settled = true
+	for other := range view.Live {
+		if contract.SameHost(other, name) {
+			return other == view.Self.Name
+		}
+	}
+	return batch.Heir(name, slices.Collect(maps.Keys(view.Live))) == view.Self.Name
 }
 
-// inherit takes over the jobs that fall to this daemon, and returns how many
-// have no live owner.
-func (s *service) inherit(ctx context.Context, live []string, self string, isGone func(owner string) bool) (int, error) {
+// isSweeper reports whether this daemon looks for what others left.
+func (h *heirs) isSweeper(view *contract.SessionView) bool {
+	_, isLive := view.Live[view.Self.Name]
+	return isLive && batch.Heir(sweepName, slices.Collect(maps.Keys(view.Live))) == view.Self.Name
+}
+
+// inherit takes over the open jobs whose owners are gone, and returns how many it
+// did not get.
+func (s *service) inherit(ctx context.Context, isGone func(owner string) bool) (int, error) {
 	listing, err := s.ledger.Scan(ctx, ownPrefix)
 	if err != nil {
 		return 0, err
 	}
-	orphans := 0
+	self := s.session.View().Load().Self.Name
+	var group conc.WaitGroup
+	var left atomic.Int64
 	for _, record := range listing.Records {
 		var own ownRecord
 		if err := decode(record, &own.Ownership); err != nil {
 			s.log.WithError(err).Error("An ownership record cannot be read.")
 			continue
 		}
+		own.revision = record.Revision
 		id := strings.TrimPrefix(record.Key, ownPrefix)
-		if own.Ended || !isGone(own.Owner) {
-			if own.Owner == self && !own.Ended {
-				s.reclaim(ctx, id, self)
-			}
-			continue
-		}
-		orphans++
-		if batch.Heir(id, live) == self || s.session.Succeeds(own.Owner) {
-			own.revision = record.Revision
-			s.takeOver(ctx, id, own, self)
+		switch {
+		case own.Ended:
+		case own.Owner == self:
+			group.Go(func() { s.reclaim(ctx, id, self) })
+		case isGone(own.Owner):
+			group.Go(func() {
+				if !s.takeOver(ctx, id, own, self) {
+					left.Add(1)
+				}
+			})
 		}
 	}
-	return orphans, nil
+	group.Wait()
+	return int(left.Load()), nil
 }
 
-// takeOver makes this daemon the owner of a job whose owner is gone.
-func (s *service) takeOver(ctx context.Context, id string, old ownRecord, self string) {
+// takeOver makes this daemon the owner of a job whose owner is gone, and reports
+// whether it is.
+func (s *service) takeOver(ctx context.Context, id string, old ownRecord, self string) bool {
 	next := old.Ownership
 	next.Owner, next.Epoch = self, old.Epoch+1
 	_, err := s.keeper.swapOwner(ctx, id, old, next)
 	log := s.log.WithFields(logrus.Fields{"job": id, "from": old.Owner, "epoch": next.Epoch})
 	if err != nil {
 		log.WithError(err).Info("A batch job was not taken over.")
-		return
+		return false
 	}
 	log.Info("A batch job is taken over.")
 	s.take(ctx, id, self, nil)
+	return true
 }
 
-// take adopts a job that the store gives to this daemon.
+// take adopts a job that the store gives to this daemon. Texts are nil when the
+// earlier owner did not hand them over: then its checkpoints are read.
 func (s *service) take(ctx context.Context, id, self string, texts map[batch.ItemID]*contract.Text) {
 	ctx, cancel := context.WithTimeout(ctx, settleWithin)
 	defer cancel()
 	pause := newPause()
 	for ctx.Err() == nil {
-		all, err := s.keeper.whole(ctx, id)
-		if errors.Is(err, errGone) || err == nil && all.own.Owner != self {
+		taken, err := s.readAll(ctx, id, texts)
+		if errors.Is(err, errGone) || err == nil && taken.own.Owner != self {
 			return
 		}
-		if err == nil && texts == nil {
-			texts, err = s.keeper.texts(ctx, id)
-		}
-		if err == nil && s.adoptions.Post(adoption{kept: all, texts: texts}) == nil {
+		if err == nil && s.adoptions.Post(taken) == nil {
 			return
 		}
 		select {
@@ -179,6 +208,24 @@
 	}
 }
 
+// readAll reads what the store holds of a job, and the checkpoints of its texts
+// when there are none yet.
+func (s *service) readAll(ctx context.Context, id string, texts map[batch.ItemID]*contract.Text) (adoption, error) {
+	read := adoption{texts: texts}
+	group := pool.New().WithErrors().WithFirstError()
+	group.Go(func() (err error) {
+		read.kept, err = s.keeper.whole(ctx, id)
+		return err
+	})
+	if texts == nil {
+		group.Go(func() (err error) {
+			read.texts, err = s.keeper.texts(ctx, id)
+			return err
+		})
+	}
+	return read, group.Wait()
+}
+
 // leaving is a job that is handed over.
 type leaving struct {
 	id    string
--- a/daemon/services/jobs/jobs.go
+++ b/daemon/services/jobs/jobs.go
@@ -118,6 +118,7 @@
 	s.checkpoints = kernel.NewMailbox(s.loop, mailboxCapacity, s.checkpointCame)
 	s.carries = kernel.NewMailbox(s.loop, mailboxCapacity, s.carry)
 	s.heirs.prepare(s)
+	s.loop.After(0, s.heirs.begin)
 	s.loop.After(tickEvery, s.tick)
 	return rpc.Register(rpcName, &Receiver{service: s})
 }
--- a/daemon/services/jobs/keeper.go
+++ b/daemon/services/jobs/keeper.go
@@ -5,10 +5,12 @@
 	"encoding/json"
 	"fmt"
 	"net/url"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc/pool"
 
 	"github.com/flamingobeam/flamingobeam/coord/batch"
 	"github.com/flamingobeam/flamingobeam/daemon/boottime"
@@ -33,6 +35,8 @@
 	maxChunk = 500 << 10
 	// maxCached bounds the chunks kept for reads of other daemons' jobs.
 	maxCached = 8 << 20
+	// readsAtOnce bounds the chunks of a job that are read at a time.
+	readsAtOnce = 16
 	// maxJobs bounds the submitted jobs kept for reads of bodies.
 	maxJobs = 32
 )
@@ -166,15 +170,21 @@
 
 // results reads the results that a log names, from a chunk on.
 func (k *keeper) results(ctx context.Context, id string, log batch.Log, from int) ([]batch.Result, error) {
-	var all []batch.Result
-	for number := from; number < len(log.Chunks); number++ {
-		chunk, err := k.chunk(ctx, chunkKey(id, number))
-		if err != nil {
-			return nil, err
-		}
-		all = append(all, chunk...)
+	if from >= len(log.Chunks) {
+		return nil, nil
+	}
+	chunks := make([][]batch.Result, len(log.Chunks)-from)
+	group := pool.New().WithErrors().WithMaxGoroutines(readsAtOnce)
+	for i := range chunks {
+		group.Go(func() (err error) {
+			chunks[i], err = k.chunk(ctx, chunkKey(id, from+i))
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return nil, err
 	}
-	return all, nil
+	return slices.Concat(chunks...), nil
 }
 
 // chunk reads a chunk, which never changes, through a cache.
@@ -218,18 +228,22 @@
 // whole reads all that the store holds of a job.
 func (k *keeper) whole(ctx context.Context, id string) (kept, error) {
 	all := kept{read: boottime.Now()}
-	var err error
-	if all.own, err = k.owner(ctx, id); err != nil {
-		return all, err
-	}
-	if all.log, err = k.logOf(ctx, id); err != nil {
-		return all, err
-	}
-	if all.job, err = k.job(ctx, id); err != nil {
-		return all, err
-	}
-	all.results, err = k.results(ctx, id, all.log.Log, 0)
-	return all, err
+	group := pool.New().WithErrors().WithFirstError()
+	group.Go(func() (err error) {
+		all.own, err = k.owner(ctx, id)
+		return err
+	})
+	group.Go(func() (err error) {
+		all.job, err = k.jobCached(ctx, id)
+		return err
+	})
+	group.Go(func() (err error) {
+		if all.log, err = k.logOf(ctx, id); err == nil {
+			all.results, err = k.results(ctx, id, all.log.Log, 0)
+		}
+		return err
+	})
+	return all, group.Wait()
 }
 
 // create writes a new job. ErrConflict means that there is one already.
--- a/daemon/services/session/session.go
+++ b/daemon/services/session/session.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"fmt"
 	"maps"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -106,15 +105,7 @@
 // Succeeds implements contract.Session.
 func (s *service) Succeeds(name string) bool {
 	self := s.view.Load().Self.Name
-	return name != self && hostOf(name) == hostOf(self)
-}
-
-// hostOf is the host in the name of one run of a daemon.
-func hostOf(name string) string {
-	if dot := strings.LastIndexByte(name, '.'); dot >= 0 {
-		return name[:dot]
-	}
-	return name
+	return name != self && contract.SameHost(name, self)
 }
 
 // renewal is the outcome of keeping the session alive.
