Hand unlisted results over, to daemons that a rolling restart has passed

Texts of finished results are now handed over and kept in checkpoints until they stand in the log, and heirs are daemons that started later, if there are any.

Ruled out: a write of the results before the hand-over (it costs a call and the store may be away).

TestLeave_TextsOfUnlistedResultsAreHandedOver fails on the parent.

--- a/daemon/contract/fleet.go
+++ b/daemon/contract/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -93,6 +94,16 @@
 // SameHost reports whether two names are those of runs on one host.
 func SameHost(a, b string) bool { return hostOf(a) == hostOf(b) }
 
+// StartOf is the time of the start in a run's name, in nanoseconds, and zero when
+// the name has none.
+func StartOf(name string) int64 {
+	started, err := strconv.ParseInt(strings.TrimPrefix(name, hostOf(name)+"."), 16, 64)
+	if err != nil {
+		return 0
+	}
+	return started
+}
+
 func hostOf(name string) string {
 	if dot := strings.LastIndexByte(name, '.'); dot >= 0 {
 		return name[:dot]
--- a/daemon/services/jobs/checkpoint.go
+++ b/daemon/services/jobs/checkpoint.go
@@ -47,7 +47,7 @@
 	var parts []textPart
 	size := 0
 	for _, it := range j.items {
-		if it.phase == phaseFinished || it.phase == phaseWaiting && it.held == 0 {
+		if it.listed || it.phase == phaseWaiting && it.held == 0 {
 			continue
 		}
 		part, ok := it.grown()
--- a/daemon/services/jobs/commit.go
+++ b/daemon/services/jobs/commit.go
@@ -169,6 +169,11 @@
 		j.log = ended.log
 		j.pending = j.pending[min(len(ended.results), len(j.pending)):]
 		j.pendingSince = s.loop.Now()
+		for _, result := range ended.results {
+			if it := j.find(result.ID); it != nil {
+				it.listed = true
+			}
+		}
 		next := *j.view.Load()
 		next.verified = j.verified
 		next.results = append(next.results[:len(next.results):len(next.results)], ended.results...)
--- a/daemon/services/jobs/heirs.go
+++ b/daemon/services/jobs/heirs.go
@@ -33,6 +33,8 @@
 	sweepName = "orphaned jobs"
 	// handOverWithin bounds the hand-over at a planned stop.
 	handOverWithin = 1500 * time.Millisecond
+	// togetherWithin is the span within which daemons count as started together.
+	togetherWithin = 500 * time.Millisecond
 	// keptFactor is how many times the time that results must be readable they
 	// are kept.
 	keptFactor = 2
@@ -242,22 +244,44 @@
 		return err
 	}
 	view := s.session.View().Load()
-	live := slices.DeleteFunc(slices.Collect(maps.Keys(view.Live)), func(name string) bool { return name == view.Self.Name })
+	successors := successorsOf(view)
+	var group conc.WaitGroup
 	for _, j := range jobs {
-		s.give(ctx, j, batch.Heir(j.id, live))
+		group.Go(func() { s.give(ctx, j, batch.Heir(j.id, successors)) })
 	}
+	group.Wait()
 	return nil
 }
 
-// leave stops the work on all jobs and returns the open ones.
+// successorsOf are the daemons that a job may be handed to: those that started
+// after this one if there are any, because a rolling restart has passed them.
+func successorsOf(view *contract.SessionView) []string {
+	var younger, all []string
+	for name := range view.Live {
+		if name == view.Self.Name {
+			continue
+		}
+		all = append(all, name)
+		if contract.StartOf(name) > contract.StartOf(view.Self.Name)+togetherWithin.Nanoseconds() {
+			younger = append(younger, name)
+		}
+	}
+	if len(younger) > 0 {
+		return younger
+	}
+	return all
+}
+
+// leave stops the work on all jobs and returns those whose log is not whole, with
+// all texts that no result holds yet.
 func (s *service) leave() []leaving {
 	s.stopping = true
 	var jobs []leaving
 	for _, j := range s.owned {
-		if j.open() && !j.own.Ended {
+		if !j.own.Ended && j.log.Positions() < len(j.items) {
 			given := leaving{id: j.ID, own: j.own, texts: make(map[batch.ItemID]*contract.Text)}
 			for _, it := range j.items {
-				if held := it.text.Snapshot(); held.Last > 0 && it.phase != phaseFinished {
+				if held := it.text.Snapshot(); held.Last > 0 && !it.listed {
 					given.texts[it.ID] = held
 				}
 			}
--- a/daemon/services/jobs/heirs_test.go
+++ b/daemon/services/jobs/heirs_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/flamingobeam/flamingobeam/coord/batch"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
 )
 
@@ -45,3 +46,38 @@
 	must.False(t, h.isHeirOf("host-1.0f", viewOf("host-1.1a", "host-2.1a")))
 	must.True(t, h.isHeirOf("host-lost.1a", viewOf("host-1.1a", "host-1.1a")))
 }
+
+func TestSuccessorsOf_ThoseThatStartedLaterComeFirst(t *testing.T) {
+	const old, young = "18b35e202cb00000", "18b35e2a66000000"
+	view := viewOf("host-1."+old, "host-1."+old, "host-2."+old, "host-3."+young)
+	must.Eq(t, []string{"host-3." + young}, successorsOf(view))
+	view = viewOf("host-3."+young, "host-1."+old, "host-2."+old, "host-3."+young)
+	must.SliceContainsAll(t, []string{"host-1." + old, "host-2." + old}, successorsOf(view))
+	must.Len(t, 2, successorsOf(view))
+	must.Zero(t, contract.StartOf("no-start"))
+}
+
+// TestLeave_TextsOfUnlistedResultsAreHandedOver stops a daemon while results are
+// finished and not yet in the log: the heir must not make their texts again.
+func TestLeave_TextsOfUnlistedResultsAreHandedOver(t *testing.T) {
+	s := &service{owned: make(map[string]*job)}
+	j := &job{Job: batch.Job{ID: "job-1"}, cancel: func() {}}
+	for _, id := range []batch.ItemID{"listed", "finished", "running"} {
+		it := &item{Item: &batch.Item{ID: id}, text: &contract.Text{}, phase: phaseFinished, listed: id == "listed"}
+		it.text.Add(1, "event", 1)
+		j.items = append(j.items, it)
+	}
+	j.items[1].text.End()
+	j.items[2].phase = phaseRunning
+	j.log.Chunks = []int{1}
+	j.pending = []batch.Result{{ID: "finished"}}
+	s.owned[j.ID] = j
+	given := s.leave()
+	must.Len(t, 1, given)
+	must.MapLen(t, 2, given[0].texts)
+	must.True(t, given[0].texts["finished"].Whole)
+
+	// So must a job of which all results are finished and only some listed.
+	j.items = j.items[:2]
+	must.Len(t, 1, s.leave())
+}
--- a/daemon/services/jobs/jobs.go
+++ b/daemon/services/jobs/jobs.go
@@ -222,7 +222,7 @@
 			it.text, it.held = held, len(held.Events)
 		}
 		if listed[it.ID] {
-			it.phase = phaseFinished
+			it.phase, it.listed = phaseFinished, true
 		}
 		j.items = append(j.items, it)
 	}
--- a/daemon/services/jobs/schedule.go
+++ b/daemon/services/jobs/schedule.go
@@ -66,7 +66,9 @@
 type item struct {
 	*batch.Item
 	phase phase
-	text  *text
+	// listed is set once the result stands in the log.
+	listed bool
+	text   *text
 	// failures counts the attempts that servers answered as failed.
 	failures int
 	// judged counts failures of the reward call.
