Ask the store who owns a job only when something of it is to start

Changed: the store is asked when items or reward calls wait to start and the last word is older than 1.5 s. An owner answers "nothing more is listed" while it has a session; in return a daemon takes a job over only under the condition that its owner's session is gone, in the same transaction, where before it went by its own list. Owners tell the others of their jobs with the question for earlier texts.

Ruled out: a watch of all owners' records (two events a job at each follower cost as much); reads that may be stale.

--- a/daemon/contract/fleet.go
+++ b/daemon/contract/fleet.go
@@ -131,6 +131,8 @@
 type Session interface {
 	// View returns the snapshot; it may be called from any goroutine.
 	View() *kernel.Snapshot[SessionView]
+	// KeyOf is the store's key that stands as long as a daemon has a session.
+	KeyOf(name string) string
 	// Succeeds reports whether a name is that of an earlier run of this host's
 	// daemon. It may be called from any goroutine.
 	Succeeds(name string) bool
--- a/daemon/services/jobs/carry.go
+++ b/daemon/services/jobs/carry.go
@@ -22,6 +22,8 @@
 	// Job is the later job, whose own texts do not count.
 	Job   string
 	Items []batch.ItemID
+	// Own says who asks: the owner of the job.
+	Own OwnedRPC
 }
 
 // CarryReply holds the longest texts that a daemon has of them.
@@ -31,6 +33,7 @@
 
 // Carry gives the texts that this daemon holds of items of earlier jobs.
 func (r *Receiver) Carry(request CarryRPC, reply *CarryReply) error {
+	r.service.rememberOwner(request.Own.ID, request.Own.record())
 	return r.service.calls.Do(context.Background(), func() { reply.Texts = r.service.held(request) })
 }
 
@@ -59,7 +62,7 @@
 
 // askCarried asks the other daemons for texts of a new job's items.
 func (s *service) askCarried(j *job) {
-	request := CarryRPC{Job: j.ID}
+	request := CarryRPC{Job: j.ID, Own: ownedOf(j.ID, j.own)}
 	for _, it := range j.items {
 		if it.phase != phaseFinished && it.text.Last == 0 {
 			request.Items = append(request.Items, it.ID)
@@ -67,22 +70,13 @@
 	}
 	s.carry(carried{id: j.ID, epoch: j.own.Epoch, texts: s.held(request)})
 	id, epoch := j.ID, j.own.Epoch
-	view := s.session.View().Load()
-	for name, member := range view.Live {
-		if name == view.Self.Name {
-			continue
+	s.others.Ask(func(ctx context.Context, member contract.Member) error {
+		var reply CarryReply
+		if err := s.peers.Call(ctx, member.Peers, rpcName+".Carry", request, &reply); err != nil {
+			return err
 		}
-		s.workers.Go(func(ctx context.Context) {
-			var reply CarryReply
-			if err := s.call(ctx, member.Peers, "Carry", request, &reply, carryWithin-peerWithin); err != nil {
-				s.log.WithError(err).WithField("daemon", member.Name).Info("A daemon did not say which texts it holds.")
-				return
-			}
-			if err := s.carries.Post(carried{id: id, epoch: epoch, texts: reply.Texts}); err != nil {
-				s.log.WithError(err).Error("Texts of an earlier job are lost.")
-			}
-		})
-	}
+		return s.carries.Post(carried{id: id, epoch: epoch, texts: reply.Texts})
+	})
 }
 
 // carried are texts of an earlier job for the items of a new one.
--- a/daemon/services/jobs/commit.go
+++ b/daemon/services/jobs/commit.go
@@ -190,19 +190,25 @@
 	s.commit(j)
 }
 
-// verifyAfter is how long an owner works on a job without a word of the store
-// that the job is still its own and not ended.
-const verifyAfter = 1200 * time.Millisecond
-
-// startWithin is how old the last word of the store may be for an item to be
-// started, while the store is reached: nothing may start three seconds after the
-// end of its job.
-const startWithin = 2500 * time.Millisecond
+const (
+	// startWithin is how old the last word of the store may be for an item or a
+	// reward call to be started, while the store is reached: nothing may start
+	// three seconds after the end of its job.
+	startWithin = 2500 * time.Millisecond
+	// verifyAfter is the age of that word from which the store is asked again, so
+	// that what starts need not wait for the answer.
+	verifyAfter = 1500 * time.Millisecond
+)
 
-// mayStart reports whether items of a job may be started.
+// mayStart reports whether items of a job may be started. It asks the store for a
+// newer word in time.
 func (s *service) mayStart(j *job) bool {
-	_, reached := s.ledger.ReachedSince()
-	return !reached || boottime.Since(j.verified) < startWithin
+	age := boottime.Since(j.verified)
+	if age > verifyAfter {
+		s.verify(j)
+	}
+	_, isReached := s.ledger.ReachedSince()
+	return !isReached || age < startWithin
 }
 
 // verdict is what the store says of an owned job.
@@ -216,7 +222,7 @@
 
 // verify asks the store whether a job is still owned here.
 func (s *service) verify(j *job) {
-	if j.verifying || boottime.Since(j.verified) < verifyAfter {
+	if j.verifying {
 		return
 	}
 	j.verifying = true
@@ -247,5 +253,6 @@
 		next := *j.view.Load()
 		next.verified = came.begun
 		j.view.Publish(&next)
+		s.wake()
 	}
 }
--- a/daemon/services/jobs/heirs.go
+++ b/daemon/services/jobs/heirs.go
@@ -178,7 +178,13 @@
 func (s *service) takeOver(ctx context.Context, id string, old ownRecord, self string) bool {
 	next := old.Ownership
 	next.Owner, next.Epoch = self, old.Epoch+1
-	_, err := s.keeper.swapOwner(ctx, id, old, next)
+	var further []outside.Condition
+	if !s.session.Succeeds(old.Owner) {
+		// The list of live daemons may be old: one that has a session answers for
+		// its jobs without asking the store.
+		further = append(further, outside.Condition{Key: s.session.KeyOf(old.Owner)})
+	}
+	_, err := s.keeper.swapOwner(ctx, id, old, next, further...)
 	log := s.log.WithFields(logrus.Fields{"job": id, "from": old.Owner, "epoch": next.Epoch})
 	if err != nil {
 		log.WithError(err).Info("A batch job was not taken over.")
--- a/daemon/services/jobs/jobs.go
+++ b/daemon/services/jobs/jobs.go
@@ -19,6 +19,7 @@
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/daemon/config"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
+	"github.com/flamingobeam/flamingobeam/daemon/tell"
 	"github.com/flamingobeam/flamingobeam/kernel"
 )
 
@@ -53,7 +54,8 @@
 	calls   *kernel.Calls
 	keeper  *keeper
 	// salt tells the daemons apart where they would all choose alike.
-	salt uint64
+	salt   uint64
+	others tell.Others
 
 	adoptions   *kernel.Mailbox[adoption]
 	runs        *kernel.Mailbox[runEnded]
@@ -109,6 +111,7 @@
 	}
 	s.log, s.loop, s.workers, s.calls = ctx.Log(), ctx.Loop(), ctx.Workers(), kernel.NewCalls(ctx.Loop())
 	s.keeper = newKeeper(s.ledger)
+	s.others = tell.Others{Session: s.session, Peers: s.peers, Workers: s.workers, Log: s.log, Within: carryWithin}
 	s.salt = xxhash.Sum64String(s.session.View().Load().Self.Name)
 	s.adoptions = kernel.NewMailbox(s.loop, mailboxCapacity, s.adopt)
 	s.runs = kernel.NewMailbox(s.loop, mailboxCapacity, s.runEnded)
@@ -231,6 +234,8 @@
 	s.owned[j.ID] = j
 	if a.texts == nil && len(a.results) == 0 {
 		s.askCarried(j)
+	} else {
+		s.others.Each(rpcName+".Owned", ownedOf(j.ID, j.own))
 	}
 	s.views.Store(j.ID, j.view)
 	s.log.WithFields(logrus.Fields{
--- a/daemon/services/jobs/judge.go
+++ b/daemon/services/jobs/judge.go
@@ -96,7 +96,8 @@
 	}
 	s.loop.After(rewardPause, func() {
 		if it.phase == phaseJudging && s.owned[came.job] == j && !j.own.Ended {
-			s.judge(j, it)
+			it.phase = phaseWaiting
+			s.wake()
 		}
 	})
 }
--- a/daemon/services/jobs/keeper.go
+++ b/daemon/services/jobs/keeper.go
@@ -263,10 +263,10 @@
 	}, err
 }
 
-// swapOwner replaces the ownership record of a job.
-func (k *keeper) swapOwner(ctx context.Context, id string, old ownRecord, next batch.Ownership) (ownRecord, error) {
+// swapOwner replaces the ownership record of a job, under further conditions.
+func (k *keeper) swapOwner(ctx context.Context, id string, old ownRecord, next batch.Ownership, further ...outside.Condition) (ownRecord, error) {
 	revision, err := k.ledger.Commit(ctx, outside.Transaction{
-		Conditions: []outside.Condition{{Key: ownKey(id), Revision: old.revision}},
+		Conditions: append(further, outside.Condition{Key: ownKey(id), Revision: old.revision}),
 		Writes:     []outside.Write{{Key: ownKey(id), Value: encode(next)}},
 	})
 	return ownRecord{Ownership: next, revision: revision}, err
--- a/daemon/services/jobs/read.go
+++ b/daemon/services/jobs/read.go
@@ -18,8 +18,9 @@
 	// ownerFor is how long it is remembered who owns a job; an owner that is
 	// asked in vain is looked up again at once.
 	ownerFor = 30 * time.Second
-	// trustFor is how long after a word of the store an owner may say that no
-	// more is listed: what was read must be read again a second later.
+	// trustFor is how long after a word of the store a daemon without a session
+	// may say that no more is listed: what was read must be read again a second
+	// later.
 	trustFor = 800 * time.Millisecond
 	// ownersMost bounds the owners that are remembered.
 	ownersMost = 4096
@@ -78,7 +79,7 @@
 			return page(view.total, view.results, request.After), true
 		}
 		if view.ended || request.Wait == 0 {
-			return page(view.total, view.results, request.After), view.isTrusted()
+			return page(view.total, view.results, request.After), s.isTrusted(view)
 		}
 		select {
 		case <-replaced:
@@ -91,8 +92,17 @@
 }
 
 // isTrusted reports whether this daemon may say that there is no result at a
-// position: another one that has taken the job over may have listed more.
-func (v *jobView) isTrusted() bool { return boottime.Since(v.verified) < trustFor }
+// position: another one that has taken the job over may have listed more. None can
+// while this one has a session.
+func (s *service) isTrusted(v *jobView) bool {
+	if boottime.Since(v.verified) < trustFor {
+		return true
+	}
+	view := s.session.View().Load()
+	_, isLive := view.Live[view.Self.Name]
+	_, isReached := s.ledger.ReachedSince()
+	return isLive && isReached && s.session.Holds()
+}
 
 func page(total int, results []batch.Result, after int) contract.ResultsReply {
 	after = min(max(0, after), len(results))
@@ -146,9 +156,13 @@
 	return own, nil
 }
 
+// rememberOwner notes who owns a job, unless a later owner is known.
 func (s *service) rememberOwner(id string, own ownRecord) {
 	s.ownersMu.Lock()
 	defer s.ownersMu.Unlock()
+	if s.owners[id].own.revision > own.revision {
+		return
+	}
 	if len(s.owners) >= ownersMost {
 		clear(s.owners)
 	}
@@ -253,8 +267,7 @@
 			var err error = result.New(result.PeerUnreachable, "%s is not on the list", own.Owner)
 			if address := s.addressOf(own.Owner); address != "" {
 				var reply struct{}
-				call := EndedRPC{ID: id, Own: own.Ownership, Revision: uint64(own.revision)}
-				if err = s.call(ctx, address, "Ended", call, &reply, 0); err == nil {
+				if err = s.call(ctx, address, "Ended", ownedOf(id, own), &reply, 0); err == nil {
 					return
 				}
 			}
--- a/daemon/services/jobs/read_test.go
+++ b/daemon/services/jobs/read_test.go
@@ -13,6 +13,7 @@
 	"github.com/flamingobeam/flamingobeam/coord/batch"
 	"github.com/flamingobeam/flamingobeam/daemon/boottime"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
+	"github.com/flamingobeam/flamingobeam/daemon/tell"
 	"github.com/flamingobeam/flamingobeam/kernel"
 )
 
@@ -22,7 +23,7 @@
 func TestOwnResults_NothingIsListedOnlyOnAFreshWord(t *testing.T) {
 	view := jobView{total: 5, results: []batch.Result{{ID: "a"}, {ID: "b"}}}
 	read := func(verified time.Duration, after int) (contract.ResultsReply, bool) {
-		s := &service{}
+		s := newService()
 		view.verified = verified
 		s.views.Store("job", kernel.NewSnapshot(&view))
 		return s.ownResults(context.Background(), contract.ResultsRequest{ID: "job", After: after})
@@ -38,6 +39,23 @@
 	must.Len(t, 0, reply.Results)
 }
 
+// TestIsTrusted_ByItsSessionAlone holds that no word of the store is needed while
+// nobody may take the job over.
+func TestIsTrusted_ByItsSessionAlone(t *testing.T) {
+	trusted := func(isLive, holds bool) bool {
+		s := newService()
+		f := s.session.(*fakes)
+		f.holds = holds
+		if isLive {
+			f.session.Publish(viewOf("me.1", "me.1"))
+		}
+		return s.isTrusted(&jobView{verified: boottime.Now() - 2*trustFor})
+	}
+	must.True(t, trusted(true, true))
+	must.False(t, trusted(true, false))
+	must.False(t, trusted(false, true))
+}
+
 // fakes stand in for the services that adopting a job needs.
 type fakes struct {
 	contract.Ledger
@@ -45,8 +63,10 @@
 	contract.Session
 	catalog *kernel.Snapshot[contract.CatalogView]
 	session *kernel.Snapshot[contract.SessionView]
+	holds   bool
 }
 
+func (f *fakes) Holds() bool                                     { return f.holds }
 func (f *fakes) Asked(contract.ModelDemand)                      {}
 func (f *fakes) Current() *kernel.Snapshot[contract.CatalogView] { return f.catalog }
 func (f *fakes) View() *kernel.Snapshot[contract.SessionView]    { return f.session }
@@ -59,10 +79,13 @@
 	}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	return &service{
+	s := &service{
+		owners: make(map[string]ownerEntry),
 		ledger: f, swaps: f, session: f, catalog: f, log: logrus.NewEntry(log), loop: kernel.NewLoop(clockwork.NewFakeClock()),
 		workers: kernel.NewWorkers(1), owned: make(map[string]*job), endedEarly: make(map[string]ownRecord),
 	}
+	s.others = tell.Others{Session: f, Workers: s.workers, Log: s.log}
+	return s
 }
 
 func taken(epoch uint64) adoption {
--- a/daemon/services/jobs/rpc.go
+++ b/daemon/services/jobs/rpc.go
@@ -28,16 +28,30 @@
 	return nil
 }
 
-// EndedRPC tells an owner that its job was ended.
-type EndedRPC struct {
+// OwnedRPC is the ownership record of a job.
+type OwnedRPC struct {
 	ID       string
 	Own      batch.Ownership
 	Revision uint64
 }
 
-// Ended stops the work on a job.
-func (r *Receiver) Ended(request EndedRPC, _ *struct{}) error {
-	own := ownRecord{Ownership: request.Own, revision: outside.Revision(request.Revision)}
+func ownedOf(id string, own ownRecord) OwnedRPC {
+	return OwnedRPC{ID: id, Own: own.Ownership, Revision: uint64(own.revision)}
+}
+
+func (o OwnedRPC) record() ownRecord {
+	return ownRecord{Ownership: o.Own, revision: outside.Revision(o.Revision)}
+}
+
+// Owned notes that another daemon has taken a job over.
+func (r *Receiver) Owned(request OwnedRPC, _ *struct{}) error {
+	r.service.rememberOwner(request.ID, request.record())
+	return nil
+}
+
+// Ended stops the work on a job that was ended.
+func (r *Receiver) Ended(request OwnedRPC, _ *struct{}) error {
+	own := request.record()
 	return r.service.calls.Do(context.Background(), func() { r.service.endHere(request.ID, own) })
 }
 
--- a/daemon/services/jobs/runs.go
+++ b/daemon/services/jobs/runs.go
@@ -70,7 +70,9 @@
 	}
 	switch run.End {
 	case contract.RunWhole:
-		s.judge(j, it)
+		if s.mayStart(j) {
+			s.judge(j, it)
+		}
 	case contract.RunImpossible:
 		s.giveUp(j, it, "a server said that it can never be done")
 	case contract.RunFailed:
--- a/daemon/services/jobs/schedule.go
+++ b/daemon/services/jobs/schedule.go
@@ -163,7 +163,6 @@
 	for _, j := range s.owned {
 		if j.open() {
 			s.watch(j, now)
-			s.verify(j)
 			s.checkpoint(j, now)
 		}
 		j.forget(now)
@@ -190,12 +189,17 @@
 	})
 	now := s.loop.Now()
 	for _, j := range jobs {
-		if s.mayStart(j) {
+		if j.waits() && s.mayStart(j) {
 			s.place(j, now)
 		}
 	}
 }
 
+// waits reports whether an item of the job waits for an engine or its judge.
+func (j *job) waits() bool {
+	return slices.ContainsFunc(j.items, func(it *item) bool { return it.phase == phaseWaiting })
+}
+
 // place starts the waiting items of a job, those with the most events left first.
 func (s *service) place(j *job, now time.Time) {
 	var waiting []waitingItem
--- a/daemon/services/session/session.go
+++ b/daemon/services/session/session.go
@@ -102,6 +102,9 @@
 // Holds implements contract.Session.
 func (s *service) Holds() bool { return boottime.Now() < time.Duration(s.runsUntil.Load()) }
 
+// KeyOf implements contract.Session.
+func (s *service) KeyOf(name string) string { return memberPrefix + name }
+
 // Succeeds implements contract.Session.
 func (s *service) Succeeds(name string) bool {
 	self := s.view.Load().Self.Name
