Have one daemon ask the store for all, and give the whole state to those behind

Cause: each zone's follower watched the store for itself; on six zones every change of a session, a server or the configuration cost six calls. A daemon whose history was gone read every prefix whole.

Changed: the first daemon of all by name watches the store, the first of each zone follows it, the others follow that one. A daemon keeps the newest record of each key and gives all of them to one whose history is gone.

Found on the way, by TestManaged_RequestThatCrashesServersIsHeldBack: a daemon that came onto the list just after a request had been quarantined never heard of it; it is told now.

--- a/daemon/contract/fleet.go
+++ b/daemon/contract/fleet.go
@@ -57,8 +57,8 @@
 // WatchPace says how closely a prefix is followed; each watch is charged as a
 // call.
 type WatchPace struct {
-	// Wait is how long a watch waits for news. One that is cut in silence is
-	// noticed no sooner, and has the other prefixes read again as well.
+	// Wait is how long a watch waits for news: one that is cut in silence is
+	// noticed no sooner.
 	Wait time.Duration
 	// Rest is the pause after news, in which further news gathers.
 	Rest time.Duration
@@ -74,9 +74,9 @@
 	// one while the store does not serve it. It may be called from any
 	// goroutine.
 	SetRelays(addresses []string)
-	// SetFollower names the daemon that follows the store for the zone; empty
-	// when it is this one. It may be called from any goroutine.
-	SetFollower(address string)
+	// SetSource names the daemon that gives this one the news of the store; empty
+	// when this one asks the store. It may be called from any goroutine.
+	SetSource(address string)
 	// ReachedSince returns since when calls have been answered, and false
 	// while they are not. It may be called from any goroutine.
 	ReachedSince() (time.Time, bool)
--- a/daemon/services/balance/control.go
+++ b/daemon/services/balance/control.go
@@ -144,10 +144,12 @@
 }
 
 func (s *service) takeHosts(hosts *contract.HostView) {
+	before := s.mates()
 	s.control.hosts = hosts
 	s.rebuild()
 	s.publish()
 	s.join()
+	s.greet(before)
 	// Views that come meanwhile are taken together.
 	s.loop.After(publishDelay, s.watchHosts)
 }
--- a/daemon/services/balance/suspects.go
+++ b/daemon/services/balance/suspects.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/flamingobeam/flamingobeam/coord/quarantine"
@@ -209,13 +210,27 @@
 	if s.control.joined || !s.control.hosts.Known {
 		return
 	}
-	s.control.joined = true
 	addresses := s.mates()
+	s.control.joined = len(addresses) > 0
 	for _, address := range addresses[:min(len(addresses), joinPeers)] {
 		s.tell(address, Notice{}, 1)
 	}
 }
 
+// greet tells daemons that were not on the list before what is quarantined: they
+// may have asked before it was.
+func (s *service) greet(before []string) {
+	if len(s.control.requests.Quarantined) == 0 {
+		return
+	}
+	notice := Notice{Quarantined: s.control.book.Quarantined()}
+	for _, address := range s.mates() {
+		if !slices.Contains(before, address) {
+			s.tell(address, notice, 1)
+		}
+	}
+}
+
 // joinPeers is how many daemons a starting daemon asks.
 const joinPeers = 3
 
--- a/daemon/services/ledger/ledger.go
+++ b/daemon/services/ledger/ledger.go
@@ -12,7 +12,6 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
-	"github.com/flamingobeam/flamingobeam/daemon/boottime"
 	"github.com/flamingobeam/flamingobeam/daemon/config"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
 	"github.com/flamingobeam/flamingobeam/daemon/transport"
@@ -43,6 +42,8 @@
 	newsCapacity = 1024
 	// idleTimeout is how long a connection is kept: calls come every second.
 	idleTimeout = 30 * time.Second
+	// beforeAll is a revision that is lower than any.
+	beforeAll outside.Revision = 0
 	// maxConnections bounds the connections to the store.
 	maxConnections = 64
 )
@@ -56,12 +57,9 @@
 	metrics contract.Metrics
 	peers   contract.Peers
 	relays  relays
-	// follower is the address of the daemon that follows the store for the
-	// zone; empty when it is this one.
-	follower atomic.Pointer[string]
-	// heard is when the store last answered a watch of a short wait, by the
-	// clock that goes on in suspension.
-	heard  atomic.Int64
+	// source is the address of the daemon that gives this one the news of the
+	// store; empty when it follows the store itself.
+	source atomic.Pointer[string]
 	tracks []*track
 
 	mu    sync.Mutex
@@ -219,7 +217,7 @@
 	prefix  string
 	pace    contract.WatchPace
 	hub     *hub
-	// distrusted is when the zone's follower last gave no news.
+	// distrusted is when the daemon that is followed last gave no news.
 	distrusted time.Duration
 	news       *kernel.Mailbox[contract.News]
 }
@@ -281,39 +279,54 @@
 	return pause
 }
 
+// whole learns all that there is under a prefix, from the daemon that is followed
+// or from the store.
 func (t *track) whole(ctx context.Context) (outside.Revision, error) {
-	listing, err := t.service.Scan(ctx, t.prefix)
+	found, err := t.heardFrom(ctx, beforeAll)
+	if errors.Is(err, errNoHub) {
+		var listing outside.Listing
+		listing, err = t.service.Scan(ctx, t.prefix)
+		found = news{News: contract.News{Records: listing.Records, Full: true}, through: listing.AsOf}
+	}
 	if err != nil {
 		return 0, err
 	}
-	t.hub.reset(listing.AsOf)
-	return listing.AsOf, t.post(contract.News{Records: listing.Records, Full: true})
+	t.hub.reset(found.Records, found.through)
+	return found.through, t.post(found.News)
 }
 
-// changes waits for news from the zone's follower or, where there is none, from
-// the store itself.
+// changes waits for news from the daemon that is followed or, where there is none,
+// from the store itself.
 func (t *track) changes(ctx context.Context, after outside.Revision) (outside.Revision, error) {
 	rest := time.Duration(0)
-	records, through, err := t.heardFrom(ctx, after)
+	found, err := t.heardFrom(ctx, after)
 	if errors.Is(err, errNoHub) {
 		rest = t.pace.Rest
-		records, through, err = t.watch(ctx, after)
+		found, err = t.watch(ctx, after)
+	}
+	if err != nil {
+		return after, err
+	}
+	if found.Full {
+		t.hub.reset(found.Records, found.through)
+	} else {
+		t.hub.add(found.Records, found.through)
 	}
-	if err != nil || len(records) == 0 {
-		return through, err
+	if !found.Full && len(found.Records) == 0 {
+		return found.through, nil
 	}
-	if err := t.post(contract.News{Records: records}); err != nil {
-		return through, err
+	if err := t.post(found.News); err != nil {
+		return after, err
 	}
 	select {
 	case <-time.After(rest):
 	case <-ctx.Done():
 	}
-	return through, nil
+	return found.through, nil
 }
 
-// watch waits for news from the store and keeps it for the rest of the zone.
-func (t *track) watch(ctx context.Context, after outside.Revision) ([]outside.Record, outside.Revision, error) {
+// watch waits for news from the store itself.
+func (t *track) watch(ctx context.Context, after outside.Revision) (news, error) {
 	// A watch that waits on a store that no longer serves would hear nothing of
 	// its return.
 	if lost := t.service.reach.Load().lost; lost != nil {
@@ -324,13 +337,10 @@
 	}
 	records, through, err := t.service.Follow(ctx, t.prefix, after, t.pace.Wait)
 	if err != nil {
-		return nil, through, err
-	}
-	t.hub.add(records, through)
-	if t.pace.Wait < freshFor {
-		t.service.heard.Store(int64(boottime.Now()))
+		return news{}, err
 	}
-	return records, through, nil
+	t.hub.note(0)
+	return news{News: contract.News{Records: records}, through: through}, nil
 }
 
 // post hands news to the control loop. A full mailbox loses history, so the
--- a/daemon/services/servers/servers.go
+++ b/daemon/services/servers/servers.go
@@ -30,7 +30,7 @@
 
 // pace leaves time for the entries of several engines that changed their weights
 // to gather; a server that leaves must get no work after three seconds.
-var pace = contract.WatchPace{Wait: 15 * time.Second, Rest: 1200 * time.Millisecond}
+var pace = contract.WatchPace{Wait: 2 * time.Second, Rest: 500 * time.Millisecond}
 
 type service struct {
 	kernel.Base
--- a/daemon/services/session/session.go
+++ b/daemon/services/session/session.go
@@ -48,7 +48,7 @@
 )
 
 // pace hears of a daemon that went at once.
-var pace = contract.WatchPace{Wait: 15 * time.Second}
+var pace = contract.WatchPace{Wait: 2 * time.Second}
 
 type service struct {
 	kernel.Base
@@ -245,26 +245,34 @@
 	}
 	s.view.Publish(next)
 	s.ledger.SetRelays(s.relaysOf(next))
-	s.ledger.SetFollower(s.followerOf(next))
+	s.ledger.SetSource(sourceOf(next))
 }
 
-// followerOf is the daemon of the zone that follows the store for the others,
-// the first by name; empty when it is this one. A daemon that is not live follows
-// for itself.
-func (s *service) followerOf(view *contract.SessionView) string {
-	first := view.Self
-	if _, isLive := view.Live[view.Self.Name]; !isLive {
+// sourceOf is the address of the daemon that gives this one the news of the store,
+// empty when it is to ask the store itself. In each zone the first daemon by name
+// tells the others; the first of all asks the store, so that the store's work grows
+// neither with daemons nor with zones. A daemon that is not live asks for itself.
+func sourceOf(view *contract.SessionView) string {
+	self := view.Self
+	if _, isLive := view.Live[self.Name]; !isLive {
 		return ""
 	}
+	ofZone, ofAll := self, self
 	for _, member := range view.Live {
-		if member.Zone == s.zone && member.Name < first.Name {
-			first = member
+		if member.Zone == self.Zone && member.Name < ofZone.Name {
+			ofZone = member
+		}
+		if member.Name < ofAll.Name {
+			ofAll = member
 		}
 	}
-	if first.Name == view.Self.Name {
+	switch self.Name {
+	case ofAll.Name:
 		return ""
+	case ofZone.Name:
+		return ofAll.Peers
 	}
-	return first.Peers
+	return ofZone.Peers
 }
 
 // relaysOf lists the other daemons, those of the own zone first.
--- /dev/null
+++ b/daemon/services/session/session_test.go
@@ -0,0 +1,47 @@
+package session
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/flamingobeam/flamingobeam/coord/structs"
+	"github.com/flamingobeam/flamingobeam/daemon/contract"
+)
+
+// TestSourceOf_OneDaemonAsksTheStoreForAll follows the sources from every daemon of
+// three zones: each chain ends at the one that asks the store, after one step in
+// the zone and one between zones at most.
+func TestSourceOf_OneDaemonAsksTheStoreForAll(t *testing.T) {
+	live := make(map[string]contract.Member)
+	for zone := range 3 {
+		for host := range 4 {
+			name := fmt.Sprintf("host-%d%d.1a", zone, host)
+			live[name] = contract.Member{Name: name, Peers: name, Zone: structs.ZoneName(fmt.Sprintf("zone-%d", zone))}
+		}
+	}
+	asking := 0
+	for _, self := range live {
+		source := sourceOf(&contract.SessionView{Self: self, Live: live})
+		if source == "" {
+			asking++
+			continue
+		}
+		next := live[source]
+		further := sourceOf(&contract.SessionView{Self: next, Live: live})
+		if next.Zone != self.Zone {
+			must.Eq(t, "", further)
+		} else {
+			must.NotEq(t, self.Zone, live[further].Zone)
+		}
+	}
+	must.Eq(t, 1, asking)
+}
+
+func TestSourceOf_ADaemonWithoutASessionAsksForItself(t *testing.T) {
+	source := sourceOf(&contract.SessionView{
+		Self: contract.Member{Name: "host-2.1a"}, Live: map[string]contract.Member{"host-1.1a": {Name: "host-1.1a", Peers: "x"}},
+	})
+	must.Eq(t, "", source)
+}
