Let one daemon of a zone own the jobs of a model, on the strongest hosts

Cause: a step's owner was whatever daemon its submission came to.

Changed: a daemon hands a submission over net/rpc to the home of its model: the host of its zone that rendezvous hashing picks among the strongest, by its name, so that it outlasts restarts. Without an answer in time the daemon accepts the job itself; if the home may have written it, the outcome is unknown and settled by reading back as before. A daemon that stops hands on what it is given.

Ruled out: one home for all zones (a second region in the way of each submission); forwarding the caller's connection (a proxy hop for each read as well).

--- a/daemon/agent/fleet.go
+++ b/daemon/agent/fleet.go
@@ -94,6 +94,7 @@
 		Readiness:     host.Readiness,
 		Metrics:       fmt.Sprintf("%s:%d", host.IP, metricsPort),
 		Regions:       host.Regions,
+		Strength:      host.Strength,
 		ResultsKept:   host.Bounds.ResultsKept,
 	}
 	return daemon
--- a/daemon/config/config.go
+++ b/daemon/config/config.go
@@ -51,6 +51,9 @@
 	Metrics string
 	// Regions maps every availability zone to its region.
 	Regions map[structs.ZoneName]structs.RegionName
+	// Strength is the part of a processor core that the daemon may use; zero is
+	// not known.
+	Strength float64
 	// ResultsKept is how long the results of a batch job must stay readable.
 	ResultsKept time.Duration
 }
--- a/daemon/contract/fleet.go
+++ b/daemon/contract/fleet.go
@@ -89,22 +89,25 @@
 	// Peers is its address for net/rpc.
 	Peers string           `json:"peers"`
 	Zone  structs.ZoneName `json:"zone"`
+	// Strength is the part of a processor core that the host gives it.
+	Strength float64 `json:"strength,omitempty"`
 }
 
 // SameHost reports whether two names are those of runs on one host.
-func SameHost(a, b string) bool { return hostOf(a) == hostOf(b) }
+func SameHost(a, b string) bool { return HostOf(a) == HostOf(b) }
 
 // StartOf is the time of the start in a run's name, in nanoseconds, and zero when
 // the name has none.
 func StartOf(name string) int64 {
-	started, err := strconv.ParseInt(strings.TrimPrefix(name, hostOf(name)+"."), 16, 64)
+	started, err := strconv.ParseInt(strings.TrimPrefix(name, HostOf(name)+"."), 16, 64)
 	if err != nil {
 		return 0
 	}
 	return started
 }
 
-func hostOf(name string) string {
+// HostOf is the host in a run's name.
+func HostOf(name string) string {
 	if dot := strings.LastIndexByte(name, '.'); dot >= 0 {
 		return name[:dot]
 	}
@@ -379,4 +382,7 @@
 	Body(ctx context.Context, id string, item batch.ItemID) ([]byte, error)
 	// End ends a job; what is listed stays.
 	End(ctx context.Context, id string) error
+	// Quiesce has further submissions run by other daemons, because this one stops
+	// soon.
+	Quiesce()
 }
--- a/daemon/services/gate/gate.go
+++ b/daemon/services/gate/gate.go
@@ -161,6 +161,7 @@
 // this daemon is not ready, then lets the requests in flight end.
 func (s *service) Stop(ctx context.Context) error {
 	s.stopping.Store(true)
+	s.jobs.Quiesce()
 	s.log.Info("Not ready any more.")
 	select {
 	case <-time.After(unreadyFor):
--- a/daemon/services/jobs/jobs.go
+++ b/daemon/services/jobs/jobs.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -74,6 +75,8 @@
 	// endedEarly holds ends that came before their jobs were adopted here.
 	endedEarly map[string]ownRecord
 
+	// quiesced is set at a planned stop, before the requests in flight end.
+	quiesced atomic.Bool
 	// views gives traffic goroutines the logs of the owned jobs.
 	views sync.Map
 	// owners remembers where other daemons' jobs are.
--- a/daemon/services/jobs/submit.go
+++ b/daemon/services/jobs/submit.go
@@ -35,12 +35,19 @@
 	if len(source) > maxSource {
 		return result.New(result.BodyTooLarge, "a batch job of %d bytes", len(source))
 	}
+	accepted, unknown := s.submitAtHome(ctx, job, source)
+	if accepted {
+		return nil
+	}
+	return s.accept(ctx, job, source, unknown)
+}
+
+// accept accepts a job at this daemon. Unknown is set when another one may have
+// written the job already: then the outcome is not known until the store says so.
+func (s *service) accept(ctx context.Context, job *batch.Job, source []byte, unknown bool) error {
 	own := batch.Ownership{Owner: s.session.View().Load().Self.Name, Epoch: 1, Submitted: time.Now().UnixMilli()}
 	log := s.log.WithFields(logrus.Fields{"job": job.ID, "items": len(job.Items), "model": job.Model, "step": job.Step})
 	pause := newPause()
-	// unknown is set once a write has left whose outcome is not known: from
-	// then on the job may be accepted.
-	unknown := false
 	var err error
 	for ctx.Err() == nil {
 		var made kept
@@ -51,6 +58,7 @@
 		if errors.Is(err, outside.ErrConflict) {
 			return s.known(ctx, job.ID, own.Owner)
 		}
+		// Once a write has left whose outcome is not known, the job may be accepted.
 		unknown = unknown || !isRefusal(err)
 		select {
 		case <-time.After(pause.NextBackOff()):
--- a/daemon/services/session/session.go
+++ b/daemon/services/session/session.go
@@ -84,9 +84,10 @@
 	s.loop, s.workers, s.log = ctx.Loop(), ctx.Workers(), ctx.Log()
 	s.records = make(map[string]outside.Record)
 	s.view = kernel.NewSnapshot(&contract.SessionView{Self: contract.Member{
-		Name:  fmt.Sprintf("%s.%x", daemon.Host, time.Now().UnixNano()),
-		Peers: daemon.Listen.Peers,
-		Zone:  daemon.Place.Zone,
+		Name:     fmt.Sprintf("%s.%x", daemon.Host, time.Now().UnixNano()),
+		Peers:    daemon.Listen.Peers,
+		Zone:     daemon.Place.Zone,
+		Strength: daemon.Fleet.Strength,
 	}})
 	s.zone = daemon.Place.Zone
 	s.replies = kernel.NewMailbox(s.loop, 1, s.renewed)
