Give idle daemons longer leases, and one candidate the lead

A lost leader was followed by 68 writes of daemons that all tried to lead.

Changed: owners of open jobs, the leader and sources of news keep the lease of 2 s; all others have one of 10 s, renewed every 3 s. One candidate, by rendezvous hashing, tries to lead at once, the others 1.5 s later. A daemon removes the keys of earlier runs on its host with the write of its own. News of sessions gather for 100 ms.

Ruled out: a longer lease for all (an owner's jobs wait for its end).

--- a/daemon/contract/fleet.go
+++ b/daemon/contract/fleet.go
@@ -139,6 +139,9 @@
 	// Succeeds reports whether a name is that of an earlier run of this host's
 	// daemon. It may be called from any goroutine.
 	Succeeds(name string) bool
+	// OwnsJobs says whether this daemon owns open batch jobs, whose callers wait
+	// for another owner when it dies. It must be called on the control goroutine.
+	OwnsJobs(owns bool)
 	// Holds reports whether the lease of this daemon surely still runs, by the
 	// clock that goes on while the host is suspended. It may be called from
 	// any goroutine.
--- a/daemon/services/jobs/schedule.go
+++ b/daemon/services/jobs/schedule.go
@@ -160,14 +160,17 @@
 func (s *service) tick() {
 	s.loop.After(tickEvery, s.tick)
 	now := s.loop.Now()
+	hasOpen := false
 	for _, j := range s.owned {
 		if j.open() {
+			hasOpen = true
 			s.watch(j, now)
 			s.checkpoint(j, now)
 		}
 		j.forget(now)
 		s.sweep(j, now)
 	}
+	s.session.OwnsJobs(hasOpen)
 	s.schedule()
 	s.heirs.tick(now)
 }
--- a/daemon/services/session/session.go
+++ b/daemon/services/session/session.go
@@ -8,12 +8,15 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"slices"
+	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/flamingobeam/flamingobeam/coord/batch"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/daemon/boottime"
 	"github.com/flamingobeam/flamingobeam/daemon/config"
@@ -31,12 +34,23 @@
 	prefix       = "flamingobeam/session/"
 	memberPrefix = prefix + "member/"
 	leaderKey    = prefix + "leader"
-	// leaseFor is the time to live of a session: short, since a daemon's batch
-	// jobs wait that long for another owner when it dies.
-	leaseFor = 2 * time.Second
-	// renewEvery is how often the lease is renewed: about three times within
-	// it.
-	renewEvery = 650 * time.Millisecond
+	// urgentLease is the time to live of the session of a daemon that others wait
+	// for when it dies: an owner of batch jobs, the leader, a source of news. Idle
+	// daemons, most of a large deployment, cost less with idleLease.
+	urgentLease = 2 * time.Second
+	idleLease   = 10 * time.Second
+	// urgentRenewal and idleRenewal are how often a lease is renewed: about three
+	// times within it.
+	urgentRenewal = 650 * time.Millisecond
+	idleRenewal   = 3 * time.Second
+	// calmFor is how long a daemon must be idle before its lease gets longer, as
+	// the next batch job is likely to come soon after the last.
+	calmFor = 20 * time.Second
+	// candidateAfter is how long the others wait for the first candidate before
+	// they try to lead themselves.
+	candidateAfter = 1500 * time.Millisecond
+	// leaderName picks the first candidate.
+	leaderName = "leader"
 	// retryEvery is the pause before a failed renewal is made again.
 	retryEvery = 300 * time.Millisecond
 	// absence is how long a daemon must be missing from the list, with the
@@ -47,8 +61,8 @@
 	stopWithin = 500 * time.Millisecond
 )
 
-// pace hears of a daemon that went at once.
-var pace = contract.WatchPace{Wait: 2 * time.Second}
+// pace lets the keys of daemons that start together gather.
+var pace = contract.WatchPace{Wait: 2 * time.Second, Rest: 100 * time.Millisecond}
 
 type service struct {
 	kernel.Base
@@ -61,8 +75,19 @@
 	replies *kernel.Mailbox[kernel.Reply[renewal]]
 	calls   *kernel.Calls
 
+	// What follows belongs to the control goroutine.
 	records map[string]outside.Record
 	lease   outside.LeaseID
+	// isUrgent is set while the lease is a short one, and wantsUrgent while it
+	// should be; calmSince is when that ended.
+	isUrgent    bool
+	wantsUrgent bool
+	calmSince   time.Time
+	// hasJobs is set while this daemon owns open batch jobs.
+	hasJobs bool
+	// leaderless is since when there is no leader, or zero.
+	leaderless time.Time
+	timer      *kernel.Timer
 	// busy is set while a call is under way, and stopping at a planned stop.
 	busy     bool
 	stopping bool
@@ -93,7 +118,7 @@
 	s.replies = kernel.NewMailbox(s.loop, 1, s.renewed)
 	s.ledger.Track(prefix, pace, s.take)
 	s.calls = kernel.NewCalls(s.loop)
-	s.loop.After(0, s.renew)
+	s.renewAfter(0)
 	return nil
 }
 
@@ -112,24 +137,76 @@
 	return name != self && contract.SameHost(name, self)
 }
 
+// OwnsJobs implements contract.Session.
+func (s *service) OwnsJobs(owns bool) {
+	if s.hasJobs != owns {
+		s.hasJobs = owns
+		s.weigh()
+	}
+}
+
+// weigh decides how short the lease should be.
+func (s *service) weigh() {
+	view := s.view.Load()
+	self := view.Self.Name
+	isUrgent := s.hasJobs || view.Leader == self || isSource(view)
+	if s.wantsUrgent && !isUrgent {
+		s.calmSince = s.loop.Now()
+	}
+	s.wantsUrgent = isUrgent
+	if isUrgent && !s.isUrgent && s.lease != 0 {
+		s.renewAfter(0)
+	}
+}
+
+// keeping is what a renewal has to do.
+type keeping struct {
+	lease outside.LeaseID
+	self  contract.Member
+	// isUrgent asks for a short lease, and isNew for another one than before.
+	isUrgent bool
+	isNew    bool
+	// isMissing is set when the daemon's key must be written, and leads when it is
+	// to try to lead.
+	isMissing bool
+	leads     bool
+	// earlier are the keys of earlier runs on this host.
+	earlier []string
+}
+
 // renewal is the outcome of keeping the session alive.
 type renewal struct {
 	lease     outside.LeaseID
+	isUrgent  bool
 	runsUntil time.Duration
 }
 
+// renewAfter sets the time of the next renewal.
+func (s *service) renewAfter(wait time.Duration) {
+	s.loop.Cancel(s.timer)
+	s.timer = s.loop.After(wait, s.renew)
+}
+
 // renew keeps the lease and writes the keys that are missing, on a worker.
 func (s *service) renew() {
 	if s.busy || s.stopping {
 		return
 	}
 	s.busy = true
-	lease, self := s.lease, s.view.Load().Self
-	missing := lease == 0 || s.isMissing(memberPrefix+self.Name)
-	leaderless := lease != 0 && !missing && s.isMissing(leaderKey)
-	kernel.Async(s.workers, 0, s.replies, func(ctx context.Context) (renewal, error) {
-		return s.keep(ctx, lease, self, missing, leaderless)
-	})
+	self := s.view.Load().Self
+	k := keeping{lease: s.lease, self: self, isUrgent: s.isUrgent}
+	isCalm := !s.wantsUrgent && s.loop.Now().Sub(s.calmSince) > calmFor
+	if s.lease == 0 || s.wantsUrgent != s.isUrgent && (s.wantsUrgent || isCalm) {
+		k.isNew, k.isUrgent = true, s.wantsUrgent
+	}
+	k.isMissing = k.isNew || s.isMissing(memberPrefix+self.Name)
+	k.leads = s.lease != 0 && !k.isMissing && s.isMissing(leaderKey) && s.isCandidate()
+	for key := range s.records {
+		if name, ok := strings.CutPrefix(key, memberPrefix); ok && s.Succeeds(name) {
+			k.earlier = append(k.earlier, key)
+		}
+	}
+	kernel.Async(s.workers, 0, s.replies, func(ctx context.Context) (renewal, error) { return s.keep(ctx, k) })
 }
 
 func (s *service) isMissing(key string) bool {
@@ -137,38 +214,54 @@
 	return !ok
 }
 
-func (s *service) keep(ctx context.Context, lease outside.LeaseID, self contract.Member, missing, leaderless bool) (renewal, error) {
+// isCandidate reports whether this daemon should try to lead: one that all agree
+// on at once, the others if that one does not.
+func (s *service) isCandidate() bool {
+	view := s.view.Load()
+	if batch.Heir(leaderName, slices.Collect(maps.Keys(view.Live))) == view.Self.Name {
+		return true
+	}
+	return !s.leaderless.IsZero() && s.loop.Now().Sub(s.leaderless) > candidateAfter
+}
+
+func (s *service) keep(ctx context.Context, k keeping) (renewal, error) {
 	asked := boottime.Now()
-	ttl := leaseFor
+	kept := renewal{lease: k.lease, isUrgent: k.isUrgent}
+	ttl := idleLease
+	if k.isUrgent {
+		ttl = urgentLease
+	}
 	var err error
-	if lease == 0 {
-		lease, ttl, err = s.ledger.Grant(ctx, leaseFor)
+	if k.isNew {
+		kept.lease, ttl, err = s.ledger.Grant(ctx, ttl)
 	} else {
-		err = s.ledger.KeepAlive(ctx, lease)
+		err = s.ledger.KeepAlive(ctx, k.lease)
 	}
 	if err != nil {
 		return renewal{}, err
 	}
-	kept := renewal{lease: lease, runsUntil: asked + ttl}
-	if missing {
-		err = s.announce(ctx, memberPrefix+self.Name, lease, self)
-	} else if leaderless {
-		err = s.announce(ctx, leaderKey, lease, self)
+	kept.runsUntil = asked + ttl
+	switch {
+	case k.isMissing:
+		// Only this daemon writes its key. Those of earlier runs on the host would
+		// stand until their leases end.
+		err = s.announce(ctx, outside.Transaction{Removals: k.earlier}, memberPrefix+k.self.Name, kept.lease, k.self)
+	case k.leads:
+		absent := outside.Transaction{Conditions: []outside.Condition{{Key: leaderKey}}}
+		err = s.announce(ctx, absent, leaderKey, kept.lease, k.self)
 	}
 	return kept, err
 }
 
-// announce writes a key of the session unless there is one. Whoever holds it,
+// announce writes a key of the session. Whoever holds it if there is one already,
 // the watch will tell.
-func (s *service) announce(ctx context.Context, key string, lease outside.LeaseID, self contract.Member) error {
+func (s *service) announce(ctx context.Context, transaction outside.Transaction, key string, lease outside.LeaseID, self contract.Member) error {
 	value, err := json.Marshal(self)
 	if err != nil {
 		return errors.WithStack(err)
 	}
-	_, err = s.ledger.Commit(ctx, outside.Transaction{
-		Conditions: []outside.Condition{{Key: key}},
-		Writes:     []outside.Write{{Key: key, Value: value, Lease: lease}},
-	})
+	transaction.Writes = []outside.Write{{Key: key, Value: value, Lease: lease}}
+	_, err = s.ledger.Commit(ctx, transaction)
 	if errors.Is(err, outside.ErrConflict) {
 		return nil
 	}
@@ -178,13 +271,16 @@
 // renewed takes in the outcome on the control goroutine.
 func (s *service) renewed(reply kernel.Reply[renewal]) {
 	s.busy = false
-	next := renewEvery
-	if reply.Value.lease != 0 {
-		if s.lease == 0 {
-			s.log.WithField("lease", reply.Value.lease).Info("The session's lease is granted.")
+	if kept := reply.Value; kept.lease != 0 {
+		if s.lease != kept.lease {
+			s.log.WithField("lease", kept.lease).WithField("urgent", kept.isUrgent).Info("The session's lease is granted.")
 		}
-		s.lease = reply.Value.lease
-		s.runsUntil.Store(int64(reply.Value.runsUntil))
+		s.lease, s.isUrgent = kept.lease, kept.isUrgent
+		s.runsUntil.Store(int64(kept.runsUntil))
+	}
+	next := idleRenewal
+	if s.isUrgent || s.wantsUrgent {
+		next = urgentRenewal
 	}
 	switch {
 	case errors.Is(reply.Err, outside.ErrLeaseLost):
@@ -193,8 +289,10 @@
 		s.runsUntil.Store(0)
 	case reply.Err != nil:
 		next = retryEvery
+	case s.isMissing(leaderKey):
+		next = min(next, candidateAfter)
 	}
-	s.loop.After(next, s.renew)
+	s.renewAfter(next)
 	s.publish()
 }
 
@@ -210,10 +308,15 @@
 			s.records[record.Key] = record
 		}
 	}
+	if !s.isMissing(leaderKey) {
+		s.leaderless = time.Time{}
+	} else if s.leaderless.IsZero() {
+		s.leaderless = s.loop.Now()
+	}
 	self := s.view.Load().Self
 	// A key that was taken away while the lease runs is written again at once.
-	if s.lease != 0 && (s.isMissing(memberPrefix+self.Name) || s.isMissing(leaderKey)) {
-		s.loop.After(0, s.renew)
+	if s.lease != 0 && !s.busy && (s.isMissing(memberPrefix+self.Name) || s.isMissing(leaderKey) && s.isCandidate()) {
+		s.renewAfter(0)
 	}
 	s.publish()
 }
@@ -247,6 +350,7 @@
 	s.view.Publish(next)
 	s.ledger.SetRelays(s.relaysOf(next))
 	s.ledger.SetSource(sourceOf(next))
+	s.weigh()
 }
 
 // sourceOf is the address of the daemon that gives this one the news of the store,
@@ -276,6 +380,19 @@
 	return ofZone.Peers
 }
 
+// isSource reports whether others follow this daemon.
+func isSource(view *contract.SessionView) bool {
+	if _, isLive := view.Live[view.Self.Name]; !isLive {
+		return false
+	}
+	for _, member := range view.Live {
+		if member.Zone == view.Self.Zone && member.Name < view.Self.Name {
+			return false
+		}
+	}
+	return true
+}
+
 // relaysOf lists the other daemons, those of the own zone first.
 func (s *service) relaysOf(view *contract.SessionView) []string {
 	var near, far []string
--- a/histories/managed/process_test.go
+++ b/histories/managed/process_test.go
@@ -132,6 +132,7 @@
 	w := calm(t, 60, 20*time.Millisecond)
 	first, second := w.spawn("daemon-1"), w.start("daemon-2")
 	w.until("both daemons are live", func() bool { return len(w.store.find("flamingobeam/session/member/")) == 2 })
+	time.Sleep(300 * time.Millisecond) // Longer than news of sessions gather.
 	first.link.set(true)
 	submit(w, &first.daemon, "job-1", jobOf("job-1", 0, 1, 2, 1))
 	results := w.whole(&first.daemon, "job-1", 2)
