Admit no submission at a bucket owner that is stopping

Cause: Stop set the stopping flag on the control goroutine and asked each committer to drain afterwards; the committer's select could also receive an admission before a drain request that had been sent earlier. A submission that was forwarded in between was still run by the stopping owner. It ran once and was answered, but the stop waited for it, and the test's hook panicked with 'close of closed channel'.

Change: drain requests are sent in the same control function that sets the flag, and an admission looks for a drain request first. The hook of TestFault_PlannedStop reports instead of panicking; TestFault_AdmissionAfterDrainRequest forces the order.

--- a/daemon/services/journal/committer.go
+++ b/daemon/services/journal/committer.go
@@ -117,6 +117,7 @@
 		r.reply <- admitResult{verdict: verdict, record: record, execution: c.executions[r.request.Key]}
 		return
 	}
+	c.checkDrain()
 	if c.draining || c.storeUnreachable {
 		r.reply <- admitResult{draining: c.draining, storeUnreachable: c.storeUnreachable}
 		return
@@ -136,6 +137,16 @@
 	r.reply <- reply
 }
 
+// checkDrain starts draining if that was requested. The loop may receive an
+// admission first although the request to drain was sent before it.
+func (c *committer) checkDrain() {
+	select {
+	case <-c.drain:
+		c.draining = true
+	default:
+	}
+}
+
 // handleOutcome records the outcome of an execution.
 func (c *committer) handleOutcome(o outcome) {
 	c.ownedBucket.Finish(o.execution.key, o.execution.operation, o.state, o.answer)
--- a/daemon/services/journal/handover_test.go
+++ b/daemon/services/journal/handover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -58,7 +59,12 @@
 	keys := keysIn(bucketOf("k"), 2)
 	f.makeOwner(owner, "k")
 	sending, release := make(chan struct{}), make(chan struct{})
+	var sends atomic.Int32
 	owner.plain.setHooks(func() {
+		if sends.Add(1) > 1 {
+			t.Error("the stopping owner sent a submission that arrived after its stop")
+			return
+		}
 		close(sending)
 		<-release
 	}, nil)
@@ -85,6 +91,25 @@
 	}
 }
 
+// TestFault_AdmissionAfterDrainRequest delivers an admission before the request
+// to drain that was sent earlier. It must not be admitted.
+func TestFault_AdmissionAfterDrainRequest(t *testing.T) {
+	f := newTestFleet(t)
+	owner := f.start("a")
+	f.makeOwner(owner, "k")
+	running := owner.view.Load().owners[bucketOf("k")].committer
+	// The loop has ended, so the test's goroutine holds the bucket's state.
+	owner.stopCommitters()
+	<-running.done
+	running.drain <- struct{}{}
+	request := submission{SubmitRequest: f.request("k")}
+	admit := admitRequest{request: request.journalRequest(), reply: make(chan admitResult, 1)}
+	running.handleAdmitRequest(admit)
+	result := <-admit.reply
+	must.True(t, result.draining)
+	must.MapEmpty(t, running.executions)
+}
+
 func isStopping(t *testing.T, d *daemon) bool {
 	t.Helper()
 	stopping := false
--- a/daemon/services/journal/journal.go
+++ b/daemon/services/journal/journal.go
@@ -141,13 +141,15 @@
 	err := s.calls.Do(ctx, func() {
 		s.stopping = true
 		committers = s.view.Load().committers()
+		// Requested together with stopping, so that no bucket admits a
+		// submission from then on. The channel has room for the one request.
+		for _, c := range committers {
+			c.drain <- struct{}{}
+		}
 	})
 	if err != nil {
 		return err
 	}
-	for _, c := range committers {
-		c.drain <- struct{}{}
-	}
 	for _, c := range committers {
 		select {
 		case <-c.done:
