Send submissions on to the next owner after a hand-back

Cause: an owner that has handed its buckets back serves calls until it ends. It answered a forwarded submission with code 3007 (stopping, not run), and the daemon that forwarded it passed that on to the caller although the next owner could have run it.

Change: the answer is that this daemon does not own the bucket, so the forwarding daemon looks for the next owner. TestFault_SubmissionAfterHandBack forces the order.

--- a/daemon/services/journal/handover_test.go
+++ b/daemon/services/journal/handover_test.go
@@ -110,6 +110,21 @@
 	must.MapEmpty(t, running.executions)
 }
 
+// TestFault_SubmissionAfterHandBack forwards a submission to an owner that has
+// handed its buckets back but still serves calls. It must run at the next owner.
+func TestFault_SubmissionAfterHandBack(t *testing.T) {
+	f := newTestFleet(t)
+	owner, other := f.start("a"), f.start("b")
+	keys := keysIn(bucketOf("k"), 2)
+	f.makeOwner(owner, "k")
+	_, err := other.Submit(t.Context(), f.request(keys[0]))
+	must.NoError(t, err)
+	owner.stop()
+	_, err = other.Submit(t.Context(), f.request(keys[1]))
+	must.NoError(t, err)
+	must.Eq(t, 1, f.backendRuns(keys[1]))
+}
+
 func isStopping(t *testing.T, d *daemon) bool {
 	t.Helper()
 	stopping := false
--- a/daemon/services/journal/receiver.go
+++ b/daemon/services/journal/receiver.go
@@ -38,6 +38,10 @@
 		return contract.SubmitReply{}, result.New(result.BadRequest, "a submission was forwarded without a term")
 	}
 	owner, err := s.locateOwner(ctx, request.journalRequest().Key.Bucket(), args.Term-1)
+	if result.CodeOf(err) == result.Stopping {
+		// This daemon has handed the bucket back; the caller finds the next owner.
+		return contract.SubmitReply{}, errOwnerChanged
+	}
 	if err != nil {
 		return contract.SubmitReply{}, err
 	}
