Retry a failed request after a time without servers

The first attempt that reached a server was the fourth, so its failure was passed on to the caller as 502 although a second server was free.

Change: attempts that reach no server have a limit of their own; a daemon is ready once the balancer has a table of a host list that was read. A request that is not retried any more says so in the log, with the last error.

Ruled out: budget of retries (full), deadline (5 s away), cancelled caller.

--- a/coord/retry/decide.go
+++ b/coord/retry/decide.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// MaxAttempts is the maximum number of attempts of a request, including the
-	// first.
+	// MaxAttempts is the maximum number of attempts of a request that reach a
+	// server, including the first, and of those that reach none.
 	MaxAttempts = 4
 	// maxBrokenConnections is the number of broken connections after which a
 	// request is not retried.
@@ -24,7 +24,11 @@
 type Failure struct {
 	// Attempt is the number of attempts made so far, including this one.
 	Attempt int
-	Code    result.Code
+	// Unreached is the number of those attempts that reached no server. They
+	// have a limit of their own, so that a failure at a server is still retried
+	// after a time without servers.
+	Unreached int
+	Code      result.Code
 	// BrokenConnections is the number of attempts whose connection broke. After
 	// two, the request may be one that crashes servers, so it is not sent to a
 	// third.
@@ -49,7 +53,7 @@
 // budget, except after result.NoBackend, when no server was reached.
 func Decide(now time.Time, failure Failure, budget *Budget, random uint64) Decision {
 	refused := Decision{Code: failure.Code}
-	if failure.Attempt >= MaxAttempts || failure.BrokenConnections >= maxBrokenConnections || !isTransient(failure.Code) || !mayRepeat(failure) {
+	if isExhausted(failure) || failure.BrokenConnections >= maxBrokenConnections || !isTransient(failure.Code) || !mayRepeat(failure) {
 		return refused
 	}
 	delay := backoff(failure.Attempt, random)
@@ -62,6 +66,10 @@
 	return Decision{Retry: true, Delay: delay}
 }
 
+func isExhausted(failure Failure) bool {
+	return failure.Unreached >= MaxAttempts || failure.Attempt-failure.Unreached >= MaxAttempts
+}
+
 // mayRepeat reports whether the request is idempotent or certainly has not run.
 func mayRepeat(failure Failure) bool {
 	if failure.Idempotent {
--- a/coord/retry/history.go
+++ b/coord/retry/history.go
@@ -7,6 +7,7 @@
 // not reported as not run.
 type History struct {
 	attempts          int
+	unreached         int
 	brokenConnections int
 	// mayHaveRunErr is the newest error with the outcome MayHaveRun.
 	mayHaveRunErr error
@@ -15,8 +16,10 @@
 // RecordFailure records the error of an attempt.
 func (h *History) RecordFailure(err error) {
 	h.attempts++
-	code := result.CodeOf(err)
-	if code == result.BackendBroke || code == result.AnswerCut {
+	switch result.CodeOf(err) {
+	case result.NoBackend:
+		h.unreached++
+	case result.BackendBroke, result.AnswerCut:
 		h.brokenConnections++
 	}
 	if result.OutcomeOf(err) == result.MayHaveRun {
@@ -27,7 +30,9 @@
 // Failure returns the Failure of an attempt that ended with err. The caller
 // sets Idempotent and Deadline.
 func (h *History) Failure(err error) Failure {
-	return Failure{Attempt: h.attempts, BrokenConnections: h.brokenConnections, Code: result.CodeOf(err)}
+	return Failure{
+		Attempt: h.attempts, Unreached: h.unreached, BrokenConnections: h.brokenConnections, Code: result.CodeOf(err),
+	}
 }
 
 // FinalError returns the error for the caller when the last attempt ended with
--- a/coord/retry/retry_test.go
+++ b/coord/retry/retry_test.go
@@ -29,6 +29,8 @@
 		{"rejected under overload", Failure{Attempt: 1, Code: result.Overloaded, Idempotent: true}, false, result.Overloaded},
 		{"quarantined", Failure{Attempt: 1, Code: result.Quarantined, Idempotent: true}, false, result.Quarantined},
 		{"attempts exhausted", Failure{Attempt: MaxAttempts, Code: result.NoBackend}, false, result.NoBackend},
+		{"unreached attempts exhausted", Failure{Attempt: MaxAttempts, Unreached: MaxAttempts, Code: result.NoBackend}, false, result.NoBackend},
+		{"broken after unreached attempts", Failure{Attempt: MaxAttempts, Unreached: MaxAttempts - 1, Code: result.BackendBroke, Idempotent: true}, true, 0},
 		{"two broken connections", Failure{Attempt: 2, BrokenConnections: 2, Code: result.BackendBroke, Idempotent: true}, false, result.BackendBroke},
 		{"deadline before retry", Failure{Attempt: 3, Code: result.NoBackend, Deadline: epoch.Add(time.Millisecond)}, false, result.NoBackend},
 	} {
--- a/daemon/contract/traffic.go
+++ b/daemon/contract/traffic.go
@@ -58,6 +58,13 @@
 	Pick(ctx context.Context, request PickRequest) (Ticket, error)
 }
 
+// ServerTable is the balancer's table of servers. It is offered under
+// NameBalance.
+type ServerTable interface {
+	// Loaded reports whether Pick chooses from a host list that has been read.
+	Loaded() bool
+}
+
 // Quarantine blocks requests that crash backend servers. It is offered under
 // NameBalance.
 type Quarantine interface {
--- a/daemon/services/balance/balance.go
+++ b/daemon/services/balance/balance.go
@@ -51,13 +51,16 @@
 
 // snapshot is what traffic goroutines choose servers from. It is immutable.
 type snapshot struct {
+	// loaded is set once the host list has been read.
+	loaded     bool
 	services   map[structs.ServiceName]*serviceView
 	quarantine quarantine.View
 }
 
 var (
-	_ contract.Balancer   = (*service)(nil)
-	_ contract.Quarantine = (*service)(nil)
+	_ contract.Balancer    = (*service)(nil)
+	_ contract.ServerTable = (*service)(nil)
+	_ contract.Quarantine  = (*service)(nil)
 )
 
 // Provision implements kernel.Service.
@@ -109,6 +112,9 @@
 	return s.chooseServer(target, &request, current.quarantine.Suspects[request.Fingerprint])
 }
 
+// Loaded implements contract.ServerTable.
+func (s *service) Loaded() bool { return s.snapshot.Load().loaded }
+
 // AwaitVerdict implements contract.Quarantine.
 func (s *service) AwaitVerdict(ctx context.Context, fingerprint quarantine.Fingerprint) error {
 	_, err := s.awaitProbes(ctx, &contract.PickRequest{Fingerprint: fingerprint})
--- a/daemon/services/balance/table.go
+++ b/daemon/services/balance/table.go
@@ -168,6 +168,7 @@
 func (s *service) publish() {
 	started := s.clock.Now()
 	next := &snapshot{
+		loaded:     s.control.hosts.Loaded,
 		services:   make(map[structs.ServiceName]*serviceView, len(s.control.services)),
 		quarantine: s.control.quarantine,
 	}
--- a/daemon/services/dispatch/forward.go
+++ b/daemon/services/dispatch/forward.go
@@ -33,16 +33,20 @@
 // server is returned to the caller.
 func (c *forwardCall) run(ctx context.Context) (contract.ForwardReply, error) {
 	for {
-		reply, err := c.sendHedged(ctx)
-		if err == nil {
+		reply, lastErr := c.sendHedged(ctx)
+		if lastErr == nil {
 			reply.Attempts = c.sentCount
 			return reply, nil
 		}
+		err := lastErr
 		if c.sentCount < c.request.Route.MaxAttempts {
-			if err = c.retrier.AwaitRetry(ctx, err); err == nil {
+			if err = c.retrier.AwaitRetry(ctx, lastErr); err == nil {
 				continue
 			}
 		}
+		c.service.log.WithError(lastErr).WithFields(logrus.Fields{
+			"request": c.request.ID, "servers_asked": c.sentCount, "max_attempts": c.request.Route.MaxAttempts,
+		}).Info("Request is not retried.")
 		if c.lastFailure != nil {
 			c.lastFailure.Attempts = c.sentCount
 			return *c.lastFailure, nil
--- a/daemon/services/gate/gate.go
+++ b/daemon/services/gate/gate.go
@@ -46,7 +46,7 @@
 	kernel.Base
 	config   config.Daemon
 	catalog  contract.Catalog
-	servers  contract.Servers
+	table    contract.ServerTable
 	dispatch contract.Dispatch
 	jobs     contract.Jobs
 	metrics  contract.Metrics
@@ -70,7 +70,7 @@
 	s.log, s.loop, s.workers = ctx.Log(), ctx.Loop(), ctx.Workers()
 	return kernel.FindAll(ctx,
 		kernel.Bind(&s.catalog, contract.NameCatalog),
-		kernel.Bind(&s.servers, contract.NameServers),
+		kernel.Bind(&s.table, contract.NameBalance),
 		kernel.Bind(&s.dispatch, contract.NameDispatch),
 		kernel.Bind(&s.jobs, contract.NameJobs),
 		kernel.Bind(&s.metrics, contract.NameMetrics),
@@ -118,7 +118,7 @@
 // loaded the routes and the servers, even while the store is unreachable, and is not
 // stopping.
 func (s *service) serveReadiness(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
-	isReady := !s.stopping.Load() && s.catalog.Current().Load().Catalog != nil && s.servers.Entries().Load().Loaded
+	isReady := !s.stopping.Load() && s.catalog.Current().Load().Catalog != nil && s.table.Loaded()
 	if s.wasReady.Swap(isReady) != isReady {
 		s.log.WithField("ready", isReady).Info("Readiness changed.")
 	}
--- a/histories/managed/responses_test.go
+++ b/histories/managed/responses_test.go
@@ -81,7 +81,7 @@
 				id := fmt.Sprintf("look-%d", i)
 				response := d.call(http.MethodPost, "/status/1", id, nil, "")
 				must.NoError(t, response.err)
-				must.Eq(t, http.StatusOK, response.status)
+				must.Eq(t, http.StatusOK, response.status, must.Sprint(id, response.body))
 				must.Eq(t, "POST /status/1 by "+id, response.body)
 			}
 		})
