--- a/daemon/agent/managed.go
+++ b/daemon/agent/managed.go
@@ -96,6 +96,7 @@
 		Regions:       host.Regions,
 		Strength:      host.CPUCores,
 		ResultsKept:   host.TimeLimits.ResultRetention,
+		FirstStart:    host.FirstStart,
 	}
 	return daemon
 }
--- a/daemon/broadcast/broadcast.go
+++ b/daemon/broadcast/broadcast.go
@@ -1,4 +1,7 @@
-// Package broadcast calls all other daemons that have a session.
+// Package broadcast calls groups of the other daemons that have a session. No
+// daemon calls every other one: what the owners of batch jobs share goes to those
+// that may own jobs, and what all are to know goes through the first daemon of
+// each zone.
 package broadcast
 
 import (
@@ -7,11 +10,12 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/flamingobeam/flamingobeam/coord/membership"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
 	"github.com/flamingobeam/flamingobeam/kernel"
 )
 
-// Broadcaster calls the other daemons that have a session.
+// Broadcaster calls other daemons that have a session.
 type Broadcaster struct {
 	Session contract.Session
 	Peers   contract.Peers
@@ -21,30 +25,59 @@
 	Timeout time.Duration
 }
 
-// Notify calls a net/rpc method of all other daemons concurrently and does not wait for
-// the replies. Failed calls are logged and not retried, so the receivers must tolerate a
-// lost message.
-func (b *Broadcaster) Notify(method string, message any) {
-	b.ForEach(func(ctx context.Context, member contract.Member) error {
-		var reply struct{}
-		return b.Peers.Call(ctx, member.RPCAddress, method, message, &reply)
-	})
+// NotifyJobHosts calls a net/rpc method of the other daemons that may own batch jobs,
+// concurrently, and does not wait for the replies. Failed calls are logged and not
+// retried, so the receivers must tolerate a lost message.
+func (b *Broadcaster) NotifyJobHosts(method string, message any) {
+	b.EachJobHost(b.notification(method, message))
+}
+
+// NotifyZoneFirsts is NotifyJobHosts for the first daemon of each zone, this one
+// included.
+func (b *Broadcaster) NotifyZoneFirsts(method string, message any) {
+	for _, first := range membership.ZoneFirsts(b.Session.View().Load().Live) {
+		b.start(first, b.notification(method, message))
+	}
+}
+
+// NotifyZone is NotifyJobHosts for the other daemons of this one's zone.
+func (b *Broadcaster) NotifyZone(method string, message any) {
+	view := b.Session.View().Load()
+	for _, member := range view.Live {
+		if member.Zone == view.Self.Zone && member.Name != view.Self.Name {
+			b.start(member, b.notification(method, message))
+		}
+	}
 }
 
-// ForEach calls a function for each other daemon, each on its own worker, and does not
-// wait for them to return. Errors are logged.
-func (b *Broadcaster) ForEach(call func(ctx context.Context, member contract.Member) error) {
+// EachJobHost calls a function for each other daemon that may own batch jobs and for
+// the leader, each on its own worker, and does not wait for them to return. Errors are
+// logged.
+func (b *Broadcaster) EachJobHost(call func(ctx context.Context, member membership.Member) error) {
 	view := b.Session.View().Load()
+	hosts := membership.JobHosts(view.Live)
 	for name, member := range view.Live {
-		if name == view.Self.Name {
-			continue
+		if (hosts[name] || name == view.Leader) && name != view.Self.Name {
+			b.start(member, call)
 		}
-		b.Workers.Go(func(ctx context.Context) {
-			ctx, cancel := context.WithTimeout(ctx, b.Timeout)
-			defer cancel()
-			if err := call(ctx, member); err != nil {
-				b.Log.WithError(err).WithField("daemon", member.Name).Info("Call to a daemon failed.")
-			}
-		})
 	}
 }
+
+// notification returns a function that calls a method and ignores the reply.
+func (b *Broadcaster) notification(method string, message any) func(context.Context, membership.Member) error {
+	return func(ctx context.Context, member membership.Member) error {
+		var reply struct{}
+		return b.Peers.Call(ctx, member.RPCAddress, method, message, &reply)
+	}
+}
+
+// start runs a call to a daemon on a worker.
+func (b *Broadcaster) start(member membership.Member, call func(context.Context, membership.Member) error) {
+	b.Workers.Go(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, b.Timeout)
+		defer cancel()
+		if err := call(ctx, member); err != nil {
+			b.Log.WithError(err).WithField("daemon", member.Name).Info("Call to a daemon failed.")
+		}
+	})
+}
--- a/daemon/config/config.go
+++ b/daemon/config/config.go
@@ -56,6 +56,9 @@
 	Strength float64
 	// ResultsKept is how long the results of a batch job must remain readable.
 	ResultsKept time.Duration
+	// FirstStart is set when the whole system starts for the first time, so that
+	// there are no batch jobs of earlier runs.
+	FirstStart bool
 }
 
 // Listen holds the addresses on which a daemon listens.
--- a/daemon/contract/managed.go
+++ b/daemon/contract/managed.go
@@ -4,13 +4,12 @@
 	"context"
 	"net/http"
 	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/flamingobeam/flamingobeam/coord/batch"
 	"github.com/flamingobeam/flamingobeam/coord/catalog"
+	"github.com/flamingobeam/flamingobeam/coord/membership"
 	"github.com/flamingobeam/flamingobeam/coord/placement"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/kernel"
@@ -64,6 +63,9 @@
 	// BatchDelay is the pause after a change, so that the next poll returns
 	// several changes at once.
 	BatchDelay time.Duration
+	// ListsUpstreams is set for the prefix whose records lead to a call of
+	// SetWatchUpstreams. It is read first.
+	ListsUpstreams bool
 }
 
 // TransactionalStore is the platform's key-value store with a timeout on each call.
@@ -75,58 +77,24 @@
 	// SetRelays sets the daemons, nearest first, that forward this daemon's calls
 	// while the store does not serve it. It may be called from any goroutine.
 	SetRelays(addresses []string)
-	// SetWatchUpstream sets the daemon from which this one gets the changes of the
-	// store; with an empty address it polls the store itself. It may be called
-	// from any goroutine.
-	SetWatchUpstream(address string)
+	// SetWatchUpstreams sets the daemons from which this one gets the changes of
+	// the store, in the order in which it tries them; without any it polls the
+	// store itself. It may be called from any goroutine.
+	SetWatchUpstreams(addresses []string)
 	// ReachedSince returns the time since which the store has responded, and false
 	// while it does not. It may be called from any goroutine.
 	ReachedSince() (time.Time, bool)
 }
 
-// Member is a live daemon.
-type Member struct {
-	// Name identifies one process of a daemon: its host, a dot and its start time
-	// in hexadecimal nanoseconds.
-	Name string `json:"name"`
-	// RPCAddress is its net/rpc address.
-	RPCAddress string           `json:"peers"`
-	Zone       structs.ZoneName `json:"zone"`
-	// Strength is the number of processor cores that the host gives it, and may be
-	// a fraction.
-	Strength float64 `json:"strength,omitempty"`
-}
-
-// SameHost reports whether two member names belong to the same host.
-func SameHost(a, b string) bool { return HostOf(a) == HostOf(b) }
-
-// StartOf returns the start time in a member name, in nanoseconds, and zero when
-// the name has none.
-func StartOf(name string) int64 {
-	started, err := strconv.ParseInt(strings.TrimPrefix(name, HostOf(name)+"."), 16, 64)
-	if err != nil {
-		return 0
-	}
-	return started
-}
-
-// HostOf returns the host in a member name.
-func HostOf(name string) string {
-	if dot := strings.LastIndexByte(name, '.'); dot >= 0 {
-		return name[:dot]
-	}
-	return name
-}
-
 // SessionView is an immutable snapshot of the live daemons.
 type SessionView struct {
-	Self Member
+	Self membership.Member
 	// Lease is the lease to which this daemon's keys are attached; zero while it
 	// has none.
 	Lease outside.LeaseID
 	// Live maps names to the daemons that have a session, including this one while
 	// it has one.
-	Live map[string]Member
+	Live map[string]membership.Member
 	// Leader is the name of the daemon that orders weight swaps, and FencingToken
 	// its fencing token.
 	Leader       string
--- a/daemon/services/jobs/earlier_texts.go
+++ b/daemon/services/jobs/earlier_texts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"github.com/flamingobeam/flamingobeam/coord/membership"
 	"time"
 
 	"github.com/flamingobeam/flamingobeam/coord/batch"
@@ -9,9 +10,9 @@
 )
 
 const (
-	// earlierTextsTimeout bounds the query to the other daemons: a round trip
-	// between regions and the processing there.
-	earlierTextsTimeout = 400 * time.Millisecond
+	// earlierTextsTimeout bounds the query to the other daemons. The items start
+	// meanwhile, and a text that arrives later still replaces a shorter one.
+	earlierTextsTimeout = 2 * time.Second
 	// endedTextTTL is how long the texts of an ended job are kept for later
 	// jobs with the same items. A trainer submits them again in its next steps.
 	endedTextTTL = 25 * time.Second
@@ -23,8 +24,6 @@
 	// Job is the ID of the later job, whose own texts are excluded.
 	Job   string
 	Items []batch.ItemID
-	// Own is the ownership record of the later job, which names the caller.
-	Own OwnedRPC
 }
 
 // CarryReply holds the longest text that the called daemon has for each item.
@@ -35,7 +34,6 @@
 // Carry is called by the owner of a new job. It returns the texts that this
 // daemon holds for items of ended jobs.
 func (r *Receiver) Carry(request CarryRPC, reply *CarryReply) error {
-	r.service.rememberOwner(request.Own.ID, request.Own.record())
 	return r.service.loopExecutor.Do(context.Background(), func() { reply.Texts = r.service.textsFromEndedJobs(request) })
 }
 
@@ -64,9 +62,10 @@
 	return other == nil || text.Last > other.Last
 }
 
-// requestEarlierTexts asks the other daemons for texts of a new job's items.
+// requestEarlierTexts asks the other daemons that may own jobs for texts of a
+// new job's items.
 func (s *service) requestEarlierTexts(j *job) {
-	request := CarryRPC{Job: j.ID, Own: newOwnedRPC(j.ID, j.ownership)}
+	request := CarryRPC{Job: j.ID}
 	for _, it := range j.items {
 		if it.phase != phaseFinished && it.text.Last == 0 {
 			request.Items = append(request.Items, it.ID)
@@ -74,7 +73,7 @@
 	}
 	s.applyEarlierTexts(earlierTexts{id: j.ID, epoch: j.ownership.Epoch, texts: s.textsFromEndedJobs(request)})
 	id, epoch := j.ID, j.ownership.Epoch
-	s.broadcaster.ForEach(func(ctx context.Context, member contract.Member) error {
+	s.broadcaster.EachJobHost(func(ctx context.Context, member membership.Member) error {
 		var reply CarryReply
 		if err := s.peers.Call(ctx, member.RPCAddress, rpcName+".Carry", request, &reply); err != nil {
 			return err
--- a/daemon/services/jobs/jobs.go
+++ b/daemon/services/jobs/jobs.go
@@ -129,7 +129,9 @@
 	s.checkpointOutcomes = kernel.NewMailbox(s.loop, mailboxCapacity, s.handleCheckpoint)
 	s.earlierTexts = kernel.NewMailbox(s.loop, mailboxCapacity, s.applyEarlierTexts)
 	s.takeover.prepare(s)
-	s.loop.AfterFunc(0, s.takeover.reclaimOwnJobs)
+	if !s.config.Platform.FirstStart {
+		s.loop.AfterFunc(0, s.takeover.reclaimOwnJobs)
+	}
 	s.loop.AfterFunc(tickInterval, s.tick)
 	return rpc.Register(rpcName, &Receiver{service: s})
 }
@@ -248,9 +250,8 @@
 	s.ownedJobs[j.ID] = j
 	if a.texts == nil && len(a.results) == 0 {
 		s.requestEarlierTexts(j)
-	} else {
-		s.broadcaster.Notify(rpcName+".Owned", newOwnedRPC(j.ID, j.ownership))
 	}
+	s.announceOwner(j)
 	s.jobViews.Store(j.ID, j.view)
 	s.log.WithFields(logrus.Fields{
 		"job": j.ID, "epoch": j.ownership.Epoch, "model": j.Model, "step": j.Step, "min_version": j.MinVersion,
--- a/daemon/services/jobs/model_owner.go
+++ b/daemon/services/jobs/model_owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"github.com/flamingobeam/flamingobeam/coord/membership"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -31,11 +32,11 @@
 // one daemon has the connections to the model's engines, tracks their load and
 // holds the texts of earlier steps. A daemon without a session chooses itself,
 // and one that is stopping chooses another if there is one.
-func modelOwnerOf(model string, view *contract.SessionView, isStopping bool) contract.Member {
+func modelOwnerOf(model string, view *contract.SessionView, isStopping bool) membership.Member {
 	if _, isLive := view.Live[view.Self.Name]; !isLive {
 		return view.Self
 	}
-	isCandidate := func(member contract.Member) bool {
+	isCandidate := func(member membership.Member) bool {
 		return member.Zone == view.Self.Zone && !(isStopping && member.Name == view.Self.Name)
 	}
 	strongest := 0.0
@@ -45,12 +46,12 @@
 		}
 	}
 	// Hosts are hashed by name, which does not change at a restart.
-	byHost := make(map[string]contract.Member)
+	byHost := make(map[string]membership.Member)
 	var hosts []string
 	for _, member := range view.Live {
 		if isCandidate(member) && member.Strength >= minStrengthRatio*strongest {
-			host := contract.HostOf(member.Name)
-			if other, ok := byHost[host]; ok && contract.StartOf(other.Name) > contract.StartOf(member.Name) {
+			host := membership.HostOf(member.Name)
+			if other, ok := byHost[host]; ok && membership.StartOf(other.Name) > membership.StartOf(member.Name) {
 				continue
 			}
 			byHost[host] = member
--- a/daemon/services/jobs/model_owner_test.go
+++ b/daemon/services/jobs/model_owner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"github.com/flamingobeam/flamingobeam/coord/membership"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -13,9 +14,9 @@
 // zoneView returns the session view of a zone with two strong and eight weak
 // hosts, beside another zone.
 func zoneView(self string) *contract.SessionView {
-	view := &contract.SessionView{Live: make(map[string]contract.Member)}
+	view := &contract.SessionView{Live: make(map[string]membership.Member)}
 	for i := range 12 {
-		member := contract.Member{Name: fmt.Sprintf("host-%d.1a", i), Zone: "zone-a", Strength: 0.19}
+		member := membership.Member{Name: fmt.Sprintf("host-%d.1a", i), Zone: "zone-a", Strength: 0.19}
 		if i < 2 {
 			member.Strength = 0.8
 		}
@@ -51,7 +52,7 @@
 	view := zoneView("host-5.1a")
 	delete(view.Live, before.Name)
 	next := before
-	next.Name = contract.HostOf(before.Name) + ".2b"
+	next.Name = membership.HostOf(before.Name) + ".2b"
 	view.Live[next.Name] = next
 	must.Eq(t, next.Name, modelOwnerOf("model", view, false).Name)
 	// Both runs of a host are listed until the lease of the first expires.
@@ -70,6 +71,6 @@
 	view := zoneView(owner.Name)
 	must.NotEq(t, owner.Name, modelOwnerOf("model", view, true).Name)
 	must.Eq(t, 0.8, modelOwnerOf("model", view, true).Strength)
-	view.Live = map[string]contract.Member{owner.Name: owner}
+	view.Live = map[string]membership.Member{owner.Name: owner}
 	must.Eq(t, owner.Name, modelOwnerOf("model", view, true).Name)
 }
--- a/daemon/services/jobs/rpc.go
+++ b/daemon/services/jobs/rpc.go
@@ -33,6 +33,8 @@
 	ID       string
 	Own      batch.Ownership
 	Revision uint64
+	// Forward asks the receiver to pass the record on to its zone.
+	Forward bool
 }
 
 func newOwnedRPC(id string, ownership ownershipRecord) OwnedRPC {
@@ -46,9 +48,22 @@
 // Owned records that another daemon owns a job.
 func (r *Receiver) Owned(request OwnedRPC, _ *struct{}) error {
 	r.service.rememberOwner(request.ID, request.record())
+	if request.Forward {
+		request.Forward = false
+		r.service.broadcaster.NotifyZone(rpcName+".Owned", request)
+	}
 	return nil
 }
 
+// announceOwner lets the daemons that are asked for a job's results know its
+// owner. The first daemon of each zone passes it on to the others of its zone; a
+// daemon that is missed reads the owner from the store.
+func (s *service) announceOwner(j *job) {
+	announcement := newOwnedRPC(j.ID, j.ownership)
+	announcement.Forward = true
+	s.broadcaster.NotifyZoneFirsts(rpcName+".Owned", announcement)
+}
+
 // Ended stops the work on a job that was ended.
 func (r *Receiver) Ended(request OwnedRPC, _ *struct{}) error {
 	ownership := request.record()
--- a/daemon/services/jobs/takeover.go
+++ b/daemon/services/jobs/takeover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"github.com/flamingobeam/flamingobeam/coord/membership"
 	"maps"
 	"slices"
 	"strings"
@@ -131,18 +132,23 @@
 		return false
 	}
 	for other := range view.Live {
-		if contract.SameHost(other, name) {
+		if membership.SameHost(other, name) {
 			return other == view.Self.Name
 		}
 	}
-	return batch.RendezvousPick(name, slices.Collect(maps.Keys(view.Live))) == view.Self.Name
+	return batch.RendezvousPick(name, jobHostNames(view)) == view.Self.Name
+}
+
+// jobHostNames returns the names of the live daemons that may own jobs.
+func jobHostNames(view *contract.SessionView) []string {
+	return slices.Collect(maps.Keys(membership.JobHosts(view.Live)))
 }
 
 // isSweeper reports whether this daemon scans for jobs that no successor has
 // taken over.
 func (m *takeoverMonitor) isSweeper(view *contract.SessionView) bool {
 	_, isLive := view.Live[view.Self.Name]
-	return isLive && batch.RendezvousPick(sweeperElection, slices.Collect(maps.Keys(view.Live))) == view.Self.Name
+	return isLive && batch.RendezvousPick(sweeperElection, jobHostNames(view)) == view.Self.Name
 }
 
 // takeOverOrphans takes over the open jobs whose owners are gone, and returns
@@ -266,24 +272,26 @@
 	return nil
 }
 
-// handoverCandidates returns the daemons that may receive a job: those that
-// started after this one if there are any, because a rolling restart has passed
-// them, and all others otherwise.
+// handoverCandidates returns the daemons that may receive a job: those that may
+// own jobs if there are others than this one, and of these the ones that started
+// after this one, because a rolling restart has passed them.
 func handoverCandidates(view *contract.SessionView) []string {
-	var newer, all []string
-	for name := range view.Live {
-		if name == view.Self.Name {
-			continue
-		}
-		all = append(all, name)
-		if contract.StartOf(name) > contract.StartOf(view.Self.Name)+startSkew.Nanoseconds() {
-			newer = append(newer, name)
-		}
+	isOther := func(name string) bool { return name != view.Self.Name }
+	isNewer := func(name string) bool {
+		return membership.StartOf(name) > membership.StartOf(view.Self.Name)+startSkew.Nanoseconds()
+	}
+	candidates := filter(jobHostNames(view), isOther)
+	if len(candidates) == 0 {
+		candidates = filter(slices.Collect(maps.Keys(view.Live)), isOther)
 	}
-	if len(newer) > 0 {
+	if newer := filter(candidates, isNewer); len(newer) > 0 {
 		return newer
 	}
-	return all
+	return candidates
+}
+
+func filter(names []string, keep func(string) bool) []string {
+	return slices.DeleteFunc(slices.Clone(names), func(name string) bool { return !keep(name) })
 }
 
 // prepareHandover stops the work on all jobs. It returns the jobs that are not
--- a/daemon/services/jobs/takeover_test.go
+++ b/daemon/services/jobs/takeover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"github.com/flamingobeam/flamingobeam/coord/membership"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -12,9 +13,9 @@
 
 // sessionView returns the session view of a daemon with the given live daemons.
 func sessionView(self string, live ...string) *contract.SessionView {
-	view := &contract.SessionView{Self: contract.Member{Name: self}, Live: make(map[string]contract.Member)}
+	view := &contract.SessionView{Self: membership.Member{Name: self}, Live: make(map[string]membership.Member)}
 	for _, name := range live {
-		view.Live[name] = contract.Member{Name: name}
+		view.Live[name] = membership.Member{Name: name}
 	}
 	return view
 }
@@ -54,7 +55,7 @@
 	view = sessionView("host-3."+young, "host-1."+old, "host-2."+old, "host-3."+young)
 	must.SliceContainsAll(t, []string{"host-1." + old, "host-2." + old}, handoverCandidates(view))
 	must.Len(t, 2, handoverCandidates(view))
-	must.Zero(t, contract.StartOf("no-start"))
+	must.Zero(t, membership.StartOf("no-start"))
 }
 
 // TestPrepareHandover_UnlistedTexts stops a daemon that has finished results
--- a/daemon/services/ledger/ledger.go
+++ b/daemon/services/ledger/ledger.go
@@ -6,10 +6,8 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
@@ -53,17 +51,15 @@
 
 type service struct {
 	kernel.Base
-	store   outside.TransactionalStore
-	loop    *kernel.Loop
-	workers *kernel.Workers
-	log     *logrus.Entry
-	metrics contract.Metrics
-	peers   contract.Peers
-	relays  relayList
-	// upstream is the address of the daemon from which this one polls changes;
-	// empty when it watches the store itself.
-	upstream atomic.Pointer[string]
-	watches  []*prefixWatch
+	store     outside.TransactionalStore
+	loop      *kernel.Loop
+	workers   *kernel.Workers
+	log       *logrus.Entry
+	metrics   contract.Metrics
+	peers     contract.Peers
+	relays    relayList
+	upstreams upstreams
+	watches   []*prefixWatch
 
 	mu           sync.Mutex
 	connectivity *kernel.Snapshot[connectivity]
@@ -100,6 +96,7 @@
 	}
 	s.loop, s.workers, s.log = ctx.Loop(), ctx.Workers(), ctx.Log()
 	s.connectivity = kernel.NewSnapshot(&connectivity{})
+	s.upstreams.known = make(chan struct{})
 	s.store = platform.NewStore(daemon.Store, transport.New(transport.Options{
 		DialTimeout: callTimeout, IdleTimeout: idleTimeout, MaxIdlePerHost: maxConnections, MaxPerHost: maxConnections,
 	}))
@@ -182,6 +179,12 @@
 	return outside.Listing{Records: reply.Records, AsOf: reply.Revision}, err
 }
 
+// ListStale implements outside.TransactionalStore.
+func (s *service) ListStale(ctx context.Context, prefix string) (outside.Listing, error) {
+	reply, err := s.call(ctx, "scan-stale", 2*callTimeout, Call{Op: OpScanStale, Key: prefix})
+	return outside.Listing{Records: reply.Records, AsOf: reply.Revision}, err
+}
+
 // Watch implements outside.TransactionalStore.
 func (s *service) Watch(ctx context.Context, prefix string, after outside.Revision, wait time.Duration) ([]outside.Record, outside.Revision, error) {
 	if _, reached := s.ReachedSince(); !reached {
@@ -214,147 +217,3 @@
 	_, err := s.call(ctx, "revoke", leaseCallTimeout, Call{Op: OpRevoke, Lease: lease})
 	return err
 }
-
-// prefixWatch watches one prefix.
-type prefixWatch struct {
-	service *service
-	prefix  string
-	options contract.WatchOptions
-	cache   *watchCache
-	// upstreamFailedAt is when the upstream daemon last served no changes, on
-	// the clock of package boottime.
-	upstreamFailedAt time.Duration
-	mailbox          *kernel.Mailbox[contract.News]
-}
-
-// WatchPrefix implements contract.TransactionalStore.
-func (s *service) WatchPrefix(prefix string, options contract.WatchOptions, handle func(contract.News)) {
-	s.watches = append(s.watches, &prefixWatch{
-		service: s, prefix: prefix, options: options, cache: newWatchCache(), mailbox: kernel.NewMailbox(s.loop, mailboxCapacity, handle),
-	})
-}
-
-// run lists the prefix and then delivers its changes until ctx ends.
-func (w *prefixWatch) run(ctx context.Context) {
-	delays := newBackoff()
-	var revision outside.Revision
-	isListed := false
-	for ctx.Err() == nil {
-		var err error
-		if isListed {
-			revision, err = w.awaitChanges(ctx, revision)
-		} else {
-			revision, err = w.list(ctx)
-		}
-		// A failed watch may have missed changes, so the prefix is listed
-		// again.
-		if isListed = err == nil; !isListed {
-			w.cache.invalidate()
-		}
-		if err == nil {
-			delays.Reset()
-			continue
-		}
-		if errors.Is(err, outside.ErrCompacted) {
-			w.service.log.WithField("prefix", w.prefix).Info("Watch history is incomplete; listing all prefixes.")
-			w.service.resync()
-			continue
-		}
-		w.awaitRetry(ctx, delays.NextBackOff())
-	}
-}
-
-// awaitRetry waits for the delay before a retry, or until another call has
-// found the store reachable again.
-func (w *prefixWatch) awaitRetry(ctx context.Context, delay time.Duration) {
-	current, replaced := w.service.connectivity.Watch()
-	if !current.reachableSince.IsZero() {
-		replaced = nil
-	}
-	select {
-	case <-time.After(delay):
-	case <-replaced:
-	case <-ctx.Done():
-	}
-}
-
-func newBackoff() *backoff.ExponentialBackOff {
-	delays := backoff.NewExponentialBackOff()
-	delays.InitialInterval, delays.MaxInterval = initialRetryDelay, maxRetryDelay
-	delays.Reset()
-	return delays
-}
-
-// list reads all records of the prefix, from the upstream daemon or from the
-// store, and returns their revision.
-func (w *prefixWatch) list(ctx context.Context) (outside.Revision, error) {
-	changes, err := w.pollUpstream(ctx, zeroRevision)
-	if errors.Is(err, errChangesUnavailable) {
-		var listing outside.Listing
-		listing, err = w.service.List(ctx, w.prefix)
-		changes = changeSet{News: contract.News{Records: listing.Records, Full: true}, throughRevision: listing.AsOf}
-	}
-	if err != nil {
-		return 0, err
-	}
-	w.cache.reset(changes.Records, changes.throughRevision)
-	return changes.throughRevision, w.deliver(changes.News)
-}
-
-// awaitChanges waits for changes after a revision, from the upstream daemon or,
-// where there is none, from the store. It returns the revision up to which the
-// changes are complete.
-func (w *prefixWatch) awaitChanges(ctx context.Context, after outside.Revision) (outside.Revision, error) {
-	delay := time.Duration(0)
-	changes, err := w.pollUpstream(ctx, after)
-	if errors.Is(err, errChangesUnavailable) {
-		delay = w.options.BatchDelay
-		changes, err = w.watchStore(ctx, after)
-	}
-	if err != nil {
-		return after, err
-	}
-	if changes.Full {
-		w.cache.reset(changes.Records, changes.throughRevision)
-	} else {
-		w.cache.apply(changes.Records, changes.throughRevision)
-	}
-	if !changes.Full && len(changes.Records) == 0 {
-		return changes.throughRevision, nil
-	}
-	if err := w.deliver(changes.News); err != nil {
-		return after, err
-	}
-	select {
-	case <-time.After(delay):
-	case <-ctx.Done():
-	}
-	return changes.throughRevision, nil
-}
-
-// watchStore waits for changes from the store itself.
-func (w *prefixWatch) watchStore(ctx context.Context, after outside.Revision) (changeSet, error) {
-	// A watch on a store that stopped serving would not notice that the store
-	// is back.
-	if current := w.service.connectivity.Load().watchContext; current != nil {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithCancel(ctx)
-		defer cancel()
-		defer context.AfterFunc(current, cancel)()
-	}
-	records, through, err := w.service.Watch(ctx, w.prefix, after, w.options.PollTimeout)
-	if err != nil {
-		return changeSet{}, err
-	}
-	w.cache.recordStoreReply(0)
-	return changeSet{News: contract.News{Records: records}, throughRevision: through}, nil
-}
-
-// deliver posts changes to the control loop. When the mailbox is full, changes
-// are lost and the prefix must be listed again.
-func (w *prefixWatch) deliver(changes contract.News) error {
-	if err := w.mailbox.Post(changes); err != nil {
-		return errors.Wrap(outside.ErrCompacted, err.Error())
-	}
-	return nil
-}
--- a/daemon/services/ledger/relay.go
+++ b/daemon/services/ledger/relay.go
@@ -44,12 +44,14 @@
 	OpGrant
 	OpKeepAlive
 	OpRevoke
+	OpScanStale
 )
 
 // Call is a call to the store that another daemon makes for this one.
 type Call struct {
 	Op Operation
-	// Key is the key of OpRead, and the prefix of OpScan and OpFollow.
+	// Key is the key of OpRead, and the prefix of OpScan, OpScanStale and
+	// OpFollow.
 	Key string
 	// After is the revision after which OpFollow returns changes.
 	After outside.Revision
@@ -67,7 +69,7 @@
 	Relayed bool
 	// Failure is an index into wireErrors; zero is success.
 	Failure int
-	// Records is the result of OpRead, OpScan and OpFollow.
+	// Records is the result of OpRead, OpScan, OpScanStale and OpFollow.
 	Records []outside.Record
 	// Revision is that of the listing or the commit, or the one up to which the
 	// changes of OpFollow are complete.
@@ -124,6 +126,10 @@
 		var listing outside.Listing
 		listing, err = s.store.List(ctx, call.Key)
 		reply.Records, reply.Revision = listing.Records, listing.AsOf
+	case OpScanStale:
+		var listing outside.Listing
+		listing, err = s.store.ListStale(ctx, call.Key)
+		reply.Records, reply.Revision = listing.Records, listing.AsOf
 	case OpFollow:
 		reply.Records, reply.Revision, err = s.store.Watch(ctx, call.Key, call.After, call.Wait)
 	case OpCommit:
--- /dev/null
+++ b/daemon/services/ledger/watch.go
@@ -0,0 +1,297 @@
+package ledger
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/pkg/errors"
+
+	"github.com/flamingobeam/flamingobeam/daemon/boottime"
+	"github.com/flamingobeam/flamingobeam/daemon/contract"
+	"github.com/flamingobeam/flamingobeam/kernel"
+	"github.com/flamingobeam/flamingobeam/outside"
+)
+
+const (
+	// upstreamsTimeout is how long a daemon that starts waits to learn its
+	// upstreams before it lists the prefixes in the store, so that hundreds of
+	// daemons that start together do not all read them.
+	upstreamsTimeout = 2500 * time.Millisecond
+	// minUpstreamsPoll and maxUpstreamsPoll bound the pause, which doubles,
+	// between two listings of the prefix that leads to the upstreams.
+	minUpstreamsPoll = 50 * time.Millisecond
+	maxUpstreamsPoll = 400 * time.Millisecond
+	// stalePollInterval is the pause between two polls of upstreams that get no
+	// changes.
+	stalePollInterval = 100 * time.Millisecond
+	// minDirectDelay and maxDirectDelay bound the random time without changes
+	// from any upstream after which a daemon turns to the store: the upstreams are
+	// the first to know that the store is back.
+	minDirectDelay = 300 * time.Millisecond
+	maxDirectDelay = 1200 * time.Millisecond
+)
+
+// errUpstreamsStale means that daemons which serve changes were reached, but get
+// none from the store themselves.
+var errUpstreamsStale = errors.New("ledger: upstream daemons get no changes")
+
+// prefixWatch watches one prefix.
+type prefixWatch struct {
+	service *service
+	prefix  string
+	options contract.WatchOptions
+	cache   *watchCache
+	mailbox *kernel.Mailbox[contract.News]
+
+	// The fields below belong to the goroutine of run.
+
+	// failedAt is when an upstream last served no changes, by address and on the
+	// clock of package boottime.
+	failedAt map[string]time.Duration
+	// staleSince is when the upstreams were first found to get no changes, and
+	// directDelay how long from then on this daemon waits for them; zero while
+	// they do.
+	staleSince, directDelay time.Duration
+	// needsCurrent is set when the next listing must not lag.
+	needsCurrent bool
+}
+
+// WatchPrefix implements contract.TransactionalStore.
+func (s *service) WatchPrefix(prefix string, options contract.WatchOptions, handle func(contract.News)) {
+	s.watches = append(s.watches, &prefixWatch{
+		service: s, prefix: prefix, options: options, cache: newWatchCache(),
+		mailbox: kernel.NewMailbox(s.loop, mailboxCapacity, handle), failedAt: make(map[string]time.Duration),
+	})
+}
+
+// run lists the prefix and then delivers its changes until ctx ends.
+func (w *prefixWatch) run(ctx context.Context) {
+	delays := newBackoff()
+	revision, isListed := w.awaitUpstreams(ctx)
+	for ctx.Err() == nil {
+		var err error
+		if isListed {
+			revision, err = w.awaitChanges(ctx, revision)
+		} else {
+			revision, err = w.list(ctx)
+			isListed = err == nil
+		}
+		switch {
+		case err == nil:
+			delays.Reset()
+		case errors.Is(err, outside.ErrCompacted):
+			w.service.log.WithField("prefix", w.prefix).Info("Watch history is incomplete; listing all prefixes.")
+			isListed, w.needsCurrent = false, true
+			w.cache.invalidate()
+			w.service.resync()
+		case errors.Is(err, errUpstreamsStale):
+			w.pause(ctx, stalePollInterval)
+		default:
+			// The changes since the revision are read after the pause. Upstream
+			// daemons that depend on this one see that it is not up to date.
+			w.awaitRetry(ctx, delays.NextBackOff())
+		}
+	}
+}
+
+func (w *prefixWatch) pause(ctx context.Context, delay time.Duration) {
+	select {
+	case <-time.After(delay):
+	case <-ctx.Done():
+	}
+}
+
+// awaitUpstreams waits at the start until this daemon knows its upstreams. The
+// prefix that leads to them is listed meanwhile, from a copy that may lag, since
+// the upstreams or a watch return what it lacks. It returns the revision of the
+// last listing and whether there was one.
+func (w *prefixWatch) awaitUpstreams(ctx context.Context) (outside.Revision, bool) {
+	known := w.service.upstreams.known
+	if !w.service.hasUpstreamPrefix() {
+		return zeroRevision, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, upstreamsTimeout)
+	defer cancel()
+	if !w.options.ListsUpstreams {
+		select {
+		case <-known:
+		case <-ctx.Done():
+		}
+		return zeroRevision, false
+	}
+	revision, isListed := zeroRevision, false
+	for delay := minUpstreamsPoll; ctx.Err() == nil; delay = min(2*delay, maxUpstreamsPoll) {
+		listing, err := w.service.ListStale(ctx, w.prefix)
+		if err == nil && listing.AsOf >= revision {
+			w.cache.reset(listing.Records, listing.AsOf)
+			if err := w.deliver(contract.News{Records: listing.Records, Full: true}); err != nil {
+				break
+			}
+			revision, isListed = listing.AsOf, true
+		}
+		select {
+		case <-known:
+			return revision, isListed
+		case <-time.After(delay):
+		case <-ctx.Done():
+		}
+	}
+	return revision, isListed
+}
+
+// awaitRetry waits for the delay before a retry, or until another call has
+// found the store reachable again.
+func (w *prefixWatch) awaitRetry(ctx context.Context, delay time.Duration) {
+	current, replaced := w.service.connectivity.Watch()
+	if !current.reachableSince.IsZero() {
+		replaced = nil
+	}
+	select {
+	case <-time.After(delay):
+	case <-replaced:
+	case <-ctx.Done():
+	}
+}
+
+func newBackoff() *backoff.ExponentialBackOff {
+	delays := backoff.NewExponentialBackOff()
+	delays.InitialInterval, delays.MaxInterval = initialRetryDelay, maxRetryDelay
+	delays.Reset()
+	return delays
+}
+
+// list reads all records of the prefix, from an upstream daemon or from the
+// store, and returns their revision.
+func (w *prefixWatch) list(ctx context.Context) (outside.Revision, error) {
+	changes, err := w.pollUpstreams(ctx, zeroRevision)
+	if errors.Is(err, errChangesUnavailable) {
+		var listing outside.Listing
+		if w.needsCurrent {
+			listing, err = w.service.List(ctx, w.prefix)
+		} else {
+			listing, err = w.service.ListStale(ctx, w.prefix)
+		}
+		changes = changeSet{News: contract.News{Records: listing.Records, Full: true}, throughRevision: listing.AsOf}
+	}
+	if err != nil {
+		return 0, err
+	}
+	w.needsCurrent = false
+	w.cache.reset(changes.Records, changes.throughRevision)
+	return changes.throughRevision, w.deliver(changes.News)
+}
+
+// awaitChanges waits for changes after a revision, from an upstream daemon or,
+// where none serves them, from the store. It returns the revision up to which
+// the changes are complete.
+func (w *prefixWatch) awaitChanges(ctx context.Context, after outside.Revision) (outside.Revision, error) {
+	delay := time.Duration(0)
+	changes, err := w.pollUpstreams(ctx, after)
+	if errors.Is(err, errChangesUnavailable) {
+		delay = w.options.BatchDelay
+		changes, err = w.watchStore(ctx, after)
+	}
+	if err != nil {
+		return after, err
+	}
+	if changes.Full {
+		w.cache.reset(changes.Records, changes.throughRevision)
+	} else {
+		w.cache.apply(changes.Records, changes.throughRevision)
+	}
+	if !changes.Full && len(changes.Records) == 0 {
+		return changes.throughRevision, nil
+	}
+	if err := w.deliver(changes.News); err != nil {
+		return after, err
+	}
+	w.pause(ctx, delay)
+	return changes.throughRevision, nil
+}
+
+// catchUpTimeout is how long a watch waits for changes that are to bring a copy
+// up to date: the store has them already.
+const catchUpTimeout = time.Millisecond
+
+// watchStore waits for changes from the store itself. After a listing that may
+// lag, it does not wait for further changes, so that this daemon can serve others
+// soon.
+func (w *prefixWatch) watchStore(ctx context.Context, after outside.Revision) (changeSet, error) {
+	// A watch on a store that stopped serving would not notice that the store
+	// is back.
+	if current := w.service.connectivity.Load().watchContext; current != nil {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithCancel(ctx)
+		defer cancel()
+		defer context.AfterFunc(current, cancel)()
+	}
+	timeout := w.options.PollTimeout
+	if !w.cache.isFresh() {
+		timeout = catchUpTimeout
+	}
+	records, through, err := w.service.Watch(ctx, w.prefix, after, timeout)
+	if err != nil {
+		return changeSet{}, err
+	}
+	w.cache.recordStoreReply(0)
+	return changeSet{News: contract.News{Records: records}, throughRevision: through}, nil
+}
+
+// pollUpstreams polls the upstream daemons, in their order, for changes. It
+// fails with errChangesUnavailable when this daemon is to read the store itself,
+// and with errUpstreamsStale while it is to wait for the upstreams.
+func (w *prefixWatch) pollUpstreams(ctx context.Context, after outside.Revision) (changeSet, error) {
+	addresses := w.service.upstreams.load()
+	isStale := false
+	for _, address := range addresses {
+		if failedAt, ok := w.failedAt[address]; ok && boottime.Since(failedAt) < upstreamRetryDelay {
+			continue
+		}
+		reply, err := w.pollUpstream(ctx, address, after)
+		if ctx.Err() != nil {
+			return changeSet{}, ctx.Err()
+		}
+		if err != nil {
+			w.failedAt[address] = boottime.Now()
+			w.service.log.WithError(err).WithField("prefix", w.prefix).WithField("source", address).Info("The upstream daemon serves no changes.")
+			continue
+		}
+		delete(w.failedAt, address)
+		if !reply.Heard {
+			isStale = true
+			continue
+		}
+		w.staleSince, w.directDelay = 0, 0
+		w.service.metrics.Count("store.heard", 1)
+		w.cache.recordStoreReply(reply.Age)
+		return changeSet{News: reply.News, throughRevision: max(after, reply.Through)}, nil
+	}
+	if isStale && w.waitsForUpstreams() {
+		return changeSet{}, errUpstreamsStale
+	}
+	return changeSet{}, errChangesUnavailable
+}
+
+// waitsForUpstreams reports whether a daemon whose upstreams get no changes
+// leaves it to them to try the store. It tries on its own after a random delay,
+// unless it knows that the store does not serve it either.
+func (w *prefixWatch) waitsForUpstreams() bool {
+	now := boottime.Now()
+	if w.staleSince == 0 {
+		w.staleSince, w.directDelay = now, minDirectDelay+rand.N(maxDirectDelay-minDirectDelay)
+		w.service.log.WithField("prefix", w.prefix).Info("Upstream daemons get no changes of the store.")
+	}
+	_, isReached := w.service.ReachedSince()
+	return !isReached || now-w.staleSince < w.directDelay
+}
+
+// deliver posts changes to the control loop. When the mailbox is full, changes
+// are lost and the prefix must be listed again.
+func (w *prefixWatch) deliver(changes contract.News) error {
+	if err := w.mailbox.Post(changes); err != nil {
+		return errors.Wrap(outside.ErrCompacted, err.Error())
+	}
+	return nil
+}
--- a/daemon/services/ledger/watchcache.go
+++ b/daemon/services/ledger/watchcache.go
@@ -201,48 +201,72 @@
 	return nil
 }
 
-// serve fills the reply as soon as there are changes, a later reply of the store
-// or nothing that can be served, and at the latest after the timeout.
+// serve fills the reply as soon as there are changes or a later reply of the
+// store, and at the latest after the timeout.
+//
+// A daemon that gets no changes itself keeps the caller waiting for a part of
+// that time, because it may just be changing to another upstream.
 func (c *watchCache) serve(call NewsCall, reply *NewsReply) {
-	timer := time.NewTimer(min(call.Wait, upstreamPollTimeout))
+	wait := min(call.Wait, upstreamPollTimeout)
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
-	timedOut := false
+	staleTimer := time.NewTimer(wait / 2)
+	defer staleTimer.Stop()
+	timedOut, staleTimedOut := false, false
 	previousReply := c.lastStoreReply.Load()
 	for {
 		changes, changed, err := c.changesSince(call.After)
 		reply.Heard = err == nil && c.isFresh()
 		reply.News, reply.Through, reply.Age = changes.News, changes.throughRevision, c.staleness()
-		if !reply.Heard || changes.Full || len(changes.Records) > 0 || timedOut || c.lastStoreReply.Load() > previousReply {
+		if !reply.Heard && (timedOut || staleTimedOut) {
+			return
+		}
+		if reply.Heard && (changes.Full || len(changes.Records) > 0 || timedOut || c.lastStoreReply.Load() > previousReply) {
 			return
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
 			timedOut = true
+		case <-staleTimer.C:
+			staleTimedOut = true
 		}
 	}
 }
 
-// SetWatchUpstream implements contract.TransactionalStore.
-func (s *service) SetWatchUpstream(address string) { s.upstream.Store(&address) }
-
-// pollUpstream polls the upstream daemon, if there is one, for changes.
-func (w *prefixWatch) pollUpstream(ctx context.Context, after outside.Revision) (changeSet, error) {
-	address := w.service.upstream.Load()
-	if address == nil || *address == "" || boottime.Since(w.upstreamFailedAt) < upstreamRetryDelay {
-		return changeSet{}, errChangesUnavailable
-	}
+// pollUpstream polls an upstream daemon for the changes after a revision.
+func (w *prefixWatch) pollUpstream(ctx context.Context, address string, after outside.Revision) (NewsReply, error) {
 	timeout := min(w.options.PollTimeout, upstreamPollTimeout)
 	ctx, cancel := context.WithTimeout(ctx, timeout+watchReplyMargin)
 	defer cancel()
 	var reply NewsReply
-	err := w.service.peers.Call(ctx, *address, rpcName+".News", NewsCall{Prefix: w.prefix, After: after, Wait: timeout}, &reply)
-	if err != nil || !reply.Heard {
-		w.upstreamFailedAt = boottime.Now()
-		w.service.log.WithField("prefix", w.prefix).WithField("source", *address).Info("The upstream daemon serves no changes.")
-		return changeSet{}, errChangesUnavailable
+	err := w.service.peers.Call(ctx, address, rpcName+".News", NewsCall{Prefix: w.prefix, After: after, Wait: timeout}, &reply)
+	return reply, err
+}
+
+// upstreams holds the addresses of the daemons from which this one gets the
+// changes of the store.
+type upstreams struct {
+	addresses atomic.Pointer[[]string]
+	// known is closed once this daemon has its place among the live ones.
+	known     chan struct{}
+	closeOnce sync.Once
+}
+
+func (u *upstreams) load() []string {
+	if addresses := u.addresses.Load(); addresses != nil {
+		return *addresses
 	}
-	w.service.metrics.Count("store.heard", 1)
-	w.cache.recordStoreReply(reply.Age)
-	return changeSet{News: reply.News, throughRevision: max(after, reply.Through)}, nil
+	return nil
+}
+
+// SetWatchUpstreams implements contract.TransactionalStore.
+func (s *service) SetWatchUpstreams(addresses []string) {
+	s.upstreams.addresses.Store(&addresses)
+	s.upstreams.closeOnce.Do(func() { close(s.upstreams.known) })
+}
+
+// hasUpstreamPrefix reports whether a prefix of this daemon leads to upstreams.
+func (s *service) hasUpstreamPrefix() bool {
+	return slices.ContainsFunc(s.watches, func(w *prefixWatch) bool { return w.options.ListsUpstreams })
 }
--- a/daemon/services/paces/paces.go
+++ b/daemon/services/paces/paces.go
@@ -1,7 +1,7 @@
 // Package paces implements the service "control.paces", which estimates the
 // pace of each model engine, the time between two events of its streams.
-// Daemons share their estimates: each broadcasts the ones that have changed
-// notably since it last sent or received them.
+// Daemons that may own jobs share their estimates: each sends the ones that have
+// changed notably since it last sent or received them.
 package paces
 
 import (
@@ -156,7 +156,7 @@
 		}).Info("Engine pace changed.")
 	}
 	if len(sightings) > 0 {
-		s.broadcaster.Notify(rpcName+".Seen", sightings)
+		s.broadcaster.NotifyJobHosts(rpcName+".Seen", sightings)
 	}
 }
 
--- a/daemon/services/session/session.go
+++ b/daemon/services/session/session.go
@@ -7,7 +7,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"github.com/flamingobeam/flamingobeam/coord/membership"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -36,25 +38,30 @@
 	memberPrefix  = sessionPrefix + "member/"
 	leaderKey     = sessionPrefix + "leader"
 	// shortLeaseTTL is the lease TTL of a daemon whose failure blocks others: an
-	// owner of batch jobs, the leader or a watch upstream. Idle daemons are most
-	// of a large deployment, and longLeaseTTL lowers the cost of their renewals.
-	shortLeaseTTL = 2 * time.Second
-	longLeaseTTL  = 10 * time.Second
-	// shortLeaseRenewal and longLeaseRenewal are the renewal intervals, about a
-	// third of the respective TTL.
-	shortLeaseRenewal = 650 * time.Millisecond
-	longLeaseRenewal  = 3 * time.Second
-	// longLeaseDelay is how long a daemon must be idle before it changes to the
-	// long TTL, as the next batch job often follows soon after the last.
-	longLeaseDelay = 20 * time.Second
+	// owner of batch jobs, the leader or a watch upstream. A daemon that may get
+	// batch jobs has mediumLeaseTTL. All others are most of a large deployment:
+	// longLeaseTTL lowers the cost of their renewals and is longer than most
+	// outages of the store, after which they would have to register again.
+	shortLeaseTTL  = 2 * time.Second
+	mediumLeaseTTL = 10 * time.Second
+	longLeaseTTL   = 30 * time.Second
+	// renewalsPerTTL is how many times a lease is renewed within its TTL.
+	renewalsPerTTL = 3
+	// longerLeaseDelay is how long a shorter TTL must not have been needed before
+	// the daemon changes to a longer one, as the next batch job often follows soon
+	// after the last.
+	longerLeaseDelay = 20 * time.Second
 	// candidateDelay is how long there must be no leader before daemons other
 	// than the preferred candidate try to lead.
 	candidateDelay = 1500 * time.Millisecond
 	// candidateElection is the rendezvous hashing key that selects the
 	// preferred candidate.
 	candidateElection = "leader"
-	// renewalRetryDelay is the delay before a failed renewal is retried.
+	// renewalRetryDelay is the delay before a failed renewal is retried. A
+	// daemon with a longer lease waits up to idleRetryDelay, so that the retries of
+	// all daemons do not load a store that is in trouble.
 	renewalRetryDelay = 300 * time.Millisecond
+	idleRetryDelay    = 2 * time.Second
 	// absenceGrace is how long the store must have been reachable before the
 	// absence of a daemon from the list counts as a failure. A daemon whose
 	// lease expired during an outage of the store needs that long to register
@@ -65,7 +72,7 @@
 )
 
 // watchOptions batches the changes of daemons that start at the same time.
-var watchOptions = contract.WatchOptions{PollTimeout: 2 * time.Second, BatchDelay: 100 * time.Millisecond}
+var watchOptions = contract.WatchOptions{PollTimeout: 2 * time.Second, BatchDelay: 100 * time.Millisecond, ListsUpstreams: true}
 
 type service struct {
 	kernel.Base
@@ -81,12 +88,11 @@
 	// The following fields belong to the control goroutine.
 	records map[string]outside.Record
 	lease   outside.LeaseID
-	// hasShortLease is set while the current lease has the short TTL, and
-	// wantsShortLease while it should have it. idleSince is when wantsShortLease
-	// was last cleared.
-	hasShortLease   bool
-	wantsShortLease bool
-	idleSince       time.Time
+	// leaseTTL is the TTL of the current lease, and wantedTTL the one that it
+	// should have. longerSince is when wantedTTL last became longer.
+	leaseTTL    time.Duration
+	wantedTTL   time.Duration
+	longerSince time.Time
 	// ownsJobs is set while this daemon owns open batch jobs.
 	ownsJobs bool
 	// leaderlessSince is when the leader's key was found missing; zero while
@@ -114,8 +120,8 @@
 		return err
 	}
 	s.loop, s.workers, s.log = ctx.Loop(), ctx.Workers(), ctx.Log()
-	s.records = make(map[string]outside.Record)
-	s.view = kernel.NewSnapshot(&contract.SessionView{Self: contract.Member{
+	s.records, s.wantedTTL = make(map[string]outside.Record), longLeaseTTL
+	s.view = kernel.NewSnapshot(&contract.SessionView{Self: membership.Member{
 		Name:       fmt.Sprintf("%s.%x", daemon.Host, time.Now().UnixNano()),
 		RPCAddress: daemon.Listen.Peers,
 		Zone:       daemon.Place.Zone,
@@ -141,7 +147,7 @@
 // IsSuccessorOf implements contract.Session.
 func (s *service) IsSuccessorOf(name string) bool {
 	self := s.view.Load().Self.Name
-	return name != self && contract.SameHost(name, self)
+	return name != self && membership.SameHost(name, self)
 }
 
 // SetOwnsJobs implements contract.Session.
@@ -157,12 +163,18 @@
 func (s *service) updateLeaseTTL() {
 	view := s.view.Load()
 	self := view.Self.Name
-	wantsShortLease := s.ownsJobs || view.Leader == self || isWatchUpstream(view)
-	if s.wantsShortLease && !wantsShortLease {
-		s.idleSince = s.loop.Now()
+	wanted := longLeaseTTL
+	switch {
+	case s.ownsJobs || view.Leader == self || membership.IsUpstream(view.Self, view.Live):
+		wanted = shortLeaseTTL
+	case membership.JobHosts(view.Live)[self]:
+		wanted = mediumLeaseTTL
+	}
+	if wanted > s.wantedTTL {
+		s.longerSince = s.loop.Now()
 	}
-	s.wantsShortLease = wantsShortLease
-	if wantsShortLease && !s.hasShortLease && s.lease != 0 {
+	s.wantedTTL = wanted
+	if wanted < s.leaseTTL && s.lease != 0 {
 		s.scheduleRenewal(0)
 	}
 }
@@ -170,10 +182,10 @@
 // renewalRequest describes the work of one renewal.
 type renewalRequest struct {
 	lease outside.LeaseID
-	self  contract.Member
-	// isShort selects the short TTL, and needsNewLease requests a new lease
-	// instead of a renewal of the present one.
-	isShort       bool
+	self  membership.Member
+	// ttl is the TTL of the lease, and needsNewLease requests a new lease instead
+	// of a renewal of the present one.
+	ttl           time.Duration
 	needsNewLease bool
 	// writesMember is set when the daemon's key must be written, and
 	// writesLeader when the daemon is to try to become the leader.
@@ -187,7 +199,7 @@
 // renewalResult is the result of a successful renewal.
 type renewalResult struct {
 	lease      outside.LeaseID
-	isShort    bool
+	ttl        time.Duration
 	validUntil time.Duration
 }
 
@@ -205,10 +217,10 @@
 	}
 	s.isRenewing = true
 	self := s.view.Load().Self
-	request := renewalRequest{lease: s.lease, self: self, isShort: s.hasShortLease}
-	mayUseLongLease := !s.wantsShortLease && s.loop.Now().Sub(s.idleSince) > longLeaseDelay
-	if s.lease == 0 || s.wantsShortLease != s.hasShortLease && (s.wantsShortLease || mayUseLongLease) {
-		request.needsNewLease, request.isShort = true, s.wantsShortLease
+	request := renewalRequest{lease: s.lease, self: self, ttl: s.leaseTTL}
+	mayLengthen := s.loop.Now().Sub(s.longerSince) > longerLeaseDelay
+	if s.lease == 0 || s.wantedTTL < s.leaseTTL || s.wantedTTL > s.leaseTTL && mayLengthen {
+		request.needsNewLease, request.ttl = true, s.wantedTTL
 	}
 	request.writesMember = request.needsNewLease || s.lacksKey(memberPrefix+self.Name)
 	request.writesLeader = s.lease != 0 && !request.writesMember && s.lacksKey(leaderKey) && s.isCandidate()
@@ -230,7 +242,7 @@
 // after candidateDelay otherwise.
 func (s *service) isCandidate() bool {
 	view := s.view.Load()
-	if batch.RendezvousPick(candidateElection, slices.Collect(maps.Keys(view.Live))) == view.Self.Name {
+	if batch.RendezvousPick(candidateElection, slices.Collect(maps.Keys(membership.JobHosts(view.Live)))) == view.Self.Name {
 		return true
 	}
 	return !s.leaderlessSince.IsZero() && s.loop.Now().Sub(s.leaderlessSince) > candidateDelay
@@ -238,21 +250,18 @@
 
 func (s *service) renewLease(ctx context.Context, request renewalRequest) (renewalResult, error) {
 	requestedAt := boottime.Now()
-	result := renewalResult{lease: request.lease, isShort: request.isShort}
-	ttl := longLeaseTTL
-	if request.isShort {
-		ttl = shortLeaseTTL
-	}
+	result := renewalResult{lease: request.lease, ttl: request.ttl}
 	var err error
+	effectiveTTL := request.ttl
 	if request.needsNewLease {
-		result.lease, ttl, err = s.store.Grant(ctx, ttl)
+		result.lease, effectiveTTL, err = s.store.Grant(ctx, request.ttl)
 	} else {
 		err = s.store.KeepAlive(ctx, request.lease)
 	}
 	if err != nil {
 		return renewalResult{}, err
 	}
-	result.validUntil = requestedAt + ttl
+	result.validUntil = requestedAt + effectiveTTL
 	switch {
 	case request.writesMember:
 		// No other daemon writes this key. The keys of earlier runs on this
@@ -268,7 +277,7 @@
 
 // writeKey writes a key under the session's lease. A conflict is not an error:
 // the watch reports the present holder of the key.
-func (s *service) writeKey(ctx context.Context, transaction outside.Transaction, key string, lease outside.LeaseID, self contract.Member) error {
+func (s *service) writeKey(ctx context.Context, transaction outside.Transaction, key string, lease outside.LeaseID, self membership.Member) error {
 	value, err := json.Marshal(self)
 	if err != nil {
 		return errors.WithStack(err)
@@ -286,22 +295,21 @@
 	s.isRenewing = false
 	if renewed := reply.Value; renewed.lease != 0 {
 		if s.lease != renewed.lease {
-			s.log.WithField("lease", renewed.lease).WithField("urgent", renewed.isShort).Info("Session lease granted.")
+			s.log.WithField("lease", renewed.lease).WithField("urgent", renewed.ttl == shortLeaseTTL).WithField("ttl", renewed.ttl.String()).Info("Session lease granted.")
 		}
-		s.lease, s.hasShortLease = renewed.lease, renewed.isShort
+		s.lease, s.leaseTTL = renewed.lease, renewed.ttl
 		s.leaseValidUntil.Store(int64(renewed.validUntil))
 	}
-	delay := longLeaseRenewal
-	if s.hasShortLease || s.wantsShortLease {
-		delay = shortLeaseRenewal
-	}
+	delay := min(s.leaseTTL, s.wantedTTL) / renewalsPerTTL
 	switch {
 	case errors.Is(reply.Err, outside.ErrLeaseLost):
 		s.log.WithField("lease", s.lease).Warn("Session lease lost.")
 		s.lease, delay = 0, 0
 		s.leaseValidUntil.Store(0)
-	case reply.Err != nil:
+	case reply.Err != nil && (s.lease == 0 || s.leaseTTL == shortLeaseTTL):
 		delay = renewalRetryDelay
+	case reply.Err != nil:
+		delay = idleRetryDelay/2 + rand.N(idleRetryDelay/2)
 	case s.lacksKey(leaderKey):
 		delay = min(delay, candidateDelay)
 	}
@@ -338,9 +346,10 @@
 // relays and the watch upstream of the store client.
 func (s *service) publishView() {
 	last := s.view.Load()
-	next := &contract.SessionView{Self: last.Self, Lease: s.lease, Live: make(map[string]contract.Member)}
+	next := &contract.SessionView{Self: last.Self, Lease: s.lease}
+	var members []membership.Member
 	for key, record := range s.records {
-		var member contract.Member
+		var member membership.Member
 		if err := json.Unmarshal(record.Value, &member); err != nil {
 			s.log.WithError(err).WithField("key", key).Error("Could not decode a session key.")
 			continue
@@ -348,9 +357,10 @@
 		if key == leaderKey {
 			next.Leader, next.FencingToken = member.Name, uint64(record.Created)
 		} else {
-			next.Live[member.Name] = member
+			members = append(members, member)
 		}
 	}
+	next.Live = membership.Newest(members)
 	if since, isReached := s.store.ReachedSince(); isReached && len(s.records) > 0 {
 		next.AbsenceReliableFrom = since.Add(absenceGrace)
 	}
@@ -363,67 +373,34 @@
 	}
 	s.view.Publish(next)
 	s.store.SetRelays(s.relayAddresses(next))
-	s.store.SetWatchUpstream(watchUpstreamOf(next))
+	s.updateUpstreams(next)
 	s.updateLeaseTTL()
 }
 
-// watchUpstreamOf returns the address of the daemon from which this one
-// receives changes of the store, or an empty string if it watches the store
-// itself. In each zone the first daemon by name serves the others, and the
-// first of all daemons watches the store, so that the load of the store grows
-// neither with the number of daemons nor with the number of zones. A daemon
-// that is not live watches the store itself.
-func watchUpstreamOf(view *contract.SessionView) string {
-	self := view.Self
-	if _, isLive := view.Live[self.Name]; !isLive {
-		return ""
-	}
-	firstOfZone, firstOfAll := self, self
-	for _, member := range view.Live {
-		if member.Zone == self.Zone && member.Name < firstOfZone.Name {
-			firstOfZone = member
-		}
-		if member.Name < firstOfAll.Name {
-			firstOfAll = member
-		}
-	}
-	switch self.Name {
-	case firstOfAll.Name:
-		return ""
-	case firstOfZone.Name:
-		return firstOfAll.RPCAddress
-	}
-	return firstOfZone.RPCAddress
-}
-
-// isWatchUpstream reports whether other daemons may receive changes of the
-// store from this one.
-func isWatchUpstream(view *contract.SessionView) bool {
-	if _, isLive := view.Live[view.Self.Name]; !isLive {
-		return false
-	}
-	for _, member := range view.Live {
-		if member.Zone == view.Self.Zone && member.Name < view.Self.Name {
-			return false
-		}
+// updateUpstreams sets the daemons from which this one gets the changes of the
+// store. While none is listed, as when all start or all leases have expired, it
+// keeps those that it has rather than read the store itself.
+func (s *service) updateUpstreams(view *contract.SessionView) {
+	if len(view.Live) > 0 {
+		s.store.SetWatchUpstreams(membership.Upstreams(view.Self, view.Live))
 	}
-	return true
 }
 
-// relayAddresses returns the addresses of the other daemons, those in this
-// daemon's zone first.
+// relayAddresses returns the addresses of the other daemons: first those that
+// read the store for others, whose leases are short, then those of this zone.
 func (s *service) relayAddresses(view *contract.SessionView) []string {
+	upstreams := membership.Upstreams(view.Self, view.Live)
 	var near, far []string
 	for name, member := range view.Live {
 		switch {
-		case name == view.Self.Name:
+		case name == view.Self.Name || slices.Contains(upstreams, member.RPCAddress):
 		case member.Zone == s.zone:
 			near = append(near, member.RPCAddress)
 		default:
 			far = append(far, member.RPCAddress)
 		}
 	}
-	return append(near, far...)
+	return slices.Concat(upstreams, near, far)
 }
 
 // Stop implements kernel.Service. It revokes the lease, so that other daemons
--- a/daemon/services/swaps/receiver.go
+++ b/daemon/services/swaps/receiver.go
@@ -30,11 +30,11 @@
 	return r.service.demandUpdates.Post(demand)
 }
 
-// RecordDemand implements contract.WeightSwaps. It also sends the demand to all
-// other daemons, since any of them may become the leader.
+// RecordDemand implements contract.WeightSwaps. It also sends the demand to the
+// other daemons that may become the leader, which are those that may own jobs.
 func (s *service) RecordDemand(demand contract.ModelDemand) {
 	s.demand.Observe(demand.Model, demand.Size)
-	s.broadcaster.Notify(rpcName+".Asked", demand)
+	s.broadcaster.NotifyJobHosts(rpcName+".Asked", demand)
 }
 
 // OnEngineWeights implements contract.WeightSwaps.
@@ -51,9 +51,9 @@
 }
 
 // broadcastWeights passes an engine's weight versions to the local listeners
-// and sends them to the other daemons.
+// and sends them to the other daemons that may own jobs.
 func (s *service) broadcastWeights(server structs.HostName, e *engine) {
 	weights := contract.EngineNews{Server: server, Started: e.started, Versions: maps.Clone(e.versions)}
 	s.notifyListeners(weights)
-	s.broadcaster.Notify(rpcName+".Learned", weights)
+	s.broadcaster.NotifyJobHosts(rpcName+".Learned", weights)
 }
--- a/outside/transactional.go
+++ b/outside/transactional.go
@@ -55,6 +55,9 @@
 	Get(ctx context.Context, key string) (Record, error)
 	// List returns every record under a prefix.
 	List(ctx context.Context, prefix string) (Listing, error)
+	// ListStale is List from a copy that may lag by seconds, at a fraction of the
+	// price. Watch returns what the copy lacks after the revision of the listing.
+	ListStale(ctx context.Context, prefix string) (Listing, error)
 	// Watch waits, at most for wait, until keys under a prefix change after a
 	// revision. It returns the changes in order and the revision for the next
 	// call.
