Bind leadership to the lease of the leader's key

The key vanished ten seconds later, another daemon led, and the former leader went by its watch, which lags, and by its other lease.

Change: a lease change moves the leader's key in the same transaction, which keeps the token. Leadership is what this daemon wrote itself and the expiry of that lease. A key whose write got no answer is deleted before the next election, since its token is unknown.

Ruled out: a frozen leader, an order delayed by the network.

--- a/daemon/contract/managed.go
+++ b/daemon/contract/managed.go
@@ -122,6 +122,10 @@
 	// uses a clock that advances while the host is suspended. It may be called
 	// from any goroutine.
 	HoldsLease() bool
+	// Leadership returns the fencing token of this daemon's own write of the
+	// leader's key, and whether the lease of that key has certainly not expired. It
+	// may be called from any goroutine.
+	Leadership() (token uint64, holds bool)
 }
 
 // CatalogView is an immutable snapshot of the operator's configuration and the
--- a/daemon/services/session/session.go
+++ b/daemon/services/session/session.go
@@ -106,6 +106,23 @@
 	// leaseValidUntil is the earliest possible expiry of the lease, as a time
 	// since boot.
 	leaseValidUntil atomic.Int64
+	// leadership is published by the control goroutine.
+	leadership atomic.Pointer[leadership]
+}
+
+// leadership is what this daemon has from its own writes of the leader's key. It
+// does not depend on the watch, which may lag behind the loss of the key.
+type leadership struct {
+	// token is the revision at which this daemon created the key; zero while it
+	// does not lead.
+	token uint64
+	// lease is the lease to which the key is attached, and revision the revision
+	// of its last write.
+	lease    outside.LeaseID
+	revision outside.Revision
+	// validUntil is the earliest possible expiry of that lease, as a time since
+	// boot.
+	validUntil time.Duration
 }
 
 var _ contract.Session = (*service)(nil)
@@ -120,6 +137,7 @@
 		return err
 	}
 	s.loop, s.workers, s.log = ctx.Loop(), ctx.Workers(), ctx.Log()
+	s.leadership.Store(&leadership{})
 	s.records, s.wantedTTL = make(map[string]outside.Record), longLeaseTTL
 	s.view = kernel.NewSnapshot(&contract.SessionView{Self: membership.Member{
 		Name:       fmt.Sprintf("%s.%x", daemon.Host, time.Now().UnixNano()),
@@ -141,6 +159,12 @@
 // HoldsLease implements contract.Session.
 func (s *service) HoldsLease() bool { return boottime.Now() < time.Duration(s.leaseValidUntil.Load()) }
 
+// Leadership implements contract.Session.
+func (s *service) Leadership() (uint64, bool) {
+	held := s.leadership.Load()
+	return held.token, held.token != 0 && boottime.Now() < held.validUntil
+}
+
 // KeyOf implements contract.Session.
 func (s *service) KeyOf(name string) string { return memberPrefix + name }
 
@@ -191,6 +215,13 @@
 	// writesLeader when the daemon is to try to become the leader.
 	writesMember bool
 	writesLeader bool
+	// strayLeader is the revision of a leader's key that names this daemon although
+	// it does not lead, since the reply to its write was lost; zero if there is
+	// none. The key is deleted, so that the next leader gets a known token.
+	strayLeader outside.Revision
+	// led is the leadership before the renewal. With a new lease the leader's key
+	// is attached to that one.
+	led leadership
 	// earlierKeys are the member keys of earlier runs of the daemon on this
 	// host.
 	earlierKeys []string
@@ -201,6 +232,8 @@
 	lease      outside.LeaseID
 	ttl        time.Duration
 	validUntil time.Duration
+	// led is the leadership after the renewal.
+	led leadership
 }
 
 // scheduleRenewal replaces the timer of the next renewal.
@@ -217,13 +250,16 @@
 	}
 	s.isRenewing = true
 	self := s.view.Load().Self
-	request := renewalRequest{lease: s.lease, self: self, ttl: s.leaseTTL}
+	request := renewalRequest{lease: s.lease, self: self, ttl: s.leaseTTL, led: *s.leadership.Load()}
 	mayLengthen := s.loop.Now().Sub(s.longerSince) > longerLeaseDelay
 	if s.lease == 0 || s.wantedTTL < s.leaseTTL || s.wantedTTL > s.leaseTTL && mayLengthen {
 		request.needsNewLease, request.ttl = true, s.wantedTTL
 	}
 	request.writesMember = request.needsNewLease || s.lacksKey(memberPrefix+self.Name)
 	request.writesLeader = s.lease != 0 && !request.writesMember && s.lacksKey(leaderKey) && s.isCandidate()
+	if key, ok := s.records[leaderKey]; ok && s.view.Load().Leader == self.Name && request.led.token == 0 {
+		request.strayLeader = key.Revision
+	}
 	for key := range s.records {
 		if name, ok := strings.CutPrefix(key, memberPrefix); ok && s.IsSuccessorOf(name) {
 			request.earlierKeys = append(request.earlierKeys, key)
@@ -261,29 +297,77 @@
 	if err != nil {
 		return renewalResult{}, err
 	}
-	result.validUntil = requestedAt + effectiveTTL
+	result.validUntil, result.led = requestedAt+effectiveTTL, request.led
 	switch {
 	case request.writesMember:
-		// No other daemon writes this key. The keys of earlier runs on this
-		// host are deleted, as they would otherwise remain until their leases
-		// expire.
-		err = s.writeKey(ctx, outside.Transaction{Removals: request.earlierKeys}, memberPrefix+request.self.Name, result.lease, request.self)
+		err = s.writeMember(ctx, request, &result)
 	case request.writesLeader:
-		transaction := outside.Transaction{Conditions: []outside.Condition{{Key: leaderKey}}}
-		err = s.writeKey(ctx, transaction, leaderKey, result.lease, request.self)
+		err = s.writeLeader(ctx, request, &result)
+	case request.strayLeader != 0:
+		err = s.deleteStrayLeader(ctx, request.strayLeader)
 	}
+	if result.led.lease != result.lease {
+		result.led = leadership{}
+	}
+	result.led.validUntil = result.validUntil
 	return result, err
 }
 
-// writeKey writes a key under the session's lease. A conflict is not an error:
-// the watch reports the present holder of the key.
-func (s *service) writeKey(ctx context.Context, transaction outside.Transaction, key string, lease outside.LeaseID, self membership.Member) error {
-	value, err := json.Marshal(self)
+// writeMember writes the daemon's own key, which no other daemon writes. The keys
+// of earlier runs on this host are deleted, as they would otherwise remain until
+// their leases expire. The leader's key moves to the same lease, which keeps its
+// fencing token; if it has changed, the daemon leads no longer.
+func (s *service) writeMember(ctx context.Context, request renewalRequest, result *renewalResult) error {
+	value, err := json.Marshal(request.self)
 	if err != nil {
 		return errors.WithStack(err)
 	}
-	transaction.Writes = []outside.Write{{Key: key, Value: value, Lease: lease}}
+	transaction := outside.Transaction{
+		Writes:   []outside.Write{{Key: memberPrefix + request.self.Name, Value: value, Lease: result.lease}},
+		Removals: request.earlierKeys,
+	}
+	if request.led.token != 0 {
+		moving := transaction
+		moving.Conditions = []outside.Condition{{Key: leaderKey, Revision: request.led.revision}}
+		moving.Writes = append(slices.Clone(moving.Writes), outside.Write{Key: leaderKey, Value: value, Lease: result.lease})
+		revision, err := s.store.Commit(ctx, moving)
+		if err == nil {
+			result.led.lease, result.led.revision = result.lease, revision
+		}
+		if !errors.Is(err, outside.ErrConflict) {
+			return err
+		}
+		result.led = leadership{}
+	}
 	_, err = s.store.Commit(ctx, transaction)
+	return err
+}
+
+// writeLeader makes this daemon the leader if there is none. A conflict is not an
+// error: the watch reports the leader.
+func (s *service) writeLeader(ctx context.Context, request renewalRequest, result *renewalResult) error {
+	value, err := json.Marshal(request.self)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	revision, err := s.store.Commit(ctx, outside.Transaction{
+		Conditions: []outside.Condition{{Key: leaderKey}},
+		Writes:     []outside.Write{{Key: leaderKey, Value: value, Lease: result.lease}},
+	})
+	switch {
+	case err == nil:
+		result.led = leadership{token: uint64(revision), lease: result.lease, revision: revision}
+	case errors.Is(err, outside.ErrConflict):
+		err = nil
+	}
+	return err
+}
+
+func (s *service) deleteStrayLeader(ctx context.Context, revision outside.Revision) error {
+	s.log.WithField("revision", revision).Info("Deleting a leader key whose lease is unknown.")
+	_, err := s.store.Commit(ctx, outside.Transaction{
+		Conditions: []outside.Condition{{Key: leaderKey, Revision: revision}}, Removals: []string{leaderKey},
+	})
 	if errors.Is(err, outside.ErrConflict) {
 		return nil
 	}
@@ -298,6 +382,8 @@
 			s.log.WithField("lease", renewed.lease).WithField("urgent", renewed.ttl == shortLeaseTTL).WithField("ttl", renewed.ttl.String()).Info("Session lease granted.")
 		}
 		s.lease, s.leaseTTL = renewed.lease, renewed.ttl
+		led := renewed.led
+		s.leadership.Store(&led)
 		s.leaseValidUntil.Store(int64(renewed.validUntil))
 	}
 	delay := min(s.leaseTTL, s.wantedTTL) / renewalsPerTTL
@@ -306,6 +392,7 @@
 		s.log.WithField("lease", s.lease).Warn("Session lease lost.")
 		s.lease, delay = 0, 0
 		s.leaseValidUntil.Store(0)
+		s.leadership.Store(&leadership{})
 	case reply.Err != nil && (s.lease == 0 || s.leaseTTL == shortLeaseTTL):
 		delay = renewalRetryDelay
 	case reply.Err != nil:
--- a/daemon/services/swaps/swaps.go
+++ b/daemon/services/swaps/swaps.go
@@ -144,11 +144,11 @@
 }
 
 // mayOrder returns the fencing token and whether this daemon may send orders
-// now: it leads, holds its lease and is not paused after being fenced.
+// now: it leads, holds the lease of the leader's key and is not paused after being
+// fenced.
 func (s *service) mayOrder() (uint64, bool) {
-	view := s.session.View().Load()
-	isLeader := view.Leader == view.Self.Name && view.FencingToken != 0 && s.session.HoldsLease()
-	return view.FencingToken, isLeader && s.loop.Now().After(s.fencedUntil)
+	token, isLeader := s.session.Leadership()
+	return token, isLeader && s.loop.Now().After(s.fencedUntil)
 }
 
 // plan starts the weight loads that are missing, up to the limit of each
@@ -255,8 +255,9 @@
 		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
 		result := orderResult{orderTarget: target, engine: e, outcome: platform.OrderRefused}
-		// The host may have been suspended since the order was planned.
-		if s.session.HoldsLease() {
+		// The host may have been suspended, or another daemon may lead, since the
+		// order was planned.
+		if current, isLeader := s.session.Leadership(); isLeader && current == token {
 			result.outcome, result.err = order.Send(ctx, s.transport)
 		}
 		if err := s.orderResults.Post(result); err != nil {
