End panics at the message, the call or the request that caused them

A panic of a message or a timer of the control loop, or of a net/rpc handler, ended the process; one on a worker lost the result that the control loop waited for, and raised again at the stop. An accept error, as with no descriptor left, ended the net/rpc listener for good.

Change: kernel.Guard logs and counts a panic with its stack and costs that work alone; RunAsync and LoopExecutor answer ErrPanicked. Accepting is retried until the listener is closed.

Tests: TestGuard_* and TestServeConn_*; on the code before they end the test process.

--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -49,7 +49,11 @@
 	if err := k.Start(ctx); err != nil {
 		return err
 	}
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case <-k.Failed():
+		log.WithField(kernel.ServiceLogField, "agent").Error("The control state is invalid.")
+	}
 	log.WithField(kernel.ServiceLogField, "agent").Info("Stopping.")
 	stopCtx, cancel := context.WithTimeout(context.Background(), time.Duration(daemon.Limits.StopWithin))
 	defer cancel()
--- a/daemon/agent/managed.go
+++ b/daemon/agent/managed.go
@@ -142,6 +142,9 @@
 			checkHostConfig(entry, host)
 		case <-ctx.Done():
 			running = false
+		case <-k.Failed():
+			entry.Error("The control state is invalid.")
+			running = false
 		}
 	}
 	entry.Info("Stopping.")
--- a/daemon/services/gate/gate.go
+++ b/daemon/services/gate/gate.go
@@ -46,6 +46,7 @@
 	kernel.Base
 	config   config.Daemon
 	catalog  contract.Catalog
+	guard    *kernel.Guard
 	table    contract.ServerTable
 	dispatch contract.Dispatch
 	jobs     contract.Jobs
@@ -67,7 +68,7 @@
 	if s.config, err = kernel.ConfigOf[config.Daemon](ctx); err != nil {
 		return err
 	}
-	s.log, s.loop, s.workers = ctx.Log(), ctx.Loop(), ctx.Workers()
+	s.log, s.loop, s.workers, s.guard = ctx.Log(), ctx.Loop(), ctx.Workers(), ctx.Guard()
 	return kernel.FindAll(ctx,
 		kernel.Bind(&s.catalog, contract.NameCatalog),
 		kernel.Bind(&s.table, contract.NameBalance),
@@ -89,7 +90,7 @@
 	router.GET(platform.ItemPath, s.jobHandler(s.serveItemBody))
 	router.NotFound = http.HandlerFunc(s.serveRoute)
 	s.callerServer = &http.Server{
-		Handler: router, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: s.guardHandler(router), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
 	probes := httprouter.New()
 	probes.GET(platform.ReadinessPath, s.serveReadiness)
@@ -100,6 +101,24 @@
 	return s.serve(s.readinessServer, s.config.Platform.Readiness)
 }
 
+// guardHandler ends a panic of a handler, which costs its request alone: the
+// connection is closed, since a part of the response may have been sent.
+func (s *service) guardHandler(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer func() {
+			value := recover()
+			if value == nil {
+				return
+			}
+			if value != http.ErrAbortHandler {
+				s.guard.Record("request "+platform.DecodeRequestHeaders(r).AttemptID, value)
+			}
+			panic(http.ErrAbortHandler)
+		}()
+		handler.ServeHTTP(w, r)
+	})
+}
+
 func (s *service) serve(server *http.Server, address string) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
--- /dev/null
+++ b/daemon/services/rpcserver/codec_test.go
@@ -0,0 +1,102 @@
+package rpcserver
+
+import (
+	"encoding/gob"
+	"io"
+	"net"
+	"net/rpc"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"github.com/sirupsen/logrus"
+
+	"github.com/flamingobeam/flamingobeam/kernel"
+)
+
+// Echo is a receiver for tests.
+type Echo struct{ release chan struct{} }
+
+// Repeat returns its argument.
+func (*Echo) Repeat(text string, reply *string) error {
+	*reply = text
+	return nil
+}
+
+// Panic panics, as an unexpected argument may make a handler do.
+func (*Echo) Panic(string, *string) error { panic("unexpected argument") }
+
+// Wait returns once the test allows it.
+func (e *Echo) Wait(text string, reply *string) error {
+	<-e.release
+	*reply = text
+	return nil
+}
+
+// dialEcho starts a server and returns a connection to it.
+func dialEcho(t *testing.T, echo *Echo) net.Conn {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	s := &service{server: rpc.NewServer(), log: logrus.NewEntry(log), guard: kernel.NewGuard(log)}
+	must.NoError(t, s.Register("Echo", echo))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	s.listener, s.openConns = listener, make(map[net.Conn]bool)
+	s.serving.Go(s.acceptConns)
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	must.NoError(t, err)
+	t.Cleanup(func() {
+		_ = conn.Close()
+		must.NoError(t, s.Stop(t.Context()))
+	})
+	return conn
+}
+
+// TestServeConn_Panic lets a handler panic while another call of the connection
+// runs. Its caller must get an error, and the other calls their replies.
+func TestServeConn_Panic(t *testing.T) {
+	echo := &Echo{release: make(chan struct{})}
+	client := rpc.NewClient(dialEcho(t, echo))
+	var waited, repeated string
+	waiting := client.Go("Echo.Wait", "a", &waited, nil)
+	must.ErrorContains(t, client.Call("Echo.Panic", "b", &repeated), "panicked")
+	must.ErrorContains(t, client.Call("Echo.Unknown", "b", &repeated), "can't find method")
+	must.NoError(t, client.Call("Echo.Repeat", "c", &repeated))
+	must.Eq(t, "c", repeated)
+	close(echo.release)
+	must.NoError(t, (<-waiting.Done).Error)
+	must.Eq(t, "a", waited)
+}
+
+// TestServeConn_EndlessMessage sends a request that does not end. The server must
+// close the connection after maxMessageBytes.
+func TestServeConn_EndlessMessage(t *testing.T) {
+	conn := dialEcho(t, &Echo{})
+	encoder := gob.NewEncoder(conn)
+	must.NoError(t, encoder.Encode(rpc.Request{ServiceMethod: "Echo.Repeat", Seq: 1}))
+	// The length of a message of 900 MB, in the encoding of gob.
+	_, err := conn.Write([]byte{0xfc, 0x35, 0xa4, 0xe9, 0x00})
+	must.NoError(t, err)
+	block, sent := make([]byte, 1<<20), 0
+	for err == nil {
+		must.Less(t, 900<<20, sent)
+		var n int
+		n, err = conn.Write(block)
+		sent += n
+	}
+	// The socket buffers hold a part of what was written.
+	must.Less(t, maxMessageBytes+64<<20, sent)
+}
+
+// TestServeConn_Garbage sends bytes that are no request. Other connections must be
+// served.
+func TestServeConn_Garbage(t *testing.T) {
+	for _, garbage := range []string{"GET / HTTP/1.1\r\n\r\n", "\x00\x00\x00", "\xff\xff\xff\xff\xff\xff\xff\xff\xff"} {
+		conn := dialEcho(t, &Echo{})
+		_, err := conn.Write([]byte(garbage))
+		must.NoError(t, err)
+		must.NoError(t, conn.(*net.TCPConn).CloseWrite())
+		// The server may reset the connection.
+		_, _ = io.ReadAll(conn)
+	}
+}
--- a/daemon/services/rpcserver/rpcserver.go
+++ b/daemon/services/rpcserver/rpcserver.go
@@ -8,7 +8,9 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 
@@ -31,6 +33,7 @@
 	trust    contract.Trust
 	listener net.Listener
 	log      *logrus.Entry
+	guard    *kernel.Guard
 	serving  conc.WaitGroup
 
 	mu        sync.Mutex
@@ -49,7 +52,7 @@
 		return err
 	}
 	s.address = daemon.Listen.Peers
-	s.log = ctx.Log()
+	s.log, s.guard = ctx.Log(), ctx.Guard()
 	return nil
 }
 
@@ -73,17 +76,26 @@
 	return nil
 }
 
+// acceptRetryDelay is the pause after a failed accept, as when the process has no
+// descriptor left.
+const acceptRetryDelay = 50 * time.Millisecond
+
 // acceptConns serves connections until the listener is closed.
 func (s *service) acceptConns() {
 	for {
 		conn, err := s.listener.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil {
+			s.log.WithError(err).Warn("Could not accept a connection.")
+			<-time.After(acceptRetryDelay)
+			continue
+		}
 		s.trackConn(conn, true)
 		s.serving.Go(func() {
 			defer s.trackConn(conn, false)
-			s.server.ServeConn(conn)
+			s.serveConn(conn)
 		})
 	}
 }
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -69,6 +69,7 @@
 // Kernel loads, starts and stops services.
 type Kernel struct {
 	options      Options
+	guard        *Guard
 	loop         *Loop
 	workers      *Workers
 	services     map[Name]Service
@@ -94,12 +95,15 @@
 	if options.MaxWorkers == 0 {
 		options.MaxWorkers = defaultWorkers
 	}
-	return &Kernel{
+	k := &Kernel{
 		options:  options,
+		guard:    NewGuard(options.Log),
 		loop:     NewLoop(options.Clock),
 		workers:  NewWorkers(options.MaxWorkers),
 		services: make(map[Name]Service),
 	}
+	k.loop.guard, k.workers.guard = k.guard, k.guard
+	return k
 }
 
 // Start loads and validates every service, then starts the control loop and the
@@ -148,6 +152,10 @@
 	return firstErr
 }
 
+// Failed returns a channel that is closed when the control state violates an
+// invariant. The process must then stop.
+func (k *Kernel) Failed() <-chan struct{} { return k.guard.failed }
+
 // Loop returns the control loop.
 func (k *Kernel) Loop() *Loop { return k.loop }
 
@@ -195,6 +203,10 @@
 // Workers returns the pool for blocking calls.
 func (c *Context) Workers() *Workers { return c.kernel.workers }
 
+// Guard returns the boundary for panics in goroutines that the kernel does not
+// run, such as those of a server.
+func (c *Context) Guard() *Guard { return c.kernel.guard }
+
 // Clock returns the source of time.
 func (c *Context) Clock() clockwork.Clock { return c.kernel.options.Clock }
 
--- a/kernel/loop.go
+++ b/kernel/loop.go
@@ -21,6 +21,7 @@
 	clock clockwork.Clock
 	wake  chan struct{}
 	done  chan struct{}
+	guard *Guard
 
 	mu        sync.Mutex
 	mailboxes []drainer
@@ -137,7 +138,7 @@
 	fired := 0
 	for len(l.timers) > 0 && !l.timers[0].deadline.After(now) {
 		timer := heap.Pop(&l.timers).(*Timer)
-		timer.callback()
+		l.guard.Run("a timer of the control loop", timer.callback)
 		fired++
 	}
 	return fired
--- a/kernel/mailbox.go
+++ b/kernel/mailbox.go
@@ -56,7 +56,7 @@
 	mb.queue, mb.spare = mb.spare[:0], nil
 	mb.mu.Unlock()
 	for _, message := range batch {
-		mb.handle(message)
+		mb.loop.guard.Run("a message to the control loop", func() { mb.handle(message) })
 	}
 	count := len(batch)
 	clear(batch)
@@ -116,14 +116,16 @@
 	cm.queue = make(map[K]M, len(batch))
 	cm.mu.Unlock()
 	for key, message := range batch {
-		cm.handle(key, message)
+		cm.loop.guard.Run("a message to the control loop", func() { cm.handle(key, message) })
 	}
 	return len(batch)
 }
 
 // task is a function to run on the control goroutine.
 type task struct {
-	run  func()
+	run func()
+	// err is set before done is closed.
+	err  error
 	done chan struct{}
 }
 
@@ -133,29 +135,31 @@
 // the result, such as an operator's status query.
 type LoopExecutor struct {
 	loop    *Loop
-	mailbox *Mailbox[task]
+	mailbox *Mailbox[*task]
 }
 
 // NewLoopExecutor returns an executor whose mailbox is attached to a loop.
 func NewLoopExecutor(loop *Loop) *LoopExecutor {
-	return &LoopExecutor{loop: loop, mailbox: NewMailbox(loop, executorCapacity, func(t task) {
+	return &LoopExecutor{loop: loop, mailbox: NewMailbox(loop, executorCapacity, func(t *task) {
+		defer close(t.done)
+		t.err = ErrPanicked
 		t.run()
-		close(t.done)
+		t.err = nil
 	})}
 }
 
 // Do runs a function on the control goroutine and waits until it returns. It
-// fails with ErrMailboxFull, ErrLoopStopped or the error of ctx; in the last two
-// cases the function may still run. It must not be called on the control
+// fails with ErrMailboxFull, ErrPanicked, ErrLoopStopped or the error of ctx; in
+// the last two cases the function may still run. It must not be called on the control
 // goroutine, where it would block forever.
 func (e *LoopExecutor) Do(ctx context.Context, run func()) error {
-	t := task{run: run, done: make(chan struct{})}
+	t := &task{run: run, done: make(chan struct{})}
 	if err := e.mailbox.Post(t); err != nil {
 		return err
 	}
 	select {
 	case <-t.done:
-		return nil
+		return t.err
 	case <-e.loop.Done():
 		return ErrLoopStopped
 	case <-ctx.Done():
--- a/kernel/workers.go
+++ b/kernel/workers.go
@@ -14,6 +14,7 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	slots  chan struct{}
+	guard  *Guard
 	group  conc.WaitGroup
 
 	mu      sync.Mutex
@@ -42,7 +43,7 @@
 			return
 		}
 		defer func() { <-w.slots }()
-		work(w.ctx)
+		w.guard.Run("a call on a worker", func() { work(w.ctx) })
 	})
 }
 
@@ -62,8 +63,8 @@
 }
 
 // RunAsync makes a blocking call on a worker and posts its result to a mailbox
-// of the control loop; a full mailbox drops the result. A timeout of zero means
-// none.
+// of the control loop; a full mailbox drops the result. The result of a call that
+// panics is ErrPanicked. A timeout of zero means none.
 func RunAsync[T any](w *Workers, timeout time.Duration, results *Mailbox[AsyncResult[T]], work func(ctx context.Context) (T, error)) {
 	w.Go(func(ctx context.Context) {
 		if timeout > 0 {
@@ -71,7 +72,9 @@
 			ctx, cancel = context.WithTimeout(ctx, timeout)
 			defer cancel()
 		}
+		result := AsyncResult[T]{Err: ErrPanicked}
+		defer func() { _ = results.Post(result) }()
 		value, err := work(ctx)
-		_ = results.Post(AsyncResult[T]{Value: value, Err: err})
+		result = AsyncResult[T]{Value: value, Err: err}
 	})
 }
