Bound what responses without end may hold

Change: 256 KB of a response are buffered, the rest is streamed until the caller's deadline; the report of a failure may not be longer. An unused body is read for at most 50 ms, by one function. Writes end two seconds after the deadline.

--- a/daemon/services/dispatch/send.go
+++ b/daemon/services/dispatch/send.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -18,10 +19,7 @@
 
 // maxBufferedBytes bounds a response that is buffered before it is forwarded; a
 // longer one is streamed.
-const maxBufferedBytes = 1 << 20
-
-// maxRefusalBytes bounds how much of a refusal's body is read.
-const maxRefusalBytes = 4 << 10
+const maxBufferedBytes = 256 << 10
 
 // attemptResult is the result of sending a request to one server.
 type attemptResult struct {
@@ -91,13 +89,7 @@
 	code := responseCode(response.StatusCode, headers)
 	serverFailed := isServerFailure(response.StatusCode, headers)
 	if code != result.OK && !serverFailed {
-		if headers.NotRun {
-			// A connection is reused only after its response is read to the
-			// end.
-			_, _ = io.CopyN(io.Discard, response.Body, maxRefusalBytes)
-		}
-		// Closing an unread body closes the connection.
-		_ = response.Body.Close()
+		transport.Discard(response)
 		return attemptResult{err: result.New(code, "status %d", response.StatusCode)}
 	}
 	reply := contract.ForwardReply{Status: response.StatusCode, Header: response.Header, Stamp: headers.ServerStamp}
@@ -105,8 +97,11 @@
 		reply.Stream = response
 		return attemptResult{reply: reply}
 	}
-	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes+1))
+	if err == nil && len(body) > maxBufferedBytes {
+		return s.longResponse(reply, response, body, serverFailed)
+	}
+	_ = response.Body.Close()
 	if err != nil {
 		return attemptResult{err: exchangeError(ctx, result.AnswerCut, err)}
 	}
@@ -117,6 +112,25 @@
 	return attemptResult{reply: reply}
 }
 
+// longResponse streams a response whose length was not announced and which turns
+// out to be longer than what is buffered. The report of a failure is not that long;
+// such a body may have no end.
+func (s *service) longResponse(reply contract.ForwardReply, response *http.Response, start []byte, serverFailed bool) attemptResult {
+	if serverFailed {
+		_ = response.Body.Close()
+		return attemptResult{err: result.New(result.BackendBroke, "status %d with over %d bytes", response.StatusCode, maxBufferedBytes)}
+	}
+	response.Body = &prefixedBody{Reader: io.MultiReader(bytes.NewReader(start), response.Body), Closer: response.Body}
+	reply.Stream = response
+	return attemptResult{reply: reply}
+}
+
+// prefixedBody is a body of which the start has been read already.
+type prefixedBody struct {
+	io.Reader
+	io.Closer
+}
+
 // isStream reports whether a response is streamed to the caller.
 func isStream(route *catalog.Route, response *http.Response) bool {
 	return route.Kind == catalog.KindStream || response.ContentLength > maxBufferedBytes ||
--- a/daemon/services/engines/engines.go
+++ b/daemon/services/engines/engines.go
@@ -38,8 +38,6 @@
 	// nextEventTimeout bounds the wait for each further event. It is longer
 	// than the pause of a weight swap.
 	nextEventTimeout = 1600 * time.Millisecond
-	// maxRefusalBytes bounds how much of a refusal's body is read.
-	maxRefusalBytes = 4 << 10
 )
 
 var (
@@ -126,11 +124,7 @@
 	result := contract.RunResult{Status: response.StatusCode, Version: headers.Version}
 	result.Outcome, result.Err = checkResponse(request, response.StatusCode, headers)
 	if result.Err != nil {
-		if headers.NotRun {
-			// A connection is reused only after its response is read to the
-			// end.
-			_, _ = io.CopyN(io.Discard, response.Body, maxRefusalBytes)
-		}
+		transport.Discard(response)
 		return result
 	}
 	// The response to a stream that is resumed after its last event has no
--- a/daemon/services/gate/handlers.go
+++ b/daemon/services/gate/handlers.go
@@ -100,6 +100,20 @@
 	return started.Add(timeout)
 }
 
+// writeGrace is how long after the deadline of a request its response may still be
+// written. A caller that does not read holds its connection no longer.
+const writeGrace = 2 * time.Second
+
+// limitWrites sets a deadline for the writes of a response and returns a function
+// that removes it, as the connection serves further requests.
+func (s *service) limitWrites(w http.ResponseWriter, deadline time.Time) func() {
+	control := http.NewResponseController(w)
+	if err := control.SetWriteDeadline(deadline); err != nil {
+		s.log.WithError(err).Debug("Could not set a write deadline.")
+	}
+	return func() { _ = control.SetWriteDeadline(time.Time{}) }
+}
+
 // forward sends a request to a backend server and relays the response.
 func (s *service) forward(w http.ResponseWriter, r *http.Request, headers platform.RequestHeaders, route *catalog.Route, current *catalog.Catalog) {
 	started := time.Now()
@@ -111,6 +125,7 @@
 	deadline := requestDeadline(started, headers, route)
 	ctx, cancel := context.WithDeadline(r.Context(), deadline)
 	defer cancel()
+	defer s.limitWrites(w, deadline.Add(writeGrace))()
 	reply, err := s.dispatch.Forward(ctx, contract.ForwardRequest{
 		Route: route, ID: headers.AttemptID, Method: r.Method, Host: r.Host, Target: r.RequestURI,
 		Header: r.Header, Body: body, Deadline: deadline,
--- a/daemon/transport/transport.go
+++ b/daemon/transport/transport.go
@@ -2,6 +2,7 @@
 package transport
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"time"
@@ -49,3 +50,25 @@
 	var opError *net.OpError
 	return errors.As(err, &opError) && opError.Op == "dial"
 }
+
+const (
+	// maxDiscardedBytes bounds how much of an unused body is read so that its
+	// connection can be reused, and maxDiscardTime how long that may take.
+	maxDiscardedBytes = 4 << 10
+	maxDiscardTime    = 50 * time.Millisecond
+)
+
+// Discard ends a response whose body is not used. A short body is read to its end,
+// so that the connection can be reused; otherwise the connection is closed. A body
+// that is longer than announced, or arrives a byte now and then, delays the caller
+// by at most maxDiscardTime.
+func Discard(response *http.Response) {
+	defer response.Body.Close()
+	if response.ContentLength < 0 || response.ContentLength > maxDiscardedBytes {
+		return
+	}
+	timer := time.AfterFunc(maxDiscardTime, func() { _ = response.Body.Close() })
+	defer timer.Stop()
+	// An error means that the connection cannot be reused.
+	_, _ = io.CopyN(io.Discard, response.Body, maxDiscardedBytes)
+}
