Close connections in order at a stop, and retry on a new connection

A second copy of an answer reaches no caller: TestManaged_ExtraBytes, 20 cases, passes on the code before as well (the id of an answer and the idle check of the connection hold). It showed two weak points. When each kept connection was spoilt, a look-up that failed on one was sent over another: now a retry after a broken exchange opens a connection of its own. And net/http wrote a line for each such answer to standard error, past the bounded log: it now goes through the log.

At a planned stop a caller kept its connection until it was closed while idle, perhaps with a request on its way. Now each response of a stopping daemon closes its connection, while new ones still are accepted.

--- a/daemon/agent/managed.go
+++ b/daemon/agent/managed.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	stdlog "log"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -123,6 +124,9 @@
 		return result.Wrap(result.SettingsInvalid, err)
 	}
 	log.SetFormatter(logs.NewRateLimitedFormatter(log.Formatter))
+	// The HTTP library reports bytes beyond a response to the standard logger.
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(log.WithField(kernel.ServiceLogField, "http").WriterLevel(logrus.InfoLevel))
 	entry := log.WithField(kernel.ServiceLogField, "agent")
 	debug.SetGCPercent(gcPercent)
 	if host.Memory > 0 {
--- a/daemon/services/dispatch/dispatch.go
+++ b/daemon/services/dispatch/dispatch.go
@@ -46,6 +46,8 @@
 	metrics   contract.Metrics
 	log       *logrus.Entry
 	transport *http.Transport
+	// freshTransport opens a connection for each request.
+	freshTransport *http.Transport
 }
 
 var _ contract.Dispatch = (*service)(nil)
@@ -54,6 +56,8 @@
 func (s *service) Provision(ctx *kernel.Context) error {
 	s.log = ctx.Log()
 	s.transport = transport.New(transport.Options{DialTimeout: dialTimeout, IdleTimeout: idleTimeout, MaxIdlePerHost: maxIdlePerServer})
+	s.freshTransport = transport.New(transport.Options{DialTimeout: dialTimeout})
+	s.freshTransport.DisableKeepAlives = true
 	return kernel.FindAll(ctx,
 		kernel.Bind(&s.balancer, contract.NameBalance),
 		kernel.Bind(&s.retries, contract.NameRetries),
--- a/daemon/services/dispatch/forward.go
+++ b/daemon/services/dispatch/forward.go
@@ -26,6 +26,9 @@
 	// reports is not counted.
 	failureCount int
 	lastFailure  *contract.ForwardReply
+	// needsFresh is set after an attempt without a usable response: bytes of an
+	// earlier exchange may have spoilt its connection, and so those of others.
+	needsFresh bool
 }
 
 // run sends the request until a server answers, the attempts are used up or the
@@ -71,7 +74,8 @@
 	launch := func(ticket contract.Ticket) {
 		c.sentCount++
 		c.pick.Avoid = append(c.pick.Avoid, ticket.Server.Name)
-		group.Go(func() { results <- c.service.send(ctx, c.request, ticket) })
+		fresh := c.needsFresh
+		group.Go(func() { results <- c.service.send(ctx, c.request, ticket, fresh) })
 	}
 	launch(ticket)
 	timer := time.NewTimer(c.hedgeDelay())
@@ -81,6 +85,7 @@
 		select {
 		case outcome := <-results:
 			running--
+			c.needsFresh = c.needsFresh || result.CodeOf(outcome.err) == result.BackendBroke
 			if outcome.failure != nil {
 				if outcome.failure.Status == http.StatusInternalServerError {
 					c.failureCount++
--- a/daemon/services/dispatch/send.go
+++ b/daemon/services/dispatch/send.go
@@ -29,10 +29,11 @@
 	err     error
 }
 
-// send sends the request to the server of a ticket and finishes the ticket.
-func (s *service) send(ctx context.Context, request contract.ForwardRequest, ticket contract.Ticket) attemptResult {
+// send sends the request to the server of a ticket and finishes the ticket. If
+// fresh is set, it uses a new connection.
+func (s *service) send(ctx context.Context, request contract.ForwardRequest, ticket contract.Ticket, fresh bool) attemptResult {
 	started := time.Now()
-	attempt := s.roundTrip(ctx, request, ticket)
+	attempt := s.roundTrip(ctx, request, ticket, fresh)
 	latency := time.Since(started)
 	attempt.reply.Server = ticket.Server.Name
 	if attempt.failure != nil {
@@ -53,7 +54,7 @@
 	return attempt
 }
 
-func (s *service) roundTrip(ctx context.Context, request contract.ForwardRequest, ticket contract.Ticket) attemptResult {
+func (s *service) roundTrip(ctx context.Context, request contract.ForwardRequest, ticket contract.Ticket, fresh bool) attemptResult {
 	remaining := time.Until(request.Deadline)
 	if remaining <= 0 {
 		return attemptResult{err: result.New(result.DueTimePassed, "before it was sent to %s", ticket.Server.Name)}
@@ -67,7 +68,11 @@
 	if err != nil {
 		return attemptResult{err: result.Wrap(result.BadRequest, err)}
 	}
-	response, err := s.transport.RoundTrip(outgoing)
+	roundTripper := s.transport
+	if fresh {
+		roundTripper = s.freshTransport
+	}
+	response, err := roundTripper.RoundTrip(outgoing)
 	if err != nil {
 		return attemptResult{err: exchangeError(ctx, sendErrorCode(err), err)}
 	}
--- a/daemon/services/gate/gate.go
+++ b/daemon/services/gate/gate.go
@@ -102,7 +102,8 @@
 }
 
 // guardHandler ends a panic of a handler, which costs its request alone: the
-// connection is closed, since a part of the response may have been sent.
+// connection is closed, since a part of the response may have been sent. While the
+// daemon stops it also closes each connection after its response.
 func (s *service) guardHandler(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		defer func() {
@@ -115,6 +116,11 @@
 			}
 			panic(http.ErrAbortHandler)
 		}()
+		if s.stopping.Load() {
+			// The caller's next request needs another daemon. Without this the
+			// connection would be closed later, when a request may be on its way.
+			w.Header().Set("Connection", "close")
+		}
 		handler.ServeHTTP(w, r)
 	})
 }
