--- a/histories/managed/servers_test.go
+++ b/histories/managed/servers_test.go
@@ -93,6 +93,9 @@
 	runs         []engineRun
 	// eventCount is the number of events of each text.
 	eventCount int
+	// dripAfter is the number of events after which each stream only gets a byte of
+	// the next event now and then; zero means never. It is set before the first run.
+	dripAfter int
 }
 
 // engineRun is one run of an item at an engine.
@@ -243,6 +246,13 @@
 			e.mu.Unlock()
 			return
 		}
+		if e.dripAfter > 0 && number > e.dripAfter {
+			e.drip(w, r)
+			e.mu.Lock()
+			e.runs[index].callerGone = true
+			e.mu.Unlock()
+			return
+		}
 		fmt.Fprintf(w, "id: %d\n", number)
 		e.mu.Lock()
 		if e.version != version {
@@ -261,6 +271,20 @@
 	e.mu.Unlock()
 }
 
+// drip sends a byte of an unfinished event now and then until the caller is gone.
+func (e *engine) drip(w http.ResponseWriter, r *http.Request) {
+	controller := http.NewResponseController(w)
+	for {
+		select {
+		case <-time.After(20 * time.Millisecond):
+			fmt.Fprint(w, ":")
+			_ = controller.Flush()
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
 func (e *engine) setPace(pace time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- /dev/null
+++ b/histories/managed/streams_test.go
@@ -0,0 +1,46 @@
+package managed
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// TestManaged_SlowStream runs items on an engine whose events are further apart
+// than any sound one's, but less than the timeout for the next event. No run may be
+// cut.
+func TestManaged_SlowStream(t *testing.T) {
+	const pace = 1200 * time.Millisecond
+	h := newHarness(t)
+	h.putConfiguration(1)
+	e := h.addEngine("engine-1", 4, pace)
+	h.addPlain("plain-1")
+	d := h.startDaemon("daemon-1")
+	submitJob(h, d, "job-1", jobBody("job-1", 0, 1, 1, 2))
+	h.checkResults("job-1", h.fetchAllResults(d, "job-1", 2), 4, 1)
+	must.Len(t, 2, e.observedRuns())
+}
+
+// TestManaged_DrippingStream lets an engine stop in the middle of a text and send a
+// byte of the next event now and then. The run must end, and resume on another
+// engine after the last whole event.
+func TestManaged_DrippingStream(t *testing.T) {
+	h := newHarness(t)
+	h.putConfiguration(1)
+	dripping := h.addEngine("engine-1", 20, 5*time.Millisecond)
+	dripping.dripAfter = 6
+	h.addPlain("plain-1")
+	d := h.startDaemon("daemon-1")
+	submitJob(h, d, "job-1", jobBody("job-1", 0, 1, 1, 1))
+	h.waitFor("the run drips", func() bool {
+		runs := dripping.observedRuns()
+		return len(runs) > 0 && runs[0].eventsSent == 6
+	})
+	sound := h.addEngine("engine-2", 20, 5*time.Millisecond)
+	h.checkResults("job-1", h.fetchAllResults(d, "job-1", 1), 20, 1)
+	must.True(t, dripping.observedRuns()[0].callerGone)
+	runs := sound.observedRuns()
+	must.Len(t, 1, runs)
+	must.Eq(t, 6, int(runs[0].resumedAfter))
+}
