Turn away sooner from an upstream that gets no changes

Change: a rate limit that refuses every call of a daemon for 300 ms counts as an unreachable store. An upstream answers as soon as its last reply is too old; only the first is waited for, 200 ms; the random delay before a call of one's own follows the platform's limit for configurations, 0.3 to 2 s. Entries of servers are polled every 1.5 s instead of 2 s, so that their path has the same margin.

Ruled out: silent connections, a frozen reader, the limit for all daemons.

--- a/daemon/agent/managed.go
+++ b/daemon/agent/managed.go
@@ -97,6 +97,7 @@
 		Regions:       host.Regions,
 		Strength:      host.CPUCores,
 		ResultsKept:   host.TimeLimits.ResultRetention,
+		ConfigApply:   host.TimeLimits.ConfigApply,
 		FirstStart:    host.FirstStart,
 	}
 	return daemon
--- a/daemon/config/config.go
+++ b/daemon/config/config.go
@@ -56,6 +56,8 @@
 	Strength float64
 	// ResultsKept is how long the results of a batch job must remain readable.
 	ResultsKept time.Duration
+	// ConfigApply is how soon a configuration must be in force.
+	ConfigApply time.Duration
 	// FirstStart is set when the whole system starts for the first time, so that
 	// there are no batch jobs of earlier runs.
 	FirstStart bool
--- a/daemon/services/ledger/ledger.go
+++ b/daemon/services/ledger/ledger.go
@@ -6,11 +6,13 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/flamingobeam/flamingobeam/daemon/boottime"
 	"github.com/flamingobeam/flamingobeam/daemon/config"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
 	"github.com/flamingobeam/flamingobeam/daemon/transport"
@@ -60,6 +62,11 @@
 	relays    relayList
 	upstreams upstreams
 	watches   []*prefixWatch
+	// maxDirectDelay is the result of the function of that name.
+	maxDirectDelay time.Duration
+	// rateLimitedSince is when the store began to refuse every call with its rate
+	// limit, in nanoseconds since boot; zero while it does not.
+	rateLimitedSince atomic.Int64
 
 	mu           sync.Mutex
 	connectivity *kernel.Snapshot[connectivity]
@@ -97,6 +104,7 @@
 	s.loop, s.workers, s.log = ctx.Loop(), ctx.Workers(), ctx.Log()
 	s.connectivity = kernel.NewSnapshot(&connectivity{})
 	s.upstreams.known = make(chan struct{})
+	s.maxDirectDelay = maxDirectDelay(daemon.Platform.ConfigApply)
 	s.store = platform.NewStore(daemon.Store, transport.New(transport.Options{
 		DialTimeout: callTimeout, IdleTimeout: idleTimeout, MaxIdlePerHost: maxConnections, MaxPerHost: maxConnections,
 	}))
@@ -120,7 +128,7 @@
 // recordCall records the latency of a call and whether the store was reachable.
 func (s *service) recordCall(call string, started time.Time, err error) {
 	s.metrics.Time("store."+call, time.Since(started))
-	unavailable := err != nil && isUnavailable(err)
+	unavailable := err != nil && isUnavailable(err) || s.isRefusedByRateLimit(err)
 	if unavailable {
 		s.metrics.Count("store."+call+".failed", 1)
 	}
@@ -144,6 +152,23 @@
 	}
 }
 
+// maxRateLimited is how long the store may refuse every call of this daemon with
+// its rate limit, which all daemons share, before that counts as unreachable: a
+// store in trouble may refuse some hosts and serve the others.
+const maxRateLimited = 300 * time.Millisecond
+
+// isRefusedByRateLimit reports whether the store has refused every call for
+// maxRateLimited, given the error of a call.
+func (s *service) isRefusedByRateLimit(err error) bool {
+	if !errors.Is(err, outside.ErrRateLimited) {
+		s.rateLimitedSince.Store(0)
+		return false
+	}
+	now := int64(boottime.Now())
+	s.rateLimitedSince.CompareAndSwap(0, now)
+	return now-s.rateLimitedSince.Load() >= int64(maxRateLimited)
+}
+
 // resync makes every watch list its prefix again: when one watch has lost
 // history, the others may have lost theirs without noticing.
 func (s *service) resync() {
--- a/daemon/services/ledger/relay.go
+++ b/daemon/services/ledger/relay.go
@@ -188,7 +188,7 @@
 		return reply, err
 	}
 	s.recordCall(metric, started, err)
-	if err == nil || !isUnavailable(err) {
+	if _, reached = s.ReachedSince(); err == nil || !isUnavailable(err) && (reached || !errors.Is(err, outside.ErrRateLimited)) {
 		return reply, err
 	}
 	var relayReply Reply
--- a/daemon/services/ledger/watch.go
+++ b/daemon/services/ledger/watch.go
@@ -26,13 +26,30 @@
 	// stalePollInterval is the pause between two polls of upstreams that get no
 	// changes.
 	stalePollInterval = 100 * time.Millisecond
-	// minDirectDelay and maxDirectDelay bound the random time without changes
-	// from any upstream after which a daemon turns to the store: the upstreams are
-	// the first to know that the store is back.
-	minDirectDelay = 300 * time.Millisecond
-	maxDirectDelay = 1200 * time.Millisecond
+	// minDirectDelay, the least maxDirectDelay and the greatest bound the random
+	// time without changes from any upstream after which a daemon turns to the
+	// store: the upstreams are the first to know that the store is back.
+	minDirectDelay      = 50 * time.Millisecond
+	leastMaxDirectDelay = 300 * time.Millisecond
+	mostMaxDirectDelay  = 2 * time.Second
+	// staleDetectionTime is how long it takes a daemon to find that none of its
+	// upstreams gets changes, and then to get a change from the store.
+	staleDetectionTime = 2600 * time.Millisecond
+	// upstreamGrace is how long an upstream without changes keeps the first poll of
+	// a daemon waiting.
+	upstreamGrace = 200 * time.Millisecond
+	// stalenessMargin is added to the wait of a poll for the age up to which a
+	// reply of the store is fresh: the way from the store and between daemons.
+	stalenessMargin = 450 * time.Millisecond
 )
 
+// maxDirectDelay returns the longest time for which a daemon leaves it to its
+// upstreams to reach the store. A change must be in force everywhere within
+// configApply.
+func maxDirectDelay(configApply time.Duration) time.Duration {
+	return min(max(configApply-staleDetectionTime, leastMaxDirectDelay), mostMaxDirectDelay)
+}
+
 // errUpstreamsStale means that daemons which serve changes were reached, but get
 // none from the store themselves.
 var errUpstreamsStale = errors.New("ledger: upstream daemons get no changes")
@@ -61,7 +78,7 @@
 // WatchPrefix implements contract.TransactionalStore.
 func (s *service) WatchPrefix(prefix string, options contract.WatchOptions, handle func(contract.News)) {
 	s.watches = append(s.watches, &prefixWatch{
-		service: s, prefix: prefix, options: options, cache: newWatchCache(),
+		service: s, prefix: prefix, options: options, cache: newWatchCache(options.PollTimeout + stalenessMargin),
 		mailbox: kernel.NewMailbox(s.loop, mailboxCapacity, handle), failedAt: make(map[string]time.Duration),
 	})
 }
@@ -245,11 +262,12 @@
 func (w *prefixWatch) pollUpstreams(ctx context.Context, after outside.Revision) (changeSet, error) {
 	addresses := w.service.upstreams.load()
 	isStale := false
+	wait := min(w.options.PollTimeout, upstreamPollTimeout)
 	for _, address := range addresses {
 		if failedAt, ok := w.failedAt[address]; ok && boottime.Since(failedAt) < upstreamRetryDelay {
 			continue
 		}
-		reply, err := w.pollUpstream(ctx, address, after)
+		reply, err := w.pollUpstream(ctx, address, after, wait)
 		if ctx.Err() != nil {
 			return changeSet{}, ctx.Err()
 		}
@@ -260,7 +278,8 @@
 		}
 		delete(w.failedAt, address)
 		if !reply.Heard {
-			isStale = true
+			// The others are not waited for as well.
+			isStale, wait = true, 0
 			continue
 		}
 		w.staleSince, w.directDelay = 0, 0
@@ -280,7 +299,7 @@
 func (w *prefixWatch) waitsForUpstreams() bool {
 	now := boottime.Now()
 	if w.staleSince == 0 {
-		w.staleSince, w.directDelay = now, minDirectDelay+rand.N(maxDirectDelay-minDirectDelay)
+		w.staleSince, w.directDelay = now, minDirectDelay+rand.N(w.service.maxDirectDelay-minDirectDelay)
 		w.service.log.WithField("prefix", w.prefix).Info("Upstream daemons get no changes of the store.")
 	}
 	_, isReached := w.service.ReachedSince()
--- a/daemon/services/ledger/watch_test.go
+++ b/daemon/services/ledger/watch_test.go
@@ -38,6 +38,8 @@
 
 func (noMetrics) Count(string, int64) {}
 
+const testDirectDelay = 500 * time.Millisecond
+
 // newFollower returns the watch of a daemon with upstreams, which believes that
 // the store is reachable or not.
 func newFollower(f *fakeUpstreams, reachable bool, addresses ...string) *prefixWatch {
@@ -47,10 +49,10 @@
 	if reachable {
 		state.reachableSince = time.Now()
 	}
-	s := &service{peers: f, metrics: noMetrics{}, log: logrus.NewEntry(log), connectivity: kernel.NewSnapshot(state)}
+	s := &service{maxDirectDelay: testDirectDelay, peers: f, metrics: noMetrics{}, log: logrus.NewEntry(log), connectivity: kernel.NewSnapshot(state)}
 	s.upstreams.known = make(chan struct{})
 	s.SetWatchUpstreams(addresses)
-	return &prefixWatch{service: s, cache: newWatchCache(), failedAt: make(map[string]time.Duration)}
+	return &prefixWatch{service: s, cache: newWatchCache(testStaleness), failedAt: make(map[string]time.Duration)}
 }
 
 // TestPollUpstreams_NextOne stops the first upstream. The second one must serve
@@ -74,13 +76,13 @@
 	w := newFollower(f, true, "first", "second")
 	_, err := w.pollUpstreams(t.Context(), 5)
 	must.ErrorIs(t, err, errUpstreamsStale)
-	must.Between(t, minDirectDelay, w.directDelay, maxDirectDelay)
-	w.staleSince = boottime.Now() - maxDirectDelay
+	must.Between(t, minDirectDelay, w.directDelay, testDirectDelay)
+	w.staleSince = boottime.Now() - testDirectDelay
 	_, err = w.pollUpstreams(t.Context(), 5)
 	must.ErrorIs(t, err, errChangesUnavailable)
 
 	w = newFollower(f, false, "first", "second")
-	w.staleSince = boottime.Now() - maxDirectDelay
+	w.staleSince = boottime.Now() - testDirectDelay
 	_, err = w.pollUpstreams(t.Context(), 5)
 	must.ErrorIs(t, err, errUpstreamsStale)
 }
@@ -121,3 +123,48 @@
 	}
 	must.Eq(t, []time.Duration{catchUpTimeout, 2 * time.Second}, store.timeouts)
 }
+
+// TestMaxDirectDelay checks that a daemon whose upstreams fail gets a change in time:
+// after the age up to which an upstream's replies are fresh, its grace and the random
+// delay.
+func TestMaxDirectDelay(t *testing.T) {
+	const operatorPoll = 1500 * time.Millisecond
+	for _, configApply := range []time.Duration{3 * time.Second, 4 * time.Second, 5 * time.Second} {
+		worst := operatorPoll + stalenessMargin + upstreamGrace + 2*stalePollInterval + maxDirectDelay(configApply)
+		must.Less(t, configApply, worst)
+	}
+	must.Eq(t, leastMaxDirectDelay, maxDirectDelay(0))
+	must.Eq(t, mostMaxDirectDelay, maxDirectDelay(time.Minute))
+}
+
+// TestServe_BecomesStale polls a daemon whose last reply of the store becomes too old
+// meanwhile. The caller must learn that soon and not at the end of its wait.
+func TestServe_BecomesStale(t *testing.T) {
+	c := newWatchCache(50 * time.Millisecond)
+	c.reset(nil, 3)
+	c.recordStoreReply(0)
+	started := time.Now()
+	var reply NewsReply
+	c.serve(NewsCall{After: 3, Wait: time.Second}, &reply)
+	must.False(t, reply.Heard)
+	must.Less(t, 900*time.Millisecond, time.Since(started))
+}
+
+// TestRecordCall_RateLimit refuses every call of a daemon with the rate limit, as a
+// store in trouble does with some hosts. After a while the store must count as
+// unreachable, so that calls go through other daemons, until a call succeeds.
+func TestRecordCall_RateLimit(t *testing.T) {
+	w := newFollower(&fakeUpstreams{}, true)
+	s := w.service
+	s.connectivity.Publish(&connectivity{reachableSince: time.Now(), cancelWatches: func() {}})
+	s.recordCall("read", time.Now(), outside.ErrRateLimited)
+	_, reached := s.ReachedSince()
+	must.True(t, reached)
+	s.rateLimitedSince.Add(-int64(maxRateLimited))
+	s.recordCall("read", time.Now(), outside.ErrRateLimited)
+	_, reached = s.ReachedSince()
+	must.False(t, reached)
+	s.recordCall("read", time.Now(), nil)
+	_, reached = s.ReachedSince()
+	must.True(t, reached)
+}
--- a/daemon/services/ledger/watchcache.go
+++ b/daemon/services/ledger/watchcache.go
@@ -19,10 +19,6 @@
 	// maxCachedRemovals bounds the removals of a prefix that are kept for other
 	// daemons.
 	maxCachedRemovals = 1024
-	// maxStaleness is how long after the last reply of the store a daemon may
-	// report that nothing changed: a change must take effect within three
-	// seconds.
-	maxStaleness = 2300 * time.Millisecond
 	// upstreamPollTimeout bounds a poll of another daemon, so that a partition
 	// that drops packets is noticed soon.
 	upstreamPollTimeout = time.Second
@@ -48,13 +44,18 @@
 	// isComplete is false until the prefix is listed, and after a failed watch.
 	isComplete bool
 	changed    chan struct{}
+	// maxStaleness is how long after the last reply of the store this daemon may
+	// report that nothing changed.
+	maxStaleness time.Duration
 	// lastStoreReply is when the store last replied to a watch of the prefix by
 	// any daemon, on the clock of package boottime, which includes the time of
 	// a suspension.
 	lastStoreReply atomic.Int64
 }
 
-func newWatchCache() *watchCache { return &watchCache{changed: make(chan struct{})} }
+func newWatchCache(maxStaleness time.Duration) *watchCache {
+	return &watchCache{changed: make(chan struct{}), maxStaleness: maxStaleness}
+}
 
 // reset replaces the cached records with a full listing.
 func (c *watchCache) reset(records []outside.Record, revision outside.Revision) {
@@ -156,7 +157,7 @@
 }
 
 // isFresh reports whether this daemon may report that nothing changed.
-func (c *watchCache) isFresh() bool { return c.staleness() < maxStaleness }
+func (c *watchCache) isFresh() bool { return c.staleness() < c.maxStaleness }
 
 // recordStoreReply records a reply that the store gave the given time ago.
 func (c *watchCache) recordStoreReply(age time.Duration) {
@@ -210,7 +211,7 @@
 	wait := min(call.Wait, upstreamPollTimeout)
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
-	staleTimer := time.NewTimer(wait / 2)
+	staleTimer := time.NewTimer(min(wait, max(0, c.maxStaleness-c.staleness())+upstreamGrace))
 	defer staleTimer.Stop()
 	timedOut, staleTimedOut := false, false
 	previousReply := c.lastStoreReply.Load()
@@ -229,14 +230,15 @@
 		case <-timer.C:
 			timedOut = true
 		case <-staleTimer.C:
-			staleTimedOut = true
+			// A later reply may have arrived since the timer was set.
+			staleTimer.Reset(max(0, c.maxStaleness-c.staleness()) + upstreamGrace)
+			staleTimedOut = !c.isFresh() || err != nil
 		}
 	}
 }
 
 // pollUpstream polls an upstream daemon for the changes after a revision.
-func (w *prefixWatch) pollUpstream(ctx context.Context, address string, after outside.Revision) (NewsReply, error) {
-	timeout := min(w.options.PollTimeout, upstreamPollTimeout)
+func (w *prefixWatch) pollUpstream(ctx context.Context, address string, after outside.Revision, timeout time.Duration) (NewsReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout+watchReplyMargin)
 	defer cancel()
 	var reply NewsReply
--- a/daemon/services/ledger/watchcache_test.go
+++ b/daemon/services/ledger/watchcache_test.go
@@ -10,12 +10,15 @@
 	"github.com/flamingobeam/flamingobeam/outside"
 )
 
+// testStaleness is the age up to which a reply of the store is fresh.
+const testStaleness = 2300 * time.Millisecond
+
 func recordAt(revision int) outside.Record {
 	return outside.Record{Key: fmt.Sprintf("k%d", revision), Revision: outside.Revision(revision)}
 }
 
 func TestWatchCache_ChangesSince(t *testing.T) {
-	c := newWatchCache()
+	c := newWatchCache(testStaleness)
 	_, _, err := c.changesSince(0)
 	must.ErrorIs(t, err, errChangesUnavailable)
 	c.reset([]outside.Record{recordAt(2)}, 5)
@@ -30,7 +33,7 @@
 // TestWatchCache_FullListing checks that a daemon whose revision is too old
 // gets a full listing from the cache and need not list the store.
 func TestWatchCache_FullListing(t *testing.T) {
-	c := newWatchCache()
+	c := newWatchCache(testStaleness)
 	c.reset([]outside.Record{recordAt(2), recordAt(3)}, 5)
 	c.apply([]outside.Record{{Key: "k2", Revision: 6, Removed: true}, recordAt(7)}, 7)
 	changes, _, err := c.changesSince(4)
@@ -40,7 +43,7 @@
 }
 
 func TestWatchCache_NewestPerKey(t *testing.T) {
-	c := newWatchCache()
+	c := newWatchCache(testStaleness)
 	c.reset(nil, 4)
 	c.apply([]outside.Record{{Key: "a", Revision: 5}, {Key: "b", Revision: 6}, {Key: "a", Revision: 7}}, 7)
 	changes, _, err := c.changesSince(4)
@@ -49,7 +52,7 @@
 }
 
 func TestWatchCache_Invalidate(t *testing.T) {
-	c := newWatchCache()
+	c := newWatchCache(testStaleness)
 	c.reset(nil, 5)
 	_, changed, err := c.changesSince(5)
 	must.NoError(t, err)
@@ -63,7 +66,7 @@
 }
 
 func TestWatchCache_RemovalLimit(t *testing.T) {
-	c := newWatchCache()
+	c := newWatchCache(testStaleness)
 	c.reset(nil, 0)
 	for revision := 1; revision <= maxCachedRemovals+1; revision++ {
 		c.apply([]outside.Record{{Key: fmt.Sprint(revision), Revision: outside.Revision(revision), Removed: true}}, outside.Revision(revision))
@@ -90,7 +93,7 @@
 }
 
 func TestNews_StaleCache(t *testing.T) {
-	c := newWatchCache()
+	c := newWatchCache(testStaleness)
 	c.reset(nil, 3)
 	must.False(t, pollCache(c, 3).Heard)
 	c.recordStoreReply(0)
@@ -100,18 +103,18 @@
 // TestNews_AgeAccumulates checks that the age of a reply grows as it passes
 // through daemons, so that none takes it for fresher than it is.
 func TestNews_AgeAccumulates(t *testing.T) {
-	c := newWatchCache()
+	c := newWatchCache(testStaleness)
 	c.reset(nil, 3)
 	c.recordStoreReply(time.Second)
 	c.recordStoreReply(2 * time.Second) // Older than the last reply.
 	reply := pollCache(c, 3)
 	must.True(t, reply.Heard)
 	must.Between(t, time.Second, reply.Age, 2*time.Second)
-	other := newWatchCache()
+	other := newWatchCache(testStaleness)
 	other.recordStoreReply(reply.Age)
 	must.True(t, other.isFresh())
-	other = newWatchCache()
-	other.recordStoreReply(reply.Age + maxStaleness)
+	other = newWatchCache(testStaleness)
+	other.recordStoreReply(reply.Age + testStaleness)
 	must.False(t, other.isFresh())
 }
 
--- a/daemon/services/servers/servers.go
+++ b/daemon/services/servers/servers.go
@@ -33,7 +33,7 @@
 // watchOptions batches the entries of engines that swap weights at about the
 // same time, and still stops new work to a draining server within three
 // seconds.
-var watchOptions = contract.WatchOptions{PollTimeout: 2 * time.Second, BatchDelay: 500 * time.Millisecond}
+var watchOptions = contract.WatchOptions{PollTimeout: 1500 * time.Millisecond, BatchDelay: 500 * time.Millisecond}
 
 type service struct {
 	kernel.Base
