Reuse texts of runs that are still ending

Cause of TestManaged_ResubmittedItemsResume (KNOWN-RED): a trainer ends a step and submits the next one at once. The daemon that owns both adopted the next step a millisecond before the cancelled runs of the last one had reported their end, and texts of items that count as running were left out; or it adopted it before the end itself was known. The text was generated again. The time limit of the query, now 2 s, was not the cause: the trace shows both jobs on one daemon.

Change: texts of an ended job are taken as they are, also while a run reports its end, and a job that ends offers its texts to the open jobs of its model.

TestTextsFromEndedJobs_RunStillEnding and TestMarkEnded_OffersTexts fail on the code before.

--- a/daemon/services/jobs/earlier_texts.go
+++ b/daemon/services/jobs/earlier_texts.go
@@ -50,8 +50,13 @@
 			continue
 		}
 		for _, it := range j.items {
-			if wanted[it.ID] && it.text.Last > 0 && it.phase != phaseRunning && isLonger(it.text, texts[it.ID]) {
-				texts[it.ID] = it.text.Clone()
+			if !wanted[it.ID] {
+				continue
+			}
+			// The run of an item may end a moment after its job, and until then adds
+			// to the text.
+			if text := it.text.Clone(); text.Last > 0 && isLonger(text, texts[it.ID]) {
+				texts[it.ID] = text
 			}
 		}
 	}
@@ -65,13 +70,8 @@
 // requestEarlierTexts asks the other daemons that may own jobs for texts of a
 // new job's items.
 func (s *service) requestEarlierTexts(j *job) {
-	request := CarryRPC{Job: j.ID}
-	for _, it := range j.items {
-		if it.phase != phaseFinished && it.text.Last == 0 {
-			request.Items = append(request.Items, it.ID)
-		}
-	}
-	s.applyEarlierTexts(earlierTexts{id: j.ID, epoch: j.ownership.Epoch, texts: s.textsFromEndedJobs(request)})
+	request := j.earlierTextsRequest()
+	s.reuseOwnTexts(j, request)
 	id, epoch := j.ID, j.ownership.Epoch
 	s.broadcaster.EachJobHost(func(ctx context.Context, member membership.Member) error {
 		var reply CarryReply
@@ -82,6 +82,33 @@
 	})
 }
 
+// earlierTextsRequest returns the request for texts of the unfinished items that
+// began without one.
+func (j *job) earlierTextsRequest() CarryRPC {
+	request := CarryRPC{Job: j.ID}
+	for _, it := range j.items {
+		if it.phase != phaseFinished && it.resumeOffset == 0 {
+			request.Items = append(request.Items, it.ID)
+		}
+	}
+	return request
+}
+
+// reuseOwnTexts applies the texts that this daemon holds.
+func (s *service) reuseOwnTexts(j *job, request CarryRPC) {
+	s.applyEarlierTexts(earlierTexts{id: j.ID, epoch: j.ownership.Epoch, texts: s.textsFromEndedJobs(request)})
+}
+
+// offerTexts lets the open jobs of a model reuse the texts of one that has just
+// ended: the next step may be adopted before the end of the last one is known.
+func (s *service) offerTexts(ended *job) {
+	for _, j := range s.ownedJobs {
+		if j.Model == ended.Model && j.isOpen() {
+			s.reuseOwnTexts(j, j.earlierTextsRequest())
+		}
+	}
+}
+
 // earlierTexts holds texts from an ended job for the items of a new one.
 type earlierTexts struct {
 	id    string
--- /dev/null
+++ b/daemon/services/jobs/earlier_texts_test.go
@@ -0,0 +1,66 @@
+package jobs
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/shoenig/test/must"
+	"github.com/sirupsen/logrus"
+
+	"github.com/flamingobeam/flamingobeam/coord/batch"
+	"github.com/flamingobeam/flamingobeam/daemon/contract"
+	"github.com/flamingobeam/flamingobeam/kernel"
+)
+
+// newTextJob returns a job with one running item that has a text of some events.
+func newTextJob(id string, events int) *job {
+	text := &contract.Text{}
+	for event := range events {
+		text.Add(uint64(event+1), "event", 1)
+	}
+	j := &job{Job: batch.Job{ID: id, Model: "model"}, view: kernel.NewSnapshot(&jobView{itemCount: 1})}
+	j.ctx, j.cancel = context.WithCancel(context.Background())
+	j.items = []*item{{Item: &batch.Item{ID: "item"}, text: text, phase: phaseRunning, progress: &contract.Progress{}, cancel: func() {}}}
+	return j
+}
+
+func newTextService(jobs ...*job) *service {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	s := &service{ownedJobs: make(map[string]*job), log: logrus.NewEntry(log), loop: kernel.NewLoop(clock{})}
+	for _, j := range jobs {
+		s.ownedJobs[j.ID] = j
+	}
+	return s
+}
+
+// TestTextsFromEndedJobs_RunStillEnding asks for the text of an item whose job has
+// ended while the end of its run is still on its way.
+func TestTextsFromEndedJobs_RunStillEnding(t *testing.T) {
+	ended := newTextJob("job-1", 31)
+	ended.ownership.Ended = true
+	s := newTextService(ended)
+	texts := s.textsFromEndedJobs(CarryRPC{Job: "job-2", Items: []batch.ItemID{"item"}})
+	must.Eq(t, 31, int(texts["item"].Last))
+}
+
+// TestMarkEnded_OffersTexts ends a job after the next one with the same item has
+// been adopted and has started to run it. The run must stop for the longer text.
+func TestMarkEnded_OffersTexts(t *testing.T) {
+	first, second := newTextJob("job-1", 31), newTextJob("job-2", 0)
+	stopped := false
+	second.items[0].cancel = func() { stopped = true }
+	s := newTextService(first, second)
+	s.isPlacementScheduled = true
+	s.markEnded(first, ownershipRecord{Ownership: batch.Ownership{Ended: true}})
+	must.True(t, stopped)
+	must.Eq(t, 31, int(second.items[0].replacement.Last))
+}
+
+// clock is a clock that stands still.
+type clock struct{ clockwork.Clock }
+
+func (clock) Now() time.Time { return time.Unix(1_800_000_000, 0) }
--- a/daemon/services/jobs/jobs.go
+++ b/daemon/services/jobs/jobs.go
@@ -290,6 +290,7 @@
 	next.isEnded = true
 	j.view.Publish(&next)
 	s.log.WithField("job", j.ID).WithField("listed", len(next.results)).Info("Batch job ended.")
+	s.offerTexts(j)
 }
 
 // Stop implements kernel.Service. It hands the open jobs over to other daemons.
