Read the answer to a reward call to its end

An answer that had not arrived counted as the score of a sample, and its body was never closed.

Change: a forwarded request may ask for the status and headers of a whole response; its body is read to the end and discarded, within the deadline, and a second server is asked meanwhile as for other idempotent requests.

--- a/daemon/contract/managed.go
+++ b/daemon/contract/managed.go
@@ -171,6 +171,9 @@
 	Body   []byte
 	// Deadline is the time at which the caller or the route gives up on a response.
 	Deadline time.Time
+	// DiscardBody is set when only the status and the headers of a whole response
+	// are needed. Its body is read to the end and not returned.
+	DiscardBody bool
 }
 
 // ForwardReply is the complete response of a server, or an open stream.
--- a/daemon/services/dispatch/send.go
+++ b/daemon/services/dispatch/send.go
@@ -98,6 +98,13 @@
 		return attemptResult{err: result.New(code, "status %d", response.StatusCode)}
 	}
 	reply := contract.ForwardReply{Status: response.StatusCode, Header: response.Header, Stamp: headers.ServerStamp}
+	if request.DiscardBody && !serverFailed {
+		defer response.Body.Close()
+		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+			return attemptResult{err: exchangeError(ctx, result.AnswerCut, err)}
+		}
+		return attemptResult{reply: reply}
+	}
 	if !serverFailed && isStream(request.Route, response) {
 		reply.Stream = response
 		return attemptResult{reply: reply}
--- a/daemon/services/rpcserver/codec_test.go
+++ b/daemon/services/rpcserver/codec_test.go
@@ -1,6 +1,7 @@
 package rpcserver
 
 import (
+	"bytes"
 	"encoding/gob"
 	"io"
 	"net"
@@ -100,3 +101,29 @@
 		_, _ = io.ReadAll(conn)
 	}
 }
+
+// FuzzServeConn sends bytes to the server. They must end no process, and the server
+// must give the connection up once it is closed.
+func FuzzServeConn(f *testing.F) {
+	var call bytes.Buffer
+	encoder := gob.NewEncoder(&call)
+	must.NoError(f, encoder.Encode(rpc.Request{ServiceMethod: "Echo.Repeat", Seq: 1}))
+	must.NoError(f, encoder.Encode("text"))
+	f.Add(call.Bytes())
+	f.Add(call.Bytes()[:len(call.Bytes())-2])
+	f.Add([]byte("\xff\xff\xff\xff"))
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	s := &service{server: rpc.NewServer(), log: logrus.NewEntry(log), guard: kernel.NewGuard(log)}
+	must.NoError(f, s.Register("Echo", &Echo{}))
+	f.Fuzz(func(t *testing.T, input []byte) {
+		ours, theirs := net.Pipe()
+		go func() { _, _ = io.Copy(io.Discard, ours) }()
+		go func() {
+			_, _ = ours.Write(input)
+			_ = ours.Close()
+		}()
+		s.serveConn(theirs)
+		s.serving.Wait()
+	})
+}
--- a/histories/managed/connections_test.go
+++ b/histories/managed/connections_test.go
@@ -211,3 +211,50 @@
 		return false
 	}
 }
+
+// TestManaged_PlannedStopHalfRequests stops a daemon while requests are half sent: in
+// the head, or in the body. Each must be answered once the rest arrives, also when two
+// daemons stop at once.
+func TestManaged_PlannedStopHalfRequests(t *testing.T) {
+	h := newStandardHarness(t, 1, time.Millisecond)
+	daemons := []*daemon{h.startDaemon("daemon-1"), h.startDaemon("daemon-2")}
+	type halfRequest struct {
+		conn net.Conn
+		id   string
+		rest string
+	}
+	var requests []halfRequest
+	for i, d := range daemons {
+		for k, cut := range []string{"Host: ", "Content-Length: 10\r\n\r\nhalf"} {
+			id := fmt.Sprintf("look-%d-%d", i, k)
+			whole := fmt.Sprintf("POST /status/1 HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: 4000\r\nContent-Length: 10\r\n\r\nhalf of it", routeHostname, id)
+			end := strings.Index(whole, cut) + len(cut)
+			conn, err := net.Dial("tcp", d.address)
+			must.NoError(t, err)
+			defer conn.Close()
+			_, err = io.WriteString(conn, whole[:end])
+			must.NoError(t, err)
+			requests = append(requests, halfRequest{conn: conn, id: id, rest: whole[end:]})
+		}
+	}
+	stopped := make(chan error, len(daemons))
+	for _, d := range daemons {
+		go func() { stopped <- d.kernel.Stop(context.Background()) }()
+	}
+	for _, d := range daemons {
+		h.waitFor("the daemon is not ready", func() bool { return !d.isReady() })
+	}
+	for _, request := range requests {
+		_, err := io.WriteString(request.conn, request.rest)
+		must.NoError(t, err)
+		response, err := http.ReadResponse(bufio.NewReader(request.conn), nil)
+		must.NoError(t, err, must.Sprint(request.id))
+		body, err := io.ReadAll(response.Body)
+		must.NoError(t, err)
+		must.Eq(t, http.StatusOK, response.StatusCode)
+		must.Eq(t, "POST /status/1 by "+request.id, string(body))
+	}
+	for range daemons {
+		must.NoError(t, <-stopped)
+	}
+}
--- a/histories/managed/streams_test.go
+++ b/histories/managed/streams_test.go
@@ -1,6 +1,7 @@
 package managed
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
@@ -44,3 +45,38 @@
 	must.Len(t, 1, runs)
 	must.Eq(t, 6, int(runs[0].resumedAfter))
 }
+
+// TestManaged_DrippingRewardCall lets a judge answer a byte now and then and never
+// finish. The reward call must go to the other judge, and the item must complete.
+func TestManaged_DrippingRewardCall(t *testing.T) {
+	h := newHarness(t)
+	h.putConfiguration(1)
+	h.addEngine("engine-1", 3, time.Millisecond)
+	dripping := h.addPlain("plain-1")
+	gone := make(chan struct{}, 40)
+	for range 40 {
+		dripping.faults = append(dripping.faults, func(w http.ResponseWriter, r *http.Request) bool {
+			w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
+			w.Header().Set("Server-Stamp", "s")
+			w.Header().Set("Content-Length", "1000000")
+			controller := http.NewResponseController(w)
+			for {
+				select {
+				case <-time.After(20 * time.Millisecond):
+					_, _ = w.Write([]byte("x"))
+					_ = controller.Flush()
+				case <-r.Context().Done():
+					gone <- struct{}{}
+					return true
+				}
+			}
+		})
+	}
+	h.addPlain("plain-2")
+	d := h.startDaemon("daemon-1")
+	submitJob(h, d, "job-1", jobBody("job-1", 0, 1, 4, 2))
+	h.checkResults("job-1", h.fetchAllResults(d, "job-1", 8), 3, 1)
+	if len(dripping.requests()) > 0 {
+		<-gone
+	}
+}
