--- /dev/null
+++ b/daemon/services/session/leadership.go
@@ -0,0 +1,80 @@
+package session
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/flamingobeam/flamingobeam/coord/batch"
+	"github.com/flamingobeam/flamingobeam/coord/membership"
+	"github.com/flamingobeam/flamingobeam/daemon/boottime"
+	"github.com/flamingobeam/flamingobeam/outside"
+)
+
+// leadership is what this daemon has from its own writes of the leader's key. It
+// does not depend on the watch, which may lag behind the loss of the key.
+type leadership struct {
+	// token is the revision at which this daemon created the key; zero while it
+	// does not lead.
+	token uint64
+	// lease is the lease to which the key is attached, and revision the revision
+	// of its last write.
+	lease    outside.LeaseID
+	revision outside.Revision
+	// validUntil is the earliest possible expiry of that lease, as a time since
+	// boot.
+	validUntil time.Duration
+}
+
+// Leadership implements contract.Session.
+func (s *service) Leadership() (uint64, bool) {
+	held := s.leadership.Load()
+	return held.token, held.token != 0 && boottime.Now() < held.validUntil
+}
+
+// isCandidate reports whether this daemon should try to become the leader: at
+// once if it is the preferred candidate, which all daemons compute alike, and
+// after candidateDelay otherwise.
+func (s *service) isCandidate() bool {
+	view := s.view.Load()
+	if batch.RendezvousPick(candidateElection, slices.Collect(maps.Keys(membership.JobHosts(view.Live)))) == view.Self.Name {
+		return true
+	}
+	return !s.leaderlessSince.IsZero() && s.loop.Now().Sub(s.leaderlessSince) > candidateDelay
+}
+
+// writeLeader makes this daemon the leader if there is none. A conflict is not an
+// error: the watch reports the leader.
+func (s *service) writeLeader(ctx context.Context, request renewalRequest, result *renewalResult) error {
+	value, err := json.Marshal(request.self)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	revision, err := s.store.Commit(ctx, outside.Transaction{
+		Conditions: []outside.Condition{{Key: leaderKey}},
+		Writes:     []outside.Write{{Key: leaderKey, Value: value, Lease: result.lease}},
+	})
+	switch {
+	case err == nil:
+		result.led = leadership{token: uint64(revision), lease: result.lease, revision: revision}
+	case errors.Is(err, outside.ErrConflict):
+		err = nil
+	}
+	return err
+}
+
+// deleteStrayLeader deletes the leader's key unless it has changed.
+func (s *service) deleteStrayLeader(ctx context.Context, revision outside.Revision) error {
+	s.log.WithField("revision", revision).Info("Deleting a leader key whose lease is unknown.")
+	_, err := s.store.Commit(ctx, outside.Transaction{
+		Conditions: []outside.Condition{{Key: leaderKey, Revision: revision}}, Removals: []string{leaderKey},
+	})
+	if errors.Is(err, outside.ErrConflict) {
+		return nil
+	}
+	return err
+}
