--- a/coord/membership/membership.go
+++ b/coord/membership/membership.go
@@ -29,9 +29,9 @@
 	Strength float64 `json:"strength,omitempty"`
 }
 
-// minStrengthRatio is the minimum strength of a host that may own batch jobs,
+// MinStrengthRatio is the minimum strength of a host that may own batch jobs,
 // relative to the strongest host of its zone.
-const minStrengthRatio = 0.8
+const MinStrengthRatio = 0.8
 
 // maxUpstreams bounds the daemons of one kind that a daemon tries for changes of
 // the store before it reads the store itself.
@@ -143,7 +143,7 @@
 	}
 	hosts := make(map[string]bool)
 	for name, member := range live {
-		if member.Strength >= minStrengthRatio*strongest[member.Zone] {
+		if member.Strength >= MinStrengthRatio*strongest[member.Zone] {
 			hosts[name] = true
 		}
 	}
--- a/daemon/services/jobs/model_owner.go
+++ b/daemon/services/jobs/model_owner.go
@@ -22,9 +22,6 @@
 	// modelOwnerReplyMargin is added to the timeout of the call for a round
 	// trip in the zone.
 	modelOwnerReplyMargin = 150 * time.Millisecond
-	// minStrengthRatio is the minimum strength of an eligible host, relative to
-	// the strongest host of the zone.
-	minStrengthRatio = 0.8
 )
 
 // modelOwnerOf returns the daemon of this zone that owns the jobs of a model,
@@ -49,7 +46,7 @@
 	byHost := make(map[string]membership.Member)
 	var hosts []string
 	for _, member := range view.Live {
-		if isCandidate(member) && member.Strength >= minStrengthRatio*strongest {
+		if isCandidate(member) && member.Strength >= membership.MinStrengthRatio*strongest {
 			host := membership.HostOf(member.Name)
 			if other, ok := byHost[host]; ok && membership.StartOf(other.Name) > membership.StartOf(member.Name) {
 				continue
--- a/daemon/services/ledger/watch.go
+++ b/daemon/services/ledger/watch.go
@@ -26,12 +26,13 @@
 	// stalePollInterval is the pause between two polls of upstreams that get no
 	// changes.
 	stalePollInterval = 100 * time.Millisecond
-	// minDirectDelay, the least maxDirectDelay and the greatest bound the random
-	// time without changes from any upstream after which a daemon turns to the
-	// store: the upstreams are the first to know that the store is back.
-	minDirectDelay      = 50 * time.Millisecond
-	leastMaxDirectDelay = 300 * time.Millisecond
-	mostMaxDirectDelay  = 2 * time.Second
+	// A daemon without changes from any upstream turns to the store after a random
+	// delay between minDirectDelay and the result of maxDirectDelay, which is at
+	// least shortDirectDelay and at most longDirectDelay. Without the delay all
+	// daemons would call a store in trouble at once.
+	minDirectDelay   = 50 * time.Millisecond
+	shortDirectDelay = 300 * time.Millisecond
+	longDirectDelay  = 2 * time.Second
 	// staleDetectionTime is how long it takes a daemon to find that none of its
 	// upstreams gets changes, and then to get a change from the store.
 	staleDetectionTime = 2600 * time.Millisecond
@@ -47,7 +48,7 @@
 // upstreams to reach the store. A change must be in force everywhere within
 // configApply.
 func maxDirectDelay(configApply time.Duration) time.Duration {
-	return min(max(configApply-staleDetectionTime, leastMaxDirectDelay), mostMaxDirectDelay)
+	return min(max(configApply-staleDetectionTime, shortDirectDelay), longDirectDelay)
 }
 
 // errUpstreamsStale means that daemons which serve changes were reached, but get
--- a/daemon/services/ledger/watch_test.go
+++ b/daemon/services/ledger/watch_test.go
@@ -133,8 +133,8 @@
 		worst := operatorPoll + stalenessMargin + upstreamGrace + 2*stalePollInterval + maxDirectDelay(configApply)
 		must.Less(t, configApply, worst)
 	}
-	must.Eq(t, leastMaxDirectDelay, maxDirectDelay(0))
-	must.Eq(t, mostMaxDirectDelay, maxDirectDelay(time.Minute))
+	must.Eq(t, shortDirectDelay, maxDirectDelay(0))
+	must.Eq(t, longDirectDelay, maxDirectDelay(time.Minute))
 }
 
 // TestServe_BecomesStale polls a daemon whose last reply of the store becomes too old
