Correct comments on membership and on watches that lost history

Read as a newcomer: the package does not decide leases, and a resync no longer lists the other prefixes. One log message says so; no behaviour changes.

--- a/coord/membership/membership.go
+++ b/coord/membership/membership.go
@@ -1,9 +1,8 @@
 // Package membership decides what a daemon does by its place among the live
 // daemons of a managed platform: from which daemons it gets changes of the store,
-// which daemons may own batch jobs, and how soon its failure must be noticed. It
-// answers the load of hundreds of daemons that start or lose the store together:
-// the number of those that read the store themselves, or are called by every
-// owner of jobs, grows neither with the daemons nor with the zones.
+// and which daemons may own batch jobs. It answers the load of hundreds of daemons
+// that start or lose the store together: one of them reads the store's changes for
+// all, and every owner of jobs calls only the strongest hosts of each zone.
 package membership
 
 import (
--- a/daemon/services/ledger/ledger.go
+++ b/daemon/services/ledger/ledger.go
@@ -169,8 +169,9 @@
 	return now-s.rateLimitedSince.Load() >= int64(maxRateLimited)
 }
 
-// resync makes every watch list its prefix again: when one watch has lost
-// history, the others may have lost theirs without noticing.
+// resync ends the waiting watches of the other prefixes, which then read their
+// changes at once: when one watch has lost history, the others may have lost theirs
+// without noticing.
 func (s *service) resync() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/daemon/services/ledger/watch.go
+++ b/daemon/services/ledger/watch.go
@@ -100,15 +100,15 @@
 		case err == nil:
 			delays.Reset()
 		case errors.Is(err, outside.ErrCompacted):
-			w.service.log.WithField("prefix", w.prefix).Info("Watch history is incomplete; listing all prefixes.")
+			w.service.log.WithField("prefix", w.prefix).Info("Watch history is incomplete; listing the prefix.")
 			isListed, w.needsCurrent = false, true
 			w.cache.invalidate()
 			w.service.resync()
 		case errors.Is(err, errUpstreamsStale):
 			w.pause(ctx, stalePollInterval)
 		default:
-			// The changes since the revision are read after the pause. Upstream
-			// daemons that depend on this one see that it is not up to date.
+			// The changes since the revision are read after the pause. Daemons that
+			// follow this one see that its last reply of the store is old.
 			w.awaitRetry(ctx, delays.NextBackOff())
 		}
 	}
