Forward a refused submission to the next job host

Change: the next daemon in line is asked, three at most, and during a rolling restart first those that started after the stopping one. A daemon that may have accepted the job is still the last one asked.

Measured: TestSubmitToModelOwner_Refusals and TestModelOwnerOf_RollingRestart.

--- a/daemon/services/jobs/model_owner.go
+++ b/daemon/services/jobs/model_owner.go
@@ -2,19 +2,20 @@
 
 import (
 	"context"
-	"github.com/flamingobeam/flamingobeam/coord/membership"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/flamingobeam/flamingobeam/coord/batch"
+	"github.com/flamingobeam/flamingobeam/coord/membership"
 	"github.com/flamingobeam/flamingobeam/coord/result"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
 	"github.com/flamingobeam/flamingobeam/platform"
 )
 
 const (
-	// modelOwnerTimeout bounds a submission to the model owner, and
+	// modelOwnerTimeout bounds a submission to other daemons, and
 	// modelOwnerTimeShare is the share of the caller's remaining time that it
 	// may take. After that this daemon accepts the job itself.
 	modelOwnerTimeout   = time.Second
@@ -22,19 +23,38 @@
 	// modelOwnerReplyMargin is added to the timeout of the call for a round
 	// trip in the zone.
 	modelOwnerReplyMargin = 150 * time.Millisecond
+	// maxModelOwners bounds the daemons that a submission is forwarded to.
+	maxModelOwners = 3
 )
 
+// avoidedHosts are the hosts that accept no job at present.
+type avoidedHosts struct {
+	hosts []string
+	// lastStart is the latest start of a daemon that is stopping, in nanoseconds;
+	// zero if none is. A rolling restart has passed the daemons that started after
+	// it.
+	lastStart int64
+}
+
+func (a *avoidedHosts) add(daemon string, isStopping bool) {
+	a.hosts = append(a.hosts, membership.HostOf(daemon))
+	if isStopping {
+		a.lastStart = max(a.lastStart, membership.StartOf(daemon))
+	}
+}
+
 // modelOwnerOf returns the daemon of this zone that owns the jobs of a model,
 // chosen by rendezvous hashing among the strongest hosts. With a single owner,
 // one daemon has the connections to the model's engines, tracks their load and
-// holds the texts of earlier steps. A daemon without a session chooses itself,
-// and one that is stopping chooses another if there is one.
-func modelOwnerOf(model string, view *contract.SessionView, isStopping bool) membership.Member {
+// holds the texts of earlier steps. During a rolling restart those hosts that it
+// has passed are preferred. A daemon without a session chooses itself, as does
+// one whose zone has no other host left.
+func modelOwnerOf(model string, view *contract.SessionView, avoided avoidedHosts) membership.Member {
 	if _, isLive := view.Live[view.Self.Name]; !isLive {
 		return view.Self
 	}
 	isCandidate := func(member membership.Member) bool {
-		return member.Zone == view.Self.Zone && !(isStopping && member.Name == view.Self.Name)
+		return member.Zone == view.Self.Zone && !slices.Contains(avoided.hosts, membership.HostOf(member.Name))
 	}
 	strongest := 0.0
 	for _, member := range view.Live {
@@ -58,6 +78,12 @@
 	if len(hosts) == 0 {
 		return view.Self
 	}
+	if avoided.lastStart > 0 {
+		isRestarted := func(host string) bool { return startedAfter(byHost[host].Name, avoided.lastStart) }
+		if restarted := filter(hosts, isRestarted); len(restarted) > 0 {
+			hosts = restarted
+		}
+	}
 	return byHost[batch.RendezvousPick(model, hosts)]
 }
 
@@ -98,33 +124,56 @@
 	return nil
 }
 
-// submitToModelOwner forwards a submission to the model owner. If accepted is
-// false this daemon must accept the job itself; isOutcomeUnknown is then set if
-// the model owner may still have accepted it.
+// submitToModelOwner forwards a submission to the model owner, and to the next
+// daemon in line if that one cannot be reached or is stopping: the work of a
+// job that a stopping daemon accepts is interrupted by the handover. If accepted
+// is false this daemon must accept the job itself; isOutcomeUnknown is then set
+// if another daemon may still have accepted it.
 func (s *service) submitToModelOwner(ctx context.Context, job *batch.Job, source []byte) (accepted, isOutcomeUnknown bool) {
-	view := s.session.View().Load()
-	owner := modelOwnerOf(string(job.Model), view, s.isQuiesced.Load())
-	if owner.Name == view.Self.Name {
-		return false, false
-	}
 	timeout := modelOwnerTimeout
 	if deadline, ok := ctx.Deadline(); ok {
 		timeout = min(timeout, time.Duration(modelOwnerTimeShare*float64(time.Until(deadline))))
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout+modelOwnerReplyMargin)
+	ends := time.Now().Add(timeout)
+	view := s.session.View().Load()
+	var avoided avoidedHosts
+	if s.isQuiesced.Load() {
+		avoided.add(view.Self.Name, true)
+	}
+	for range maxModelOwners {
+		owner := modelOwnerOf(string(job.Model), view, avoided)
+		remaining := time.Until(ends)
+		if owner.Name == view.Self.Name || remaining <= 0 {
+			return false, false
+		}
+		err := s.submitTo(ctx, owner, job, source, remaining)
+		log := s.log.WithFields(logrus.Fields{"job": job.ID, "model": job.Model, "home": owner.Name})
+		if err == nil {
+			log.Info("The model owner accepted a batch job.")
+			return true, false
+		}
+		code := result.CodeOf(err)
+		log.WithError(err).WithField("code", code).Info("The model owner did not accept a batch job.")
+		if code != result.PeerUnreachable && code != result.Stopping {
+			return false, code == result.OutcomeUnknown
+		}
+		avoided.add(owner.Name, code == result.Stopping)
+	}
+	return false, false
+}
+
+// submitTo submits a job to another daemon, which gets the given time to accept
+// it.
+func (s *service) submitTo(ctx context.Context, owner membership.Member, job *batch.Job, source []byte, within time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, within+modelOwnerReplyMargin)
 	defer cancel()
 	var reply SubmitReply
-	call := SubmitRPC{ID: job.ID, Host: job.Host, Path: job.Path, Source: source, Within: timeout}
-	err := s.peers.Call(ctx, owner.RPCAddress, rpcName+".Submit", call, &reply)
-	log := s.log.WithFields(logrus.Fields{"job": job.ID, "model": job.Model, "home": owner.Name})
-	switch {
-	case err != nil:
-		log.WithError(err).Info("The model owner did not answer a submission.")
-		return false, result.CodeOf(err) != result.PeerUnreachable
-	case reply.Code != 0:
-		log.WithField("code", reply.Code).WithField("why", reply.Detail).Info("The model owner did not accept a batch job.")
-		return false, reply.Code == result.OutcomeUnknown
+	call := SubmitRPC{ID: job.ID, Host: job.Host, Path: job.Path, Source: source, Within: within}
+	if err := s.peers.Call(ctx, owner.RPCAddress, rpcName+".Submit", call, &reply); err != nil {
+		return err
 	}
-	log.Info("The model owner accepted a batch job.")
-	return true, false
+	if reply.Code != 0 {
+		return result.New(reply.Code, "%s", reply.Detail)
+	}
+	return nil
 }
--- a/daemon/services/jobs/model_owner_test.go
+++ b/daemon/services/jobs/model_owner_test.go
@@ -1,12 +1,15 @@
 package jobs
 
 import (
+	"context"
 	"fmt"
-	"github.com/flamingobeam/flamingobeam/coord/membership"
 	"testing"
 
 	"github.com/shoenig/test/must"
 
+	"github.com/flamingobeam/flamingobeam/coord/batch"
+	"github.com/flamingobeam/flamingobeam/coord/membership"
+	"github.com/flamingobeam/flamingobeam/coord/result"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
 )
@@ -34,7 +37,7 @@
 	for model := range 20 {
 		var first string
 		for i := range 10 {
-			owner := modelOwnerOf(fmt.Sprint(model), zoneView(fmt.Sprintf("host-%d.1a", i)), false)
+			owner := modelOwnerOf(fmt.Sprint(model), zoneView(fmt.Sprintf("host-%d.1a", i)), avoidedHosts{})
 			must.Eq(t, 0.8, owner.Strength)
 			must.Eq(t, "zone-a", owner.Zone)
 			if first == "" {
@@ -48,29 +51,108 @@
 }
 
 func TestModelOwnerOf_Restart(t *testing.T) {
-	before := modelOwnerOf("model", zoneView("host-5.1a"), false)
+	before := modelOwnerOf("model", zoneView("host-5.1a"), avoidedHosts{})
 	view := zoneView("host-5.1a")
 	delete(view.Live, before.Name)
 	next := before
 	next.Name = membership.HostOf(before.Name) + ".2b"
 	view.Live[next.Name] = next
-	must.Eq(t, next.Name, modelOwnerOf("model", view, false).Name)
+	must.Eq(t, next.Name, modelOwnerOf("model", view, avoidedHosts{}).Name)
 	// Both runs of a host are listed until the lease of the first expires.
 	view.Live[before.Name] = before
-	must.Eq(t, next.Name, modelOwnerOf("model", view, false).Name)
+	must.Eq(t, next.Name, modelOwnerOf("model", view, avoidedHosts{}).Name)
 }
 
 func TestModelOwnerOf_NoSession(t *testing.T) {
 	view := zoneView("host-5.1a")
 	delete(view.Live, view.Self.Name)
-	must.Eq(t, view.Self.Name, modelOwnerOf("model", view, false).Name)
+	must.Eq(t, view.Self.Name, modelOwnerOf("model", view, avoidedHosts{}).Name)
 }
 
 func TestModelOwnerOf_Stopping(t *testing.T) {
-	owner := modelOwnerOf("model", zoneView("host-5.1a"), false)
+	owner := modelOwnerOf("model", zoneView("host-5.1a"), avoidedHosts{})
 	view := zoneView(owner.Name)
-	must.NotEq(t, owner.Name, modelOwnerOf("model", view, true).Name)
-	must.Eq(t, 0.8, modelOwnerOf("model", view, true).Strength)
+	var stopping avoidedHosts
+	stopping.add(owner.Name, true)
+	must.NotEq(t, owner.Name, modelOwnerOf("model", view, stopping).Name)
+	must.Eq(t, 0.8, modelOwnerOf("model", view, stopping).Strength)
 	view.Live = map[string]membership.Member{owner.Name: owner}
-	must.Eq(t, owner.Name, modelOwnerOf("model", view, true).Name)
+	must.Eq(t, owner.Name, modelOwnerOf("model", view, stopping).Name)
+}
+
+// TestModelOwnerOf_RollingRestart checks that a job goes to a host that a rolling
+// restart has passed, unless none is as strong as the others.
+func TestModelOwnerOf_RollingRestart(t *testing.T) {
+	const old, young = "18b35e202cb00000", "18b35e2a66000000"
+	view := &contract.SessionView{Live: make(map[string]membership.Member)}
+	for _, name := range []string{"host-1." + old, "host-2." + old, "host-3." + old, "host-4." + young} {
+		view.Live[name] = membership.Member{Name: name, Zone: "zone-a", Strength: 1}
+	}
+	view.Self = view.Live["host-1."+old]
+	for model := range 20 {
+		var stopping avoidedHosts
+		stopping.add("host-2."+old, true)
+		must.Eq(t, "host-4."+young, modelOwnerOf(fmt.Sprint(model), view, stopping).Name)
+		var lost avoidedHosts
+		lost.add("host-4."+young, false)
+		must.NotEq(t, "host-4."+young, modelOwnerOf(fmt.Sprint(model), view, lost).Name)
+	}
+	view.Live["host-4."+young] = membership.Member{Name: "host-4." + young, Zone: "zone-a", Strength: 0.19}
+	var stopping avoidedHosts
+	stopping.add("host-2."+old, true)
+	must.NotEq(t, "host-4."+young, modelOwnerOf("model", view, stopping).Name)
+}
+
+// submitPeers answers submissions with a result code for each host, zero if the
+// host accepts them, and records the hosts that were asked.
+type submitPeers struct {
+	contract.Peers
+	codes map[string]result.Code
+	asked []string
+}
+
+func (p *submitPeers) Call(_ context.Context, address, _ string, _, reply any) error {
+	p.asked = append(p.asked, address)
+	if code := p.codes[address]; code == result.PeerUnreachable {
+		return result.New(code, "")
+	}
+	reply.(*SubmitReply).Code = p.codes[address]
+	return nil
+}
+
+// TestSubmitToModelOwner_Refusals submits a job through a weak host. A host that
+// certainly has not accepted the job is passed over for the next strong one;
+// after a lost reply no other daemon is asked.
+func TestSubmitToModelOwner_Refusals(t *testing.T) {
+	submit := func(codes map[string]result.Code) (asked []string, accepted, isUnknown bool) {
+		view := zoneView("host-5.1a")
+		for name, member := range view.Live {
+			member.RPCAddress = membership.HostOf(name)
+			view.Live[name] = member
+		}
+		s := newService()
+		s.session.(*fakeServices).session.Publish(view)
+		peers := &submitPeers{codes: codes}
+		s.peers = peers
+		accepted, isUnknown = s.submitToModelOwner(t.Context(), &batch.Job{ID: "job", Model: "model"}, nil)
+		return peers.asked, accepted, isUnknown
+	}
+	first := membership.HostOf(modelOwnerOf("model", zoneView("host-5.1a"), avoidedHosts{}).Name)
+	second := map[string]string{"host-0": "host-1", "host-1": "host-0"}[first]
+
+	asked, accepted, _ := submit(nil)
+	must.Eq(t, []string{first}, asked)
+	must.True(t, accepted)
+	for _, code := range []result.Code{result.Stopping, result.PeerUnreachable} {
+		asked, accepted, _ = submit(map[string]result.Code{first: code})
+		must.Eq(t, []string{first, second}, asked)
+		must.True(t, accepted)
+	}
+	asked, accepted, isUnknown := submit(map[string]result.Code{first: result.OutcomeUnknown})
+	must.Eq(t, []string{first}, asked)
+	must.False(t, accepted)
+	must.True(t, isUnknown)
+	asked, accepted, isUnknown = submit(map[string]result.Code{first: result.StoreUnavailable})
+	must.Eq(t, []string{first}, asked)
+	must.False(t, accepted || isUnknown)
 }
--- a/daemon/services/jobs/takeover.go
+++ b/daemon/services/jobs/takeover.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"github.com/flamingobeam/flamingobeam/coord/membership"
 	"maps"
 	"slices"
 	"strings"
@@ -15,6 +14,7 @@
 	"github.com/sourcegraph/conc/pool"
 
 	"github.com/flamingobeam/flamingobeam/coord/batch"
+	"github.com/flamingobeam/flamingobeam/coord/membership"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
 	"github.com/flamingobeam/flamingobeam/kernel"
 	"github.com/flamingobeam/flamingobeam/outside"
@@ -277,9 +277,7 @@
 // after this one, because a rolling restart has passed them.
 func handoverCandidates(view *contract.SessionView) []string {
 	isOther := func(name string) bool { return name != view.Self.Name }
-	isNewer := func(name string) bool {
-		return membership.StartOf(name) > membership.StartOf(view.Self.Name)+startSkew.Nanoseconds()
-	}
+	isNewer := func(name string) bool { return startedAfter(name, membership.StartOf(view.Self.Name)) }
 	candidates := filter(jobHostNames(view), isOther)
 	if len(candidates) == 0 {
 		candidates = filter(slices.Collect(maps.Keys(view.Live)), isOther)
@@ -290,6 +288,12 @@
 	return candidates
 }
 
+// startedAfter reports whether a daemon started clearly later than a time in
+// nanoseconds.
+func startedAfter(name string, start int64) bool {
+	return membership.StartOf(name) > start+startSkew.Nanoseconds()
+}
+
 func filter(names []string, keep func(string) bool) []string {
 	return slices.DeleteFunc(slices.Clone(names), func(name string) bool { return !keep(name) })
 }
