Replace a connection to a daemon that its peer has closed

Cause: a daemon restarts at the address it had. Each peer kept its connection to the process before, and net/rpc fails the next call on such a connection without sending it.

Change: the connection records that reading has failed, and the next call opens a new one.

Measured: TestCall_RestartedPeer, which fails before with code 4000.

--- a/daemon/services/peers/peers.go
+++ b/daemon/services/peers/peers.go
@@ -9,6 +9,7 @@
 	"net/rpc"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -21,7 +22,7 @@
 
 func init() {
 	kernel.Register(contract.NamePeers, func() kernel.Service {
-		return &service{clients: make(map[connKey]*rpc.Client)}
+		return newService()
 	})
 }
 
@@ -38,6 +39,28 @@
 	return connKey{address: address, receiver: receiver}
 }
 
+// client is a net/rpc client and its connection.
+type client struct {
+	*rpc.Client
+	conn *watchedConn
+}
+
+// watchedConn records that reading has failed, as it does once the peer has closed
+// the connection. net/rpc reads all the time, so that is noticed without a call.
+type watchedConn struct {
+	net.Conn
+	hasFailed atomic.Bool
+}
+
+// Read implements net.Conn.
+func (c *watchedConn) Read(buffer []byte) (int, error) {
+	n, err := c.Conn.Read(buffer)
+	if err != nil {
+		c.hasFailed.Store(true)
+	}
+	return n, err
+}
+
 // dialTimeout bounds the time to open a connection, including the TLS handshake.
 const dialTimeout = 500 * time.Millisecond
 
@@ -47,9 +70,11 @@
 	calls conc.WaitGroup
 
 	mu      sync.Mutex
-	clients map[connKey]*rpc.Client
+	clients map[connKey]*client
 }
 
+func newService() *service { return &service{clients: make(map[connKey]*client)} }
+
 var _ contract.Peers = (*service)(nil)
 
 // Provision implements kernel.Service.
@@ -71,19 +96,19 @@
 // Call implements contract.Peers.
 func (s *service) Call(ctx context.Context, address, method string, args, reply any) error {
 	key := connKeyOf(address, method)
-	client, err := s.clientFor(key)
+	c, err := s.clientFor(key)
 	if err != nil {
 		return result.Wrap(result.PeerUnreachable, err)
 	}
 	// Sending blocks while the peer does not read, so the call runs on its own
 	// goroutine. Closing the connection ends it.
 	done := make(chan error, 1)
-	s.calls.Go(func() { done <- client.Call(method, args, reply) })
+	s.calls.Go(func() { done <- c.Call(method, args, reply) })
 	select {
 	case err := <-done:
-		return s.wrapError(key, client, err)
+		return s.wrapError(key, c, err)
 	case <-ctx.Done():
-		s.closeClient(key, client)
+		s.closeClient(key, c)
 		return result.Wrap(result.OutcomeUnknown, ctx.Err())
 	}
 }
@@ -91,7 +116,7 @@
 // wrapError adds a result code to the error of a finished call. net/rpc transfers the
 // errors of receivers as text without a code, so receivers return coded errors inside
 // their replies, and a rpc.ServerError is a failure of the call itself.
-func (s *service) wrapError(key connKey, client *rpc.Client, err error) error {
+func (s *service) wrapError(key connKey, c *client, err error) error {
 	if err == nil {
 		return nil
 	}
@@ -101,23 +126,23 @@
 	}
 	// The connection failed. net/rpc does not report whether the call had been sent,
 	// so its outcome is unknown.
-	s.closeClient(key, client)
+	s.closeClient(key, c)
 	return result.Wrap(result.OutcomeUnknown, err)
 }
 
-// clientFor returns the open client of a connection, or opens one.
-func (s *service) clientFor(key connKey) (*rpc.Client, error) {
-	s.mu.Lock()
-	client, ok := s.clients[key]
-	s.mu.Unlock()
-	if ok {
-		return client, nil
+// clientFor returns the open client of a connection, or opens one. A connection that
+// the peer has closed, as a daemon does that restarts, is replaced: net/rpc would fail
+// the next call on it without having sent it, and its outcome would count as unknown.
+func (s *service) clientFor(key connKey) (*client, error) {
+	if existing := s.openClient(key); existing != nil {
+		return existing, nil
 	}
 	conn, err := s.dial(key.address)
 	if err != nil {
 		return nil, err
 	}
-	opened := rpc.NewClient(conn)
+	watched := &watchedConn{Conn: conn}
+	opened := &client{Client: rpc.NewClient(watched), conn: watched}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if other, ok := s.clients[key]; ok {
@@ -128,14 +153,27 @@
 	return opened, nil
 }
 
+// openClient returns the client of a connection that is open, and nil if there is none.
+func (s *service) openClient(key connKey) *client {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	existing := s.clients[key]
+	if existing == nil || !existing.conn.hasFailed.Load() {
+		return existing
+	}
+	delete(s.clients, key)
+	_ = existing.Close()
+	return nil
+}
+
 // closeClient closes a connection, which also ends the other calls on it.
-func (s *service) closeClient(key connKey, client *rpc.Client) {
+func (s *service) closeClient(key connKey, c *client) {
 	s.mu.Lock()
-	if s.clients[key] == client {
+	if s.clients[key] == c {
 		delete(s.clients, key)
 	}
 	s.mu.Unlock()
-	_ = client.Close()
+	_ = c.Close()
 }
 
 // Stop implements kernel.Service.
@@ -148,8 +186,8 @@
 func (s *service) closeAll() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for key, client := range s.clients {
-		_ = client.Close()
+	for key, c := range s.clients {
+		_ = c.Close()
 		delete(s.clients, key)
 	}
 }
--- a/daemon/services/peers/peers_test.go
+++ b/daemon/services/peers/peers_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
 
 	"github.com/flamingobeam/flamingobeam/coord/result"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
@@ -26,7 +27,8 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
-	s := &service{clients: make(map[connKey]*rpc.Client), trust: noTrust{}}
+	s := newService()
+	s.trust = noTrust{}
 	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer cancel()
 	args, reply := make([]byte, 64<<20), 0
@@ -45,7 +47,8 @@
 	must.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
 	go server.Accept(listener)
-	s := &service{clients: make(map[connKey]*rpc.Client), trust: noTrust{}}
+	s := newService()
+	s.trust = noTrust{}
 	otherCall := make(chan error, 1)
 	go func() {
 		var args, reply int
@@ -67,3 +70,51 @@
 	<-r.release
 	return nil
 }
+
+// echo replies with its argument.
+type echo struct{}
+
+// Echo implements a method of net/rpc.
+func (echo) Echo(args, reply *int) error {
+	*reply = *args
+	return nil
+}
+
+// TestCall_RestartedPeer restarts a peer at its address between two calls. The second
+// call must reach the new process, and not fail on the connection to the old one.
+func TestCall_RestartedPeer(t *testing.T) {
+	server := rpc.NewServer()
+	must.NoError(t, server.RegisterName("Zone", echo{}))
+	// serve serves one connection, and returns a function that closes it.
+	serve := func(address string) (listener net.Listener, closeConn func()) {
+		listener, err := net.Listen("tcp", address)
+		must.NoError(t, err)
+		t.Cleanup(func() { _ = listener.Close() })
+		accepted := make(chan net.Conn, 1)
+		go func() {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- conn
+			server.ServeConn(conn)
+		}()
+		return listener, func() { _ = (<-accepted).Close() }
+	}
+	listener, closeConn := serve("127.0.0.1:0")
+	address := listener.Addr().String()
+	s := newService()
+	s.trust = noTrust{}
+	args, reply := 1, 0
+	must.NoError(t, s.Call(t.Context(), address, "Zone.Echo", &args, &reply))
+	first := s.openClient(connKeyOf(address, "Zone.Echo"))
+	must.NotNil(t, first)
+
+	must.NoError(t, listener.Close())
+	closeConn()
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(first.conn.hasFailed.Load), wait.Timeout(10*time.Second), wait.Gap(time.Millisecond)))
+	serve(address)
+	args = 2
+	must.NoError(t, s.Call(t.Context(), address, "Zone.Echo", &args, &reply))
+	must.Eq(t, 2, reply)
+}
