Post the results of calls on workers even when the mailbox is full

Cause: RunAsync dropped the result of a call when the control loop's mailbox was full, and whoever waited for it waited for good: a scan for orphaned jobs, a renewal or a look-up stayed "running".

Change: Mailbox.PostWait waits for room, and RunAsync uses it. A result is dropped only when the workers stop.

--- a/kernel/loop_test.go
+++ b/kernel/loop_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
 )
 
 func runLoop(t *testing.T, clock clockwork.Clock) *Loop {
@@ -53,6 +54,33 @@
 	must.Eq(t, 1, mailbox.Dropped())
 }
 
+// TestRunAsync_FullMailbox makes more calls than the mailbox has room for while the
+// loop is busy. Each call must have its result.
+func TestRunAsync_FullMailbox(t *testing.T) {
+	const calls = 50
+	loop, workers := NewLoop(clockwork.NewFakeClock()), NewWorkers(calls)
+	defer workers.Stop()
+	seen := make(map[int]bool)
+	results := NewMailbox(loop, 2, func(result AsyncResult[int]) { seen[result.Value] = true })
+	for i := range calls {
+		RunAsync(workers, time.Second, results, func(context.Context) (int, error) { return i, nil })
+	}
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool {
+		loop.runOnce()
+		return len(seen) == calls
+	}), wait.Timeout(10*time.Second), wait.Gap(time.Millisecond)))
+	must.Eq(t, 0, results.Dropped())
+}
+
+// TestMailbox_PostWaitEnds checks that a wait for room ends with its context.
+func TestMailbox_PostWaitEnds(t *testing.T) {
+	mailbox := NewMailbox(NewLoop(clockwork.NewFakeClock()), 1, func(int) {})
+	must.NoError(t, mailbox.PostWait(t.Context(), 1))
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+	defer cancel()
+	must.ErrorIs(t, mailbox.PostWait(ctx, 2), context.DeadlineExceeded)
+}
+
 func TestCoalescingMailbox_KeepsNewestPerKey(t *testing.T) {
 	loop := NewLoop(clockwork.NewFakeClock())
 	got := map[string]int{}
--- a/kernel/mailbox.go
+++ b/kernel/mailbox.go
@@ -22,6 +22,8 @@
 	mu    sync.Mutex
 	queue []M
 	spare []M
+	// room is closed when the queue has been emptied; nil if nobody waits.
+	room chan struct{}
 }
 
 // NewMailbox returns a mailbox that is attached to a loop. Its capacity is a
@@ -47,6 +49,31 @@
 	return nil
 }
 
+// PostWait queues a message, and waits for room while the mailbox is full. It
+// returns the error of the context if that ends first. The control goroutine must
+// not call it.
+func (mb *Mailbox[M]) PostWait(ctx context.Context, message M) error {
+	for {
+		mb.mu.Lock()
+		if len(mb.queue) < mb.capacity {
+			mb.queue = append(mb.queue, message)
+			mb.mu.Unlock()
+			mb.loop.notify()
+			return nil
+		}
+		if mb.room == nil {
+			mb.room = make(chan struct{})
+		}
+		room := mb.room
+		mb.mu.Unlock()
+		select {
+		case <-room:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
 // Dropped returns the number of messages dropped by Post.
 func (mb *Mailbox[M]) Dropped() uint64 { return mb.dropped.Load() }
 
@@ -54,6 +81,10 @@
 	mb.mu.Lock()
 	batch := mb.queue
 	mb.queue, mb.spare = mb.spare[:0], nil
+	if mb.room != nil {
+		close(mb.room)
+		mb.room = nil
+	}
 	mb.mu.Unlock()
 	for _, message := range batch {
 		mb.loop.guard.Run("a message to the control loop", func() { mb.handle(message) })
--- a/kernel/workers.go
+++ b/kernel/workers.go
@@ -63,17 +63,20 @@
 }
 
 // RunAsync makes a blocking call on a worker and posts its result to a mailbox
-// of the control loop; a full mailbox drops the result. The result of a call that
-// panics is ErrPanicked. A timeout of zero means none.
+// of the control loop, waiting for room if the mailbox is full, so that each call
+// that began has a result unless the workers stop. The result of a call that panics
+// is ErrPanicked. A timeout of zero means none.
 func RunAsync[T any](w *Workers, timeout time.Duration, results *Mailbox[AsyncResult[T]], work func(ctx context.Context) (T, error)) {
 	w.Go(func(ctx context.Context) {
+		result := AsyncResult[T]{Err: ErrPanicked}
+		workersCtx := ctx
+		// An error means that the workers stop, and nothing handles results any more.
+		defer func() { _ = results.PostWait(workersCtx, result) }()
 		if timeout > 0 {
 			var cancel context.CancelFunc
 			ctx, cancel = context.WithTimeout(ctx, timeout)
 			defer cancel()
 		}
-		result := AsyncResult[T]{Err: ErrPanicked}
-		defer func() { _ = results.Post(result) }()
 		value, err := work(ctx)
 		result = AsyncResult[T]{Value: value, Err: err}
 	})
