Adopt a job that the store assigns to a daemon that does not run it

Cause: at a planned stop the owner of a job names its successor in the store and then tells it. If the reply of the store to that write was lost, or the call to the successor, nobody ran the job any more: its owner was alive, so no takeover looked for it. The same happened to a job just accepted, and to the outcome of a run, a reward call or a write to the log, when the mailbox of the control loop was full.

Change: the daemon that stops reads the owner again after a lost reply. Outcomes and adoptions wait for room in the mailbox.

--- a/daemon/services/jobs/checkpoint.go
+++ b/daemon/services/jobs/checkpoint.go
@@ -70,9 +70,7 @@
 			Conditions: []outside.Condition{{Key: ownerKey(id), Revision: ownership.revision}},
 			Writes:     []outside.Write{{Key: textKey(id, ownership.Epoch, number), Value: encode(parts)}},
 		})
-		if err := s.checkpointOutcomes.Post(outcome); err != nil {
-			s.log.WithError(err).WithField("job", id).Error("The outcome of a checkpoint was dropped.")
-		}
+		postOutcome(ctx, s, s.checkpointOutcomes, outcome, id)
 	})
 }
 
--- a/daemon/services/jobs/commit.go
+++ b/daemon/services/jobs/commit.go
@@ -49,9 +49,7 @@
 	id, ownership, log := j.ID, j.ownership, j.log
 	s.workers.Go(func(ctx context.Context) {
 		outcome := s.appendResults(ctx, id, ownership, log, results)
-		if err := s.commitOutcomes.Post(outcome); err != nil {
-			s.log.WithError(err).WithField("job", id).Error("The outcome of a log write was dropped.")
-		}
+		postOutcome(ctx, s, s.commitOutcomes, outcome, id)
 	})
 }
 
@@ -235,9 +233,7 @@
 	s.workers.Go(func(ctx context.Context) {
 		check := ownershipCheck{id: id, epoch: epoch, startedAt: boottime.Now()}
 		check.ownership, check.err = s.jobStore.readOwnership(ctx, id)
-		if err := s.ownershipChecks.Post(check); err != nil {
-			s.log.WithError(err).WithField("job", id).Error("The outcome of an ownership check was dropped.")
-		}
+		postOutcome(ctx, s, s.ownershipChecks, check, id)
 	})
 }
 
--- a/daemon/services/jobs/reward.go
+++ b/daemon/services/jobs/reward.go
@@ -41,12 +41,10 @@
 	it.phase = phaseJudging
 	id, epoch, ctx := j.ID, j.ownership.Epoch, j.ctx
 	deadline := s.loop.Now().Add(rewardTimeout)
-	s.workers.Go(func(context.Context) {
+	s.workers.Go(func(workersCtx context.Context) {
 		outcome := s.callReward(ctx, it.Reward, deadline)
 		outcome.job, outcome.epoch, outcome.item = id, epoch, it
-		if err := s.rewardOutcomes.Post(outcome); err != nil {
-			s.log.WithError(err).WithField("job", id).Error("The outcome of a reward call was dropped.")
-		}
+		postOutcome(workersCtx, s, s.rewardOutcomes, outcome, id)
 	})
 }
 
--- a/daemon/services/jobs/rpc.go
+++ b/daemon/services/jobs/rpc.go
@@ -25,6 +25,9 @@
 // Results reads the log of a job that this daemon owns.
 func (r *Receiver) Results(request contract.ResultsRequest, reply *ResultsRPC) error {
 	reply.Reply, reply.Known = r.service.readOwnResults(context.Background(), request)
+	if !reply.Known {
+		r.service.reconcileOwnership(request.ID)
+	}
 	return nil
 }
 
@@ -48,6 +51,9 @@
 // Owned records that another daemon owns a job.
 func (r *Receiver) Owned(request OwnedRPC, _ *struct{}) error {
 	r.service.rememberOwner(request.ID, request.record())
+	if request.Own.Owner == r.service.session.View().Load().Self.Name && !request.Own.Ended {
+		r.service.reconcileOwnership(request.ID)
+	}
 	if request.Forward {
 		request.Forward = false
 		r.service.broadcaster.NotifyZone(rpcName+".Owned", request)
--- a/daemon/services/jobs/runs.go
+++ b/daemon/services/jobs/runs.go
@@ -40,13 +40,11 @@
 	}
 	progress := it.progress
 	id, epoch, model := j.ID, j.ownership.Epoch, j.Model
-	s.workers.Go(func(context.Context) {
+	s.workers.Go(func(workersCtx context.Context) {
 		defer cancel()
 		outcome := runOutcome{job: id, epoch: epoch, model: model, item: it, server: server, result: s.engineRunner.Run(ctx, request, progress)}
 		outcome.endedAt = time.Now()
-		if err := s.runOutcomes.Post(outcome); err != nil {
-			s.log.WithError(err).WithField("job", id).Error("The outcome of a run was dropped.")
-		}
+		postOutcome(workersCtx, s, s.runOutcomes, outcome, id)
 	})
 }
 
--- a/daemon/services/jobs/submit.go
+++ b/daemon/services/jobs/submit.go
@@ -54,7 +54,8 @@
 		var created storedJob
 		if created, err = s.jobStore.create(ctx, job, source, ownership); err == nil {
 			log.Info("A batch job is accepted.")
-			return s.adoptions.Post(adoption{storedJob: created})
+			s.deliverAdoption(adoption{storedJob: created})
+			return nil
 		}
 		if errors.Is(err, outside.ErrConflict) {
 			return s.acceptExisting(ctx, job.ID, ownership.Owner)
@@ -112,9 +113,7 @@
 		created, err := s.jobStore.create(ctx, job, source, ownership)
 		if err == nil {
 			s.log.WithField("job", job.ID).Info("Batch job accepted after an unknown outcome.")
-			if err := s.adoptions.Post(adoption{storedJob: created}); err != nil {
-				s.log.WithError(err).WithField("job", job.ID).Error("Could not adopt an accepted batch job.")
-			}
+			s.deliverAdoption(adoption{storedJob: created})
 			return
 		}
 		if errors.Is(err, outside.ErrConflict) {
@@ -130,7 +129,7 @@
 
 // adoptOwnJob adopts a job for which the store names this daemon as the owner.
 func (s *service) adoptOwnJob(ctx context.Context, id, self string) {
-	if _, owned := s.jobViews.Load(id); owned {
+	if s.isOwned(id) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, resolutionTimeout)
@@ -140,11 +139,9 @@
 		stored, err := s.jobStore.readStoredJob(ctx, id)
 		if err == nil {
 			if stored.ownership.Owner == self {
-				err = s.adoptions.Post(adoption{storedJob: stored})
-			}
-			if err == nil {
-				return
+				s.deliverAdoption(adoption{storedJob: stored})
 			}
+			return
 		}
 		if errors.Is(err, errNotFound) {
 			return
--- a/daemon/services/jobs/takeover.go
+++ b/daemon/services/jobs/takeover.go
@@ -71,7 +71,7 @@
 	s := m.service
 	m.isScanning = true
 	kernel.RunAsync(s.workers, 0, m.scanResults, func(ctx context.Context) (int, error) {
-		return s.takeOverOrphans(ctx, s.session.IsSuccessorOf)
+		return s.takeOverOrphans(ctx, false, s.session.IsSuccessorOf)
 	})
 }
 
@@ -117,7 +117,7 @@
 	m.isScanning = true
 	isSweep := m.isSweeper(view)
 	kernel.RunAsync(m.service.workers, 0, m.scanResults, func(ctx context.Context) (int, error) {
-		return m.service.takeOverOrphans(ctx, func(owner string) bool {
+		return m.service.takeOverOrphans(ctx, isSweep, func(owner string) bool {
 			_, isLive := view.Live[owner]
 			return !isLive && (isSweep || m.isJobSuccessorOf(owner, view)) || m.service.session.IsSuccessorOf(owner)
 		})
@@ -152,8 +152,9 @@
 }
 
 // takeOverOrphans takes over the open jobs whose owners are gone, and returns
-// the number of takeovers that failed.
-func (s *service) takeOverOrphans(ctx context.Context, isOwnerGone func(owner string) bool) (int, error) {
+// the number of takeovers that failed. If remindOwners is set, live owners are told
+// of their open jobs.
+func (s *service) takeOverOrphans(ctx context.Context, remindOwners bool, isOwnerGone func(owner string) bool) (int, error) {
 	listing, err := s.store.List(ctx, ownerPrefix)
 	if err != nil {
 		return 0, err
@@ -179,6 +180,8 @@
 					failed.Add(1)
 				}
 			})
+		case remindOwners:
+			group.Go(func() { s.remindOwner(ctx, id, ownership) })
 		}
 	}
 	group.Wait()
@@ -219,7 +222,8 @@
 		if errors.Is(err, errNotFound) || err == nil && stored.ownership.Owner != self {
 			return
 		}
-		if err == nil && s.adoptions.Post(stored) == nil {
+		if err == nil {
+			s.deliverAdoption(stored)
 			return
 		}
 		select {
@@ -322,12 +326,8 @@
 	next := h.ownership.Ownership
 	next.Owner, next.Epoch = successor, h.ownership.Epoch+1
 	ownership, err := s.jobStore.swapOwnership(ctx, h.id, h.ownership, next)
-	if errors.Is(err, outside.ErrConflict) {
-		// A result was listed or the job was ended since the ownership record
-		// was read.
-		if ownership, err = s.jobStore.readOwnership(ctx, h.id); err == nil && ownership.Owner == h.ownership.Owner && !ownership.Ended {
-			ownership, err = s.jobStore.swapOwnership(ctx, h.id, ownership, next)
-		}
+	if err != nil {
+		ownership, err = s.retryHandover(ctx, h, next)
 	}
 	log := s.log.WithFields(logrus.Fields{"job": h.id, "to": successor, "epoch": next.Epoch})
 	if err != nil {
@@ -345,6 +345,26 @@
 	}
 }
 
+// errNotHandedOver is returned when a job at a planned stop has another owner or
+// was ended.
+var errNotHandedOver = errors.New("jobs: job was ended or has another owner")
+
+// retryHandover hands a job over after the first write failed: a result was listed
+// or the job was ended since the ownership record was read, or the reply of the
+// store was lost.
+func (s *service) retryHandover(ctx context.Context, h handover, next batch.Ownership) (ownershipRecord, error) {
+	ownership, err := s.jobStore.readOwnership(ctx, h.id)
+	switch {
+	case err != nil:
+		return ownership, err
+	case ownership.Ownership == next:
+		return ownership, nil
+	case ownership.Owner != h.ownership.Owner || ownership.Ended:
+		return ownership, errNotHandedOver
+	}
+	return s.jobStore.swapOwnership(ctx, h.id, ownership, next)
+}
+
 // removeExpired deletes a job whose results need no longer be kept.
 func (s *service) removeExpired(j *job, now time.Time) {
 	if j.isCommitting || now.Sub(j.submittedAt) < retentionFactor*s.config.Platform.ResultsKept || j.isOpen() {
