Order weights over a connection for each load

Cause: the leader kept two connections to each engine for orders and reports. The responses of engines carry no id, so a late second copy of a report could be read as the response to the next order: status 200, the order already holds. The leader then believed and announced a version that the engine did not run. An engine also stayed busy for good when the mailbox for its result was full.

Change: an order and the reports of its load share a connection, which is closed when the load ends. Within a load a late copy is at worst an earlier state of that load. Results wait for room in the mailbox, and a call that panics has a result. Transports that close each connection after one request have an option for it.

--- a/daemon/services/dispatch/dispatch.go
+++ b/daemon/services/dispatch/dispatch.go
@@ -56,8 +56,7 @@
 func (s *service) Provision(ctx *kernel.Context) error {
 	s.log = ctx.Log()
 	s.transport = transport.New(transport.Options{DialTimeout: dialTimeout, IdleTimeout: idleTimeout, MaxIdlePerHost: maxIdlePerServer})
-	s.freshTransport = transport.New(transport.Options{DialTimeout: dialTimeout})
-	s.freshTransport.DisableKeepAlives = true
+	s.freshTransport = transport.New(transport.Options{DialTimeout: dialTimeout, SingleUse: true})
 	return kernel.FindAll(ctx,
 		kernel.Bind(&s.balancer, contract.NameBalance),
 		kernel.Bind(&s.retries, contract.NameRetries),
--- a/daemon/services/swaps/swaps.go
+++ b/daemon/services/swaps/swaps.go
@@ -42,12 +42,9 @@
 	firstReportDelay = 1100 * time.Millisecond
 	// reportInterval is the pause before an engine's report is read again.
 	reportInterval = 250 * time.Millisecond
-	// idleConnTimeout is how long an idle connection is kept. Orders and
-	// reports of an engine follow each other within seconds.
-	idleConnTimeout = 30 * time.Second
-	// maxIdleConnsPerEngine leaves one connection for an order and one for a
-	// report.
-	maxIdleConnsPerEngine = 2
+	// loadConnTimeout is how long the connection of a load is kept idle. It
+	// exceeds firstReportDelay.
+	loadConnTimeout = 3 * time.Second
 	// fencedPause is how long a daemon sends no orders after an engine has
 	// rejected its fencing token.
 	fencedPause = 4 * time.Second
@@ -71,7 +68,6 @@
 	log           *logrus.Entry
 	loop          *kernel.Loop
 	workers       *kernel.Workers
-	transport     *http.Transport
 	orderResults  *kernel.Mailbox[orderResult]
 	reportResults *kernel.Mailbox[reportResult]
 	paces         contract.EnginePaces
@@ -103,6 +99,8 @@
 	// reads from the weight store for it.
 	currentLoad placement.WeightLoad
 	isFetching  bool
+	// transport has the connection of the load in progress.
+	transport *http.Transport
 	// retryAt is the earliest time of the next order after a failed one.
 	retryAt time.Time
 }
@@ -127,12 +125,26 @@
 	}
 	s.log, s.loop, s.workers = ctx.Log(), ctx.Loop(), ctx.Workers()
 	s.broadcaster.Workers, s.broadcaster.Log, s.broadcaster.Timeout = s.workers, s.log, broadcastTimeout
-	s.transport = transport.New(transport.Options{DialTimeout: orderTimeout, IdleTimeout: idleConnTimeout, MaxIdlePerHost: maxIdleConnsPerEngine})
+	s.newMailboxes()
+	return rpc.Register(rpcName, &Receiver{service: s})
+}
+
+// newMailboxes creates the mailboxes of the control loop.
+func (s *service) newMailboxes() {
 	s.orderResults = kernel.NewMailbox(s.loop, mailboxCapacity, s.handleOrderResult)
 	s.reportResults = kernel.NewMailbox(s.loop, mailboxCapacity, s.handleReport)
 	s.demandUpdates = kernel.NewMailbox(s.loop, mailboxCapacity, func(d contract.ModelDemand) { s.demand.Observe(d.Model, d.Size) })
 	s.weightUpdates = kernel.NewMailbox(s.loop, mailboxCapacity, s.notifyListeners)
-	return rpc.Register(rpcName, &Receiver{service: s})
+}
+
+// newTransport returns the transport for one load of weights: its order and the
+// reports that follow share a connection, which is closed with the load. Responses
+// of engines carry no id, so a late copy of a report must not be read as the
+// response to an order; a late copy within a load is at worst an earlier state of
+// that load. The leader, which orders all engines, keeps no connections to those
+// that are loaded.
+func newTransport() *http.Transport {
+	return transport.New(transport.Options{DialTimeout: orderTimeout, IdleTimeout: loadConnTimeout, MaxIdlePerHost: 1})
 }
 
 // Start implements kernel.Service.
@@ -197,7 +209,7 @@
 	for _, load := range placement.PlanWeightLoads(models, view.TargetVersions, s.demand, engines, limit-fetching) {
 		e := s.engineFor(servers[load.EngineIndex])
 		target := orderTarget{server: servers[load.EngineIndex], model: load.Model, version: load.Version}
-		e.busy, e.isFetching, e.currentLoad = true, true, load
+		e.reserve(load)
 		if e.hasOrderCount {
 			s.sendOrder(target, e)
 		} else {
@@ -206,9 +218,16 @@
 	}
 }
 
+// reserve marks the engine as busy with a load.
+func (e *engine) reserve(load placement.WeightLoad) {
+	e.busy, e.isFetching, e.currentLoad = true, true, load
+	e.transport = newTransport()
+}
+
 // release marks an engine as free for its next order.
 func (e *engine) release() {
 	e.busy, e.isFetching, e.currentLoad = false, false, placement.WeightLoad{}
+	e.transport.CloseIdleConnections()
 }
 
 // engineFor returns the record of an engine and merges the versions of its
@@ -251,21 +270,30 @@
 		"token": token, "after": e.acceptedOrders,
 	}).Info("An order is given.")
 	s.metrics.Count("swaps.orders", 1)
-	s.workers.Go(func(ctx context.Context) {
-		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	loadTransport := e.transport
+	s.workers.Go(func(workersCtx context.Context) {
+		result := orderResult{orderTarget: target, engine: e, outcome: platform.OrderRefused, err: kernel.ErrPanicked}
+		defer func() { postResult(workersCtx, s, s.orderResults, result) }()
+		ctx, cancel := context.WithTimeout(workersCtx, orderTimeout)
 		defer cancel()
-		result := orderResult{orderTarget: target, engine: e, outcome: platform.OrderRefused}
 		// The host may have been suspended, or another daemon may lead, since the
 		// order was planned.
-		if current, isLeader := s.session.Leadership(); isLeader && current == token {
-			result.outcome, result.err = order.Send(ctx, s.transport)
-		}
-		if err := s.orderResults.Post(result); err != nil {
-			s.log.WithError(err).Error("Dropped an order's result.")
+		if current, isLeader := s.session.Leadership(); !isLeader || current != token {
+			result.err = nil
+			return
 		}
+		result.outcome, result.err = order.Send(ctx, loadTransport)
 	})
 }
 
+// postResult posts the result of a call to an engine, without which the engine
+// would stay busy.
+func postResult[R any](ctx context.Context, s *service, results *kernel.Mailbox[R], result R) {
+	if err := results.PostWait(ctx, result); err != nil {
+		s.log.WithError(err).Info("Dropped a result of a call to an engine: the daemon stops.")
+	}
+}
+
 // swapMode returns how a service swaps weights: runs continue across the swap,
 // unless the service requires that each text is generated by a single version.
 func (s *service) swapMode(service structs.ServiceName) platform.SwapMode {
@@ -327,13 +355,13 @@
 func (s *service) scheduleReport(target orderTarget, e *engine, after time.Duration) {
 	s.loop.AfterFunc(after, func() {
 		s.metrics.Count("swaps.reports", 1)
-		s.workers.Go(func(ctx context.Context) {
-			ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+		loadTransport := e.transport
+		s.workers.Go(func(workersCtx context.Context) {
+			result := reportResult{orderTarget: target, engine: e, err: kernel.ErrPanicked}
+			defer func() { postResult(workersCtx, s, s.reportResults, result) }()
+			ctx, cancel := context.WithTimeout(workersCtx, reportTimeout)
 			defer cancel()
-			engineReport, err := platform.ReadReport(ctx, s.transport, target.server.ID, target.server.Address)
-			if err := s.reportResults.Post(reportResult{orderTarget: target, engine: e, report: engineReport, err: err}); err != nil {
-				s.log.WithError(err).Error("Dropped an engine report.")
-			}
+			result.report, result.err = platform.ReadReport(ctx, loadTransport, target.server.ID, target.server.Address)
 		})
 	})
 }
--- a/daemon/transport/transport.go
+++ b/daemon/transport/transport.go
@@ -30,6 +30,8 @@
 	MaxIdlePerHost int
 	// MaxPerHost bounds all connections to one address; zero means no limit.
 	MaxPerHost int
+	// SingleUse closes each connection after one request.
+	SingleUse bool
 }
 
 // New returns a transport that does not request compression, so that bodies can be
@@ -41,6 +43,7 @@
 	return &http.Transport{
 		DialContext: dialer.DialContext, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
 		IdleConnTimeout: options.IdleTimeout, MaxIdleConnsPerHost: options.MaxIdlePerHost, MaxConnsPerHost: options.MaxPerHost,
+		DisableKeepAlives: options.SingleUse,
 	}
 }
 
