Hold results for the end of a step that is near

Cause: a trainer's read of a log waits for new results and returns with the first of them; the next read comes half a second later. The last texts of a step end within a second of each other and close to the deadline, and results that were written because they had waited for 0.7 s answered the read just before the last ones: the trainer saw a step 0.4 to 0.6 s after it was complete, and the next step began as much later.

Change: coord/batch.WriteDelay. Items carry the longest output that their request allows, so the time until enough groups are complete has an upper bound.

--- a/coord/batch/batch.go
+++ b/coord/batch/batch.go
@@ -35,7 +35,10 @@
 	TotalTokens int
 	// LengthHint is the caller's estimate of the output in tokens, or zero.
 	LengthHint int
-	Group      string
+	// MaxOutputTokens is the length at which the output ends in any case, in
+	// tokens; zero if unknown.
+	MaxOutputTokens int
+	Group           string
 	// Reward is nil for an item that is not scored.
 	Reward *RewardCall
 }
--- a/daemon/services/jobs/commit.go
+++ b/daemon/services/jobs/commit.go
@@ -12,15 +12,6 @@
 	"github.com/flamingobeam/flamingobeam/outside"
 )
 
-const (
-	// commitDelay is how long a finished result may wait to be written together
-	// with others, as each write to the store is charged.
-	commitDelay = 700 * time.Millisecond
-	// deadlineMargin is the time before the job's deadline from which results
-	// are written without delay.
-	deadlineMargin = time.Second
-)
-
 // finishItem records the result of an item.
 func (s *service) finishItem(j *job, it *item, result batch.Result) {
 	it.phase = phaseFinished
@@ -32,15 +23,14 @@
 }
 
 // commitResults writes the pending results once the job has as many complete
-// groups as the trainer waits for, the deadline is near, or the oldest pending
-// result has waited for commitDelay.
+// groups as the trainer waits for, and after batch.WriteDelay before that.
 func (s *service) commitResults(j *job) {
 	if j.isCommitting || len(j.pendingResults) == 0 || j.ownership.Ended {
 		return
 	}
 	now := s.loop.Now()
-	delay := min(commitDelay-now.Sub(j.pendingSince), j.deadline().Add(-deadlineMargin).Sub(now))
-	if delay > 0 && j.isOpen() && !j.hasWantedGroups() {
+	delay := batch.WriteDelay(now.Sub(j.pendingSince), j.deadline().Sub(now), s.untilWanted(j, now))
+	if delay > 0 && j.isOpen() {
 		s.loop.AfterFunc(delay, func() { s.commitResults(j) })
 		return
 	}
@@ -53,18 +43,37 @@
 	})
 }
 
-// hasWantedGroups reports whether the job has at least WantedGroups complete
-// groups once the pending results are listed.
-func (j *job) hasWantedGroups() bool {
-	openGroups := make(map[string]bool)
-	groups := make(map[string]bool)
-	for _, it := range j.items {
-		groups[it.Group] = true
-		if it.phase != phaseFinished {
-			openGroups[it.Group] = true
+// untilWanted returns the upper bound of the time until the job has as many complete
+// groups as the trainer waits for, once the pending results are listed.
+func (s *service) untilWanted(j *job, now time.Time) time.Duration {
+	items := make([]batch.ItemState, len(j.items))
+	for i, it := range j.items {
+		items[i] = batch.ItemState{Group: it.Group, TimeLeft: s.maxTimeLeft(j, it, now)}
+	}
+	return batch.UntilWanted(items, j.WantedGroups)
+}
+
+// maxTimeLeft returns the upper bound of the time until an item's result is finished,
+// if its engine keeps its pace.
+func (s *service) maxTimeLeft(j *job, it *item, now time.Time) time.Duration {
+	switch it.phase {
+	case phaseFinished:
+		return 0
+	case phaseJudging:
+		return usualRewardTime
+	case phaseRunning:
+		sample, ok := it.progress.PaceSample(now)
+		if !ok || it.MaxOutputTokens == 0 {
+			return batch.UnknownTime
+		}
+		eventsLeft := max(1, it.MaxOutputTokens/s.tokensPerEvent(j)+1-it.resumeOffset-it.progress.EventCount())
+		left := time.Duration(eventsLeft) * sample.Recent
+		if it.Reward != nil {
+			left += usualRewardTime
 		}
+		return left
 	}
-	return len(groups)-len(openGroups) >= j.WantedGroups
+	return batch.UnknownTime
 }
 
 func (j *job) findItem(id batch.ItemID) *item {
--- a/daemon/services/jobs/reward.go
+++ b/daemon/services/jobs/reward.go
@@ -14,6 +14,8 @@
 )
 
 const (
+	// usualRewardTime is the time that a reward call usually takes.
+	usualRewardTime = 200 * time.Millisecond
 	// rewardTimeout bounds one round of attempts of a reward call.
 	rewardTimeout = 4 * time.Second
 	// rewardRetryDelay is the delay before a failed reward call is retried.
--- a/daemon/services/jobs/schedule.go
+++ b/daemon/services/jobs/schedule.go
@@ -258,19 +258,24 @@
 // TokensPerEvent.
 const defaultTokensPerEvent = 64
 
-// eventsLeft estimates how many events an item still needs.
-func (s *service) eventsLeft(j *job, it *item) int {
-	tokensPerEvent := defaultTokensPerEvent
+// tokensPerEvent returns how many tokens an event of a job's engines contains.
+func (s *service) tokensPerEvent(j *job) int {
 	if view := s.catalog.Current().Load(); view.Catalog != nil {
 		if service := view.Catalog.Services[j.route.service]; service.Engine != nil && service.Engine.TokensPerEvent > 0 {
-			tokensPerEvent = service.Engine.TokensPerEvent
+			return service.Engine.TokensPerEvent
 		}
 	}
+	return defaultTokensPerEvent
+}
+
+// eventsLeft estimates how many events an item still needs.
+func (s *service) eventsLeft(j *job, it *item) int {
 	eventsMade := it.resumeOffset
 	if it.phase == phaseRunning {
 		eventsMade += it.progress.EventCount()
 	}
-	return int(math.Ceil(placement.EstimateRemainingEvents(float64(it.LengthHint)/float64(tokensPerEvent), float64(eventsMade))))
+	hint := float64(it.LengthHint) / float64(s.tokensPerEvent(j))
+	return int(math.Ceil(placement.EstimateRemainingEvents(hint, float64(eventsMade))))
 }
 
 // engineSelector returns a selector over the engines that can run a job's
