Bound the estimate of a text's length by its longest output

Cause: the events that an item still needs were estimated from its length hint alone. A hint may exceed the longest output that the request allows (16,390 against 10,500 tokens on the large site), and past the hint the estimate grew with the text, so a text six events before its end counted as one with sixty: urgencies, moves of slow runs and the choice of engines followed.

Change: the estimate is at most what is left to the longest output.

Measured: TestEventsLeft_LongestOutput.

--- a/daemon/services/jobs/commit.go
+++ b/daemon/services/jobs/commit.go
@@ -62,11 +62,11 @@
 	case phaseJudging:
 		return usualRewardTime
 	case phaseRunning:
-		sample, ok := it.progress.PaceSample(now)
-		if !ok || it.MaxOutputTokens == 0 {
+		sample, hasPace := it.progress.PaceSample(now)
+		eventsLeft, isKnown := s.maxEventsLeft(j, it)
+		if !hasPace || !isKnown {
 			return batch.UnknownTime
 		}
-		eventsLeft := max(1, it.MaxOutputTokens/s.tokensPerEvent(j)+1-it.resumeOffset-it.progress.EventCount())
 		left := time.Duration(eventsLeft) * sample.Recent
 		if it.Reward != nil {
 			left += usualRewardTime
--- a/daemon/services/jobs/jobs_test.go
+++ b/daemon/services/jobs/jobs_test.go
@@ -138,3 +138,19 @@
 	must.Eq(t, []string{"x"}, texts["a"].Events)
 	must.False(t, texts["a"].Whole)
 }
+
+// TestEventsLeft_LongestOutput estimates the rest of texts whose hint exceeds the
+// longest output that their request allows, or that have passed their hint.
+func TestEventsLeft_LongestOutput(t *testing.T) {
+	s := newService()
+	j := &job{}
+	estimate := func(hint, longest, made int) int {
+		it := &item{Item: &batch.Item{LengthHint: hint * defaultTokensPerEvent, MaxOutputTokens: longest * defaultTokensPerEvent}, resumeOffset: made}
+		return s.eventsLeft(j, it)
+	}
+	must.Eq(t, 150, estimate(234, 150, 0))
+	must.Eq(t, 6, estimate(100, 186, 180))
+	must.Eq(t, 1, estimate(100, 186, 186))
+	must.Greater(t, 186, estimate(234, 0, 0))
+	must.Less(t, 150, estimate(30, 150, 0))
+}
--- a/daemon/services/jobs/schedule.go
+++ b/daemon/services/jobs/schedule.go
@@ -268,14 +268,30 @@
 	return defaultTokensPerEvent
 }
 
-// eventsLeft estimates how many events an item still needs.
-func (s *service) eventsLeft(j *job, it *item) int {
-	eventsMade := it.resumeOffset
+// maxEventsLeft returns how many events an item can still need, and false if its
+// longest output is unknown.
+func (s *service) maxEventsLeft(j *job, it *item) (int, bool) {
+	tokensPerEvent := s.tokensPerEvent(j)
+	maxEvents := (it.MaxOutputTokens + tokensPerEvent - 1) / tokensPerEvent
+	return max(1, maxEvents-it.eventsMade()), it.MaxOutputTokens > 0
+}
+
+// eventsMade returns how many events of an item's text exist.
+func (it *item) eventsMade() int {
 	if it.phase == phaseRunning {
-		eventsMade += it.progress.EventCount()
+		return it.resumeOffset + it.progress.EventCount()
 	}
+	return it.resumeOffset
+}
+
+// eventsLeft estimates how many events an item still needs.
+func (s *service) eventsLeft(j *job, it *item) int {
 	hint := float64(it.LengthHint) / float64(s.tokensPerEvent(j))
-	return int(math.Ceil(placement.EstimateRemainingEvents(hint, float64(eventsMade))))
+	estimate := int(math.Ceil(placement.EstimateRemainingEvents(hint, float64(it.eventsMade()))))
+	if longest, isKnown := s.maxEventsLeft(j, it); isKnown {
+		return min(estimate, longest)
+	}
+	return estimate
 }
 
 // engineSelector returns a selector over the engines that can run a job's
