Use the longest output of a text only while the text is within it

Real engines may also put fewer tokens into an event than their settings say.

Change: a text that has reached its longest output is estimated by its hint alone.

--- a/daemon/services/jobs/schedule.go
+++ b/daemon/services/jobs/schedule.go
@@ -269,11 +269,13 @@
 }
 
 // maxEventsLeft returns how many events an item can still need, and false if its
-// longest output is unknown.
+// longest output is unknown or its text is longer than that: the engine's events then
+// hold fewer tokens than its settings say.
 func (s *service) maxEventsLeft(j *job, it *item) (int, bool) {
 	tokensPerEvent := s.tokensPerEvent(j)
 	maxEvents := (it.MaxOutputTokens + tokensPerEvent - 1) / tokensPerEvent
-	return max(1, maxEvents-it.eventsMade()), it.MaxOutputTokens > 0
+	left := maxEvents - it.eventsMade()
+	return left, left > 0
 }
 
 // eventsMade returns how many events of an item's text exist.
