Give an outcome to runs and reward calls that panic

Cause: the workers recover from a panic, so a response that makes a run or a reward call panic costs no more than that call. But its outcome was never posted: the item counted as running for good, and its job could not become complete.

Change: such a run or call counts as a failed attempt, of which an item has a bounded number.

Measured: TestStartRun_Panic, which fails before.

--- a/daemon/services/jobs/jobs_test.go
+++ b/daemon/services/jobs/jobs_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"runtime"
 	"testing"
 	"time"
 
@@ -11,6 +12,8 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/flamingobeam/flamingobeam/coord/batch"
+	"github.com/flamingobeam/flamingobeam/coord/catalog"
+	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/daemon/boottime"
 	"github.com/flamingobeam/flamingobeam/daemon/broadcast"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
@@ -83,7 +86,7 @@
 	s := &service{
 		ownerCache: make(map[string]ownerEntry),
 		store:      f, swaps: f, session: f, catalog: f, log: logrus.NewEntry(log), loop: kernel.NewLoop(clockwork.NewFakeClock()),
-		workers: kernel.NewWorkers(1), ownedJobs: make(map[string]*job), earlyEnds: make(map[string]ownershipRecord),
+		workers: kernel.NewWorkers(1), engines: make(map[structs.HostName]*engineState), ownedJobs: make(map[string]*job), earlyEnds: make(map[string]ownershipRecord),
 	}
 	s.broadcaster = broadcast.Broadcaster{Session: f, Workers: s.workers, Log: s.log}
 	return s
@@ -156,3 +159,38 @@
 	must.Greater(t, 186, estimate(234, 0, 0))
 	must.Less(t, 150, estimate(30, 150, 0))
 }
+
+// panickingRunner ends the goroutine of each run as a panic does that the workers
+// recover from.
+type panickingRunner struct{ contract.Engines }
+
+func (panickingRunner) Run(context.Context, contract.RunRequest, *contract.Progress) contract.RunResult {
+	runtime.Goexit()
+	return contract.RunResult{}
+}
+
+// TestStartRun_Panic runs an item on an engine whose response makes the run panic. The
+// item must get an outcome, or it would count as running for good.
+func TestStartRun_Panic(t *testing.T) {
+	s := newService()
+	s.engineRunner = panickingRunner{}
+	outcomes := make(chan runOutcome, 1)
+	s.runOutcomes = kernel.NewMailbox(s.loop, 1, func(outcome runOutcome) { outcomes <- outcome })
+	ctx, cancel := context.WithCancel(t.Context())
+	go s.loop.Run(ctx)
+	defer func() {
+		cancel()
+		<-s.loop.Done()
+		s.workers.Stop()
+	}()
+	j := &job{ctx: ctx}
+	text := &contract.Text{}
+	s.startRun(j, &item{Item: &batch.Item{ID: "a"}, text: text}, catalog.Server{ID: "engine"}, 1, time.Millisecond, time.Now())
+	select {
+	case outcome := <-outcomes:
+		must.Eq(t, contract.RunFailed, outcome.result.Outcome)
+		must.True(t, outcome.result.Text == text)
+	case <-time.After(10 * time.Second):
+		must.Unreachable(t, must.Sprint("the item has no outcome"))
+	}
+}
--- a/daemon/services/jobs/reward.go
+++ b/daemon/services/jobs/reward.go
@@ -11,6 +11,7 @@
 	"github.com/flamingobeam/flamingobeam/coord/batch"
 	"github.com/flamingobeam/flamingobeam/coord/result"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
+	"github.com/flamingobeam/flamingobeam/kernel"
 )
 
 const (
@@ -44,9 +45,13 @@
 	id, epoch, ctx := j.ID, j.ownership.Epoch, j.ctx
 	deadline := s.loop.Now().Add(rewardTimeout)
 	s.workers.Go(func(workersCtx context.Context) {
-		outcome := s.callReward(ctx, it.Reward, deadline)
-		outcome.job, outcome.epoch, outcome.item = id, epoch, it
-		postOutcome(workersCtx, s, s.rewardOutcomes, outcome, id)
+		// A call that panics counts as a failed attempt.
+		outcome := rewardOutcome{failures: 1, err: kernel.ErrPanicked}
+		defer func() {
+			outcome.job, outcome.epoch, outcome.item = id, epoch, it
+			postOutcome(workersCtx, s, s.rewardOutcomes, outcome, id)
+		}()
+		outcome = s.callReward(ctx, it.Reward, deadline)
 	})
 }
 
--- a/daemon/services/jobs/runs.go
+++ b/daemon/services/jobs/runs.go
@@ -11,6 +11,7 @@
 	"github.com/flamingobeam/flamingobeam/coord/placement"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
+	"github.com/flamingobeam/flamingobeam/kernel"
 )
 
 // maxAvoided bounds the servers that an item avoids after failed runs.
@@ -42,9 +43,13 @@
 	id, epoch, model := j.ID, j.ownership.Epoch, j.Model
 	s.workers.Go(func(workersCtx context.Context) {
 		defer cancel()
-		outcome := runOutcome{job: id, epoch: epoch, model: model, item: it, server: server, result: s.engineRunner.Run(ctx, request, progress)}
-		outcome.endedAt = time.Now()
-		postOutcome(workersCtx, s, s.runOutcomes, outcome, id)
+		// A run that panics counts as a failed attempt.
+		result := contract.RunResult{Outcome: contract.RunFailed, Text: request.Text, Err: kernel.ErrPanicked}
+		defer func() {
+			outcome := runOutcome{job: id, epoch: epoch, model: model, item: it, server: server, result: result, endedAt: time.Now()}
+			postOutcome(workersCtx, s, s.runOutcomes, outcome, id)
+		}()
+		result = s.engineRunner.Run(ctx, request, progress)
 	})
 }
 
