Make no reward call before the configuration is read

Change: without a configuration the call fails without counting and is made again. A panic counts as no attempt. A limit that is not known gives no item up.

--- a/daemon/services/jobs/reward.go
+++ b/daemon/services/jobs/reward.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/flamingobeam/flamingobeam/coord/batch"
@@ -45,8 +46,8 @@
 	id, epoch, ctx := j.ID, j.ownership.Epoch, j.ctx
 	deadline := s.loop.Now().Add(rewardTimeout)
 	s.workers.Go(func(workersCtx context.Context) {
-		// A call that panics counts as a failed attempt.
-		outcome := rewardOutcome{failures: 1, err: kernel.ErrPanicked}
+		// A call that panics is no failure of a server and is made again.
+		outcome := rewardOutcome{err: kernel.ErrPanicked}
 		defer func() {
 			outcome.job, outcome.epoch, outcome.item = id, epoch, it
 			postOutcome(workersCtx, s, s.rewardOutcomes, outcome, id)
@@ -55,8 +56,15 @@
 	})
 }
 
+// errNoConfiguration is returned by a daemon that has taken over a job and has not
+// read the operator's configuration yet.
+var errNoConfiguration = errors.New("jobs: no configuration yet")
+
 func (s *service) callReward(ctx context.Context, reward *batch.RewardCall, deadline time.Time) rewardOutcome {
 	catalog := s.catalog.Current().Load().Catalog
+	if catalog == nil {
+		return rewardOutcome{err: errNoConfiguration}
+	}
 	route := catalog.Match(reward.Host, reward.Path)
 	if route == nil {
 		return rewardOutcome{err: result.New(result.NotFound, "no route for %s%s", reward.Host, reward.Path)}
@@ -93,7 +101,7 @@
 	it.rewardFailures += outcome.failures
 	s.log.WithError(outcome.err).WithFields(logrus.Fields{"job": j.ID, "item": it.ID, "failures": it.rewardFailures}).
 		Info("A reward call failed.")
-	if it.rewardFailures > 0 && it.rewardFailures >= max(outcome.maxAttempts, j.route.maxAttempts) {
+	if hasUsedAttempts(it.rewardFailures, max(outcome.maxAttempts, j.route.maxAttempts)) {
 		s.giveUpItem(j, it, "its reward calls failed")
 		return
 	}
@@ -109,6 +117,12 @@
 	})
 }
 
+// hasUsedAttempts reports whether an item has failed as often as its route allows. A
+// limit of zero is not known yet.
+func hasUsedAttempts(failures, maxAttempts int) bool {
+	return maxAttempts > 0 && failures >= maxAttempts
+}
+
 // giveUpItem records that an item gets no output. This is final.
 func (s *service) giveUpItem(j *job, it *item, why string) {
 	s.log.WithFields(logrus.Fields{
--- a/daemon/services/jobs/runs.go
+++ b/daemon/services/jobs/runs.go
@@ -43,8 +43,8 @@
 	id, epoch, model := j.ID, j.ownership.Epoch, j.Model
 	s.workers.Go(func(workersCtx context.Context) {
 		defer cancel()
-		// A run that panics counts as a failed attempt.
-		result := contract.RunResult{Outcome: contract.RunFailed, Text: request.Text, Err: kernel.ErrPanicked}
+		// A run that panics is no failure of the engine and is made again.
+		result := contract.RunResult{Outcome: contract.RunInterrupted, Text: request.Text, Err: kernel.ErrPanicked}
 		defer func() {
 			outcome := runOutcome{job: id, epoch: epoch, model: model, item: it, server: server, result: result, endedAt: time.Now()}
 			postOutcome(workersCtx, s, s.runOutcomes, outcome, id)
@@ -80,7 +80,7 @@
 		s.giveUpItem(j, it, "a server said that it can never be done")
 	case contract.RunFailed:
 		it.failures++
-		if it.failures >= j.route.maxAttempts {
+		if hasUsedAttempts(it.failures, j.route.maxAttempts) {
 			s.giveUpItem(j, it, "its attempts failed")
 			break
 		}
