--- a/coord/batch/writedelay_test.go
+++ b/coord/batch/writedelay_test.go
@@ -14,7 +14,7 @@
 // results, and the next one begins readPause after it.
 type stepEnd struct {
 	finishedAt []time.Duration
-	// isBounded tells for which items the time left is known.
+	// isBounded reports whether the time left of an item is known.
 	isBounded func(item int) bool
 	due       time.Duration
 	delay     func(waited, untilDue, untilWanted time.Duration) time.Duration
--- a/daemon/services/jobs/jobs.go
+++ b/daemon/services/jobs/jobs.go
@@ -84,8 +84,8 @@
 	// jobViews gives other goroutines the logs of the owned jobs, as
 	// *kernel.Snapshot[jobView] by job ID.
 	jobViews sync.Map
-	// reconciling holds the IDs of the jobs whose owner is being checked because
-	// another daemon takes this one for it.
+	// reconciling holds the IDs of the jobs whose ownership is being checked because
+	// another daemon considers this one the owner.
 	reconciling sync.Map
 	// ownerCache holds the last known ownership records of jobs.
 	ownerCacheMu sync.Mutex
--- a/daemon/services/jobs/model_owner.go
+++ b/daemon/services/jobs/model_owner.go
@@ -31,8 +31,8 @@
 type avoidedHosts struct {
 	hosts []string
 	// lastStart is the latest start of a daemon that is stopping, in nanoseconds;
-	// zero if none is. A rolling restart has passed the daemons that started after
-	// it.
+	// zero if none is. Daemons that started after it have been restarted in the
+	// same rolling restart.
 	lastStart int64
 }
 
@@ -46,8 +46,8 @@
 // modelOwnerOf returns the daemon of this zone that owns the jobs of a model,
 // chosen by rendezvous hashing among the strongest hosts. With a single owner,
 // one daemon has the connections to the model's engines, tracks their load and
-// holds the texts of earlier steps. During a rolling restart those hosts that it
-// has passed are preferred. A daemon without a session chooses itself, as does
+// holds the texts of earlier steps. During a rolling restart the hosts that have
+// been restarted are preferred. A daemon without a session chooses itself, as does
 // one whose zone has no other host left.
 func modelOwnerOf(model string, view *contract.SessionView, avoided avoidedHosts) membership.Member {
 	if _, isLive := view.Live[view.Self.Name]; !isLive {
--- a/daemon/services/jobs/reconcile.go
+++ b/daemon/services/jobs/reconcile.go
@@ -14,8 +14,8 @@
 
 // reconcileOwnership adopts a job that the store assigns to this daemon if it does
 // not run it: the daemon that handed the job over may have lost the reply of the
-// store, or the call that was to tell this one. Nobody else runs the job, because
-// its owner is alive.
+// store, or its call to this one. No other daemon takes the job over, because its
+// owner is alive.
 func (s *service) reconcileOwnership(id string) {
 	if s.isQuiesced.Load() || s.isOwned(id) {
 		return
@@ -53,7 +53,7 @@
 	return isOwned
 }
 
-// remindOwner tells the live owner of an open job that the store names it.
+// remindOwner notifies the live owner of an open job that the store names it.
 func (s *service) remindOwner(ctx context.Context, id string, ownership ownershipRecord) {
 	address := s.addressOf(ownership.Owner)
 	if address == "" {
@@ -65,15 +65,14 @@
 	}
 }
 
-// deliverAdoption passes a job that the store assigns to this daemon to the control
-// loop, however busy that is: the job is accepted, so no error may be returned for
-// it.
+// deliverAdoption posts a job that the store assigns to this daemon to the control
+// loop and waits for room there: the job is accepted, so the adoption must not fail.
 func (s *service) deliverAdoption(a adoption) {
 	s.workers.Go(func(ctx context.Context) { postOutcome(ctx, s, s.adoptions, a, a.job.ID) })
 }
 
-// postOutcome posts the outcome of a call on a worker. Without it the job would wait
-// for the call for good.
+// postOutcome posts the outcome of a call on a worker. A job whose outcome is missing
+// would wait for that call until it is dropped.
 func postOutcome[T any](ctx context.Context, s *service, outcomes *kernel.Mailbox[T], outcome T, job string) {
 	if err := outcomes.PostWait(ctx, outcome); err != nil {
 		s.log.WithError(err).WithField("job", job).Info("Dropped the outcome of a call: the daemon stops.")
--- a/daemon/services/jobs/reconcile_test.go
+++ b/daemon/services/jobs/reconcile_test.go
@@ -114,7 +114,7 @@
 }
 
 // TestReconcileOwnership_LostAdopt asks a daemon for the results of a job that was
-// handed over to it without its knowledge. It must run the job from then on.
+// handed over to it without notice. It must adopt the job.
 func TestReconcileOwnership_LostAdopt(t *testing.T) {
 	s, _, _ := newStoredService(t)
 	storeJob(t, s, "host-1.1a")
@@ -137,8 +137,8 @@
 	must.False(t, s.isOwned("job"))
 }
 
-// TestTakeOverOrphans_RemindsOwner sweeps over the open job of a live owner, which is
-// told of it.
+// TestTakeOverOrphans_RemindsOwner sweeps over the open job of a live owner, which must be
+// notified.
 func TestTakeOverOrphans_RemindsOwner(t *testing.T) {
 	s, _, peers := newStoredService(t)
 	storeJob(t, s, "host-2.1a")
--- a/daemon/services/jobs/schedule.go
+++ b/daemon/services/jobs/schedule.go
@@ -270,7 +270,7 @@
 
 // maxEventsLeft returns how many events an item can still need, and false if its
 // longest output is unknown or its text is longer than that: the engine's events then
-// hold fewer tokens than its settings say.
+// contain fewer tokens than configured.
 func (s *service) maxEventsLeft(j *job, it *item) (int, bool) {
 	tokensPerEvent := s.tokensPerEvent(j)
 	maxEvents := (it.MaxOutputTokens + tokensPerEvent - 1) / tokensPerEvent
--- a/daemon/services/jobs/submit.go
+++ b/daemon/services/jobs/submit.go
@@ -104,7 +104,7 @@
 
 // resolveAcceptance resolves an acceptance with an unknown outcome. It makes
 // this daemon run the job if it was or can be accepted, because the caller was
-// not told otherwise.
+// not informed otherwise.
 func (s *service) resolveAcceptance(ctx context.Context, job *batch.Job, source []byte, ownership batch.Ownership) {
 	ctx, cancel := context.WithTimeout(ctx, resolutionTimeout)
 	defer cancel()
--- a/daemon/services/jobs/takeover.go
+++ b/daemon/services/jobs/takeover.go
@@ -42,9 +42,9 @@
 	retentionFactor = 2
 )
 
-// takeoverMonitor scans for jobs whose owner is gone. A daemon takes back the
+// takeoverMonitor scans for jobs whose owner is not live. A daemon takes back the
 // jobs of earlier runs on its host. The jobs of a host that does not come back
-// go to a successor that all daemons compute alike by rendezvous hashing.
+// go to a successor that all daemons choose by the same rendezvous hashing.
 // Unless noted otherwise, it belongs to the control goroutine.
 type takeoverMonitor struct {
 	service *service
@@ -152,8 +152,8 @@
 }
 
 // takeOverOrphans takes over the open jobs whose owners are gone, and returns
-// the number of takeovers that failed. If remindOwners is set, live owners are told
-// of their open jobs.
+// the number of takeovers that failed. If remindOwners is set, live owners are
+// notified of their open jobs.
 func (s *service) takeOverOrphans(ctx context.Context, remindOwners bool, isOwnerGone func(owner string) bool) (int, error) {
 	listing, err := s.store.List(ctx, ownerPrefix)
 	if err != nil {
@@ -188,7 +188,7 @@
 	return int(failed.Load()), nil
 }
 
-// takeOverJob makes this daemon the owner of a job whose owner is gone, and
+// takeOverJob makes this daemon the owner of a job whose owner is not live, and
 // reports whether it succeeded.
 func (s *service) takeOverJob(ctx context.Context, id string, old ownershipRecord, self string) bool {
 	next := old.Ownership
--- a/daemon/services/ledger/watch.go
+++ b/daemon/services/ledger/watch.go
@@ -121,7 +121,7 @@
 	}
 }
 
-// awaitUpstreams waits at the start until this daemon knows its upstreams. The
+// awaitUpstreams waits at the start until the upstreams of this daemon are set. The
 // prefix that leads to them is listed meanwhile, from a copy that may lag, since
 // the upstreams or a watch return what it lacks. It returns the revision of the
 // last listing and whether there was one.
@@ -296,7 +296,7 @@
 
 // waitsForUpstreams reports whether a daemon whose upstreams get no changes
 // leaves it to them to try the store. It tries on its own after a random delay,
-// unless it knows that the store does not serve it either.
+// unless the store does not serve this daemon either.
 func (w *prefixWatch) waitsForUpstreams() bool {
 	now := boottime.Now()
 	if w.staleSince == 0 {
--- a/daemon/services/session/leadership.go
+++ b/daemon/services/session/leadership.go
@@ -37,7 +37,7 @@
 }
 
 // isCandidate reports whether this daemon should try to become the leader: at
-// once if it is the preferred candidate, which all daemons compute alike, and
+// once if it is the preferred candidate, which all daemons compute the same way, and
 // after candidateDelay otherwise.
 func (s *service) isCandidate() bool {
 	view := s.view.Load()
--- a/daemon/services/swaps/swaps.go
+++ b/daemon/services/swaps/swaps.go
@@ -141,8 +141,7 @@
 // reports that follow share a connection, which is closed with the load. Responses
 // of engines carry no id, so a late copy of a report must not be read as the
 // response to an order; a late copy within a load is at worst an earlier state of
-// that load. The leader, which orders all engines, keeps no connections to those
-// that are loaded.
+// that load. The leader, which orders all engines, keeps no idle connections to them.
 func newTransport() *http.Transport {
 	return transport.New(transport.Options{DialTimeout: orderTimeout, IdleTimeout: loadConnTimeout, MaxIdlePerHost: 1})
 }
--- a/daemon/services/zone/follower.go
+++ b/daemon/services/zone/follower.go
@@ -172,7 +172,7 @@
 
 // checkSuccessor looks in the store for a collector of a higher term while the
 // known collector is cut off from the store. Such a collector still grants but
-// cannot acknowledge rounds, so requests to it go on meanwhile.
+// cannot acknowledge rounds, so requests to it continue meanwhile.
 func (s *service) checkSuccessor() {
 	if s.checkingSuccessor || s.stopping || s.now() < s.nextSuccessorCheck {
 		return
--- a/daemon/services/zone/roster.go
+++ b/daemon/services/zone/roster.go
@@ -115,7 +115,7 @@
 // another collector changed it. After the conflict, no earlier attempt can
 // take effect any more.
 //
-// Without a conflict, a read does not tell whether a write with a lost reply
+// Without a conflict, a read does not show whether a write with a lost reply
 // took effect, because it could still do so after the read. Such a write is
 // therefore repeated first.
 func (s *service) resolveRosterConflict(write rosterWrite) {
--- a/histories/managed/servers_test.go
+++ b/histories/managed/servers_test.go
@@ -271,7 +271,7 @@
 	e.mu.Unlock()
 }
 
-// drip sends a byte of an unfinished event now and then until the caller is gone.
+// drip sends a byte of an unfinished event now and then until the caller disconnects.
 func (e *engine) drip(w http.ResponseWriter, r *http.Request) {
 	controller := http.NewResponseController(w)
 	for {
