Log where changes of the store come from and how old they are

Cause: the logs did not tell the hypotheses on late configurations apart: neither the upstream nor the age of a change was logged, nor how long an upstream was waited for. Change: one line for each batch of changes (source, revision, age), one when replies of the store arrive again after a gap, and the wait for an upstream that failed.

--- a/daemon/services/ledger/watch.go
+++ b/daemon/services/ledger/watch.go
@@ -7,6 +7,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 
 	"github.com/flamingobeam/flamingobeam/daemon/boottime"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
@@ -74,8 +75,14 @@
 	staleSince, directDelay time.Duration
 	// needsCurrent is set when the next listing must not lag.
 	needsCurrent bool
+	// source is where the last reply came from: the address of an upstream, or
+	// sourceStore. It is logged.
+	source string
 }
 
+// sourceStore is the source of the replies to this daemon's own calls of the store.
+const sourceStore = "store"
+
 // WatchPrefix implements contract.TransactionalStore.
 func (s *service) WatchPrefix(prefix string, options contract.WatchOptions, handle func(contract.News)) {
 	s.watches = append(s.watches, &prefixWatch{
@@ -144,7 +151,9 @@
 		listing, err := w.service.ListStale(ctx, w.prefix)
 		if err == nil && listing.AsOf >= revision {
 			w.cache.reset(listing.Records, listing.AsOf)
-			if err := w.deliver(contract.News{Records: listing.Records, Full: true}); err != nil {
+			w.source = sourceStore
+			changes := changeSet{News: contract.News{Records: listing.Records, Full: true}, throughRevision: listing.AsOf}
+			if err := w.deliver(changes); err != nil {
 				break
 			}
 			revision, isListed = listing.AsOf, true
@@ -192,13 +201,14 @@
 			listing, err = w.service.ListStale(ctx, w.prefix)
 		}
 		changes = changeSet{News: contract.News{Records: listing.Records, Full: true}, throughRevision: listing.AsOf}
+		w.source = sourceStore
 	}
 	if err != nil {
 		return 0, err
 	}
 	w.needsCurrent = false
 	w.cache.reset(changes.Records, changes.throughRevision)
-	return changes.throughRevision, w.deliver(changes.News)
+	return changes.throughRevision, w.deliver(changes)
 }
 
 // awaitChanges waits for changes after a revision, from an upstream daemon or,
@@ -206,6 +216,7 @@
 // the changes are complete.
 func (w *prefixWatch) awaitChanges(ctx context.Context, after outside.Revision) (outside.Revision, error) {
 	delay := time.Duration(0)
+	previousReply := w.cache.lastStoreReply.Load()
 	changes, err := w.pollUpstreams(ctx, after)
 	if errors.Is(err, errChangesUnavailable) {
 		delay = w.options.BatchDelay
@@ -214,6 +225,7 @@
 	if err != nil {
 		return after, err
 	}
+	w.logGap(previousReply)
 	if changes.Full {
 		w.cache.reset(changes.Records, changes.throughRevision)
 	} else {
@@ -222,13 +234,24 @@
 	if !changes.Full && len(changes.Records) == 0 {
 		return changes.throughRevision, nil
 	}
-	if err := w.deliver(changes.News); err != nil {
+	if err := w.deliver(changes); err != nil {
 		return after, err
 	}
 	w.pause(ctx, delay)
 	return changes.throughRevision, nil
 }
 
+// logGap logs that replies of the store arrive again after a time without, given when
+// the one before was made.
+func (w *prefixWatch) logGap(previousReply int64) {
+	gap := time.Duration(w.cache.lastStoreReply.Load() - previousReply)
+	if previousReply == 0 || gap <= w.cache.maxStaleness {
+		return
+	}
+	w.service.log.WithFields(logrus.Fields{"prefix": w.prefix, "source": w.source, "without_ms": gap.Milliseconds()}).
+		Info("Replies of the store arrive again.")
+}
+
 // catchUpTimeout is how long a watch waits for changes that are to bring a copy
 // up to date: the store has them already.
 const catchUpTimeout = time.Millisecond
@@ -254,6 +277,7 @@
 		return changeSet{}, err
 	}
 	w.cache.recordStoreReply(0)
+	w.source = sourceStore
 	return changeSet{News: contract.News{Records: records}, throughRevision: through}, nil
 }
 
@@ -268,13 +292,16 @@
 		if failedAt, ok := w.failedAt[address]; ok && boottime.Since(failedAt) < upstreamRetryDelay {
 			continue
 		}
+		started := boottime.Now()
 		reply, err := w.pollUpstream(ctx, address, after, wait)
 		if ctx.Err() != nil {
 			return changeSet{}, ctx.Err()
 		}
 		if err != nil {
 			w.failedAt[address] = boottime.Now()
-			w.service.log.WithError(err).WithField("prefix", w.prefix).WithField("source", address).Info("The upstream daemon serves no changes.")
+			w.service.log.WithError(err).WithFields(logrus.Fields{
+				"prefix": w.prefix, "source": address, "waited_ms": boottime.Since(started).Milliseconds(),
+			}).Info("The upstream daemon serves no changes.")
 			continue
 		}
 		delete(w.failedAt, address)
@@ -286,6 +313,7 @@
 		w.staleSince, w.directDelay = 0, 0
 		w.service.metrics.Count("store.heard", 1)
 		w.cache.recordStoreReply(reply.Age)
+		w.source = address
 		return changeSet{News: reply.News, throughRevision: max(after, reply.Through)}, nil
 	}
 	if isStale && w.waitsForUpstreams() {
@@ -309,8 +337,12 @@
 
 // deliver posts changes to the control loop. When the mailbox is full, changes
 // are lost and the prefix must be listed again.
-func (w *prefixWatch) deliver(changes contract.News) error {
-	if err := w.mailbox.Post(changes); err != nil {
+func (w *prefixWatch) deliver(changes changeSet) error {
+	w.service.log.WithFields(logrus.Fields{
+		"prefix": w.prefix, "source": w.source, "through": changes.throughRevision, "records": len(changes.Records),
+		"full": changes.Full, "age_ms": w.cache.staleness().Milliseconds(),
+	}).Info("Changes of the store received.")
+	if err := w.mailbox.Post(changes.News); err != nil {
 		return errors.Wrap(outside.ErrCompacted, err.Error())
 	}
 	return nil
