Show that a change is late where upstreams hang

A fleet of 60 daemons in one process whose first daemons hang; a daemon with three hung upstreams; one whose upstream's replies are slow; one that believes the store unreachable.

--- a/daemon/services/ledger/fleet_test.go
+++ b/daemon/services/ledger/fleet_test.go
@@ -35,6 +35,20 @@
 	changed  chan struct{}
 	isDown   bool
 	calls    map[string]map[string]int
+	// silent holds the daemons whose calls to the store get no reply.
+	silent map[string]bool
+}
+
+// setSilent leaves all further calls of the daemons without a reply.
+func (s *countingStore) setSilent(daemons []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = make(map[string]bool)
+	for _, daemon := range daemons {
+		s.silent[daemon] = true
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
 }
 
 func newCountingStore() *countingStore {
@@ -69,6 +83,12 @@
 	s.changed = make(chan struct{})
 }
 
+func (s *countingStore) isSilentTo(daemon string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.silent[daemon]
+}
+
 // read counts a call and returns the records under a prefix after a revision.
 func (s *countingStore) read(kind, daemon, prefix string, after outside.Revision, counts bool) (outside.Listing, chan struct{}, error) {
 	s.mu.Lock()
@@ -79,6 +99,9 @@
 	if s.isDown {
 		return outside.Listing{}, nil, errors.WithStack(outside.ErrUnavailable)
 	}
+	if s.silent[daemon] {
+		return outside.Listing{}, nil, errNoReply
+	}
 	listing := outside.Listing{AsOf: s.revision}
 	for key, record := range s.records {
 		if strings.HasPrefix(key, prefix) && record.Revision > after {
@@ -88,6 +111,18 @@
 	return listing, s.changed, nil
 }
 
+// errNoReply means that the store does not reply to a daemon.
+var errNoReply = errors.New("no reply")
+
+// awaitTimeout waits until the caller gives up if the store does not reply.
+func awaitTimeout(ctx context.Context, err error) error {
+	if !errors.Is(err, errNoReply) {
+		return err
+	}
+	<-ctx.Done()
+	return errors.Wrap(outside.ErrUnavailable, ctx.Err().Error())
+}
+
 // daemonStore is the store as one daemon calls it.
 type daemonStore struct {
 	outside.TransactionalStore
@@ -95,14 +130,14 @@
 	daemon string
 }
 
-func (d *daemonStore) List(_ context.Context, prefix string) (outside.Listing, error) {
+func (d *daemonStore) List(ctx context.Context, prefix string) (outside.Listing, error) {
 	listing, _, err := d.read("list", d.daemon, prefix, 0, true)
-	return listing, err
+	return listing, awaitTimeout(ctx, err)
 }
 
-func (d *daemonStore) ListStale(_ context.Context, prefix string) (outside.Listing, error) {
+func (d *daemonStore) ListStale(ctx context.Context, prefix string) (outside.Listing, error) {
 	listing, _, err := d.read("list-stale", d.daemon, prefix, 0, true)
-	return listing, err
+	return listing, awaitTimeout(ctx, err)
 }
 
 func (d *daemonStore) Watch(ctx context.Context, prefix string, after outside.Revision, wait time.Duration) ([]outside.Record, outside.Revision, error) {
@@ -111,7 +146,7 @@
 	for counts := true; ; counts = false {
 		listing, changed, err := d.read("watch", d.daemon, prefix, after, counts)
 		if err != nil || len(listing.Records) > 0 {
-			return listing.Records, listing.AsOf, err
+			return listing.Records, listing.AsOf, awaitTimeout(ctx, err)
 		}
 		select {
 		case <-changed:
@@ -127,6 +162,26 @@
 type fleetPeers struct {
 	kernel.Base
 	services map[string]*service
+
+	mu sync.Mutex
+	// hung holds the daemons that answer no calls.
+	hung map[string]bool
+}
+
+// hang lets the daemons answer no further calls.
+func (f *fleetPeers) hang(daemons []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.hung = make(map[string]bool)
+	for _, daemon := range daemons {
+		f.hung[daemon] = true
+	}
+}
+
+func (f *fleetPeers) isHung(daemon string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.hung[daemon]
 }
 
 func (f *fleetPeers) Call(ctx context.Context, address, _ string, args, reply any) error {
@@ -138,7 +193,9 @@
 	go func() {
 		var answer NewsReply
 		_ = (&Receiver{service: f.services[address]}).News(call, &answer)
-		done <- answer
+		if !f.isHung(address) {
+			done <- answer
+		}
 	}()
 	select {
 	case *reply.(*NewsReply) = <-done:
@@ -151,6 +208,7 @@
 // followers are the ledgers of a fleet, without their other services.
 type followers struct {
 	store *countingStore
+	peers *fleetPeers
 	// config is the value of the configuration that each daemon has.
 	config map[string]*atomic.Value
 }
@@ -163,6 +221,7 @@
 	fleet := &followers{store: newCountingStore(), config: make(map[string]*atomic.Value)}
 	fleet.store.put(fleetConfig+"config", "1")
 	peers := &fleetPeers{services: make(map[string]*service)}
+	fleet.peers = peers
 	ctx, cancel := context.WithCancel(context.Background())
 	workers := kernel.NewWorkers(1 << 16)
 	var loops sync.WaitGroup
@@ -210,13 +269,13 @@
 	return fleet
 }
 
-// awaitConfig waits until every daemon has a configuration and returns how long it
-// took.
+// awaitConfig waits until every daemon that the store answers has a configuration and
+// returns how long it took.
 func (f *followers) awaitConfig(t *testing.T, value string) time.Duration {
 	t.Helper()
 	started := time.Now()
 	for name, config := range f.config {
-		for config.Load() != value {
+		for config.Load() != value && !f.store.isSilentTo(name) {
 			must.Less(t, 10*time.Second, time.Since(started), must.Sprint(name))
 			<-time.After(5 * time.Millisecond)
 		}
@@ -261,6 +320,33 @@
 	t.Logf("start %s, calm %s, outage %s", count(atStart), count(calm), count(outage))
 }
 
+// TestFleet_ChangeWhileUpstreamsHang changes the configuration while the first daemons
+// of each zone, which serve changes to all others, stop answering, and again while they
+// are cut off from the store alone. The change must be in force on the other daemons
+// within the three seconds that small deployments allow.
+func TestFleet_ChangeWhileUpstreamsHang(t *testing.T) {
+	const zones, perZone, hungPerZone = 6, 10, 4
+	var upstreams []string
+	for i := range zones * hungPerZone {
+		upstreams = append(upstreams, fmt.Sprintf("host-%03d.1a", i))
+	}
+	for name, fail := range map[string]func(*followers){
+		"hung":               func(f *followers) { f.store.setSilent(upstreams); f.peers.hang(upstreams) },
+		"cut from the store": func(f *followers) { f.store.setSilent(upstreams) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			fleet := startFollowers(t, zones, perZone)
+			must.Less(t, 3*time.Second, fleet.awaitConfig(t, "1"))
+			<-time.After(2500 * time.Millisecond) // The longest wait at the start.
+			fail(fleet)
+			<-time.After(100 * time.Millisecond)
+			fleet.store.put(fleetConfig+"config", "2")
+			must.Less(t, 3*time.Second, fleet.awaitConfig(t, "2"))
+		})
+	}
+}
+
 // count describes calls by kind.
 func count(calls map[string]map[string]int) string {
 	var b strings.Builder
--- a/daemon/services/ledger/watch_test.go
+++ b/daemon/services/ledger/watch_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync"
 	"testing"
 	"time"
 
@@ -16,16 +17,28 @@
 	"github.com/flamingobeam/flamingobeam/outside"
 )
 
-// fakeUpstreams answers polls by address; an address without a reply does not
-// answer.
+// fakeUpstreams answers polls by address; an address without a reply fails, and one
+// in hung answers when the caller gives up. It is safe for concurrent use.
 type fakeUpstreams struct {
 	kernel.Base
 	replies map[string]NewsReply
-	polled  []string
+	hung    map[string]bool
+	// delay is how long a reply takes to arrive.
+	delay time.Duration
+
+	mu     sync.Mutex
+	polled []string
 }
 
-func (f *fakeUpstreams) Call(_ context.Context, address, _ string, _, reply any) error {
+func (f *fakeUpstreams) Call(ctx context.Context, address, _ string, _, reply any) error {
+	f.mu.Lock()
 	f.polled = append(f.polled, address)
+	f.mu.Unlock()
+	<-time.After(f.delay)
+	if f.hung[address] {
+		<-ctx.Done()
+		return ctx.Err()
+	}
 	answer, ok := f.replies[address]
 	if !ok {
 		return errors.New("no answer")
@@ -87,6 +100,49 @@
 	must.ErrorIs(t, err, errUpstreamsStale)
 }
 
+// TestPollUpstreams_HungUpstreams lets all upstreams but the last one hang. Its changes
+// must arrive after the time that one of them may take, not after the sum.
+func TestPollUpstreams_HungUpstreams(t *testing.T) {
+	f := &fakeUpstreams{
+		hung:    map[string]bool{"first": true, "second": true, "third": true},
+		replies: map[string]NewsReply{"last": {Heard: true, Through: 7}},
+	}
+	w := newFollower(f, true, "first", "second", "third", "last")
+	w.options.PollTimeout = time.Second
+	started := time.Now()
+	changes, err := w.pollUpstreams(t.Context(), 5)
+	must.NoError(t, err)
+	must.Eq(t, 7, changes.throughRevision)
+	must.Less(t, 2*time.Second, time.Since(started))
+}
+
+// TestPollUpstreams_AgeOfSlowReply checks that the time that a reply takes to arrive
+// counts into the age of what it says.
+func TestPollUpstreams_AgeOfSlowReply(t *testing.T) {
+	f := &fakeUpstreams{delay: 200 * time.Millisecond, replies: map[string]NewsReply{"first": {Heard: true, Age: time.Second}}}
+	w := newFollower(f, true, "first")
+	_, err := w.pollUpstreams(t.Context(), 5)
+	must.NoError(t, err)
+	must.GreaterEq(t, time.Second+f.delay, w.cache.staleness())
+}
+
+// TestPollUpstreams_UnreachableStore lets a daemon believe that the store is
+// unreachable while its upstreams get no changes. It must try the store now and then:
+// its belief may be out of date.
+func TestPollUpstreams_UnreachableStore(t *testing.T) {
+	w := newFollower(&fakeUpstreams{replies: map[string]NewsReply{"first": {}}}, false, "first")
+	started := time.Now()
+	for {
+		_, err := w.pollUpstreams(t.Context(), 5)
+		if !errors.Is(err, errUpstreamsStale) {
+			must.ErrorIs(t, err, errChangesUnavailable)
+			break
+		}
+		must.Less(t, 3*time.Second, time.Since(started))
+		<-time.After(stalePollInterval)
+	}
+}
+
 // TestPollUpstreams_NoneLeft checks that a daemon reads the store at once when no
 // upstream answers, and when it has none.
 func TestPollUpstreams_NoneLeft(t *testing.T) {
