Ask all upstreams at once when the first one fails

What callers saw: requests handled by an older configuration over four seconds after a newer one was acknowledged, on daemons that the store served. Cause: a daemon polled its up to six upstreams one after the other. One that hung (frozen, without power, cut off) cost 1.7 s, so three of a zone cost 5.1 s; meanwhile nothing told the daemon of the change. Class: waits for several failed peers that add up. Change: the first upstream alone is waited for. When it fails, has nothing or is late by 250 ms, all others are asked together for what they have; then the store is read. An upstream that failed last time is polled without a wait.

--- a/daemon/services/ledger/watch.go
+++ b/daemon/services/ledger/watch.go
@@ -63,12 +63,11 @@
 	options contract.WatchOptions
 	cache   *watchCache
 	mailbox *kernel.Mailbox[contract.News]
+	// failures holds the upstreams that do not answer.
+	failures upstreamFailures
 
 	// The fields below belong to the goroutine of run.
 
-	// failedAt is when an upstream last served no changes, by address and on the
-	// clock of package boottime.
-	failedAt map[string]time.Duration
 	// staleSince is when the upstreams were first found to get no changes, and
 	// directDelay how long from then on this daemon waits for them; zero while
 	// they do.
@@ -87,7 +86,7 @@
 func (s *service) WatchPrefix(prefix string, options contract.WatchOptions, handle func(contract.News)) {
 	s.watches = append(s.watches, &prefixWatch{
 		service: s, prefix: prefix, options: options, cache: newWatchCache(options.PollTimeout + stalenessMargin),
-		mailbox: kernel.NewMailbox(s.loop, mailboxCapacity, handle), failedAt: make(map[string]time.Duration),
+		mailbox: kernel.NewMailbox(s.loop, mailboxCapacity, handle),
 	})
 }
 
@@ -281,40 +280,44 @@
 	return changeSet{News: contract.News{Records: records}, throughRevision: through}, nil
 }
 
-// pollUpstreams polls the upstream daemons, in their order, for changes. It
-// fails with errChangesUnavailable when this daemon is to read the store itself,
-// and with errUpstreamsStale while it is to wait for the upstreams.
+// pollUpstreams polls the upstream daemons for changes. It waits for news of the
+// first one in their order that has not failed just now. When that one fails, has no
+// changes or does not answer in time, all others are asked at once for what they
+// have, so that several upstreams in trouble cost no more time than one. It fails with
+// errChangesUnavailable when this daemon is to read the store itself, and with
+// errUpstreamsStale while it is to wait for the upstreams.
 func (w *prefixWatch) pollUpstreams(ctx context.Context, after outside.Revision) (changeSet, error) {
-	addresses := w.service.upstreams.load()
-	isStale := false
+	addresses := w.availableUpstreams()
+	if len(addresses) == 0 {
+		return changeSet{}, errChangesUnavailable
+	}
+	first, others := addresses[0], addresses[1:]
 	wait := min(w.options.PollTimeout, upstreamPollTimeout)
-	for _, address := range addresses {
-		if failedAt, ok := w.failedAt[address]; ok && boottime.Since(failedAt) < upstreamRetryDelay {
-			continue
-		}
-		started := boottime.Now()
-		reply, err := w.pollUpstream(ctx, address, after, wait)
-		if ctx.Err() != nil {
+	if w.failures.has(first) {
+		wait = 0
+	}
+	replies := make(chan upstreamReply, len(addresses))
+	w.startPoll(first, after, wait, replies)
+	hedge := time.NewTimer(wait + upstreamHedgeDelay)
+	defer hedge.Stop()
+	isStale := false
+	for pending := 1; pending > 0; {
+		select {
+		case <-ctx.Done():
 			return changeSet{}, ctx.Err()
+		case reply := <-replies:
+			pending--
+			if reply.err == nil && reply.Heard {
+				return w.useReply(reply, after), nil
+			}
+			isStale = isStale || reply.err == nil
+		case <-hedge.C:
 		}
-		if err != nil {
-			w.failedAt[address] = boottime.Now()
-			w.service.log.WithError(err).WithFields(logrus.Fields{
-				"prefix": w.prefix, "source": address, "waited_ms": boottime.Since(started).Milliseconds(),
-			}).Info("The upstream daemon serves no changes.")
-			continue
-		}
-		delete(w.failedAt, address)
-		if !reply.Heard {
-			// The others are not waited for as well.
-			isStale, wait = true, 0
-			continue
+		for _, address := range others {
+			w.startPoll(address, after, 0, replies)
 		}
-		w.staleSince, w.directDelay = 0, 0
-		w.service.metrics.Count("store.heard", 1)
-		w.cache.recordStoreReply(reply.Age)
-		w.source = address
-		return changeSet{News: reply.News, throughRevision: max(after, reply.Through)}, nil
+		pending += len(others)
+		others = nil
 	}
 	if isStale && w.waitsForUpstreams() {
 		return changeSet{}, errUpstreamsStale
@@ -322,6 +325,27 @@
 	return changeSet{}, errChangesUnavailable
 }
 
+// availableUpstreams returns the upstreams that have not failed within
+// upstreamRetryDelay.
+func (w *prefixWatch) availableUpstreams() []string {
+	var available []string
+	for _, address := range w.service.upstreams.load() {
+		if !w.failures.isRecent(address) {
+			available = append(available, address)
+		}
+	}
+	return available
+}
+
+// useReply records what a reply shows about the age of this daemon's knowledge.
+func (w *prefixWatch) useReply(reply upstreamReply, after outside.Revision) changeSet {
+	w.staleSince, w.directDelay = 0, 0
+	w.service.metrics.Count("store.heard", 1)
+	w.cache.recordStoreReply(reply.Age)
+	w.source = reply.address
+	return changeSet{News: reply.News, throughRevision: max(after, reply.Through)}
+}
+
 // waitsForUpstreams reports whether a daemon whose upstreams get no changes
 // leaves it to them to try the store. It tries on its own after a random delay,
 // unless the store does not serve this daemon either.
--- a/daemon/services/ledger/watch_test.go
+++ b/daemon/services/ledger/watch_test.go
@@ -62,10 +62,10 @@
 	if reachable {
 		state.reachableSince = time.Now()
 	}
-	s := &service{maxDirectDelay: testDirectDelay, peers: f, metrics: noMetrics{}, log: logrus.NewEntry(log), connectivity: kernel.NewSnapshot(state)}
+	s := &service{maxDirectDelay: testDirectDelay, peers: f, workers: kernel.NewWorkers(16), metrics: noMetrics{}, log: logrus.NewEntry(log), connectivity: kernel.NewSnapshot(state)}
 	s.upstreams.known = make(chan struct{})
 	s.SetWatchUpstreams(addresses)
-	return &prefixWatch{service: s, cache: newWatchCache(testStaleness), failedAt: make(map[string]time.Duration)}
+	return &prefixWatch{service: s, cache: newWatchCache(testStaleness)}
 }
 
 // TestPollUpstreams_NextOne stops the first upstream. The second one must serve
--- a/daemon/services/ledger/watchcache.go
+++ b/daemon/services/ledger/watchcache.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"context"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -19,12 +18,6 @@
 	// maxCachedRemovals bounds the removals of a prefix that are kept for other
 	// daemons.
 	maxCachedRemovals = 1024
-	// upstreamPollTimeout bounds a poll of another daemon, so that a partition
-	// that drops packets is noticed soon.
-	upstreamPollTimeout = time.Second
-	// upstreamRetryDelay is how long a daemon that served no changes is not
-	// polled.
-	upstreamRetryDelay = 3 * time.Second
 )
 
 // errChangesUnavailable means that the cache, or the upstream daemon, cannot
@@ -236,39 +229,3 @@
 		}
 	}
 }
-
-// pollUpstream polls an upstream daemon for the changes after a revision.
-func (w *prefixWatch) pollUpstream(ctx context.Context, address string, after outside.Revision, timeout time.Duration) (NewsReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout+watchReplyMargin)
-	defer cancel()
-	var reply NewsReply
-	err := w.service.peers.Call(ctx, address, rpcName+".News", NewsCall{Prefix: w.prefix, After: after, Wait: timeout}, &reply)
-	return reply, err
-}
-
-// upstreams holds the addresses of the daemons from which this one gets the
-// changes of the store.
-type upstreams struct {
-	addresses atomic.Pointer[[]string]
-	// known is closed once this daemon has its place among the live ones.
-	known     chan struct{}
-	closeOnce sync.Once
-}
-
-func (u *upstreams) load() []string {
-	if addresses := u.addresses.Load(); addresses != nil {
-		return *addresses
-	}
-	return nil
-}
-
-// SetWatchUpstreams implements contract.TransactionalStore.
-func (s *service) SetWatchUpstreams(addresses []string) {
-	s.upstreams.addresses.Store(&addresses)
-	s.upstreams.closeOnce.Do(func() { close(s.upstreams.known) })
-}
-
-// hasUpstreamPrefix reports whether a prefix of this daemon leads to upstreams.
-func (s *service) hasUpstreamPrefix() bool {
-	return slices.ContainsFunc(s.watches, func(w *prefixWatch) bool { return w.options.ListsUpstreams })
-}
