Count the way of a reply into the age of what an upstream knows

Cause: an upstream stated the age of its knowledge when it made the reply. The time until the reply arrived, which is long on a slow host or link, was left out, so the daemons behind it turned to the store later than the limit for configurations allows. Class: an age that is copied without the time of its transfer. Change: the reply says how long the call waited for it; the rest of the call's time counts into the age.

--- a/daemon/services/ledger/upstreams.go
+++ b/daemon/services/ledger/upstreams.go
@@ -111,6 +111,8 @@
 		call := NewsCall{Prefix: w.prefix, After: after, Wait: wait}
 		reply.err = w.service.peers.Call(ctx, address, rpcName+".News", call, &reply.NewsReply)
 		if reply.err == nil {
+			// What the upstream knew has aged on the way, in both directions at most.
+			reply.Age += boottime.Since(started) - reply.Held
 			w.failures.clear(address)
 		} else {
 			w.failures.record(address)
--- a/daemon/services/ledger/watchcache.go
+++ b/daemon/services/ledger/watchcache.go
@@ -175,8 +175,9 @@
 type NewsReply struct {
 	// Heard is false when the daemon cannot serve complete changes.
 	Heard bool
-	// Age is the time since the store last replied to a watch by any daemon.
-	Age time.Duration
+	// Age is the time since the store last replied to a watch by any daemon, when
+	// the reply was made, and Held the time for which the call waited for it.
+	Age, Held time.Duration
 	// News holds the changes after the revision of the call, or a full listing.
 	News contract.News
 	// Through is the revision up to which News is complete.
@@ -201,6 +202,8 @@
 // A daemon that gets no changes itself keeps the caller waiting for a part of
 // that time, because it may just be changing to another upstream.
 func (c *watchCache) serve(call NewsCall, reply *NewsReply) {
+	started := boottime.Now()
+	defer func() { reply.Held = boottime.Since(started) }()
 	wait := min(call.Wait, upstreamPollTimeout)
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
