Try the store now and then where it is believed unreachable

What callers saw: requests handled by an older configuration on a daemon whose store calls had failed before and whose upstreams then got no changes. Cause: such a daemon waited for its upstreams without end. Only the renewal of its lease, up to 10 s later on an idle host, corrected its belief. Class: a belief about a dependency that nothing but an unrelated call checks. Change: past the delay after which a daemon turns to the store it makes one try each 0.7 to 1.4 s, for all prefixes together, also while it believes that the store is unreachable. Between two tries it leaves it to its upstreams as before; the test that expected no try at all now expects one and then none for half of the shortest time.

--- a/daemon/services/ledger/ledger.go
+++ b/daemon/services/ledger/ledger.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -67,6 +68,9 @@
 	// rateLimitedSince is when the store began to refuse every call with its rate
 	// limit, in nanoseconds since boot; zero while it does not.
 	rateLimitedSince atomic.Int64
+	// nextUnreachableTry is from when on a daemon that believes that the store is
+	// unreachable may try it again, in nanoseconds since boot.
+	nextUnreachableTry atomic.Int64
 
 	mu           sync.Mutex
 	connectivity *kernel.Snapshot[connectivity]
@@ -169,6 +173,14 @@
 	return now-s.rateLimitedSince.Load() >= int64(maxRateLimited)
 }
 
+// takeUnreachableTry reports whether a daemon that believes that the store is
+// unreachable may try it now, and begins the time until the next try.
+func (s *service) takeUnreachableTry(now time.Duration) bool {
+	next := s.nextUnreachableTry.Load()
+	delay := minUnreachableRetry + rand.N(minUnreachableRetry)
+	return int64(now) >= next && s.nextUnreachableTry.CompareAndSwap(next, int64(now+delay))
+}
+
 // resync ends the waiting watches of the other prefixes, which then read their
 // changes at once: when one watch has lost history, the others may have lost theirs
 // without noticing.
--- a/daemon/services/ledger/watch.go
+++ b/daemon/services/ledger/watch.go
@@ -34,6 +34,10 @@
 	minDirectDelay   = 50 * time.Millisecond
 	shortDirectDelay = 300 * time.Millisecond
 	longDirectDelay  = 2 * time.Second
+	// minUnreachableRetry is the shortest time between two tries, for any prefix, of
+	// a daemon that believes that the store is unreachable. A random time up to as
+	// much again is added.
+	minUnreachableRetry = 700 * time.Millisecond
 	// staleDetectionTime is how long it takes a daemon to find that none of its
 	// upstreams gets changes, and then to get a change from the store.
 	staleDetectionTime = 2600 * time.Millisecond
@@ -347,16 +351,19 @@
 }
 
 // waitsForUpstreams reports whether a daemon whose upstreams get no changes
-// leaves it to them to try the store. It tries on its own after a random delay,
-// unless the store does not serve this daemon either.
+// leaves it to them to try the store. It tries on its own after a random delay. If it
+// believes that the store does not serve it either, it only tries now and then.
 func (w *prefixWatch) waitsForUpstreams() bool {
 	now := boottime.Now()
 	if w.staleSince == 0 {
 		w.staleSince, w.directDelay = now, minDirectDelay+rand.N(w.service.maxDirectDelay-minDirectDelay)
 		w.service.log.WithField("prefix", w.prefix).Info("Upstream daemons get no changes of the store.")
 	}
+	if now-w.staleSince < w.directDelay {
+		return true
+	}
 	_, isReached := w.service.ReachedSince()
-	return !isReached || now-w.staleSince < w.directDelay
+	return !isReached && !w.service.takeUnreachableTry(now)
 }
 
 // deliver posts changes to the control loop. When the mailbox is full, changes
--- a/daemon/services/ledger/watch_test.go
+++ b/daemon/services/ledger/watch_test.go
@@ -83,7 +83,7 @@
 
 // TestPollUpstreams_StoreOutage lets the upstreams answer without changes, as in
 // an outage of the store. The daemon must leave it to them to try the store for a
-// while, and as long as it does not reach the store itself.
+// while, and between its few tries as long as it does not reach the store itself.
 func TestPollUpstreams_StoreOutage(t *testing.T) {
 	f := &fakeUpstreams{replies: map[string]NewsReply{"first": {}, "second": {}}}
 	w := newFollower(f, true, "first", "second")
@@ -97,7 +97,12 @@
 	w = newFollower(f, false, "first", "second")
 	w.staleSince = boottime.Now() - testDirectDelay
 	_, err = w.pollUpstreams(t.Context(), 5)
-	must.ErrorIs(t, err, errUpstreamsStale)
+	must.ErrorIs(t, err, errChangesUnavailable)
+	lastTry := time.Now()
+	for time.Since(lastTry) < minUnreachableRetry/2 {
+		_, err = w.pollUpstreams(t.Context(), 5)
+		must.ErrorIs(t, err, errUpstreamsStale)
+	}
 }
 
 // TestPollUpstreams_HungUpstreams lets all upstreams but the last one hang. Its changes
