Try other relays in turn for calls that the store refuses

What callers saw: with most daemons turned away by the store, requests handled by an older configuration for up to 7.7 s, until the store served all again; steps late or lost. Cause: a daemon that the store refuses sends its calls through two others, the same two each time. Where both were refused too it had no way to the store, and the daemons that follow it had none either. TestCallRelay_MostDaemonsRefused failed before and passes.

--- a/daemon/services/ledger/relay.go
+++ b/daemon/services/ledger/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -27,10 +28,22 @@
 
 // relayList holds the addresses of daemons that may reach the store when this
 // one does not, nearest first.
-type relayList struct{ addresses atomic.Pointer[[]string] }
+type relayList struct {
+	addresses atomic.Pointer[[]string]
+	// next is the index of the daemon to try next: the last one that made a call,
+	// or the one after the last that could not.
+	next atomic.Uint32
+}
 
-// SetRelays implements contract.TransactionalStore.
-func (s *service) SetRelays(addresses []string) { s.relays.addresses.Store(&addresses) }
+// SetRelays implements contract.TransactionalStore. The daemon that serves as a relay
+// now remains the first one that is tried.
+func (s *service) SetRelays(addresses []string) {
+	if previous := s.relays.addresses.Load(); previous != nil && len(*previous) > 0 {
+		current := (*previous)[int(s.relays.next.Load())%len(*previous)]
+		s.relays.next.Store(uint32(max(0, slices.Index(addresses, current))))
+	}
+	s.relays.addresses.Store(&addresses)
+}
 
 // Operation identifies a call to the store in net/rpc.
 type Operation uint8
@@ -151,10 +164,12 @@
 	if addresses == nil {
 		return errNoRelay
 	}
-	for i, address := range *addresses {
-		if i == maxRelayAttempts || ctx.Err() != nil {
+	for range min(maxRelayAttempts, len(*addresses)) {
+		if ctx.Err() != nil {
 			break
 		}
+		index := s.relays.next.Load()
+		address := (*addresses)[int(index)%len(*addresses)]
 		callCtx, cancel := context.WithTimeout(ctx, call.Wait+relayMargin)
 		*reply = Reply{}
 		err := s.peers.Call(callCtx, address, rpcName+".Do", call, reply)
@@ -163,6 +178,7 @@
 			s.metrics.Count("store.relayed", 1)
 			return wireErrors[min(max(0, reply.Failure), len(wireErrors)-1)]
 		}
+		s.relays.next.CompareAndSwap(index, index+1)
 	}
 	return errNoRelay
 }
