Stop new work to servers that announce in a response that they leave

A server that leaves without a word in its entry went on getting requests until its entry was gone and then a failed attempt. Cause: only the entries in the store decided which servers are draining. Change: the header of a response reaches the service of the servers, which offers the server to no one until it has restarted, also when its entry lapses and comes back.

--- a/daemon/services/dispatch/dispatch.go
+++ b/daemon/services/dispatch/dispatch.go
@@ -42,6 +42,7 @@
 type service struct {
 	kernel.Base
 	balancer  contract.Balancer
+	hosts     contract.Hosts
 	retries   contract.RetryBudgets
 	metrics   contract.Metrics
 	log       *logrus.Entry
@@ -59,6 +60,7 @@
 	s.freshTransport = transport.New(transport.Options{DialTimeout: dialTimeout, SingleUse: true})
 	return kernel.FindAll(ctx,
 		kernel.Bind(&s.balancer, contract.NameBalance),
+		kernel.Bind(&s.hosts, contract.NameHosts),
 		kernel.Bind(&s.retries, contract.NameRetries),
 		kernel.Bind(&s.metrics, contract.NameMetrics),
 	)
--- a/daemon/services/dispatch/send.go
+++ b/daemon/services/dispatch/send.go
@@ -76,7 +76,11 @@
 	if err != nil {
 		return attemptResult{err: exchangeError(ctx, sendErrorCode(err), err)}
 	}
-	return s.readResponse(ctx, request, response)
+	headers := platform.DecodeResponseHeaders(response, request.ID)
+	if headers.Leaving {
+		s.hosts.Report(ticket.Server.Name, contract.SignalLeaving)
+	}
+	return s.readResponse(ctx, request, response, headers)
 }
 
 // sendErrorCode returns NoBackend for a request that cannot have been sent, and
@@ -89,8 +93,7 @@
 }
 
 // readResponse classifies a response by its headers and reads its body.
-func (s *service) readResponse(ctx context.Context, request contract.ForwardRequest, response *http.Response) attemptResult {
-	headers := platform.DecodeResponseHeaders(response, request.ID)
+func (s *service) readResponse(ctx context.Context, request contract.ForwardRequest, response *http.Response, headers platform.ResponseHeaders) attemptResult {
 	code := responseCode(response.StatusCode, headers)
 	serverFailed := isServerFailure(response.StatusCode, headers)
 	if code != result.OK && !serverFailed {
--- a/daemon/services/engines/engines.go
+++ b/daemon/services/engines/engines.go
@@ -50,6 +50,7 @@
 type service struct {
 	kernel.Base
 	metrics   contract.Metrics
+	hosts     contract.Hosts
 	log       *logrus.Entry
 	transport *http.Transport
 }
@@ -60,9 +61,10 @@
 func (s *service) Provision(ctx *kernel.Context) error {
 	s.log = ctx.Log()
 	s.transport = transport.New(transport.Options{DialTimeout: dialTimeout, IdleTimeout: idleTimeout, MaxIdlePerHost: maxIdlePerServer})
-	var err error
-	s.metrics, err = kernel.Find[contract.Metrics](ctx, contract.NameMetrics)
-	return err
+	return kernel.FindAll(ctx,
+		kernel.Bind(&s.metrics, contract.NameMetrics),
+		kernel.Bind(&s.hosts, contract.NameHosts),
+	)
 }
 
 // Stop implements kernel.Service.
@@ -121,6 +123,9 @@
 	}
 	defer response.Body.Close()
 	headers := platform.DecodeResponseHeaders(response, string(request.Item.ID))
+	if headers.Leaving {
+		s.hosts.Report(request.Server.ID, contract.SignalLeaving)
+	}
 	result := contract.RunResult{Status: response.StatusCode, Version: headers.Version}
 	result.Outcome, result.Err = checkResponse(request, response.StatusCode, headers)
 	if result.Err != nil {
--- a/daemon/services/servers/servers.go
+++ b/daemon/services/servers/servers.go
@@ -21,7 +21,9 @@
 
 func init() {
 	kernel.Register(contract.NameServers, func() kernel.Service {
-		return &service{entries: make(map[structs.HostName]catalog.Server), lapsed: make(map[structs.HostName]bool)}
+		return &service{
+			entries: make(map[structs.HostName]catalog.Server), lapsed: make(map[structs.HostName]bool), leaving: make(map[structs.HostName]int64),
+		}
 	})
 }
 
@@ -35,6 +37,10 @@
 // seconds.
 var watchOptions = contract.WatchOptions{PollTimeout: 1500 * time.Millisecond, BatchDelay: 500 * time.Millisecond}
 
+// noticeCapacity bounds the notices of leaving servers that wait for the control loop.
+// A notice that is dropped is repeated by the server's next response.
+const noticeCapacity = 256
+
 type service struct {
 	kernel.Base
 	store   contract.TransactionalStore
@@ -48,7 +54,12 @@
 	entries map[structs.HostName]catalog.Server
 	// lapsed holds the servers whose entries disappeared while the store was
 	// unreachable.
-	lapsed      map[structs.HostName]bool
+	lapsed map[structs.HostName]bool
+	// leaving holds the start time of each server that announced in a response that it
+	// is draining, whatever its entry says. It outlasts the entry, which may come back
+	// after an outage of the store.
+	leaving     map[structs.HostName]int64
+	notices     *kernel.Mailbox[structs.HostName]
 	expiryTimer *kernel.Timer
 	loaded      bool
 }
@@ -72,6 +83,7 @@
 		return err
 	}
 	s.loop, s.workers, s.log = ctx.Loop(), ctx.Workers(), ctx.Log()
+	s.notices = kernel.NewMailbox(s.loop, noticeCapacity, s.markLeaving)
 	s.view = kernel.NewSnapshot(&contract.ServersView{})
 	s.hosts = kernel.NewSnapshot(&contract.HostView{})
 	s.store.WatchPrefix(platform.ServerPrefix, watchOptions, s.applyChanges)
@@ -165,6 +177,29 @@
 	s.publishViews()
 }
 
+// maxLeaving bounds the servers that are remembered as leaving. Above it those without
+// an entry are forgotten.
+const maxLeaving = 4096
+
+// markLeaving excludes a server from new work until it restarts.
+func (s *service) markLeaving(id structs.HostName) {
+	server, known := s.entries[id]
+	if !known || s.isLeaving(server) {
+		return
+	}
+	if len(s.leaving) >= maxLeaving {
+		maps.DeleteFunc(s.leaving, func(id structs.HostName, _ int64) bool { return s.entries[id].ID == "" })
+	}
+	s.leaving[id] = server.Started
+	s.log.WithField("server", id).Info("A server announced that it is leaving.")
+	s.publishViews()
+}
+
+func (s *service) isLeaving(server catalog.Server) bool {
+	started, announced := s.leaving[server.ID]
+	return announced && started == server.Started
+}
+
 func (s *service) publishViews() {
 	next := &contract.ServersView{
 		ByService: make(map[structs.ServiceName][]catalog.Server),
@@ -172,7 +207,7 @@
 		Loaded:    s.loaded,
 	}
 	for _, server := range s.entries {
-		if !server.Draining {
+		if !server.Draining && !s.isLeaving(server) {
 			next.ByService[server.Service] = append(next.ByService[server.Service], server)
 		}
 	}
@@ -207,10 +242,18 @@
 // View implements contract.Hosts.
 func (s *service) View() *kernel.Snapshot[contract.HostView] { return s.hosts }
 
-// Report implements contract.Hosts. It ignores signals: only the entries in
-// the store determine which servers are draining. A server that is unreachable
-// from this daemon may be healthy, and the balancer ejects it on its own.
-func (s *service) Report(structs.HostName, contract.Signal) {}
+// Report implements contract.Hosts. Apart from the entries in the store, only a
+// server's own announcement shows that it is draining. Other signals are ignored: a
+// server that is unreachable from this daemon may be healthy, and the balancer ejects it
+// on its own.
+func (s *service) Report(server structs.HostName, signal contract.Signal) {
+	if signal != contract.SignalLeaving {
+		return
+	}
+	if err := s.notices.Post(server); err != nil {
+		s.log.WithError(err).WithField("server", server).Debug("Dropped a notice of a leaving server.")
+	}
+}
 
 func compareHostNames(a, b structs.HostName) int {
 	if a < b {
--- a/histories/managed/connections_test.go
+++ b/histories/managed/connections_test.go
@@ -122,7 +122,7 @@
 		if i == 0 {
 			configure(servers[i])
 		}
-		h.putServerEntry(fmt.Sprintf("plain-%d", i), plainService, servers[i].start(t), "ready", nil)
+		h.putServerEntry(fmt.Sprintf("plain-%d", i), plainService, servers[i].start(t), "ready", nil, 0)
 	}
 	d := h.startDaemon("daemon-1")
 	for i := range 12 {
--- a/histories/managed/managed_test.go
+++ b/histories/managed/managed_test.go
@@ -226,7 +226,7 @@
 	h := newStandardHarness(t, 1, time.Millisecond)
 	draining := h.addPlain("plain-2")
 	d := h.startDaemon("daemon-1")
-	h.putServerEntry("plain-2", plainService, draining.server.Listener.Addr().String(), "draining", nil)
+	h.putServerEntry("plain-2", plainService, draining.server.Listener.Addr().String(), "draining", nil, 0)
 	streak := 0
 	h.waitFor("twenty consecutive requests go to other servers", func() bool {
 		before := len(draining.requests())
--- a/histories/managed/responses_test.go
+++ b/histories/managed/responses_test.go
@@ -180,7 +180,7 @@
 		writeRawAndClose(w, "", true)
 	}))
 	c.harness.t.Cleanup(p.server.CloseClientConnections)
-	c.harness.putServerEntry(id, plainService, p.server.Listener.Addr().String(), "ready", nil)
+	c.harness.putServerEntry(id, plainService, p.server.Listener.Addr().String(), "ready", nil, 0)
 }
 
 // count returns the number of crashed servers.
--- a/histories/managed/servers_test.go
+++ b/histories/managed/servers_test.go
@@ -28,13 +28,22 @@
 	// faults handle the next requests, one each and in order. A fault that returns
 	// false leaves the response to the server.
 	faults []func(w http.ResponseWriter, r *http.Request) bool
+	// notices are headers that the server adds to all its responses.
+	notices map[string]string
+}
+
+// announce adds a header to all further responses.
+func (p *plainServer) announce(header, value string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.notices = map[string]string{header: value}
 }
 
 func (h *harness) addPlain(id string) *plainServer {
 	p := &plainServer{id: id}
 	p.server = httptest.NewServer(p)
 	h.t.Cleanup(p.server.Close)
-	h.putServerEntry(id, plainService, p.server.Listener.Addr().String(), "ready", nil)
+	h.putServerEntry(id, plainService, p.server.Listener.Addr().String(), "ready", nil, 0)
 	return p
 }
 
@@ -55,6 +64,9 @@
 	if len(p.faults) > 0 {
 		fault, p.faults = p.faults[0], p.faults[1:]
 	}
+	for name, value := range p.notices {
+		w.Header().Set(name, value)
+	}
 	p.mu.Unlock()
 	if fault != nil && fault(w, r) {
 		return
@@ -96,6 +108,26 @@
 	// dripAfter is the number of events after which each stream only gets a byte of
 	// the next event now and then; zero means never. It is set before the first run.
 	dripAfter int
+	// notices are headers that the engine adds to the responses to items.
+	notices map[string]string
+	// started is the start time in the engine's entry, in Unix milliseconds.
+	started int64
+}
+
+// announce adds a header to all further responses to items.
+func (e *engine) announce(header, value string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.notices = map[string]string{header: value}
+}
+
+// restart starts the engine again under its ID, without notices.
+func (e *engine) restart() {
+	e.mu.Lock()
+	e.notices = nil
+	e.started++
+	e.mu.Unlock()
+	e.putEntry()
 }
 
 // engineRun is one run of an item at an engine.
@@ -131,10 +163,10 @@
 // putEntry writes the engine's entry with its current weight version.
 func (e *engine) putEntry() {
 	e.mu.Lock()
-	version := e.version
+	version, started := e.version, e.started
 	e.mu.Unlock()
 	e.harness.putServerEntry(e.id, engineService, e.server.Listener.Addr().String(), "ready",
-		[]map[string]any{{"name": modelName, "version": version}})
+		[]map[string]any{{"name": modelName, "version": version}}, started)
 }
 
 func (e *engine) handleOrder(w http.ResponseWriter, r *http.Request) {
@@ -224,6 +256,9 @@
 		return
 	}
 	version, events := e.version, e.eventCount
+	for name, value := range e.notices {
+		w.Header().Set(name, value)
+	}
 	e.runs = append(e.runs, engineRun{item: item, resumedAfter: after, version: version, startedAt: time.Now()})
 	index := len(e.runs) - 1
 	e.mu.Unlock()
@@ -309,8 +344,9 @@
 func newHarness(t *testing.T) *harness { return &harness{t: t, store: newStoreEmulator(t)} }
 
 // putServerEntry writes a server's entry to the store.
-func (h *harness) putServerEntry(id, service, address, state string, models []map[string]any) {
+func (h *harness) putServerEntry(id, service, address, state string, models []map[string]any, started int64) {
 	h.store.put("servers/"+id, map[string]any{
 		"service": service, "address": address, "zone": "zone-a", "slots": 8, "state": state, "sequence": 1, "models": models,
+		"born": started,
 	})
 }
