Log the limits that backend servers name in their responses

Cause: the hypotheses on servers above their limit could not be told apart: no log showed that a server had named one. Change: the header is decoded in the adapter; the service traffic.limits keeps the limits that hold and logs each change. A response without the header ends a limit only if its request was sent after the one whose response named it.

--- a/daemon/services/dispatch/dispatch.go
+++ b/daemon/services/dispatch/dispatch.go
@@ -43,6 +43,7 @@
 	kernel.Base
 	balancer  contract.Balancer
 	hosts     contract.Hosts
+	limits    contract.ServerLimits
 	retries   contract.RetryBudgets
 	metrics   contract.Metrics
 	log       *logrus.Entry
@@ -61,6 +62,7 @@
 	return kernel.FindAll(ctx,
 		kernel.Bind(&s.balancer, contract.NameBalance),
 		kernel.Bind(&s.hosts, contract.NameHosts),
+		kernel.Bind(&s.limits, contract.NameServerLimits),
 		kernel.Bind(&s.retries, contract.NameRetries),
 		kernel.Bind(&s.metrics, contract.NameMetrics),
 	)
--- a/daemon/services/dispatch/send.go
+++ b/daemon/services/dispatch/send.go
@@ -72,11 +72,15 @@
 	if fresh {
 		roundTripper = s.freshTransport
 	}
+	sentAt := time.Now()
 	response, err := roundTripper.RoundTrip(outgoing)
 	if err != nil {
 		return attemptResult{err: exchangeError(ctx, sendErrorCode(err), err)}
 	}
 	headers := platform.DecodeResponseHeaders(response, request.ID)
+	if headers.DescribesServer {
+		s.limits.Observe(ticket.Server.Name, headers.RateLimit, sentAt)
+	}
 	if headers.Leaving {
 		s.hosts.Report(ticket.Server.Name, contract.SignalLeaving)
 	}
--- a/daemon/services/engines/engines.go
+++ b/daemon/services/engines/engines.go
@@ -51,6 +51,7 @@
 	kernel.Base
 	metrics   contract.Metrics
 	hosts     contract.Hosts
+	limits    contract.ServerLimits
 	log       *logrus.Entry
 	transport *http.Transport
 }
@@ -64,6 +65,7 @@
 	return kernel.FindAll(ctx,
 		kernel.Bind(&s.metrics, contract.NameMetrics),
 		kernel.Bind(&s.hosts, contract.NameHosts),
+		kernel.Bind(&s.limits, contract.NameServerLimits),
 	)
 }
 
@@ -114,6 +116,7 @@
 	if err != nil {
 		return contract.RunResult{Outcome: contract.RunImpossible, Err: err}
 	}
+	sentAt := time.Now()
 	response, err := s.transport.RoundTrip(outgoing)
 	if transport.IsDialFailure(err) {
 		return contract.RunResult{Outcome: contract.RunUnreachable, Err: err}
@@ -123,6 +126,9 @@
 	}
 	defer response.Body.Close()
 	headers := platform.DecodeResponseHeaders(response, string(request.Item.ID))
+	if headers.DescribesServer {
+		s.limits.Observe(request.Server.ID, headers.RateLimit, sentAt)
+	}
 	if headers.Leaving {
 		s.hosts.Report(request.Server.ID, contract.SignalLeaving)
 	}
