--- a/histories/managed/servers_test.go
+++ b/histories/managed/servers_test.go
@@ -25,6 +25,8 @@
 
 	mu         sync.Mutex
 	attemptIDs []string
+	// arrivals are the times of the requests.
+	arrivals []time.Time
 	// faults handle the next requests, one each and in order. A fault that returns
 	// false leaves the response to the server.
 	faults []func(w http.ResponseWriter, r *http.Request) bool
@@ -53,13 +55,20 @@
 	return append([]string(nil), p.attemptIDs...)
 }
 
+// arrivalTimes returns when requests arrived, in order.
+func (p *plainServer) arrivalTimes() []time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]time.Time(nil), p.arrivals...)
+}
+
 func (p *plainServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if !checkInstance(w, r, p.id) {
 		return
 	}
 	id := r.Header.Get("Attempt-Id")
 	p.mu.Lock()
-	p.attemptIDs = append(p.attemptIDs, id)
+	p.attemptIDs, p.arrivals = append(p.attemptIDs, id), append(p.arrivals, time.Now())
 	var fault func(http.ResponseWriter, *http.Request) bool
 	if len(p.faults) > 0 {
 		fault, p.faults = p.faults[0], p.faults[1:]
