Keep to the limits that backend servers name, all daemons together

What callers saw: nothing yet; the servers in need did. A server that took 2 requests a second got 117 in 4 s where 17 are allowed. Class: a statement of a peer that is transported but not acted on. Change: coord/serverlimit decides, the service traffic.limits carries it out. A daemon that does not reach the leader spends a small part of its own, from an empty bucket; a new leader begins empty. Look-ups go to another server, wait for a quarter of their latency target, or are refused as not run with the time to return; items go to another engine.

--- a/coord/result/result.go
+++ b/coord/result/result.go
@@ -237,6 +237,15 @@
 	return OutcomeUnknown
 }
 
+// RetryAfterOf returns the time to wait before a retry, and zero if the error has none.
+func RetryAfterOf(err error) time.Duration {
+	var resultErr *Error
+	if errors.As(err, &resultErr) {
+		return resultErr.RetryAfter
+	}
+	return 0
+}
+
 // OutcomeOf returns the outcome of an error's code, and MayHaveRun for an
 // unknown code.
 func OutcomeOf(err error) Outcome {
--- a/daemon/contract/limits.go
+++ b/daemon/contract/limits.go
@@ -1,6 +1,7 @@
 package contract
 
 import (
+	"context"
 	"time"
 
 	"github.com/flamingobeam/flamingobeam/coord/structs"
@@ -17,4 +18,12 @@
 	// daemons together, or that it names none, which a negative limit means. The
 	// request was sent at the given time.
 	Observe(server structs.HostName, limit float64, sentAt time.Time)
+	// Acquire waits until one request may be sent to a server, for at most patience.
+	// It returns at once for a server that names no limit. It fails with code
+	// Overloaded, and the time after which the server takes a request, or with the
+	// error of ctx.
+	Acquire(ctx context.Context, server structs.HostName, patience time.Duration) error
+	// HasRoom reports whether Acquire may succeed without patience, as far as that is
+	// known. It does not wait.
+	HasRoom(server structs.HostName) bool
 }
--- a/daemon/contract/managed.go
+++ b/daemon/contract/managed.go
@@ -305,6 +305,9 @@
 	Status  int
 	// Version is the weight version that the server reported, or zero.
 	Version structs.WeightVersion
+	// RetryAfter is the time after which a server that did not start the run takes
+	// one, if that is known.
+	RetryAfter time.Duration
 }
 
 // Engines runs items on model engines.
--- a/daemon/services/dispatch/forward.go
+++ b/daemon/services/dispatch/forward.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 
@@ -62,7 +65,7 @@
 // answer comes within hedgeDelay, to a second one. The first complete answer
 // wins.
 func (c *forwardCall) sendHedged(ctx context.Context) (contract.ForwardReply, error) {
-	ticket, err := c.service.balancer.Pick(ctx, c.pick)
+	ticket, err := c.pickServer(ctx, limitPatience(c.request.Route))
 	if err != nil {
 		// Retrying servers that failed before is better than having none.
 		c.pick.Avoid = nil
@@ -122,7 +125,7 @@
 	if c.request.Route.Kind != catalog.KindIdempotent || c.sentCount >= c.request.Route.MaxAttempts || !c.retrier.SpendRetry() {
 		return contract.Ticket{}, false
 	}
-	ticket, err := c.service.balancer.Pick(ctx, c.pick)
+	ticket, err := c.pickServer(ctx, 0)
 	if err != nil {
 		return contract.Ticket{}, false
 	}
@@ -132,6 +135,64 @@
 	return ticket, true
 }
 
+// limitPatienceFraction is the part of the latency target for which a request waits for
+// a server whose limit is used up. A caller that is refused by then can still be served
+// in time when it returns.
+const limitPatienceFraction = 0.25
+
+func limitPatience(route *catalog.Route) time.Duration {
+	return time.Duration(limitPatienceFraction * float64(route.LatencyTarget))
+}
+
+// pickServer picks a server that takes a request now or, where the limits of all are
+// used up, within patience.
+func (c *forwardCall) pickServer(ctx context.Context, patience time.Duration) (contract.Ticket, error) {
+	ticket, err := c.pickWithin(ctx, 0)
+	if patience > 0 && result.CodeOf(err) == result.Overloaded && ctx.Err() == nil {
+		ticket, err = c.pickWithin(ctx, patience)
+	}
+	var refusal *result.Error
+	if errors.As(err, &refusal) && refusal.RetryAfter > 0 {
+		// Callers that are refused together return at different times.
+		refusal.RetryAfter += rand.N(refusal.RetryAfter)
+	}
+	return ticket, err
+}
+
+// maxLimitedPicks bounds the servers with a limit that are tried for one request.
+const maxLimitedPicks = 8
+
+// pickWithin picks servers in turn until one takes a request within patience. If none
+// does, it fails with the refusal of the server that takes a request first.
+func (c *forwardCall) pickWithin(ctx context.Context, patience time.Duration) (contract.Ticket, error) {
+	pick := c.pick
+	var refusal *result.Error
+	for range maxLimitedPicks {
+		ticket, err := c.service.balancer.Pick(ctx, pick)
+		if err != nil && refusal != nil {
+			return contract.Ticket{}, refusal
+		}
+		if err != nil {
+			return contract.Ticket{}, err
+		}
+		err = c.service.limits.Acquire(ctx, ticket.Server.Name, patience)
+		if err == nil {
+			return ticket, nil
+		}
+		// The server has not been asked, so the outcome shows nothing about it.
+		ticket.Finish(contract.TicketOutcome{Err: context.Canceled})
+		var coded *result.Error
+		if !errors.As(err, &coded) {
+			return contract.Ticket{}, err
+		}
+		if refusal == nil || coded.RetryAfter < refusal.RetryAfter {
+			refusal = coded
+		}
+		pick.Avoid = append(slices.Clone(pick.Avoid), ticket.Server.Name)
+	}
+	return contract.Ticket{}, refusal
+}
+
 // exchangeError wraps an error of an exchange with a server in a result code. An
 // exchange that was cut short by the end of ctx has an unknown outcome.
 func exchangeError(ctx context.Context, code result.Code, err error) error {
--- a/daemon/services/engines/engines.go
+++ b/daemon/services/engines/engines.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/flamingobeam/flamingobeam/coord/result"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
 	"github.com/flamingobeam/flamingobeam/daemon/transport"
 	"github.com/flamingobeam/flamingobeam/kernel"
@@ -38,6 +39,9 @@
 	// nextEventTimeout bounds the wait for each further event. It is longer
 	// than the pause of a weight swap.
 	nextEventTimeout = 1600 * time.Millisecond
+	// limitPatience is how long a run waits for an engine whose limit of requests is
+	// used up, before it is placed elsewhere.
+	limitPatience = 100 * time.Millisecond
 )
 
 var (
@@ -102,6 +106,9 @@
 }
 
 func (s *service) runStream(ctx context.Context, request contract.RunRequest, progress *contract.Progress, stallTimer *time.Timer) contract.RunResult {
+	if err := s.limits.Acquire(ctx, request.Server.ID, limitPatience); err != nil {
+		return contract.RunResult{Outcome: contract.RunNotStarted, Err: err, RetryAfter: result.RetryAfterOf(err)}
+	}
 	header := make(http.Header, len(request.Item.Headers))
 	for name, value := range request.Item.Headers {
 		header.Set(name, value)
--- a/daemon/services/jobs/jobs.go
+++ b/daemon/services/jobs/jobs.go
@@ -49,6 +49,7 @@
 	peers        contract.Peers
 	swaps        contract.WeightSwaps
 	paces        contract.EnginePaces
+	limits       contract.ServerLimits
 	metrics      contract.Metrics
 	log          *logrus.Entry
 	loop         *kernel.Loop
@@ -110,6 +111,7 @@
 		kernel.Bind(&s.peers, contract.NamePeers),
 		kernel.Bind(&s.swaps, contract.NameWeightSwaps),
 		kernel.Bind(&s.paces, contract.NameEnginePaces),
+		kernel.Bind(&s.limits, contract.NameServerLimits),
 		kernel.Bind(&s.metrics, contract.NameMetrics),
 	)
 	if err != nil {
--- a/daemon/services/jobs/runs.go
+++ b/daemon/services/jobs/runs.go
@@ -120,7 +120,7 @@
 		state.recordConnectFailure(now)
 		return
 	case contract.RunNotStarted, contract.RunStaleWeights:
-		state.blockedUntil[outcome.model] = now.Add(refusalCooldown)
+		state.blockedUntil[outcome.model] = now.Add(max(refusalCooldown, result.RetryAfter))
 	}
 	state.connectFailures = 0
 	if sample, ok := outcome.item.progress.PaceSample(outcome.endedAt); ok {
--- a/daemon/services/jobs/schedule.go
+++ b/daemon/services/jobs/schedule.go
@@ -307,7 +307,7 @@
 		engines = append(engines, placement.Engine{
 			Server: server, Version: max(server.Versions[j.Model], state.versions[j.Model]),
 			LocalItems: state.localItems, Pace: pace, BestPace: bestPace, RTT: s.roundTripTo(server.Zone),
-			Blocked: now.Before(state.blockedUntil[j.Model]) || now.Before(state.unreachableUntil),
+			Blocked: now.Before(state.blockedUntil[j.Model]) || now.Before(state.unreachableUntil) || !s.limits.HasRoom(server.ID),
 		})
 	}
 	return placement.NewEngineSelector(engines, j.MinVersion, s.selectionSalt)
--- a/daemon/services/limits/limits.go
+++ b/daemon/services/limits/limits.go
@@ -1,6 +1,8 @@
-// Package limits is the service "traffic.limits". It keeps the limits of requests a
-// second that backend servers name in their responses. Goroutines of traffic use it
-// concurrently; a mutex that is held only for short calculations protects it.
+// Package limits is the service "traffic.limits". It keeps to the limits of requests a
+// second that backend servers name in their responses: before each request to such a
+// server it asks the leader of the daemons, which hands out the requests that the server
+// takes. Goroutines of traffic use it concurrently; mutexes that are held only for short
+// calculations protect it.
 package limits
 
 import (
@@ -11,6 +13,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
 
+	"github.com/flamingobeam/flamingobeam/coord/serverlimit"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
 	"github.com/flamingobeam/flamingobeam/kernel"
@@ -30,6 +33,9 @@
 	clock   clockwork.Clock
 	log     *logrus.Entry
 	metrics contract.Metrics
+	session contract.Session
+	peers   contract.Peers
+	handout handout
 
 	// limitedCount is the number of limited servers, so that responses of others
 	// need no lock while there are none.
@@ -45,6 +51,11 @@
 	limit float64
 	// namedAt is when the request was sent whose response named the limit last.
 	namedAt time.Time
+	// exhaustedUntil is when the server takes a request again, as the leader said when
+	// it last refused one.
+	exhaustedUntil time.Time
+	// own is spent while the leader cannot be reached.
+	own serverlimit.Bucket
 }
 
 var _ contract.ServerLimits = (*service)(nil)
@@ -52,7 +63,19 @@
 // Provision implements kernel.Service.
 func (s *service) Provision(ctx *kernel.Context) error {
 	s.clock, s.log = ctx.Clock(), ctx.Log()
-	return kernel.FindAll(ctx, kernel.Bind(&s.metrics, contract.NameMetrics))
+	err := kernel.FindAll(ctx,
+		kernel.Bind(&s.metrics, contract.NameMetrics),
+		kernel.Bind(&s.session, contract.NameSession),
+		kernel.Bind(&s.peers, contract.NamePeers),
+	)
+	if err != nil {
+		return err
+	}
+	rpc, err := kernel.Find[contract.RPCServer](ctx, contract.NameRPCServer)
+	if err != nil {
+		return err
+	}
+	return rpc.Register(rpcName, &Receiver{service: s})
 }
 
 // Observe implements contract.ServerLimits. A response that names no limit only counts
@@ -79,6 +102,7 @@
 	default:
 		if known.limit != limit {
 			s.log.WithFields(logrus.Fields{"server": server, "limit": limit, "before": known.limit}).Info("A server changed its limit of requests a second.")
+			known.exhaustedUntil = time.Time{}
 		}
 		known.limit, known.namedAt = limit, sentAt
 	}
