Never quarantine the reward calls of accepted items

What callers saw: after a burst of crashes an item stayed without its score while all servers were sound and idle, and was given up at the end of its time. Cause: a reward call that was running on two servers when they crashed counted as a request that crashes servers, and was refused in the whole zone for ten minutes. Items of batch jobs are placed without the quarantine and did not have the fault; their reward calls go the way of callers' requests. Class: a defence against hostile requests applied to the system's own. Change: calls on behalf of accepted work carry no fingerprint, so they are never suspected. Measured: TestManaged_RewardCallsOutliveCrashes gave the item up after 60 s and now completes it; TestManaged_CrashingRequestQuarantined still passes.

--- a/daemon/contract/managed.go
+++ b/daemon/contract/managed.go
@@ -171,6 +171,9 @@
 	Body   []byte
 	// Deadline is the time at which the caller or the route gives up on a response.
 	Deadline time.Time
+	// IsAccepted is set for a call on behalf of accepted work. Such calls do not crash
+	// servers by themselves and are never quarantined: the work must be completed.
+	IsAccepted bool
 	// DiscardBody is set when only the status and the headers of a whole response
 	// are needed. Its body is read to the end and not returned.
 	DiscardBody bool
--- a/daemon/services/dispatch/dispatch.go
+++ b/daemon/services/dispatch/dispatch.go
@@ -86,11 +86,15 @@
 		return contract.ForwardReply{}, result.New(result.NoBackend, "route %s has no service", request.Route.Name)
 	}
 	started := time.Now()
+	var fingerprint quarantine.Fingerprint
+	if !request.IsAccepted {
+		fingerprint = quarantine.FingerprintOf(request.Method, request.Host, request.Target, string(request.Body))
+	}
 	call := &forwardCall{
 		service: s, request: request,
 		pick: contract.PickRequest{
 			Service: target, Class: classOf(request.Route), Deadline: request.Deadline,
-			Fingerprint: quarantine.FingerprintOf(request.Method, request.Host, request.Target, string(request.Body)),
+			Fingerprint: fingerprint,
 		},
 		retrier: s.retries.Begin(contract.RetryRequest{
 			Class: classOf(request.Route), Deadline: request.Deadline, Idempotent: request.Route.Kind == catalog.KindIdempotent,
--- a/daemon/services/jobs/reward.go
+++ b/daemon/services/jobs/reward.go
@@ -73,7 +73,7 @@
 	defer cancel()
 	response, err := s.dispatch.Forward(ctx, contract.ForwardRequest{
 		Route: route, ID: reward.ID, Method: http.MethodPost, Host: reward.Host, Target: reward.Path,
-		Header: http.Header{}, Body: reward.Body, Deadline: deadline, DiscardBody: true,
+		Header: http.Header{}, Body: reward.Body, Deadline: deadline, IsAccepted: true, DiscardBody: true,
 	})
 	if err != nil {
 		return rewardOutcome{err: err, maxAttempts: route.MaxAttempts}
--- a/histories/managed/responses_test.go
+++ b/histories/managed/responses_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -133,7 +134,7 @@
 func TestManaged_CrashingRequestQuarantined(t *testing.T) {
 	h := newHarness(t)
 	h.putConfiguration(1, routeConfig("/status/", "idempotent"))
-	servers := &crashingServers{harness: h}
+	servers := &crashingServers{harness: h, path: "/status/crash", crashesLeft: math.MaxInt}
 	for i := range 6 {
 		servers.addServer(fmt.Sprintf("plain-%d", i))
 	}
@@ -158,24 +159,52 @@
 	}
 }
 
-// crashingServers are plain servers that close their listener for good at a
-// request for /status/crash.
+// TestManaged_RewardCallsOutliveCrashes lets each server of which an item's reward call
+// is asked crash, three in a row, and leaves one. Items never crash servers by
+// themselves, so the call must go to the last server and the item be completed.
+func TestManaged_RewardCallsOutliveCrashes(t *testing.T) {
+	h := newHarness(t)
+	h.putConfiguration(1)
+	h.addEngine("engine-1", 3, time.Millisecond)
+	servers := &crashingServers{harness: h, path: "/judge/job-1-0", crashesLeft: 3}
+	for i := range 4 {
+		servers.addServer(fmt.Sprintf("plain-%d", i))
+	}
+	d := h.startDaemon("daemon-1")
+	submitJob(h, d, "job-1", jobBody("job-1", 0, 1, 1, 1))
+	h.checkResults("job-1", h.fetchAllResults(d, "job-1", 1), 3, 1)
+	must.Eq(t, 3, servers.count())
+}
+
+// crashingServers are plain servers that close their listener for good at a request for
+// a path, until there are no crashes left.
 type crashingServers struct {
-	harness    *harness
-	mu         sync.Mutex
-	crashCount int
+	harness     *harness
+	path        string
+	mu          sync.Mutex
+	crashCount  int
+	crashesLeft int
+}
+
+// takeCrash reports whether a server is to crash at a request.
+func (c *crashingServers) takeCrash(r *http.Request) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if r.URL.Path != c.path || c.crashesLeft == 0 {
+		return false
+	}
+	c.crashesLeft--
+	c.crashCount++
+	return true
 }
 
 func (c *crashingServers) addServer(id string) {
 	p := &plainServer{id: id}
 	p.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path != "/status/crash" {
+		if !c.takeCrash(r) {
 			p.ServeHTTP(w, r)
 			return
 		}
-		c.mu.Lock()
-		c.crashCount++
-		c.mu.Unlock()
 		_ = p.server.Listener.Close()
 		writeRawAndClose(w, "", true)
 	}))
