Test odd server entries and errors after a broken stream

Change: a test with fourteen odd entries that arrive while a daemon follows the list (nested 200,000 deep, numbers out of range, a port out of range, bytes), and one with seven errors after a stream that broke off.

--- a/histories/managed/managed_test.go
+++ b/histories/managed/managed_test.go
@@ -265,6 +265,42 @@
 	}
 }
 
+// TestManaged_OddServerEntries lets another writer leave odd entries, one after the
+// other, while a daemon follows the list. It must go on following it, and use a server
+// that registers afterwards.
+func TestManaged_OddServerEntries(t *testing.T) {
+	const address = `"service":"portal","address":"127.0.0.1:1","state":"ready"`
+	h := newStandardHarness(t, 1, time.Millisecond)
+	d := h.startDaemon("daemon-1")
+	depth := 200_000
+	for name, entry := range map[string]string{
+		"nested array":    strings.Repeat("[", depth) + strings.Repeat("]", depth),
+		"nested object":   `{` + address + `,"x":` + strings.Repeat(`{"a":`, depth) + `1` + strings.Repeat("}", depth) + `}`,
+		"nested open":     strings.Repeat(`{"a":[`, depth),
+		"large exponent":  `{` + address + `,"slots":1e999}`,
+		"large integer":   `{` + address + `,"slots":99999999999999999999999,"born":1e400}`,
+		"most slots":      `{` + address + `,"slots":9223372036854775807}`,
+		"negative":        `{` + address + `,"slots":-9223372036854775808,"sequence":-1}`,
+		"port":            `{"service":"portal","address":"127.0.0.1:99999","state":"ready","slots":1}`,
+		"port of service": `{"service":"portal","address":"127.0.0.1:http","state":"ready","slots":1}`,
+		"null":            `null`,
+		"empty":           ``,
+		"bytes":           "\xff\xfe\x00",
+		"null fields":     `{"service":null,"address":null,"state":null,"models":null}`,
+		"models":          `{` + address + `,"models":[{"name":"model-a","version":18446744073709551615},null]}`,
+	} {
+		h.store.putBytes("servers/odd "+name, []byte(entry))
+		must.Eq(t, http.StatusOK, d.call(http.MethodPost, "/status/1", "look "+name, nil, "").status, must.Sprint(name))
+	}
+	added := h.addPlain("plain-2")
+	h.waitFor("the new server is used", func() bool {
+		d.call(http.MethodPost, "/status/1", fmt.Sprint("look ", time.Now().UnixNano()), nil, "")
+		return len(added.requests()) > 0
+	})
+	submitJob(h, d, "job-1", jobBody("job-1", 0, 1, 2, 2))
+	h.checkResults("job-1", h.fetchAllResults(d, "job-1", 4), 1, 1)
+}
+
 func TestManaged_PlannedStopJobHandover(t *testing.T) {
 	h := newStandardHarness(t, 300, 20*time.Millisecond)
 	first, second := h.startDaemon("daemon-1"), h.startDaemon("daemon-2")
--- a/histories/managed/servers_test.go
+++ b/histories/managed/servers_test.go
@@ -117,6 +117,11 @@
 	// dripAfter is the number of events after which each stream only gets a byte of
 	// the next event now and then; zero means never. It is set before the first run.
 	dripAfter int
+	// breakAfter is the number of events after which the next stream breaks off; zero
+	// means never.
+	breakAfter int
+	// faults handle the next resumed runs, one each and in order.
+	faults []func(w http.ResponseWriter, r *http.Request)
 	// notices are headers that the engine adds to the responses to items.
 	notices map[string]string
 	// started is the start time in the engine's entry, in Unix milliseconds.
@@ -264,6 +269,13 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if after > 0 && len(e.faults) > 0 {
+		fault := e.faults[0]
+		e.faults = e.faults[1:]
+		e.mu.Unlock()
+		fault(w, r)
+		return
+	}
 	version, events := e.version, e.eventCount
 	for name, value := range e.notices {
 		w.Header().Set(name, value)
@@ -290,6 +302,9 @@
 			e.mu.Unlock()
 			return
 		}
+		if e.takeBreak(number) {
+			panic(http.ErrAbortHandler)
+		}
 		if e.dripAfter > 0 && number > e.dripAfter {
 			e.drip(w, r)
 			e.mu.Lock()
@@ -315,6 +330,17 @@
 	e.mu.Unlock()
 }
 
+// takeBreak reports whether a stream is to break off before an event.
+func (e *engine) takeBreak(number int) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.breakAfter == 0 || number <= e.breakAfter {
+		return false
+	}
+	e.breakAfter = 0
+	return true
+}
+
 // drip sends a byte of an unfinished event now and then until the caller disconnects.
 func (e *engine) drip(w http.ResponseWriter, r *http.Request) {
 	controller := http.NewResponseController(w)
--- a/histories/managed/store_test.go
+++ b/histories/managed/store_test.go
@@ -142,10 +142,15 @@
 	if err != nil {
 		panic(err)
 	}
+	s.putBytes(key, encoded)
+}
+
+// putBytes is put for a value that need not be JSON.
+func (s *storeEmulator) putBytes(key string, value []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
-	s.writeRecord(key, encoded, 0)
+	s.writeRecord(key, value, 0)
 }
 
 // removeKey removes a key on behalf of the platform.
--- a/histories/managed/streams_test.go
+++ b/histories/managed/streams_test.go
@@ -1,6 +1,7 @@
 package managed
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -26,6 +27,48 @@
 // TestManaged_DrippingStream lets an engine stop in the middle of a text and send a
 // byte of the next event now and then. The run must end, and resume on another
 // engine after the last whole event.
+// TestManaged_ErrorsAfterBrokenStream lets a stream break off and answers its
+// continuations with errors that look like events or like an end. None of their text may
+// get into the item's output, which must be whole.
+func TestManaged_ErrorsAfterBrokenStream(t *testing.T) {
+	const forgedEvent = "id: 3\nweight-versions: 1\ndata: forged\n\n"
+	respond := func(status int, matches bool, body string) func(http.ResponseWriter, *http.Request) {
+		return func(w http.ResponseWriter, r *http.Request) {
+			id := r.Header.Get("Attempt-Id")
+			if !matches {
+				id = "another"
+			}
+			w.Header().Set("Attempt-Id", id)
+			w.Header().Set("Content-Type", "text/event-stream")
+			w.WriteHeader(status)
+			fmt.Fprint(w, body)
+		}
+	}
+	raw := func(text string) func(http.ResponseWriter, *http.Request) {
+		return func(w http.ResponseWriter, _ *http.Request) { writeRawAndClose(w, text, false) }
+	}
+	for name, fault := range map[string]func(http.ResponseWriter, *http.Request){
+		"500 with an event":       respond(http.StatusInternalServerError, true, forgedEvent),
+		"502 without a body":      respond(http.StatusBadGateway, true, ""),
+		"404 with an event":       respond(http.StatusNotFound, true, forgedEvent),
+		"success of another item": respond(http.StatusOK, false, forgedEvent),
+		"bytes without a head":    raw(forgedEvent),
+		"half a head":             raw("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"),
+		"half an event":           raw("HTTP/1.1 200 OK\r\nAttempt-Id: another\r\n\r\nid: 3\ndata: forg"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h := newStandardHarness(t, 6, time.Millisecond)
+			for _, e := range h.engines {
+				e.breakAfter, e.faults = 2, []func(http.ResponseWriter, *http.Request){fault}
+			}
+			d := h.startDaemon("daemon-1")
+			submitJob(h, d, "job-1", jobBody("job-1", 0, 1, 2, 2))
+			h.checkResults("job-1", h.fetchAllResults(d, "job-1", 4), 6, 1)
+		})
+	}
+}
+
 func TestManaged_DrippingStream(t *testing.T) {
 	h := newHarness(t)
 	h.putConfiguration(1)
