Log the source of a configuration in the line that puts it in force

Change: source and age go with the changes to the services and into the line that says which configuration is in force; the line for each batch goes. Measured: go test ./daemon/services/ledger.

--- a/daemon/contract/managed.go
+++ b/daemon/contract/managed.go
@@ -52,6 +52,10 @@
 	// Full is set when Records is a full snapshot of the prefix: the first one, or
 	// one that follows a gap in the history.
 	Full bool
+	// Source is the address of the daemon that the records came from, or "store", and
+	// Age the time since the store replied, when they were delivered. They are logged.
+	Source string
+	Age    time.Duration
 }
 
 // WatchOptions controls how often a watched prefix is polled; the platform charges
--- a/daemon/services/catalog/catalog.go
+++ b/daemon/services/catalog/catalog.go
@@ -83,7 +83,7 @@
 		switch {
 		case record.Removed:
 		case record.Key == platform.ConfigurationKey:
-			changed = s.applyConfiguration(&next, record) || changed
+			changed = s.applyConfiguration(&next, record, changes) || changed
 		case strings.HasPrefix(record.Key, platform.VersionPrefix):
 			changed = s.applyTargetVersion(&next, record) || changed
 		}
@@ -93,7 +93,7 @@
 	}
 }
 
-func (s *service) applyConfiguration(next *contract.CatalogView, record outside.Record) bool {
+func (s *service) applyConfiguration(next *contract.CatalogView, record outside.Record, changes contract.News) bool {
 	decoded, err := platform.DecodeCatalog(record.Value)
 	if err != nil {
 		s.log.WithError(err).WithField("revision", record.Revision).Error("Cannot decode a configuration; the previous one stays in force.")
@@ -102,7 +102,9 @@
 	if next.Catalog != nil && decoded.Version <= next.Catalog.Version {
 		return false
 	}
-	s.log.WithFields(logrus.Fields{"version": decoded.Version, "revision": record.Revision}).Info("A configuration is in force.")
+	s.log.WithFields(logrus.Fields{
+		"version": decoded.Version, "revision": record.Revision, "source": changes.Source, "age_ms": changes.Age.Milliseconds(),
+	}).Info("A configuration is in force.")
 	next.Catalog = decoded
 	return true
 }
--- a/daemon/services/ledger/watch.go
+++ b/daemon/services/ledger/watch.go
@@ -369,10 +369,7 @@
 // deliver posts changes to the control loop. When the mailbox is full, changes
 // are lost and the prefix must be listed again.
 func (w *prefixWatch) deliver(changes changeSet) error {
-	w.service.log.WithFields(logrus.Fields{
-		"prefix": w.prefix, "source": w.source, "through": changes.throughRevision, "records": len(changes.Records),
-		"full": changes.Full, "age_ms": w.cache.staleness().Milliseconds(),
-	}).Info("Changes of the store received.")
+	changes.Source, changes.Age = w.source, w.cache.staleness()
 	if err := w.mailbox.Post(changes.News); err != nil {
 		return errors.Wrap(outside.ErrCompacted, err.Error())
 	}
