Start no item of a batch job whose route was removed

What callers saw: items of a job ran on a service for which no configuration in force had a route any more. Cause: a job kept the settings of its route when a configuration dropped it, and went on starting items until all were done. Class: state derived from a configuration that outlives it. Change: no further item starts, and none is moved, while the route is missing. Items that never ran are listed as given up after two seconds, in case the operator restores the route; runs in progress finish. A job whose route is not known here yet still waits for it.

--- a/daemon/services/jobs/jobs.go
+++ b/daemon/services/jobs/jobs.go
@@ -158,11 +158,14 @@
 // job is a batch job that this daemon owns.
 type job struct {
 	batch.Job
-	route       routeSettings
-	submittedAt time.Time
-	ownership   ownershipRecord
-	log         logRecord
-	items       []*item
+	route routeSettings
+	// routeRemovedAt is when a configuration without the route came into force; zero
+	// while there is a route.
+	routeRemovedAt time.Time
+	submittedAt    time.Time
+	ownership      ownershipRecord
+	log            logRecord
+	items          []*item
 	// pendingResults are finished and not yet in the log.
 	pendingResults []batch.Result
 	pendingSince   time.Time
--- a/daemon/services/jobs/schedule.go
+++ b/daemon/services/jobs/schedule.go
@@ -8,6 +8,8 @@
 	"strings"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/flamingobeam/flamingobeam/coord/batch"
 	"github.com/flamingobeam/flamingobeam/coord/catalog"
 	"github.com/flamingobeam/flamingobeam/coord/placement"
@@ -45,8 +47,13 @@
 	singleVersion  bool
 }
 
+// routeRemovalGrace is how long a job's route must be missing before its waiting items
+// are given up, in case the operator restores it.
+const routeRemovalGrace = 2 * time.Second
+
 // updateRoute reads the settings of a job's route from the current
-// configuration. If the route no longer exists, the job keeps its settings.
+// configuration. If the route no longer exists, no further item starts. A job whose route
+// is not known here yet may be on a route that was just added.
 func (s *service) updateRoute(j *job) {
 	current := s.catalog.Current().Load().Catalog
 	if current == nil {
@@ -54,8 +61,13 @@
 	}
 	route := current.Match(j.Host, j.Path)
 	if route == nil || len(route.Targets) == 0 {
+		if j.route.service != "" && j.routeRemovedAt.IsZero() {
+			j.routeRemovedAt = s.loop.Now()
+			s.log.WithFields(logrus.Fields{"job": j.ID, "configuration": current.Version}).Info("The route of a batch job was removed.")
+		}
 		return
 	}
+	j.routeRemovedAt = time.Time{}
 	j.route = routeSettings{
 		service: route.Targets[0].Service, maxAttempts: route.MaxAttempts, itemTTL: route.ItemTTL,
 		resultDeadline: route.ResultDeadline, priority: route.Priority, singleVersion: route.SingleVersion,
@@ -171,7 +183,9 @@
 	for _, j := range s.ownedJobs {
 		if j.isOpen() {
 			hasOpen = true
-			s.moveStragglers(j, now)
+			if j.routeRemovedAt.IsZero() {
+				s.moveStragglers(j, now)
+			}
 			s.checkpointTexts(j, now)
 		}
 		j.expireTexts(now)
@@ -228,6 +242,12 @@
 			s.judgeItem(j, it)
 			continue
 		}
+		if !j.routeRemovedAt.IsZero() {
+			if now.Sub(j.routeRemovedAt) >= routeRemovalGrace {
+				s.giveUpItem(j, it, "its route was removed")
+			}
+			continue
+		}
 		waiting = append(waiting, waitingItem{item: it, eventsLeft: s.eventsLeft(j, it)})
 	}
 	if len(waiting) == 0 {
--- a/histories/managed/daemon_test.go
+++ b/histories/managed/daemon_test.go
@@ -178,8 +178,13 @@
 	}, routes...)
 	// The given routes precede the default route of the same prefix.
 	slices.Reverse(allRoutes)
+	h.putRoutes(version, allRoutes)
+}
+
+// putRoutes writes a configuration with exactly these routes.
+func (h *harness) putRoutes(version int, routes []map[string]any) {
 	h.store.put("op/config", map[string]any{
-		"version": version, "routes": allRoutes,
+		"version": version, "routes": routes,
 		"services": []map[string]any{
 			{"name": engineService, "healthPath": "/healthz", "maxConnections": 100,
 				"engine": map[string]any{"slots": 8, "stride": 64, "models": []map[string]any{{"name": modelName}}}},
