Use one token bucket for orders and for limits of servers

Cause: the limits of servers brought a second token bucket beside that of the weights. Change: coord/tokenbucket holds the one that both use; coord/serverlimit and coord/weights keep their rates and bursts.

--- a/coord/weights/planner.go
+++ b/coord/weights/planner.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/flamingobeam/flamingobeam/coord/structs"
+	"github.com/flamingobeam/flamingobeam/coord/tokenbucket"
 )
 
 // Planner schedules the orders and reads of a collector in one term. It is not
@@ -15,8 +16,8 @@
 	term        structs.Term
 	targets     map[structs.ServiceName]structs.WeightVersion
 	engines     map[structs.HostName]*engineState
-	orderBucket tokenBucket
-	readBucket  tokenBucket
+	orderBucket tokenbucket.Bucket
+	readBucket  tokenbucket.Bucket
 }
 
 // engineState is the state of an engine, as far as it is known.
@@ -53,11 +54,24 @@
 		term:        term,
 		targets:     make(map[structs.ServiceName]structs.WeightVersion),
 		engines:     make(map[structs.HostName]*engineState),
-		orderBucket: newTokenBucket(limits.OrdersPerSecond, now),
-		readBucket:  newTokenBucket(limits.ReadsPerSecond, now),
+		orderBucket: newBucket(now, limits.OrdersPerSecond),
+		readBucket:  newBucket(now, limits.ReadsPerSecond),
 	}
 }
 
+// burstDuration is the time in which the rate would allow the calls of a burst.
+const burstDuration = 250 * time.Millisecond
+
+func newBucket(now time.Time, perSecond float64) tokenbucket.Bucket {
+	return tokenbucket.NewFull(now, perSecond, tokenbucket.Capacity(perSecond, burstDuration, 1))
+}
+
+// tryTake reports whether a call may begin now, and takes a token if so.
+func tryTake(bucket *tokenbucket.Bucket, now time.Time) bool {
+	_, ok := bucket.Take(now, 0)
+	return ok
+}
+
 // Term returns the term of the planner.
 func (p *Planner) Term() structs.Term { return p.term }
 
@@ -108,7 +122,7 @@
 	var actions []Action
 	available := p.limits.MaxConcurrentOrders - p.inFlightCount(ActionOrder)
 	for _, state := range p.dueEngines(now, p.orderDue) {
-		if available == 0 || !p.orderBucket.tryTake(now) {
+		if available == 0 || !tryTake(&p.orderBucket, now) {
 			break
 		}
 		available--
@@ -117,7 +131,7 @@
 	}
 	available = p.limits.MaxConcurrentReads - p.inFlightCount(ActionRead)
 	for _, state := range p.dueEngines(now, p.readDue) {
-		if available == 0 || !p.readBucket.tryTake(now) {
+		if available == 0 || !tryTake(&p.readBucket, now) {
 			break
 		}
 		available--
@@ -132,11 +146,11 @@
 func (p *Planner) NextDue(now time.Time) (time.Time, bool) {
 	orderAt, hasOrder := p.earliestDue(p.orderDue, ActionOrder, p.limits.MaxConcurrentOrders)
 	if hasOrder {
-		orderAt = laterOf(orderAt, p.orderBucket.nextAt(now))
+		orderAt = laterOf(orderAt, now.Add(p.orderBucket.Wait(now)))
 	}
 	readAt, hasRead := p.earliestDue(p.readDue, ActionRead, p.limits.MaxConcurrentReads)
 	if hasRead {
-		readAt = laterOf(readAt, p.readBucket.nextAt(now))
+		readAt = laterOf(readAt, now.Add(p.readBucket.Wait(now)))
 	}
 	if hasOrder && (!hasRead || orderAt.Before(readAt)) {
 		return orderAt, true
--- a/daemon/services/limits/acquire.go
+++ b/daemon/services/limits/acquire.go
@@ -10,6 +10,7 @@
 	"github.com/flamingobeam/flamingobeam/coord/result"
 	"github.com/flamingobeam/flamingobeam/coord/serverlimit"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
+	"github.com/flamingobeam/flamingobeam/coord/tokenbucket"
 )
 
 const (
@@ -184,13 +185,12 @@
 		return 0, true
 	}
 	if !reply.Leads {
-		known.own.SetRate(now, serverlimit.OwnRate(call.Limit, len(s.session.View().Load().Live)))
-		wait, taken := known.own.Take(now, call.Patience)
+		wait, taken := serverlimit.TakeOwn(&known.own, now, call.Limit, len(s.session.View().Load().Live), call.Patience)
 		s.log.WithFields(logrus.Fields{"server": call.Server, "taken": taken, "wait_ms": wait.Milliseconds()}).
 			Info("Request to a limited server without the leader.")
 		return wait, taken
 	}
-	known.own = serverlimit.Bucket{}
+	known.own = tokenbucket.Bucket{}
 	if !reply.Taken {
 		known.exhaustedUntil = now.Add(reply.Wait)
 	}
--- a/daemon/services/limits/limits.go
+++ b/daemon/services/limits/limits.go
@@ -13,8 +13,8 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
 
-	"github.com/flamingobeam/flamingobeam/coord/serverlimit"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
+	"github.com/flamingobeam/flamingobeam/coord/tokenbucket"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
 	"github.com/flamingobeam/flamingobeam/kernel"
 )
@@ -55,7 +55,7 @@
 	// it last refused one.
 	exhaustedUntil time.Time
 	// own is spent while the leader cannot be reached.
-	own serverlimit.Bucket
+	own tokenbucket.Bucket
 }
 
 var _ contract.ServerLimits = (*service)(nil)
