Let a deputy hand out requests while the leader is gone

Cause: without the leader each daemon had a tenth of a limit divided by all daemons, from an empty bucket; a text waits for its engine that long. Change: a daemon that does not reach the leader asks the first other daemon by rank. That one passes the call on, or hands out the requests itself while it does not reach the leader either. A run that an engine's limit refused is placed again when the engine takes one.

--- a/coord/membership/membership.go
+++ b/coord/membership/membership.go
@@ -133,6 +133,18 @@
 	return slices.ContainsFunc(ZoneFirsts(live), func(first Member) bool { return first.Name == self.Name })
 }
 
+// Deputy returns the daemon that does the leader's work for requests while the leader
+// cannot be reached: the first other one by rank. It returns false when there is none.
+func Deputy(leader string, live map[string]Member) (Member, bool) {
+	var deputy Member
+	for name, member := range live {
+		if name != leader && (deputy.Name == "" || byRank(member, deputy) < 0) {
+			deputy = member
+		}
+	}
+	return deputy, deputy.Name != ""
+}
+
 // JobHosts returns the names of the daemons that may own batch jobs: those on
 // the strongest hosts of each zone.
 func JobHosts(live map[string]Member) map[string]bool {
--- a/coord/serverlimit/shared.go
+++ b/coord/serverlimit/shared.go
@@ -22,7 +22,7 @@
 	// Over four seconds their sum and the collected tokens stay within one and a half
 	// times the limit.
 	sharedPart = 1.0
-	ownPart    = 0.1
+	ownPart    = 0.3
 	// minBurst is the smallest number of requests that may be sent at once after a
 	// pause, and burstTime the time in which as many are handed out at a high limit. The
 	// items of a step arrive together.
--- a/daemon/services/jobs/runs.go
+++ b/daemon/services/jobs/runs.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -120,7 +121,8 @@
 		state.recordConnectFailure(now)
 		return
 	case contract.RunNotStarted, contract.RunStaleWeights:
-		state.blockedUntil[outcome.model] = now.Add(max(refusalCooldown, result.RetryAfter))
+		state.blockedUntil[outcome.model] = now.Add(cmp.Or(result.RetryAfter, refusalCooldown))
+		s.loop.AfterFunc(cmp.Or(result.RetryAfter, refusalCooldown), s.schedulePlacement)
 	}
 	state.connectFailures = 0
 	if sample, ok := outcome.item.progress.PaceSample(outcome.endedAt); ok {
--- a/daemon/services/limits/acquire.go
+++ b/daemon/services/limits/acquire.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/flamingobeam/flamingobeam/coord/membership"
 	"github.com/flamingobeam/flamingobeam/coord/result"
 	"github.com/flamingobeam/flamingobeam/coord/serverlimit"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
@@ -22,28 +23,20 @@
 	leaderRetryDelay = time.Second
 )
 
-// handout hands out the requests to limited servers while this daemon leads.
-type handout struct {
-	mu sync.Mutex
-	// isLeading is set while this daemon is known to lead.
-	isLeading bool
-	shared    *serverlimit.Shared
-	// leaderFailedAt is when the leader last did not answer; zero if it did.
-	leaderFailedAt time.Time
-}
-
-// TakeCall asks the leader for one request to a server.
+// TakeCall asks the leader, or its deputy, for one request to a server.
 type TakeCall struct {
 	Server structs.HostName
 	// Limit is the limit that the server named last, in requests a second.
 	Limit float64
 	// Patience is how long the request may wait.
 	Patience time.Duration
+	// ToDeputy is set when the caller does not reach the leader.
+	ToDeputy bool
 }
 
 // TakeReply is the reply to a TakeCall.
 type TakeReply struct {
-	// Leads is false when the daemon that was asked does not lead.
+	// Leads is false when the daemon that was asked does not hand out requests.
 	Leads bool
 	// Taken is set when the request may be sent after Wait. Otherwise there is none
 	// before Wait has passed.
@@ -54,51 +47,122 @@
 // Receiver serves net/rpc calls of other daemons.
 type Receiver struct{ service *service }
 
-// Take takes one request to a server if this daemon leads.
+// Take takes one request to a server if this daemon leads, or does so for the leader.
 func (r *Receiver) Take(call TakeCall, reply *TakeReply) error {
 	*reply = r.service.takeAsLeader(call)
+	if !reply.Leads && call.ToDeputy {
+		ctx, cancel := context.WithTimeout(context.Background(), leaderTimeout)
+		defer cancel()
+		*reply = r.service.takeAsDeputy(ctx, call)
+	}
 	return nil
 }
 
-// takeAsLeader takes one request if this daemon leads. A daemon that begins to lead
-// begins with empty buckets, because the leader before it may just have handed out
-// requests.
+// handout hands out the requests to limited servers while this daemon leads, or is the
+// deputy of a leader that it does not reach.
+type handout struct {
+	mu sync.Mutex
+	// role is what this daemon hands out requests as.
+	role   handoutRole
+	shared *serverlimit.Shared
+	// leaderFailedAt is when the leader last did not answer; zero if it did.
+	leaderFailedAt time.Time
+}
+
+type handoutRole uint8
+
+const (
+	roleNone handoutRole = iota
+	roleLeader
+	roleDeputy
+)
+
+// take takes one request in a role. A daemon begins each role with empty buckets,
+// because another one may have handed out requests just before.
+func (h *handout) take(role handoutRole, now time.Time, call TakeCall) TakeReply {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.role != role {
+		h.role, h.shared = role, serverlimit.NewShared()
+	}
+	wait, taken := h.shared.Take(now, call.Server, call.Limit, call.Patience)
+	return TakeReply{Leads: true, Taken: taken, Wait: wait}
+}
+
+// endRole ends a role, if this daemon has it.
+func (h *handout) endRole(role handoutRole) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.role == role {
+		h.role, h.shared = roleNone, nil
+	}
+}
+
 func (s *service) takeAsLeader(call TakeCall) TakeReply {
-	_, leads := s.session.Leadership()
-	s.handout.mu.Lock()
-	defer s.handout.mu.Unlock()
-	if !leads {
-		s.handout.isLeading = false
+	if _, leads := s.session.Leadership(); !leads {
+		s.handout.endRole(roleLeader)
 		return TakeReply{}
 	}
-	if !s.handout.isLeading {
-		s.handout.isLeading, s.handout.shared = true, serverlimit.NewShared()
+	return s.handout.take(roleLeader, s.clock.Now(), call)
+}
+
+// takeAsDeputy passes the call on to the leader if this daemon reaches it, and otherwise
+// takes the leader's place: two daemons hand out requests only while the leader is cut
+// off from the caller and its deputy.
+func (s *service) takeAsDeputy(ctx context.Context, call TakeCall) TakeReply {
+	if reply := s.askLeader(ctx, call); reply.Leads {
+		s.handout.endRole(roleDeputy)
+		return reply
 	}
-	wait, taken := s.handout.shared.Take(s.clock.Now(), call.Server, call.Limit, call.Patience)
-	return TakeReply{Leads: true, Taken: taken, Wait: wait}
+	return s.handout.take(roleDeputy, s.clock.Now(), call)
 }
 
-// takeFromLeader asks the leader for one request. The reply does not say that the
-// daemon leads when it could not be asked.
-func (s *service) takeFromLeader(ctx context.Context, call TakeCall) TakeReply {
+// takeShared takes one request from the daemon that hands them out: the leader or its
+// deputy. The reply does not say that the daemon leads when neither could be asked.
+func (s *service) takeShared(ctx context.Context, call TakeCall) TakeReply {
 	if reply := s.takeAsLeader(call); reply.Leads {
 		return reply
 	}
+	view := s.session.View().Load()
+	deputy, hasDeputy := membership.Deputy(view.Leader, view.Live)
+	if hasDeputy && deputy.Name == view.Self.Name {
+		return s.takeAsDeputy(ctx, call)
+	}
+	reply := s.askLeader(ctx, call)
+	if reply.Leads || !hasDeputy || ctx.Err() != nil {
+		return reply
+	}
+	call.ToDeputy = true
+	reply, err := s.ask(ctx, deputy, call, 2*leaderTimeout)
+	if err != nil {
+		s.log.WithError(err).WithField("daemon", deputy.Name).Info("The leader's deputy hands out no requests to limited servers.")
+	}
+	return reply
+}
+
+// askLeader asks the leader, unless it has just not answered.
+func (s *service) askLeader(ctx context.Context, call TakeCall) TakeReply {
 	view := s.session.View().Load()
 	leader, isLive := view.Live[view.Leader]
 	if !isLive || leader.Name == view.Self.Name || s.hasLeaderFailed() {
 		return TakeReply{}
 	}
-	callCtx, cancel := context.WithTimeout(ctx, leaderTimeout)
-	defer cancel()
-	var reply TakeReply
-	err := s.peers.Call(callCtx, leader.RPCAddress, rpcName+".Take", call, &reply)
+	reply, err := s.ask(ctx, leader, call, leaderTimeout)
 	if ctx.Err() == nil {
 		s.recordLeaderCall(err)
 	}
 	return reply
 }
 
+// ask asks a daemon for one request.
+func (s *service) ask(ctx context.Context, member membership.Member, call TakeCall, timeout time.Duration) (TakeReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	var reply TakeReply
+	err := s.peers.Call(ctx, member.RPCAddress, rpcName+".Take", call, &reply)
+	return reply, err
+}
+
 func (s *service) hasLeaderFailed() bool {
 	s.handout.mu.Lock()
 	defer s.handout.mu.Unlock()
@@ -127,7 +191,7 @@
 	wait, taken := exhausted, false
 	if wait <= patience {
 		call := TakeCall{Server: server, Limit: limit, Patience: patience}
-		reply := s.takeFromLeader(ctx, call)
+		reply := s.takeShared(ctx, call)
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
