Ask for admission once where no limit of a server refused the request

Cause: a request that admission refused for its own reasons was admitted a second time, with patience for limits that played no part. Change: the refusal by limits and other failures are separate results of a pick.

--- a/daemon/services/dispatch/forward.go
+++ b/daemon/services/dispatch/forward.go
@@ -147,50 +147,53 @@
 // pickServer picks a server that takes a request now or, where the limits of all are
 // used up, within patience.
 func (c *forwardCall) pickServer(ctx context.Context, patience time.Duration) (contract.Ticket, error) {
-	ticket, err := c.pickWithin(ctx, 0)
-	if patience > 0 && result.CodeOf(err) == result.Overloaded && ctx.Err() == nil {
-		ticket, err = c.pickWithin(ctx, patience)
+	ticket, refusal, err := c.pickWithin(ctx, 0)
+	if refusal != nil && patience > 0 {
+		ticket, refusal, err = c.pickWithin(ctx, patience)
 	}
-	var refusal *result.Error
-	if errors.As(err, &refusal) && refusal.RetryAfter > 0 {
+	if refusal == nil {
+		return ticket, err
+	}
+	if refusal.RetryAfter > 0 {
 		// Callers that are refused together return at different times.
 		refusal.RetryAfter += rand.N(refusal.RetryAfter)
 	}
-	return ticket, err
+	return contract.Ticket{}, refusal
 }
 
 // maxLimitedPicks bounds the servers with a limit that are tried for one request.
 const maxLimitedPicks = 8
 
 // pickWithin picks servers in turn until one takes a request within patience. If none
-// does, it fails with the refusal of the server that takes a request first.
-func (c *forwardCall) pickWithin(ctx context.Context, patience time.Duration) (contract.Ticket, error) {
+// does because of its limit, it returns the refusal of the server that takes a request
+// first; any other failure is the error.
+func (c *forwardCall) pickWithin(ctx context.Context, patience time.Duration) (contract.Ticket, *result.Error, error) {
 	pick := c.pick
 	var refusal *result.Error
 	for range maxLimitedPicks {
 		ticket, err := c.service.balancer.Pick(ctx, pick)
-		if err != nil && refusal != nil {
-			return contract.Ticket{}, refusal
+		if err != nil && refusal == nil {
+			return contract.Ticket{}, nil, err
 		}
 		if err != nil {
-			return contract.Ticket{}, err
+			break
 		}
 		err = c.service.limits.Acquire(ctx, ticket.Server.Name, patience)
 		if err == nil {
-			return ticket, nil
+			return ticket, nil, nil
 		}
 		// The server has not been asked, so the outcome shows nothing about it.
 		ticket.Finish(contract.TicketOutcome{Err: context.Canceled})
 		var coded *result.Error
 		if !errors.As(err, &coded) {
-			return contract.Ticket{}, err
+			return contract.Ticket{}, nil, err
 		}
 		if refusal == nil || coded.RetryAfter < refusal.RetryAfter {
 			refusal = coded
 		}
 		pick.Avoid = append(slices.Clone(pick.Avoid), ticket.Server.Name)
 	}
-	return contract.Ticket{}, refusal
+	return contract.Ticket{}, refusal, nil
 }
 
 // exchangeError wraps an error of an exchange with a server in a result code. An
