Pass calls to a deputy on as calls to the leader

Cause: a deputy passed a call on with the mark that asks for a deputy. A leader that had just lost its role would have handed out requests as a deputy, beside the daemon that followed it. Measured: TestTake_AsDeputy failed with the new check and passes.

--- a/daemon/services/limits/acquire.go
+++ b/daemon/services/limits/acquire.go
@@ -36,8 +36,9 @@
 
 // TakeReply is the reply to a TakeCall.
 type TakeReply struct {
-	// Leads is false when the daemon that was asked does not hand out requests.
-	Leads bool
+	// HandsOut is false when the daemon that was asked does not hand out requests: it is
+	// neither the leader nor its deputy.
+	HandsOut bool
 	// Taken is set when the request may be sent after Wait. Otherwise there is none
 	// before Wait has passed.
 	Taken bool
@@ -50,7 +51,7 @@
 // Take takes one request to a server if this daemon leads, or does so for the leader.
 func (r *Receiver) Take(call TakeCall, reply *TakeReply) error {
 	*reply = r.service.takeAsLeader(call)
-	if !reply.Leads && call.ToDeputy {
+	if !reply.HandsOut && call.ToDeputy {
 		ctx, cancel := context.WithTimeout(context.Background(), leaderTimeout)
 		defer cancel()
 		*reply = r.service.takeAsDeputy(ctx, call)
@@ -86,7 +87,7 @@
 		h.role, h.shared = role, serverlimit.NewShared()
 	}
 	wait, taken := h.shared.Take(now, call.Server, call.Limit, call.Patience)
-	return TakeReply{Leads: true, Taken: taken, Wait: wait}
+	return TakeReply{HandsOut: true, Taken: taken, Wait: wait}
 }
 
 // endRole ends a role, if this daemon has it.
@@ -110,7 +111,8 @@
 // takes the leader's place: two daemons hand out requests only while the leader is cut
 // off from the caller and its deputy.
 func (s *service) takeAsDeputy(ctx context.Context, call TakeCall) TakeReply {
-	if reply := s.askLeader(ctx, call); reply.Leads {
+	call.ToDeputy = false
+	if reply := s.askLeader(ctx, call); reply.HandsOut {
 		s.handout.endRole(roleDeputy)
 		return reply
 	}
@@ -118,9 +120,9 @@
 }
 
 // takeShared takes one request from the daemon that hands them out: the leader or its
-// deputy. The reply does not say that the daemon leads when neither could be asked.
+// deputy. HandsOut is not set in the reply when neither could be asked.
 func (s *service) takeShared(ctx context.Context, call TakeCall) TakeReply {
-	if reply := s.takeAsLeader(call); reply.Leads {
+	if reply := s.takeAsLeader(call); reply.HandsOut {
 		return reply
 	}
 	view := s.session.View().Load()
@@ -129,7 +131,7 @@
 		return s.takeAsDeputy(ctx, call)
 	}
 	reply := s.askLeader(ctx, call)
-	if reply.Leads || !hasDeputy || ctx.Err() != nil {
+	if reply.HandsOut || !hasDeputy || ctx.Err() != nil {
 		return reply
 	}
 	call.ToDeputy = true
@@ -248,7 +250,7 @@
 	if known == nil {
 		return 0, true
 	}
-	if !reply.Leads {
+	if !reply.HandsOut {
 		wait, taken := serverlimit.TakeOwn(&known.own, now, call.Limit, len(s.session.View().Load().Live), call.Patience)
 		s.log.WithFields(logrus.Fields{"server": call.Server, "taken": taken, "wait_ms": wait.Milliseconds()}).
 			Info("Request to a limited server without the leader.")
--- a/daemon/services/limits/limits_test.go
+++ b/daemon/services/limits/limits_test.go
@@ -45,14 +45,16 @@
 	kernel.Base
 	reachable string
 	calls     []string
+	// toDeputy is whether the last call asked for a deputy.
+	toDeputy bool
 }
 
-func (f *fakePeers) Call(_ context.Context, address, _ string, _, reply any) error {
-	f.calls = append(f.calls, address)
+func (f *fakePeers) Call(_ context.Context, address, _ string, args, reply any) error {
+	f.calls, f.toDeputy = append(f.calls, address), args.(TakeCall).ToDeputy
 	if address != f.reachable {
 		return errors.New("unreachable")
 	}
-	*reply.(*TakeReply) = TakeReply{Leads: true, Taken: true}
+	*reply.(*TakeReply) = TakeReply{HandsOut: true, Taken: true}
 	return nil
 }
 
@@ -98,7 +100,7 @@
 
 	clock.Advance(time.Second)
 	session.setLeader("other.1", "other.1")
-	must.False(t, s.takeAsLeader(TakeCall{Server: "a", Limit: 2}).Leads)
+	must.False(t, s.takeAsLeader(TakeCall{Server: "a", Limit: 2}).HandsOut)
 	session.setLeader("self.1", "other.1")
 	must.False(t, s.takeAsLeader(TakeCall{Server: "a", Limit: 2}).Taken)
 }
@@ -146,8 +148,9 @@
 	must.Eq(t, 40, acquireFor(t, s, clock, 4*time.Second))
 }
 
-// TestTake_AsDeputy checks that a deputy passes calls on to a leader that it reaches, and
-// hands out requests within the limit itself while it does not.
+// TestTake_AsDeputy checks that a deputy passes calls on to a leader that it reaches, which
+// must not take them for calls to a deputy in case it leads no longer, and that it hands
+// out requests within the limit itself while it does not reach the leader.
 func TestTake_AsDeputy(t *testing.T) {
 	s, _, clock, peers := newTestService("other.1")
 	receiver := &Receiver{service: s}
@@ -156,7 +159,7 @@
 		for range 40 {
 			var reply TakeReply
 			must.NoError(t, receiver.Take(TakeCall{Server: "a", Limit: 2, ToDeputy: true}, &reply))
-			must.True(t, reply.Leads)
+			must.True(t, reply.HandsOut)
 			if reply.Taken {
 				n++
 			}
@@ -168,4 +171,5 @@
 	peers.reachable = "other.1"
 	clock.Advance(leaderRetryDelay)
 	must.Eq(t, 40, taken())
+	must.False(t, peers.toDeputy)
 }
