Begin no call to other daemons after the client for them has stopped

Cause: the service waits until no call is in progress, but did not refuse new ones, and the watches run until the workers stop, which is later. Polls of several upstreams at once made overlaps frequent. Class: a wait for work that others may still add. Change: after the stop a call fails as not sent, and a connection that opens meanwhile is closed. Measured: TestCall_AfterStop failed (the call began and timed out) and passes; the tests of limits and of leaving servers pass three times in a row, under load.

--- a/daemon/services/peers/peers.go
+++ b/daemon/services/peers/peers.go
@@ -71,6 +71,9 @@
 
 	mu      sync.Mutex
 	clients map[connKey]*client
+	// isStopped is set when the service stops. No call begins after that, since
+	// Stop waits for the calls.
+	isStopped bool
 }
 
 func newService() *service { return &service{clients: make(map[connKey]*client)} }
@@ -103,7 +106,9 @@
 	// Sending blocks while the peer does not read, so the call runs on its own
 	// goroutine. Closing the connection ends it.
 	done := make(chan error, 1)
-	s.calls.Go(func() { done <- c.Call(method, args, reply) })
+	if !s.begin(func() { done <- c.Call(method, args, reply) }) {
+		return result.Wrap(result.PeerUnreachable, errStopped)
+	}
 	select {
 	case err := <-done:
 		return s.wrapError(key, c, err)
@@ -113,6 +118,20 @@
 	}
 }
 
+// errStopped means that the service has stopped.
+var errStopped = errors.New("peers: stopped")
+
+// begin runs a call on its own goroutine unless the service has stopped.
+func (s *service) begin(call func()) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.isStopped {
+		return false
+	}
+	s.calls.Go(call)
+	return true
+}
+
 // wrapError adds a result code to the error of a finished call. net/rpc transfers the
 // errors of receivers as text without a code, so receivers return coded errors inside
 // their replies, and a rpc.ServerError is a failure of the call itself.
@@ -145,6 +164,10 @@
 	opened := &client{Client: rpc.NewClient(watched), conn: watched}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.isStopped {
+		_ = opened.Close()
+		return nil, errStopped
+	}
 	if other, ok := s.clients[key]; ok {
 		_ = opened.Close()
 		return other, nil
@@ -186,6 +209,7 @@
 func (s *service) closeAll() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.isStopped = true
 	for key, c := range s.clients {
 		_ = c.Close()
 		delete(s.clients, key)
--- a/daemon/services/peers/peers_test.go
+++ b/daemon/services/peers/peers_test.go
@@ -36,6 +36,26 @@
 	must.Eq(t, result.OutcomeUnknown, result.CodeOf(err))
 }
 
+// TestCall_AfterStop makes a call after the service has stopped, as the watches of a
+// daemon do until its workers stop. It must not begin: a stop that waits for calls would
+// not end while others begin.
+func TestCall_AfterStop(t *testing.T) {
+	server := rpc.NewServer()
+	must.NoError(t, server.RegisterName("Zone", &slowReceiver{release: make(chan struct{})}))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go server.Accept(listener)
+	s := newService()
+	s.trust = noTrust{}
+	must.NoError(t, s.Stop(t.Context()))
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	var args, reply int
+	err = s.Call(ctx, listener.Addr().String(), "Zone.Wait", &args, &reply)
+	must.Eq(t, result.PeerUnreachable, result.CodeOf(err))
+}
+
 // TestCall_TimeoutKeepsOtherReceivers lets a call to one receiver time out while a call to
 // another receiver of the same daemon is in flight. The second call must complete.
 func TestCall_TimeoutKeepsOtherReceivers(t *testing.T) {
