--- a/daemon/services/ledger/watch.go
+++ b/daemon/services/ledger/watch.go
@@ -284,7 +284,7 @@
 	return changeSet{News: contract.News{Records: records}, throughRevision: through}, nil
 }
 
-// pollUpstreams polls the upstream daemons for changes. It waits for news of the
+// pollUpstreams polls the upstream daemons for changes. It waits for changes from the
 // first one in their order that has not failed just now. When that one fails, has no
 // changes or does not answer in time, all others are asked at once for what they
 // have, so that several upstreams in trouble cost no more time than one. It fails with
--- a/daemon/services/limits/limits_test.go
+++ b/daemon/services/limits/limits_test.go
@@ -71,7 +71,7 @@
 }
 
 // TestObserve_OlderResponse checks that a late response without a limit does not end a
-// limit that a later request was told.
+// limit that the response to a later request named.
 func TestObserve_OlderResponse(t *testing.T) {
 	s, _, clock, _ := newTestService("self.1")
 	now := clock.Now()
--- a/histories/managed/limits_test.go
+++ b/histories/managed/limits_test.go
@@ -42,7 +42,7 @@
 
 // TestManaged_LimitOfPlainServers lets all servers of a service name a limit that is
 // far below what the callers of three daemons send. No server may get more than its
-// limit allows, a refused caller must be told when to return, and each server must be
+// limit allows, a refusal must say when to return, and each server must be
 // used.
 func TestManaged_LimitOfPlainServers(t *testing.T) {
 	const limit = 2.0
