Log the software version of the server of each run

Cause: the logs could not show whether a text was continued by another software version than the one that began it, as the version of an entry was not decoded. No logic uses it yet.

--- a/coord/catalog/catalog.go
+++ b/coord/catalog/catalog.go
@@ -193,6 +193,9 @@
 	// Started is the start time of the server in Unix milliseconds. It
 	// distinguishes restarts under the same ID.
 	Started int64
+	// Software is the version of the server's software. Servers of several versions may
+	// serve side by side.
+	Software structs.SoftwareVersion
 	// Versions holds the weight version that the server reports for each model.
 	Versions map[structs.ServiceName]structs.WeightVersion
 }
--- a/coord/structs/structs.go
+++ b/coord/structs/structs.go
@@ -32,6 +32,10 @@
 // WeightVersion is the version number of a model's weights; higher is newer.
 type WeightVersion uint64
 
+// SoftwareVersion is the version of a backend server's software, for example "v1.1".
+// It is empty if the server names none.
+type SoftwareVersion string
+
 // Term is a fencing token: each new holder of a role gets a higher one.
 type Term uint64
 
--- a/daemon/services/engines/engines.go
+++ b/daemon/services/engines/engines.go
@@ -94,7 +94,7 @@
 	}
 	s.metrics.Time("engines.run", time.Since(started))
 	entry := s.log.WithFields(logrus.Fields{
-		"job": request.Job.ID, "item": request.Item.ID, "server": request.Server.ID, "model": request.Job.Model,
+		"job": request.Job.ID, "item": request.Item.ID, "server": request.Server.ID, "software": request.Server.Software, "model": request.Job.Model,
 		"version": result.Version, "after": resumedAfter, "last": result.Text.Last, "end": result.Outcome.String(), "status": result.Status,
 		"ms": time.Since(started).Milliseconds(), "first_ms": progress.TimeToFirstEvent(started).Milliseconds(), "urgency": request.Urgency,
 	})
--- a/daemon/services/servers/servers.go
+++ b/daemon/services/servers/servers.go
@@ -133,7 +133,7 @@
 	s.entries[server.ID] = server
 	if !known || old.Draining != server.Draining || old.Started != server.Started {
 		s.log.WithFields(logrus.Fields{
-			"server": server.ID, "service": server.Service, "address": server.Address, "leaving": server.Draining,
+			"server": server.ID, "service": server.Service, "address": server.Address, "software": server.Software, "leaving": server.Draining,
 		}).Info("A server is listed.")
 	}
 }
