--- a/histories/managed/servers_test.go
+++ b/histories/managed/servers_test.go
@@ -126,6 +126,8 @@
 	notices map[string]string
 	// started is the start time in the engine's entry, in Unix milliseconds.
 	started int64
+	// software is the version of the engine's software.
+	software string
 }
 
 // announce adds a header to all further responses to items.
@@ -158,7 +160,12 @@
 }
 
 func (h *harness) addEngine(id string, events int, pace time.Duration) *engine {
-	e := &engine{id: id, harness: h, version: 1, eventCount: events, pace: pace}
+	return h.addEngineOf("v1", id, events, pace)
+}
+
+// addEngineOf adds an engine of a software version.
+func (h *harness) addEngineOf(software, id string, events int, pace time.Duration) *engine {
+	e := &engine{id: id, harness: h, version: 1, eventCount: events, pace: pace, software: software}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /api/order", e.handleOrder)
 	mux.HandleFunc("GET /api/report", e.handleReport)
@@ -179,8 +186,12 @@
 	e.mu.Lock()
 	version, started := e.version, e.started
 	e.mu.Unlock()
-	e.harness.putServerEntry(e.id, engineService, e.server.Listener.Addr().String(), "ready",
+	entry := serverEntry(engineService, e.server.Listener.Addr().String(), "ready",
 		[]map[string]any{{"name": modelName, "version": version}}, started)
+	if e.software != "" {
+		entry["version"] = e.software
+	}
+	e.harness.store.put("servers/"+e.id, entry)
 }
 
 func (e *engine) handleOrder(w http.ResponseWriter, r *http.Request) {
@@ -380,8 +391,12 @@
 
 // putServerEntry writes a server's entry to the store.
 func (h *harness) putServerEntry(id, service, address, state string, models []map[string]any, started int64) {
-	h.store.put("servers/"+id, map[string]any{
+	h.store.put("servers/"+id, serverEntry(service, address, state, models, started))
+}
+
+func serverEntry(service, address, state string, models []map[string]any, started int64) map[string]any {
+	return map[string]any{
 		"service": service, "address": address, "zone": "zone-a", "slots": 8, "state": state, "sequence": 1, "models": models,
 		"born": started,
-	})
+	}
 }
