Continue a text only at the software version that began it

What callers saw: whole, scored texts of which the first part came from one software version of the engines and the rest from another, with nothing in the result to show it. Cause: an item continued at any engine. Class: state that is only valid for one version of its producer is handed to another. Change: coord/resume decides where a stream may continue, by service and software version, or by the server process where the version is unknown. A request to a server takes a position only as a permit of that package, issued for that server. A text carries its origin wherever it goes: checkpoints, handovers and texts kept from ended jobs; one without an origin, of an earlier release, is not continued. An item waits for an engine of the version as long as generating its events again would take, and is generated anew after that, or at once if no server of the version takes new work. A text is also generated anew if another version started under the name of its engine.

--- a/coord/placement/engine_selector.go
+++ b/coord/placement/engine_selector.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/flamingobeam/flamingobeam/coord/catalog"
+	"github.com/flamingobeam/flamingobeam/coord/resume"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 )
 
@@ -59,20 +60,26 @@
 }
 
 // EngineSelector selects engines for the items of a model that are placed
-// together. It keeps the engines in one heap for each round-trip time, so that
-// Select examines a few engines only, however many there are.
+// together. It keeps the engines in one heap for each round-trip time and software
+// version, so that Select examines a few engines only, however many there are.
 type EngineSelector struct {
 	engines      []Engine
 	fallbackPace time.Duration
 	salts        []float64
-	groups       []rttGroup
+	groups       []engineGroup
 }
 
-// rttGroup is a min-heap of the engines with one round-trip time, ordered by
-// the cost of an event.
-type rttGroup struct {
-	rtt  time.Duration
-	heap []int32
+// engineGroup is a min-heap of the engines with one round-trip time and software
+// version, ordered by the cost of an event.
+type engineGroup struct {
+	rtt      time.Duration
+	software structs.SoftwareVersion
+	heap     []int32
+}
+
+// holds reports whether an engine belongs to the group.
+func (g *engineGroup) holds(engine *Engine) bool {
+	return g.rtt == engine.RTT && g.software == engine.Server.Software
 }
 
 // NewEngineSelector returns a selector among the engines that run oldestVersion or
@@ -86,10 +93,10 @@
 			continue
 		}
 		s.salts[i] = 1 + tieBreakSpread*fraction(xxhash.Sum64String(string(engine.Server.ID))^salt)
-		at := slices.IndexFunc(s.groups, func(group rttGroup) bool { return group.rtt == engine.RTT })
+		at := slices.IndexFunc(s.groups, func(group engineGroup) bool { return group.holds(engine) })
 		if at < 0 {
 			at = len(s.groups)
-			s.groups = append(s.groups, rttGroup{rtt: engine.RTT})
+			s.groups = append(s.groups, engineGroup{rtt: engine.RTT, software: engine.Server.Software})
 		}
 		s.groups[at].heap = append(s.groups[at].heap, int32(i))
 	}
@@ -128,12 +135,21 @@
 }
 
 // Select returns the index of the engine on which an item with the given number
-// of events is expected to finish first. It skips the servers in avoid and
-// returns false when no engine can take the item.
-func (s *EngineSelector) Select(events int, avoid []structs.HostName) (int, bool) {
+// of events is expected to finish first. It skips the servers in avoid and those that
+// may not continue the item's text from a position, and returns false when no engine can
+// take the item.
+func (s *EngineSelector) Select(events int, avoid []structs.HostName, position resume.Position) (int, bool) {
 	best, bestCost := -1, 0.0
 	for g := range s.groups {
-		index, ok := s.cheapest(&s.groups[g], avoid)
+		// All engines of a group give the same answer unless the software is unknown.
+		group := &s.groups[g]
+		if group.software != "" && len(group.heap) > 0 && !position.ContinuesAt(s.engines[group.heap[0]].Server) {
+			continue
+		}
+		index, ok := s.cheapest(group, avoid)
+		if ok && group.software == "" && !position.ContinuesAt(s.engines[index].Server) {
+			index, ok = s.sameProcess(group, avoid, position)
+		}
 		if !ok {
 			continue
 		}
@@ -145,9 +161,20 @@
 	return best, best >= 0
 }
 
+// sameProcess returns the engine of a group of unknown software that generated a text.
+func (s *EngineSelector) sameProcess(group *engineGroup, avoid []structs.HostName, position resume.Position) (int32, bool) {
+	at := slices.IndexFunc(group.heap, func(index int32) bool {
+		return position.ContinuesAt(s.engines[index].Server) && !s.isAvoided(index, avoid)
+	})
+	if at < 0 {
+		return 0, false
+	}
+	return group.heap[at], true
+}
+
 // cheapest returns the engine of a group with the lowest cost that is not to be
 // avoided.
-func (s *EngineSelector) cheapest(group *rttGroup, avoid []structs.HostName) (int32, bool) {
+func (s *EngineSelector) cheapest(group *engineGroup, avoid []structs.HostName) (int32, bool) {
 	if len(group.heap) == 0 {
 		return 0, false
 	}
@@ -187,7 +214,7 @@
 	engine.LocalItems++
 	for g := range s.groups {
 		group := &s.groups[g]
-		if group.rtt != engine.RTT {
+		if !group.holds(engine) {
 			continue
 		}
 		at := slices.Index(group.heap, int32(index))
--- a/coord/placement/pace.go
+++ b/coord/placement/pace.go
@@ -102,6 +102,13 @@
 	minMovePaceRatio = 1.15
 )
 
+// IsWorthWaiting reports whether an item should wait for an engine that continues its
+// text, rather than be generated anew elsewhere. Waiting costs no more than the time to
+// generate its events again.
+func IsWorthWaiting(waited time.Duration, events int, pace time.Duration) bool {
+	return waited < time.Duration(events)*pace
+}
+
 // ShouldMove reports whether a run with remainingEvents should move to an
 // engine with another pace.
 func ShouldMove(remainingEvents int, pace, otherPace time.Duration) bool {
--- a/coord/placement/pace_test.go
+++ b/coord/placement/pace_test.go
@@ -17,6 +17,13 @@
 	return PaceSample{Recent: interval, Mean: interval, Events: events}
 }
 
+func TestIsWorthWaiting(t *testing.T) {
+	must.True(t, IsWorthWaiting(0, 1, 40*time.Millisecond))
+	must.True(t, IsWorthWaiting(390*time.Millisecond, 10, 40*time.Millisecond))
+	must.False(t, IsWorthWaiting(400*time.Millisecond, 10, 40*time.Millisecond))
+	must.False(t, IsWorthWaiting(0, 0, 40*time.Millisecond))
+}
+
 func TestPaceEstimate_RecentPaceExpires(t *testing.T) {
 	var estimate PaceEstimate
 	must.Zero(t, estimate.At(epoch))
--- a/daemon/contract/managed.go
+++ b/daemon/contract/managed.go
@@ -11,6 +11,7 @@
 	"github.com/flamingobeam/flamingobeam/coord/catalog"
 	"github.com/flamingobeam/flamingobeam/coord/membership"
 	"github.com/flamingobeam/flamingobeam/coord/placement"
+	"github.com/flamingobeam/flamingobeam/coord/resume"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/kernel"
 	"github.com/flamingobeam/flamingobeam/outside"
@@ -225,7 +226,7 @@
 }
 
 // Text is the text of an item generated so far. Only one goroutine at a time may
-// add to it; others may call only Clone and EventsFrom. It crosses net/rpc under the
+// add to it; others may call only Clone, Position and EventsFrom. It crosses net/rpc under the
 // names of its exported fields. The type name is part of the gob encoding.
 type Text struct {
 	Events []string
@@ -237,19 +238,33 @@
 	Version structs.WeightVersion
 	// Whole is set once the stream has ended after its last event.
 	Whole bool
+	// Origin is where the first event was generated. It is zero in texts of releases
+	// before it was recorded.
+	Origin resume.Origin
 
 	mu sync.Mutex
 }
 
-// Add appends an event that a weight version generated.
-func (t *Text) Add(id uint64, event string, version structs.WeightVersion) {
+// Add appends an event that a weight version generated. The origin of the first event
+// is that of the text.
+func (t *Text) Add(id uint64, event string, version structs.WeightVersion, origin resume.Origin) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.Last == 0 {
+		t.Origin = origin
+	}
 	t.Last, t.Version = id, version
 	t.Events = append(t.Events, event)
 	t.Versions = batch.AddVersion(t.Versions, version)
 }
 
+// Position returns where the text continues. It may be called from any goroutine.
+func (t *Text) Position() resume.Position {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return resume.Position{Last: t.Last, Origin: t.Origin}
+}
+
 // MarkWhole records that the text is complete.
 func (t *Text) MarkWhole() {
 	t.mu.Lock()
@@ -263,6 +278,7 @@
 	defer t.mu.Unlock()
 	return &Text{
 		Events: slices.Clone(t.Events), Last: t.Last, Versions: slices.Clone(t.Versions), Version: t.Version, Whole: t.Whole,
+		Origin: t.Origin,
 	}
 }
 
--- a/daemon/services/engines/engines.go
+++ b/daemon/services/engines/engines.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/flamingobeam/flamingobeam/coord/result"
+	"github.com/flamingobeam/flamingobeam/coord/resume"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
 	"github.com/flamingobeam/flamingobeam/daemon/transport"
 	"github.com/flamingobeam/flamingobeam/kernel"
@@ -82,7 +83,7 @@
 // Run implements contract.Engines.
 func (s *service) Run(ctx context.Context, request contract.RunRequest, progress *contract.Progress) contract.RunResult {
 	started := time.Now()
-	resumedAfter := request.Text.Last
+	resumed := request.Text.Position()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	stallTimer := time.AfterFunc(firstEventTimeout, func() { cancel(errStalled) })
@@ -95,7 +96,7 @@
 	s.metrics.Time("engines.run", time.Since(started))
 	entry := s.log.WithFields(logrus.Fields{
 		"job": request.Job.ID, "item": request.Item.ID, "server": request.Server.ID, "software": request.Server.Software, "model": request.Job.Model,
-		"version": result.Version, "after": resumedAfter, "last": result.Text.Last, "end": result.Outcome.String(), "status": result.Status,
+		"version": result.Version, "after": resumed.Last, "text_software": resumed.Origin.Software, "last": result.Text.Last, "end": result.Outcome.String(), "status": result.Status,
 		"ms": time.Since(started).Milliseconds(), "first_ms": progress.TimeToFirstEvent(started).Milliseconds(), "urgency": request.Urgency,
 	})
 	if result.Err != nil {
@@ -106,6 +107,13 @@
 }
 
 func (s *service) runStream(ctx context.Context, request contract.RunRequest, progress *contract.Progress, stallTimer *time.Timer) contract.RunResult {
+	permit, err := resume.Authorize(request.Text.Position(), resume.OriginOf(request.Server))
+	if err != nil {
+		return contract.RunResult{Outcome: contract.RunInterrupted, Err: err}
+	}
+	if permit.Last() > 0 {
+		s.metrics.Count("engines.texts_resumed", 1)
+	}
 	if err := s.limits.Acquire(ctx, request.Server.ID, limitPatience); err != nil {
 		return contract.RunResult{Outcome: contract.RunNotStarted, Err: err, RetryAfter: result.RetryAfterOf(err)}
 	}
@@ -118,7 +126,7 @@
 		Method: http.MethodPost, Host: request.Job.Host, Target: request.Item.Path,
 		Header: header, Body: request.Item.Body, AttemptID: string(request.Item.ID),
 		Timeout: request.Timeout, Priority: request.Urgency,
-		ResumeAfter: request.Text.Last,
+		Resume: permit,
 	}.NewRequest(ctx)
 	if err != nil {
 		return contract.RunResult{Outcome: contract.RunImpossible, Err: err}
@@ -181,7 +189,7 @@
 // or fails. Each event restarts the stall timer.
 func readEvents(request contract.RunRequest, body io.Reader, progress *contract.Progress, stallTimer *time.Timer) (contract.RunOutcome, error) {
 	text := request.Text
-	version := text.Version
+	version, origin := text.Version, resume.OriginOf(request.Server)
 	reader := platform.NewEventReader(body)
 	for {
 		event, err := reader.Next()
@@ -206,6 +214,6 @@
 		}
 		stallTimer.Reset(nextEventTimeout)
 		progress.RecordEvent(time.Now())
-		text.Add(event.ID, event.Data, version)
+		text.Add(event.ID, event.Data, version, origin)
 	}
 }
--- a/daemon/services/jobs/checkpoint.go
+++ b/daemon/services/jobs/checkpoint.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/flamingobeam/flamingobeam/coord/batch"
+	"github.com/flamingobeam/flamingobeam/coord/resume"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
 	"github.com/flamingobeam/flamingobeam/outside"
@@ -36,6 +37,8 @@
 	Events   []string                `json:"events"`
 	Versions []structs.WeightVersion `json:"versions"`
 	Whole    bool                    `json:"whole,omitempty"`
+	// Origin is that of the text. It is zero in checkpoints of earlier releases.
+	Origin resume.Origin `json:"origin"`
 }
 
 // checkpointTexts stores the new events of a job's unfinished texts, so that a
@@ -81,7 +84,7 @@
 	if it.checkpointOffset+len(events) < minCheckpointEvents || len(events) == 0 {
 		return textPart{}, false
 	}
-	return textPart{Item: it.ID, After: it.checkpointOffset, Events: events, Versions: versions, Whole: isWhole}, true
+	return textPart{Item: it.ID, After: it.checkpointOffset, Events: events, Versions: versions, Whole: isWhole, Origin: it.text.Position().Origin}, true
 }
 
 // checkpointOutcome is the outcome of a checkpoint write.
@@ -144,10 +147,10 @@
 	text := texts[part.Item]
 	if text == nil || part.After == 0 {
 		// A part that starts at zero replaces a text that was discarded.
-		text = &contract.Text{}
+		text = &contract.Text{Origin: part.Origin}
 		texts[part.Item] = text
 	}
-	if part.After != len(text.Events) {
+	if part.After != len(text.Events) || part.Origin != text.Origin {
 		return
 	}
 	text.Events = append(text.Events, part.Events...)
--- a/daemon/services/jobs/earlier_texts.go
+++ b/daemon/services/jobs/earlier_texts.go
@@ -127,7 +127,7 @@
 	used := 0
 	for _, it := range j.items {
 		text := found.texts[it.ID]
-		if text == nil || !j.AcceptsVersions(text.Versions, j.route.singleVersion) || j.route.singleVersion && !text.Whole {
+		if text == nil || !text.Whole && !s.hasServerFor(j, text.Position()) || !j.AcceptsVersions(text.Versions, j.route.singleVersion) || j.route.singleVersion && !text.Whole {
 			continue
 		}
 		switch {
--- a/daemon/services/jobs/jobs.go
+++ b/daemon/services/jobs/jobs.go
@@ -244,7 +244,7 @@
 		listed[result.ID] = true
 	}
 	for _, index := range batch.LongestFirst(j.Items) {
-		it := &item{Item: &j.Items[index], text: &contract.Text{}}
+		it := &item{Item: &j.Items[index], text: &contract.Text{}, waitingSince: s.loop.Now()}
 		if text := a.texts[it.ID]; text != nil && (text.Last == 0 || j.AcceptsVersions(text.Versions, j.route.singleVersion)) {
 			it.text, it.resumeOffset = text, len(text.Events)
 		}
--- a/daemon/services/jobs/runs.go
+++ b/daemon/services/jobs/runs.go
@@ -63,7 +63,7 @@
 	if j == nil || j.ownership.Epoch != outcome.epoch || it.phase != phaseRunning {
 		return
 	}
-	it.phase, it.resumeOffset = phaseWaiting, len(result.Text.Events)
+	it.phase, it.resumeOffset, it.waitingSince = phaseWaiting, len(result.Text.Events), now
 	if replacement := it.replacement; replacement != nil {
 		it.replacement = nil
 		if replacement.Last > it.text.Last && result.Outcome != contract.RunCompleted {
@@ -72,6 +72,11 @@
 			return
 		}
 	}
+	if s.hasReplacedSoftware(outcome.server) {
+		s.discardText(j, it, "its engine was replaced by another software version under the same name")
+		s.schedulePlacement()
+		return
+	}
 	switch result.Outcome {
 	case contract.RunCompleted:
 		if s.mayStartItems(j) {
@@ -89,12 +94,19 @@
 	case contract.RunInterrupted:
 		it.avoidServer(outcome.server.ID)
 		if j.route.singleVersion || len(result.Text.Versions) > 0 && !j.AcceptsVersions(result.Text.Versions, false) {
-			it.text, it.resumeOffset, it.checkpointOffset = &generatedText{}, 0, 0
+			s.discardText(j, it, "its weight versions may not be mixed or are too old")
 		}
 	}
 	s.schedulePlacement()
 }
 
+// hasReplacedSoftware reports whether another software version has started under the
+// name of a server since it was chosen. The run may have reached either.
+func (s *service) hasReplacedSoftware(chosen catalog.Server) bool {
+	listed, ok := s.servers.Entries().Load().All[chosen.ID]
+	return ok && listed.Started != chosen.Started && listed.Software != chosen.Software
+}
+
 func (it *item) avoidServer(server structs.HostName) {
 	it.avoidedServers = append(it.avoidedServers, server)
 	if len(it.avoidedServers) > maxAvoided {
@@ -161,7 +173,7 @@
 			selector = s.engineSelector(j, now)
 		}
 		eventsLeft := s.eventsLeft(j, it)
-		choice, ok := selector.Select(eventsLeft, append(slices.Clone(it.avoidedServers), it.server))
+		choice, ok := selector.Select(eventsLeft, append(slices.Clone(it.avoidedServers), it.server), it.text.Position())
 		if !ok || !placement.ShouldMove(eventsLeft, sample.Recent, selector.PaceOf(choice)) {
 			continue
 		}
--- a/daemon/services/jobs/schedule.go
+++ b/daemon/services/jobs/schedule.go
@@ -13,6 +13,7 @@
 	"github.com/flamingobeam/flamingobeam/coord/batch"
 	"github.com/flamingobeam/flamingobeam/coord/catalog"
 	"github.com/flamingobeam/flamingobeam/coord/placement"
+	"github.com/flamingobeam/flamingobeam/coord/resume"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
 )
@@ -93,6 +94,8 @@
 	checkpointOffset int
 	// resumeOffset is the number of events after which the current run resumes.
 	resumeOffset int
+	// waitingSince is when the item began to wait for an engine.
+	waitingSince time.Time
 	server       structs.HostName
 	startedAt    time.Time
 	progress     *contract.Progress
@@ -255,19 +258,57 @@
 	}
 	slices.SortStableFunc(waiting, func(a, b waitingItem) int { return cmp.Compare(b.eventsLeft, a.eventsLeft) })
 	selector := s.engineSelector(j, now)
-	for _, w := range waiting {
-		choice, ok := selector.Select(w.eventsLeft, w.item.avoidedServers)
-		if !ok {
-			choice, ok = selector.Select(w.eventsLeft, nil)
+	for i := range waiting {
+		w := &waiting[i]
+		if _, ok := selector.Select(w.eventsLeft, nil, resume.Position{}); !ok {
+			return
 		}
+		choice, ok := s.selectEngine(j, w, selector, now)
 		if !ok {
-			return
+			continue
 		}
 		selector.Assign(choice)
 		s.startRun(j, w.item, selector.Engine(choice).Server, w.eventsLeft, selector.PaceOf(choice), now)
 	}
 }
 
+// selectEngine selects an engine that may continue an item's text. If there is none, the
+// item waits for one as long as that is worthwhile, and is then generated anew.
+func (s *service) selectEngine(j *job, w *waitingItem, selector *placement.EngineSelector, now time.Time) (int, bool) {
+	position := w.item.text.Position()
+	if choice, ok := selectPreferred(selector, w, position); ok || position.Last == 0 {
+		return choice, ok
+	}
+	if s.hasServerFor(j, position) && placement.IsWorthWaiting(now.Sub(w.item.waitingSince), w.item.resumeOffset, selector.FallbackPace()) {
+		return 0, false
+	}
+	s.discardText(j, w.item, "no engine of its software version takes it")
+	w.eventsLeft = s.eventsLeft(j, w.item)
+	return selectPreferred(selector, w, resume.Position{})
+}
+
+// selectPreferred avoids the servers on which the item failed if there are others.
+func selectPreferred(selector *placement.EngineSelector, w *waitingItem, position resume.Position) (int, bool) {
+	if choice, ok := selector.Select(w.eventsLeft, w.item.avoidedServers, position); ok {
+		return choice, true
+	}
+	return selector.Select(w.eventsLeft, nil, position)
+}
+
+// hasServerFor reports whether a server that takes new work may continue a text.
+func (s *service) hasServerFor(j *job, position resume.Position) bool {
+	return slices.ContainsFunc(s.servers.Entries().Load().ByService[j.route.service], position.ContinuesAt)
+}
+
+// discardText lets an item be generated from its beginning.
+func (s *service) discardText(j *job, it *item, why string) {
+	s.log.WithFields(logrus.Fields{
+		"job": j.ID, "item": it.ID, "events": it.resumeOffset, "software": it.text.Position().Origin.Software, "why": why,
+	}).Info("A text is generated anew.")
+	s.metrics.Count("jobs.texts_discarded", 1)
+	it.text, it.resumeOffset, it.checkpointOffset = &generatedText{}, 0, 0
+}
+
 // waitingItem is an item without an engine.
 type waitingItem struct {
 	item       *item
