Count a checkpoint only towards the text that it was taken from

What callers would see: a text whose first part comes from a run that was given up, and whose rest from another run, possibly of another software version. Cause: when a text was discarded while a checkpoint of it was being written, the outcome counted its events towards the new text. The next checkpoint then stored the new text's events after the old ones. Class: an outcome that is matched to its request by position, not by identity.

--- a/daemon/services/jobs/checkpoint.go
+++ b/daemon/services/jobs/checkpoint.go
@@ -39,6 +39,8 @@
 	Whole    bool                    `json:"whole,omitempty"`
 	// Origin is that of the text. It is zero in checkpoints of earlier releases.
 	Origin resume.Origin `json:"origin"`
+	// text is the text that the part was taken from.
+	text *generatedText
 }
 
 // checkpointTexts stores the new events of a job's unfinished texts, so that a
@@ -84,7 +86,7 @@
 	if it.checkpointOffset+len(events) < minCheckpointEvents || len(events) == 0 {
 		return textPart{}, false
 	}
-	return textPart{Item: it.ID, After: it.checkpointOffset, Events: events, Versions: versions, Whole: isWhole, Origin: it.text.Position().Origin}, true
+	return textPart{Item: it.ID, After: it.checkpointOffset, Events: events, Versions: versions, Whole: isWhole, Origin: it.text.Position().Origin, text: it.text}, true
 }
 
 // checkpointOutcome is the outcome of a checkpoint write.
@@ -111,7 +113,7 @@
 	}
 	j.checkpointCount = outcome.number + 1
 	for _, part := range outcome.parts {
-		if it := j.findItem(part.Item); it != nil && it.checkpointOffset == part.After {
+		if it := j.findItem(part.Item); it != nil && it.text == part.text && it.checkpointOffset == part.After {
 			it.checkpointOffset += len(part.Events)
 		}
 	}
