Resume a caller's stream only at the software version that began it

What callers saw: a stream that broke off and was taken up again was answered 200 to its end by any server, with the first part from one software version and the rest from another. Cause: the position was forwarded as any header; nothing recorded where a stream began. Change: the service traffic.origins stores the origin of each resumable stream before its first event is passed on, several in one write, under a lease of two minutes; a daemon that is asked to resume looks it up in memory or in the store, so that it is known after all daemons lost their memory. The request goes to a server of that version, or is refused at once (new code 3015) if the origin is unknown or no server of the version is listed. A position reaches a server only by a permit: the header of a caller or of an item is dropped otherwise. Ruled out: deriving the version from the list of servers, which fails when two are in service or the older one has just left.

--- a/coord/result/result.go
+++ b/coord/result/result.go
@@ -69,6 +69,9 @@
 	// BackendBusy is for a backend server whose statement that it has not run the
 	// request can be trusted.
 	BackendBusy Code = 3014
+	// StreamNotResumable is for a stream of which the software version is unknown or has
+	// no server.
+	StreamNotResumable Code = 3015
 
 	OutcomeUnknown  Code = 4000
 	AnswerCut       Code = 4001
@@ -146,6 +149,7 @@
 	{PeerUnreachable, "peer-unreachable", NotRun, 503, "The daemon that must handle the request cannot be reached."},
 	{FairShareExceeded, "fair-share-exceeded", NotRun, 429, "The workspace has used its share; try again later."},
 	{BackendBusy, "backend-busy", NotRun, 503, "The backend server is full and has not run the request."},
+	{StreamNotResumable, "stream-not-resumable", NotRun, 503, "No server can continue the stream; ask for it from its beginning."},
 	{OutcomeUnknown, "outcome-unknown", MayHaveRun, 502, "The request may have run; it will not run again."},
 	{AnswerCut, "answer-cut", MayHaveRun, 502, "The answer broke off before its end."},
 	{StillRunning, "still-running", MayHaveRun, 409, "The first request with this key is still running."},
--- a/coord/route/pick.go
+++ b/coord/route/pick.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/flamingobeam/flamingobeam/coord/resume"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 )
 
@@ -27,6 +28,8 @@
 	// MinVersion is the lowest acceptable weight version. Servers of unknown
 	// version are accepted.
 	MinVersion structs.WeightVersion
+	// Resumes is the position in a stream that the server has to continue.
+	Resumes resume.Position
 	// Avoid lists the servers that have been tried already.
 	Avoid []structs.HostName
 	// Random is a uniformly distributed number. It selects the candidates and
@@ -149,12 +152,12 @@
 }
 
 // scanTier returns the first eligible server of a tier, starting at a random
-// one. It looks at maxScannedServers at most, but at the whole tier if a minimum
-// version is required, since few servers may run that version.
+// one. It looks at maxScannedServers at most, but at the whole tier if the request
+// requires a version of the weights or the software, which few servers may run.
 func (p *picker) scanTier(tier int) (int, bool) {
 	members := p.table.tiers[tier].Members
 	count := min(len(members), maxScannedServers)
-	if p.request.MinVersion > 0 {
+	if p.request.MinVersion > 0 || p.request.Resumes.Last > 0 {
 		count = len(members)
 	}
 	i := reduce(p.request.Random, len(members))
@@ -176,6 +179,9 @@
 	if s.Version != 0 && s.Version < p.request.MinVersion {
 		return false
 	}
+	if p.request.Resumes.Last > 0 && !p.request.Resumes.Origin.FitsWith(s.Origin) {
+		return false
+	}
 	if s.Share < FullShare && mix(p.request.Random^uint64(server))%FullShare >= uint64(s.Share) {
 		return false
 	}
--- a/coord/route/table.go
+++ b/coord/route/table.go
@@ -15,6 +15,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/flamingobeam/flamingobeam/coord/resume"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 )
 
@@ -28,6 +29,8 @@
 	Place structs.Place
 	// Version is the weight version that the server runs, or zero.
 	Version structs.WeightVersion
+	// Origin is that of the streams which the server generates.
+	Origin resume.Origin
 	// Share is the share of its normal traffic that the server gets, in
 	// thousandths: zero while it is ejected, and less than FullShare while its
 	// traffic ramps up after an ejection.
--- a/coord/structs/structs.go
+++ b/coord/structs/structs.go
@@ -75,6 +75,8 @@
 	Service ServiceName `json:"service" yaml:"service"`
 	// Address is an IP address and port.
 	Address string `json:"address" yaml:"address"`
+	// Software is the version of the server's software, if it is known.
+	Software SoftwareVersion `json:"software,omitempty" yaml:"software,omitempty"`
 	// Draining is set once the host is scheduled for removal.
 	Draining bool `json:"leaving" yaml:"leaving"`
 	// EnforcesFencing reports whether the server rejects orders with an outdated
--- a/daemon/agent/managed.go
+++ b/daemon/agent/managed.go
@@ -28,6 +28,7 @@
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/jobs"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/ledger"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/limits"
+	_ "github.com/flamingobeam/flamingobeam/daemon/services/origins"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/paces"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/retire"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/servers"
--- a/daemon/contract/managed.go
+++ b/daemon/contract/managed.go
@@ -38,6 +38,8 @@
 	NameDispatch kernel.Name = "traffic.dispatch"
 	// NameEngines offers Engines.
 	NameEngines kernel.Name = "traffic.engines"
+	// NameStreamOrigins offers StreamOrigins.
+	NameStreamOrigins kernel.Name = "traffic.origins"
 	// NameJobs offers Jobs.
 	NameJobs kernel.Name = "traffic.jobs"
 	// NameManagedFront is the HTTP front end on a managed platform.
@@ -176,6 +178,10 @@
 	Body   []byte
 	// Deadline is the time at which the caller or the route gives up on a response.
 	Deadline time.Time
+	// ResumeAfter is the ID of the last event that the caller has of the stream which
+	// the attempt ResumedAttempt began; zero begins a new stream.
+	ResumeAfter    uint64
+	ResumedAttempt string
 	// IsAccepted is set for a call on behalf of accepted work. Such calls do not crash
 	// servers by themselves and are never quarantined: the work must be completed.
 	IsAccepted bool
@@ -202,6 +208,17 @@
 	Attempts int
 }
 
+// StreamOrigins records where the resumable streams of callers began. Both methods may be
+// called from any goroutine.
+type StreamOrigins interface {
+	// Record stores the origin of the stream that a caller's attempt begins. It returns
+	// once the origin is stored, or after a short time if the store does not respond.
+	Record(ctx context.Context, attempt string, origin resume.Origin)
+	// Lookup returns the recorded origin of an attempt's stream. It fails with
+	// outside.ErrNotFound if none is stored, and with the errors of the store.
+	Lookup(ctx context.Context, attempt string) (resume.Origin, error)
+}
+
 // Dispatch forwards requests to plain services. Errors are of package result.
 type Dispatch interface {
 	// Forward sends a request to a server of its route. A request that may be
--- a/daemon/contract/traffic.go
+++ b/daemon/contract/traffic.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/flamingobeam/flamingobeam/coord/quarantine"
+	"github.com/flamingobeam/flamingobeam/coord/resume"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/outside"
 )
@@ -20,6 +21,9 @@
 	Affinity uint64
 	// MinVersion is the lowest acceptable weight version.
 	MinVersion structs.WeightVersion
+	// Resumes is the position in a stream that the server has to continue; the zero
+	// value begins a new one.
+	Resumes resume.Position
 	// Avoid lists servers that were already tried.
 	Avoid []structs.HostName
 	// Fingerprint is the same for equal requests, so that requests that crash
@@ -27,6 +31,11 @@
 	Fingerprint quarantine.Fingerprint
 }
 
+// OriginOf returns the origin of streams that a server of the host view generates.
+func OriginOf(server structs.BackendServer) resume.Origin {
+	return resume.Origin{Service: server.Service, Software: server.Software, Server: server.Name}
+}
+
 // Ticket is a concurrency slot on a backend server. Finish releases it and must be
 // called exactly once.
 type Ticket struct {
--- a/daemon/services/balance/balance.go
+++ b/daemon/services/balance/balance.go
@@ -128,6 +128,7 @@
 		Class:      request.Class,
 		Affinity:   request.Affinity,
 		MinVersion: request.MinVersion,
+		Resumes:    request.Resumes,
 		Avoid:      request.Avoid,
 		Random:     rand.Uint64(),
 	}
--- a/daemon/services/balance/table.go
+++ b/daemon/services/balance/table.go
@@ -7,6 +7,7 @@
 	"github.com/flamingobeam/flamingobeam/coord/limit"
 	"github.com/flamingobeam/flamingobeam/coord/route"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
+	"github.com/flamingobeam/flamingobeam/daemon/contract"
 )
 
 // unlistedRetention is how long the record of an unlisted server is kept, so
@@ -141,6 +142,7 @@
 			Name:    sr.servers[i].Name,
 			Place:   sr.servers[i].Place,
 			Version: structs.WeightVersion(sr.counters[i].weightVersion.Load()),
+			Origin:  contract.OriginOf(sr.servers[i]),
 			Share:   share,
 		}
 	}
--- a/daemon/services/dispatch/dispatch.go
+++ b/daemon/services/dispatch/dispatch.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -12,7 +11,6 @@
 
 	"github.com/flamingobeam/flamingobeam/coord/catalog"
 	"github.com/flamingobeam/flamingobeam/coord/quarantine"
-	"github.com/flamingobeam/flamingobeam/coord/result"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
 	"github.com/flamingobeam/flamingobeam/daemon/transport"
@@ -45,6 +43,7 @@
 	hosts     contract.Hosts
 	limits    contract.ServerLimits
 	retries   contract.RetryBudgets
+	origins   contract.StreamOrigins
 	metrics   contract.Metrics
 	log       *logrus.Entry
 	transport *http.Transport
@@ -64,6 +63,7 @@
 		kernel.Bind(&s.hosts, contract.NameHosts),
 		kernel.Bind(&s.limits, contract.NameServerLimits),
 		kernel.Bind(&s.retries, contract.NameRetries),
+		kernel.Bind(&s.origins, contract.NameStreamOrigins),
 		kernel.Bind(&s.metrics, contract.NameMetrics),
 	)
 }
@@ -81,11 +81,15 @@
 
 // Forward implements contract.Dispatch.
 func (s *service) Forward(ctx context.Context, request contract.ForwardRequest) (contract.ForwardReply, error) {
-	target, ok := request.Route.PickService(rand.Float64())
-	if !ok {
-		return contract.ForwardReply{}, result.New(result.NoBackend, "route %s has no service", request.Route.Name)
-	}
 	started := time.Now()
+	position, err := s.resumePosition(ctx, request)
+	if err != nil {
+		return contract.ForwardReply{}, err
+	}
+	target, err := pickService(request.Route, position)
+	if err != nil {
+		return contract.ForwardReply{}, err
+	}
 	var fingerprint quarantine.Fingerprint
 	if !request.IsAccepted {
 		fingerprint = quarantine.FingerprintOf(request.Method, request.Host, request.Target, string(request.Body))
@@ -94,7 +98,7 @@
 		service: s, request: request,
 		pick: contract.PickRequest{
 			Service: target, Class: classOf(request.Route), Deadline: request.Deadline,
-			Fingerprint: fingerprint,
+			Fingerprint: fingerprint, Resumes: position,
 		},
 		retrier: s.retries.Begin(contract.RetryRequest{
 			Class: classOf(request.Route), Deadline: request.Deadline, Idempotent: request.Route.Kind == catalog.KindIdempotent,
@@ -102,5 +106,8 @@
 	}
 	reply, err := call.run(ctx)
 	s.metrics.Time("dispatch.forwarded", time.Since(started))
+	if position.Last > 0 {
+		s.recordTakeUp(request, position, reply, err)
+	}
 	return reply, err
 }
--- a/daemon/services/dispatch/forward.go
+++ b/daemon/services/dispatch/forward.go
@@ -45,6 +45,9 @@
 			return reply, nil
 		}
 		err := lastErr
+		if c.pick.Resumes.Last > 0 && c.sentCount == 0 && result.CodeOf(lastErr) == result.NoBackend {
+			return contract.ForwardReply{}, result.New(result.StreamNotResumable, "no server of software version %q", c.pick.Resumes.Origin.Software)
+		}
 		if c.sentCount < c.request.Route.MaxAttempts {
 			if err = c.retrier.AwaitRetry(ctx, lastErr); err == nil {
 				continue
@@ -78,7 +81,7 @@
 		c.sentCount++
 		c.pick.Avoid = append(c.pick.Avoid, ticket.Server.Name)
 		fresh := c.needsFresh
-		group.Go(func() { results <- c.service.send(ctx, c.request, ticket, fresh) })
+		group.Go(func() { results <- c.service.send(ctx, c.request, c.pick.Resumes, ticket, fresh) })
 	}
 	launch(ticket)
 	timer := time.NewTimer(c.hedgeDelay())
--- a/daemon/services/dispatch/send.go
+++ b/daemon/services/dispatch/send.go
@@ -12,6 +12,7 @@
 
 	"github.com/flamingobeam/flamingobeam/coord/catalog"
 	"github.com/flamingobeam/flamingobeam/coord/result"
+	"github.com/flamingobeam/flamingobeam/coord/resume"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
 	"github.com/flamingobeam/flamingobeam/daemon/transport"
 	"github.com/flamingobeam/flamingobeam/platform"
@@ -31,9 +32,9 @@
 
 // send sends the request to the server of a ticket and finishes the ticket. If
 // fresh is set, it uses a new connection.
-func (s *service) send(ctx context.Context, request contract.ForwardRequest, ticket contract.Ticket, fresh bool) attemptResult {
+func (s *service) send(ctx context.Context, request contract.ForwardRequest, position resume.Position, ticket contract.Ticket, fresh bool) attemptResult {
 	started := time.Now()
-	attempt := s.roundTrip(ctx, request, ticket, fresh)
+	attempt := s.roundTrip(ctx, request, position, ticket, fresh)
 	latency := time.Since(started)
 	attempt.reply.Server = ticket.Server.Name
 	if attempt.failure != nil {
@@ -54,16 +55,22 @@
 	return attempt
 }
 
-func (s *service) roundTrip(ctx context.Context, request contract.ForwardRequest, ticket contract.Ticket, fresh bool) attemptResult {
+func (s *service) roundTrip(ctx context.Context, request contract.ForwardRequest, position resume.Position, ticket contract.Ticket, fresh bool) attemptResult {
 	remaining := time.Until(request.Deadline)
 	if remaining <= 0 {
 		return attemptResult{err: result.New(result.DueTimePassed, "before it was sent to %s", ticket.Server.Name)}
 	}
+	origin := contract.OriginOf(ticket.Server)
+	permit, err := resume.Authorize(position, origin)
+	if err != nil {
+		return attemptResult{err: result.Wrap(result.NoBackend, err)}
+	}
 	outgoing, err := platform.BackendRequest{
 		Server: ticket.Server.Name, Address: ticket.Server.Address,
 		Method: request.Method, Host: request.Host, Target: request.Target,
 		Header: request.Header, Body: request.Body, AttemptID: request.ID,
 		Timeout: remaining, Priority: platform.NoPriority,
+		Resume: permit,
 	}.NewRequest(ctx)
 	if err != nil {
 		return attemptResult{err: result.Wrap(result.BadRequest, err)}
@@ -84,7 +91,9 @@
 	if headers.Leaving {
 		s.hosts.Report(ticket.Server.Name, contract.SignalLeaving)
 	}
-	return s.readResponse(ctx, request, response, headers)
+	attempt := s.readResponse(ctx, request, response, headers)
+	s.recordOrigin(ctx, request, origin, attempt.reply)
+	return attempt
 }
 
 // sendErrorCode returns NoBackend for a request that cannot have been sent, and
--- a/daemon/services/gate/handlers.go
+++ b/daemon/services/gate/handlers.go
@@ -118,6 +118,9 @@
 func (s *service) forward(w http.ResponseWriter, r *http.Request, headers platform.RequestHeaders, route *catalog.Route, current *catalog.Catalog) {
 	started := time.Now()
 	body, err := readBody(w, r, current.Limits)
+	if err == nil && headers.InvalidPosition {
+		err = result.New(result.BadRequest, "the ID of the last event is not a number")
+	}
 	if err != nil {
 		s.writeError(w, r, headers, err)
 		return
@@ -129,6 +132,7 @@
 	reply, err := s.dispatch.Forward(ctx, contract.ForwardRequest{
 		Route: route, ID: headers.AttemptID, Method: r.Method, Host: r.Host, Target: r.RequestURI,
 		Header: r.Header, Body: body, Deadline: deadline,
+		ResumeAfter: headers.ResumeAfter, ResumedAttempt: headers.ResumedAttempt,
 	})
 	if err != nil {
 		if ctx.Err() != nil && result.OutcomeOf(err) == result.MayHaveRun {
