--- a/daemon/config/config.go
+++ b/daemon/config/config.go
@@ -4,6 +4,8 @@
 
 import (
 	"bytes"
+	"context"
+	"net"
 	"net/netip"
 	"os"
 	"time"
@@ -61,8 +63,14 @@
 	// FirstStart is set when the whole system starts for the first time, so that
 	// there are no batch jobs of earlier runs.
 	FirstStart bool
+	// DialServer opens connections to backend servers; nil stands for TCP. Tests cut
+	// a daemon's links with it.
+	DialServer DialFunc
 }
 
+// DialFunc opens a connection to an address.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // Listen holds the addresses on which a daemon listens.
 type Listen struct {
 	// Callers is the address for HTTP.
--- a/daemon/services/dispatch/dispatch.go
+++ b/daemon/services/dispatch/dispatch.go
@@ -12,6 +12,7 @@
 	"github.com/flamingobeam/flamingobeam/coord/catalog"
 	"github.com/flamingobeam/flamingobeam/coord/quarantine"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
+	"github.com/flamingobeam/flamingobeam/daemon/config"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
 	"github.com/flamingobeam/flamingobeam/daemon/transport"
 	"github.com/flamingobeam/flamingobeam/kernel"
@@ -55,9 +56,13 @@
 
 // Provision implements kernel.Service.
 func (s *service) Provision(ctx *kernel.Context) error {
+	daemon, err := kernel.ConfigOf[config.Daemon](ctx)
+	if err != nil {
+		return err
+	}
 	s.log = ctx.Log()
-	s.transport = transport.New(transport.Options{DialTimeout: dialTimeout, IdleTimeout: idleTimeout, MaxIdlePerHost: maxIdlePerServer})
-	s.freshTransport = transport.New(transport.Options{DialTimeout: dialTimeout, SingleUse: true})
+	s.transport = transport.New(transport.Options{DialTimeout: dialTimeout, IdleTimeout: idleTimeout, MaxIdlePerHost: maxIdlePerServer, Dial: daemon.Platform.DialServer})
+	s.freshTransport = transport.New(transport.Options{DialTimeout: dialTimeout, SingleUse: true, Dial: daemon.Platform.DialServer})
 	return kernel.FindAll(ctx,
 		kernel.Bind(&s.balancer, contract.NameBalance),
 		kernel.Bind(&s.hosts, contract.NameHosts),
--- a/daemon/services/engines/engines.go
+++ b/daemon/services/engines/engines.go
@@ -14,6 +14,7 @@
 
 	"github.com/flamingobeam/flamingobeam/coord/result"
 	"github.com/flamingobeam/flamingobeam/coord/resume"
+	"github.com/flamingobeam/flamingobeam/daemon/config"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
 	"github.com/flamingobeam/flamingobeam/daemon/transport"
 	"github.com/flamingobeam/flamingobeam/kernel"
@@ -65,8 +66,12 @@
 
 // Provision implements kernel.Service.
 func (s *service) Provision(ctx *kernel.Context) error {
+	daemon, err := kernel.ConfigOf[config.Daemon](ctx)
+	if err != nil {
+		return err
+	}
 	s.log = ctx.Log()
-	s.transport = transport.New(transport.Options{DialTimeout: dialTimeout, IdleTimeout: idleTimeout, MaxIdlePerHost: maxIdlePerServer})
+	s.transport = transport.New(transport.Options{DialTimeout: dialTimeout, IdleTimeout: idleTimeout, MaxIdlePerHost: maxIdlePerServer, Dial: daemon.Platform.DialServer})
 	return kernel.FindAll(ctx,
 		kernel.Bind(&s.metrics, contract.NameMetrics),
 		kernel.Bind(&s.hosts, contract.NameHosts),
--- a/daemon/transport/transport.go
+++ b/daemon/transport/transport.go
@@ -2,6 +2,7 @@
 package transport
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -32,6 +33,8 @@
 	MaxPerHost int
 	// SingleUse closes each connection after one request.
 	SingleUse bool
+	// Dial opens connections; nil stands for TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // New returns a transport that does not request compression, so that bodies can be
@@ -40,8 +43,16 @@
 	dialer := &net.Dialer{Timeout: options.DialTimeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 	}}
+	dial := dialer.DialContext
+	if options.Dial != nil {
+		dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+			ctx, cancel := context.WithTimeout(ctx, options.DialTimeout)
+			defer cancel()
+			return options.Dial(ctx, network, address)
+		}
+	}
 	return &http.Transport{
-		DialContext: dialer.DialContext, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
+		DialContext: dial, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
 		IdleConnTimeout: options.IdleTimeout, MaxIdleConnsPerHost: options.MaxIdlePerHost, MaxConnsPerHost: options.MaxPerHost,
 		DisableKeepAlives: options.SingleUse,
 	}
--- a/histories/managed/daemon_test.go
+++ b/histories/managed/daemon_test.go
@@ -21,6 +21,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/flamingobeam/flamingobeam/daemon/agent"
+	"github.com/flamingobeam/flamingobeam/daemon/config"
 	"github.com/flamingobeam/flamingobeam/kernel"
 	"github.com/flamingobeam/flamingobeam/platform"
 )
@@ -120,7 +121,10 @@
 }
 
 // startDaemon starts a daemon in this process and waits until it is ready.
-func (h *harness) startDaemon(name string) *daemon {
+func (h *harness) startDaemon(name string) *daemon { return h.startDaemonWith(name, nil) }
+
+// startDaemonWith starts a daemon that opens its connections to servers with dial.
+func (h *harness) startDaemonWith(name string, dial config.DialFunc) *daemon {
 	ports := freePorts(h.t, 4)
 	d := &daemon{
 		storeProxy: newStoreProxy(h.t, h.store.address()),
@@ -130,7 +134,9 @@
 	must.NoError(h.t, err)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	d.kernel = agent.NewManaged(agent.RoleEntry, agent.ManagedConfig(settings, ports[3]), log)
+	daemonConfig := agent.ManagedConfig(settings, ports[3])
+	daemonConfig.Platform.DialServer = dial
+	d.kernel = agent.NewManaged(agent.RoleEntry, daemonConfig, log)
 	must.NoError(h.t, d.kernel.Start(context.Background()))
 	h.daemons = append(h.daemons, d)
 	stopped := false
