Send requests through another daemon while this one reaches no server

Cause: nothing told a daemon's own links from servers that are down. Each request tried servers until the caller gave up, and the servers were blamed. Class: a local failure taken for many remote ones. Change: coord/reach suspects the links when two servers fail within two seconds (no connection, a reset, or silence while no server is heard) and decides by probes of four servers: if none accepts a connection, the daemon is cut off. The service traffic.upstreams, through which all requests to servers go, then passes them on to a daemon that reaches servers: over HTTP, one hop, streamed, cancelled with the caller, under the origin's deadline, placement and limits. A request that waits for a connection was not sent and goes the other way at once; one that has a connection does so only if it may be repeated. While cut off, failures count against no server, recent ejections are revoked, and the daemon resigns as the leader after three seconds. Links are used again after two good rounds of probes, more after each relapse. A crash of a server is only concluded from a failed probe if another server can be reached. Ruled out: reporting the host as not ready, which moves new connections only and leaves those that are open; handing batch jobs over, which helps no look-up.

--- a/coord/membership/membership.go
+++ b/coord/membership/membership.go
@@ -21,8 +21,11 @@
 	// in hexadecimal nanoseconds.
 	Name string `json:"name"`
 	// RPCAddress is its net/rpc address.
-	RPCAddress string           `json:"peers"`
-	Zone       structs.ZoneName `json:"zone"`
+	RPCAddress string `json:"peers"`
+	// RelayAddress is where it takes requests to backend servers from daemons that
+	// cannot reach them; empty if it takes none.
+	RelayAddress string           `json:"relay,omitempty"`
+	Zone         structs.ZoneName `json:"zone"`
 	// Strength is the number of processor cores that the host gives it, and may be
 	// a fraction.
 	Strength float64 `json:"strength,omitempty"`
--- a/coord/retry/eject.go
+++ b/coord/retry/eject.go
@@ -34,7 +34,8 @@
 	failures int
 	// ejections counts the ejections since the server last had its full share.
 	ejections int
-	// ejectedUntil is the end of the latest ejection.
+	// ejectedAt and ejectedUntil are the start and the end of the latest ejection.
+	ejectedAt    time.Time
 	ejectedUntil time.Time
 	// recovering is set from an ejection until the server has its full share
 	// again.
@@ -51,13 +52,24 @@
 		return false
 	}
 	duration := min(maxEjection, baseEjection<<min(h.ejections, 5))
-	h.ejectedUntil = now.Add(duration)
+	h.ejectedAt, h.ejectedUntil = now, now.Add(duration)
 	h.ejections++
 	h.failures = 0
 	h.recovering = true
 	return true
 }
 
+// RevokeSince forgets the failures in a row, and an ejection that began after a time. It
+// reports whether there was one.
+func (h *Health) RevokeSince(since time.Time) bool {
+	h.failures = 0
+	if !h.recovering || h.ejectedAt.Before(since) {
+		return false
+	}
+	*h = Health{}
+	return true
+}
+
 // RecordSuccess records a successful request.
 func (h *Health) RecordSuccess() { h.failures = 0 }
 
--- a/coord/retry/retry_test.go
+++ b/coord/retry/retry_test.go
@@ -13,6 +13,20 @@
 
 func always() bool { return true }
 
+func TestHealth_RevokeSince(t *testing.T) {
+	var h Health
+	start := time.Unix(1000, 0)
+	for range maxConsecutiveFailures {
+		h.RecordFailure(start, func() bool { return true })
+	}
+	must.False(t, h.RevokeSince(start.Add(time.Second)))
+	share, _ := h.Share(start.Add(time.Second))
+	must.Eq(t, 0, share)
+	must.True(t, h.RevokeSince(start.Add(-time.Second)))
+	share, _ = h.Share(start.Add(time.Second))
+	must.Eq(t, fullShare, share)
+}
+
 func TestDecide(t *testing.T) {
 	for _, test := range []struct {
 		name    string
--- a/daemon/agent/managed.go
+++ b/daemon/agent/managed.go
@@ -34,6 +34,7 @@
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/servers"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/session"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/swaps"
+	_ "github.com/flamingobeam/flamingobeam/daemon/services/upstreams"
 )
 
 // Role is the role of a daemon on a managed platform.
@@ -51,6 +52,8 @@
 	// peerPortOffset is the offset of the net/rpc port in the range of ports for
 	// traffic between daemons.
 	peerPortOffset = 0
+	// relayPortOffset is the offset of the port for requests that other daemons pass on.
+	relayPortOffset = 1
 	// memoryLimitFraction is the fraction of the process's memory limit that the
 	// Go runtime may use; the rest is for stacks and buffers of the system.
 	memoryLimitFraction = 0.6
@@ -91,6 +94,9 @@
 	daemon.Host, daemon.Place, daemon.Store = host.Name, host.Place, host.StoreAddress
 	daemon.Listen.Callers = host.ClientAddress
 	daemon.Listen.Peers = fmt.Sprintf("%s:%d", host.IP, host.FirstPort+peerPortOffset)
+	if port := host.FirstPort + relayPortOffset; port <= host.LastPort {
+		daemon.Listen.Relay = fmt.Sprintf("%s:%d", host.IP, port)
+	}
 	daemon.Limits.StopWithin = 0
 	daemon.Platform = config.ManagedPlatform{
 		ClosedNetwork: true,
--- a/daemon/config/config.go
+++ b/daemon/config/config.go
@@ -77,6 +77,9 @@
 	Callers string `yaml:"callers" validate:"hostport"`
 	// Peers is the address for net/rpc between daemons.
 	Peers string `yaml:"peers" validate:"hostport"`
+	// Relay is the address for requests that other daemons pass on; only daemons on a
+	// managed platform have one.
+	Relay string `yaml:"-"`
 }
 
 // Trust configures the authentication of daemons and callers. Without certificates a
--- a/daemon/contract/managed.go
+++ b/daemon/contract/managed.go
@@ -122,6 +122,9 @@
 	// IsSuccessorOf reports whether a member name belongs to an earlier process of
 	// this host's daemon. It may be called from any goroutine.
 	IsSuccessorOf(name string) bool
+	// SetMayLead sets whether this daemon may be the leader; it resigns if it is. It
+	// must be called on the control goroutine.
+	SetMayLead(may bool)
 	// SetOwnsJobs sets whether this daemon owns open batch jobs, whose callers wait
 	// for a successor when it dies. It must be called on the control goroutine.
 	SetOwnsJobs(owns bool)
--- /dev/null
+++ b/daemon/contract/upstreams.go
@@ -0,0 +1,50 @@
+package contract
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/flamingobeam/flamingobeam/coord/reach"
+	"github.com/flamingobeam/flamingobeam/coord/structs"
+	"github.com/flamingobeam/flamingobeam/kernel"
+)
+
+// NameUpstreams offers Upstreams.
+const NameUpstreams kernel.Name = "traffic.upstreams"
+
+// Exchange is one request to one backend server.
+type Exchange struct {
+	Server  structs.HostName
+	Address string
+	// Transport opens the connections for direct exchanges.
+	Transport http.RoundTripper
+	// Repeatable is set if the server may get the request a second time.
+	Repeatable bool
+	// Build returns a new copy of the request.
+	Build func(ctx context.Context) (*http.Request, error)
+}
+
+// UpstreamsView is an immutable snapshot of a daemon's links to the backend servers.
+type UpstreamsView struct {
+	State reach.State
+}
+
+// Upstreams sends requests to backend servers, through another daemon while this one is
+// cut off from them.
+type Upstreams interface {
+	// Do sends a request and returns the response, whose body the caller must close. For
+	// an error transport.IsDialFailure reports whether the request was certainly not
+	// sent.
+	Do(ctx context.Context, exchange Exchange) (*http.Response, error)
+	// View returns the snapshot. It may be called from any goroutine.
+	View() *kernel.Snapshot[UpstreamsView]
+}
+
+// LinkFailures lets the balancer ignore failures of servers that are failures of this
+// daemon's links. It is offered under NameBalance.
+type LinkFailures interface {
+	// SetLinksDown starts or ends a time in which failures are not held against servers.
+	// At its start the recent ejections are revoked. It must be called on the control
+	// goroutine.
+	SetLinksDown(down bool)
+}
--- a/daemon/services/balance/control.go
+++ b/daemon/services/balance/control.go
@@ -22,6 +22,9 @@
 	// refusalHold is how long a server that refused new work is skipped while
 	// others have capacity. It gives the host list time to catch up.
 	refusalHold = time.Second
+	// linkFailureDelay is how long failures of a daemon's links may look like failures
+	// of servers before the links are known to be down.
+	linkFailureDelay = 4 * time.Second
 	// adaptInterval is the length of the window from which limits are computed.
 	adaptInterval = 250 * time.Millisecond
 )
@@ -53,6 +56,29 @@
 	eventVersionChanged
 )
 
+// isFailure reports whether the event counts against the server.
+func (k eventKind) isFailure() bool {
+	return k == eventConnectFailed || k == eventFailed || k == eventRefused || k == eventConnectionLost
+}
+
+// SetLinksDown implements contract.LinkFailures.
+func (s *service) SetLinksDown(down bool) {
+	s.control.linksDown = down
+	if !down {
+		return
+	}
+	now := s.now()
+	for name, r := range s.control.records {
+		if !r.health.RevokeSince(now.Add(-linkFailureDelay)) {
+			continue
+		}
+		s.log.Infof("Ejection of server %s is revoked: this daemon's links failed.", name)
+		s.loop.CancelTimer(r.recoveryTimer)
+		r.recoveryTimer = nil
+	}
+	s.schedulePublish()
+}
+
 // event is sent by traffic goroutines to the control goroutine.
 type event struct {
 	server      structs.HostName
@@ -93,6 +119,8 @@
 	expiryScheduled    bool
 	pollScheduled      bool
 	pollIndex          int
+	// linksDown is set while failures are those of this daemon's own links.
+	linksDown bool
 }
 
 // serverRecord is the control goroutine's state of a backend server.
@@ -164,6 +192,15 @@
 
 func (s *service) handleEvent(e event) {
 	now := s.now()
+	if s.control.linksDown && e.kind.isFailure() {
+		s.unconfirmed.resolve(e.server)
+		if e.kind == eventRefused {
+			if r, ok := s.control.records[e.server]; ok {
+				r.counters.isRefusing.Store(false)
+			}
+		}
+		return
+	}
 	switch e.kind {
 	case eventSuspectAnswered:
 		if s.control.tracker.RecordAnswer(now, e.fingerprint) {
--- a/daemon/services/balance/quarantine.go
+++ b/daemon/services/balance/quarantine.go
@@ -21,6 +21,8 @@
 	probeTimeout = time.Second
 	probeDelay   = 300 * time.Millisecond
 	maxProbes    = 2
+	// maxReferences is the number of other servers that are probed if a probe fails.
+	maxReferences = 3
 	// noticeDelay batches crashes into one notice, and noticeTimeout bounds the
 	// call to one daemon.
 	noticeDelay   = 20 * time.Millisecond
@@ -66,6 +68,9 @@
 	server  structs.HostName
 	attempt int
 	isUp    bool
+	// isInconclusive is set if the server accepts no connection, and no other server
+	// does: this daemon's links may be down.
+	isInconclusive bool
 }
 
 // probeServer probes whether a server whose connection broke has crashed.
@@ -76,13 +81,44 @@
 		s.unconfirmed.resolve(name)
 		return
 	}
-	address, probe := r.server.Address, s.probe
+	address, probe, references := r.server.Address, s.probe, s.referenceAddresses(name)
 	kernel.RunAsync(s.workers, probeTimeout, s.control.probes, func(ctx context.Context) (probeResult, error) {
-		err := probe(ctx, address)
-		return probeResult{server: name, attempt: attempt, isUp: err == nil}, nil
+		if probe(ctx, address) == nil {
+			return probeResult{server: name, attempt: attempt, isUp: true}, nil
+		}
+		// The probe may have used up the time of its context.
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
+		defer cancel()
+		return probeResult{server: name, attempt: attempt, isInconclusive: !reachesAny(ctx, probe, references)}, nil
 	})
 }
 
+// referenceAddresses returns the addresses of some other servers, at least one of which
+// must be reached for a failed probe to show that a server has crashed.
+func (s *service) referenceAddresses(probed structs.HostName) []string {
+	var addresses []string
+	for name, r := range s.control.records {
+		if name != probed && r.unlistedSince.IsZero() {
+			addresses = append(addresses, r.server.Address)
+		}
+		if len(addresses) == maxReferences {
+			break
+		}
+	}
+	return addresses
+}
+
+// reachesAny reports whether any of the addresses accepts a connection. Without an address
+// there is nothing that speaks against it.
+func reachesAny(ctx context.Context, probe probeFunc, addresses []string) bool {
+	for _, address := range addresses {
+		if probe(ctx, address) == nil {
+			return true
+		}
+	}
+	return len(addresses) == 0
+}
+
 func (s *service) handleProbe(reply kernel.AsyncResult[probeResult]) {
 	probe := reply.Value
 	if probe.isUp && probe.attempt < maxProbes {
@@ -93,7 +129,7 @@
 	if !probe.isUp {
 		s.hosts.Report(probe.server, contract.SignalFailedConnect)
 	}
-	if !probe.isUp && len(crash.Suspects) > 0 {
+	if !probe.isUp && !probe.isInconclusive && !s.control.linksDown && len(crash.Suspects) > 0 {
 		s.log.Warnf("Server %s crashed with %d suspect requests.", crash.Server, len(crash.Suspects))
 		s.recordCrash(crash)
 		s.pendingNotice().Crashes = append(s.pendingNotice().Crashes, crash)
--- a/daemon/services/dispatch/dispatch.go
+++ b/daemon/services/dispatch/dispatch.go
@@ -42,6 +42,7 @@
 	kernel.Base
 	balancer  contract.Balancer
 	hosts     contract.Hosts
+	upstreams contract.Upstreams
 	limits    contract.ServerLimits
 	retries   contract.RetryBudgets
 	origins   contract.StreamOrigins
@@ -66,6 +67,7 @@
 	return kernel.FindAll(ctx,
 		kernel.Bind(&s.balancer, contract.NameBalance),
 		kernel.Bind(&s.hosts, contract.NameHosts),
+		kernel.Bind(&s.upstreams, contract.NameUpstreams),
 		kernel.Bind(&s.limits, contract.NameServerLimits),
 		kernel.Bind(&s.retries, contract.NameRetries),
 		kernel.Bind(&s.origins, contract.NameStreamOrigins),
--- a/daemon/services/dispatch/send.go
+++ b/daemon/services/dispatch/send.go
@@ -65,22 +65,22 @@
 	if err != nil {
 		return attemptResult{err: result.Wrap(result.NoBackend, err)}
 	}
-	outgoing, err := platform.BackendRequest{
+	outgoing := platform.BackendRequest{
 		Server: ticket.Server.Name, Address: ticket.Server.Address,
 		Method: request.Method, Host: request.Host, Target: request.Target,
 		Header: request.Header, Body: request.Body, AttemptID: request.ID,
 		Timeout: remaining, Priority: platform.NoPriority,
 		Resume: permit,
-	}.NewRequest(ctx)
-	if err != nil {
-		return attemptResult{err: result.Wrap(result.BadRequest, err)}
 	}
 	roundTripper := s.transport
 	if fresh {
 		roundTripper = s.freshTransport
 	}
 	sentAt := time.Now()
-	response, err := roundTripper.RoundTrip(outgoing)
+	response, err := s.upstreams.Do(ctx, contract.Exchange{
+		Server: ticket.Server.Name, Address: ticket.Server.Address, Transport: roundTripper,
+		Repeatable: request.Route.Kind == catalog.KindIdempotent, Build: outgoing.NewRequest,
+	})
 	if err != nil {
 		return attemptResult{err: exchangeError(ctx, sendErrorCode(err), err)}
 	}
--- a/daemon/services/engines/engines.go
+++ b/daemon/services/engines/engines.go
@@ -56,6 +56,7 @@
 type service struct {
 	kernel.Base
 	metrics   contract.Metrics
+	upstreams contract.Upstreams
 	hosts     contract.Hosts
 	limits    contract.ServerLimits
 	log       *logrus.Entry
@@ -74,6 +75,7 @@
 	s.transport = transport.New(transport.Options{DialTimeout: dialTimeout, IdleTimeout: idleTimeout, MaxIdlePerHost: maxIdlePerServer, Dial: daemon.Platform.DialServer})
 	return kernel.FindAll(ctx,
 		kernel.Bind(&s.metrics, contract.NameMetrics),
+		kernel.Bind(&s.upstreams, contract.NameUpstreams),
 		kernel.Bind(&s.hosts, contract.NameHosts),
 		kernel.Bind(&s.limits, contract.NameServerLimits),
 	)
@@ -126,18 +128,17 @@
 	for name, value := range request.Item.Headers {
 		header.Set(name, value)
 	}
-	outgoing, err := platform.BackendRequest{
+	outgoing := platform.BackendRequest{
 		Server: request.Server.ID, Address: request.Server.Address,
 		Method: http.MethodPost, Host: request.Job.Host, Target: request.Item.Path,
 		Header: header, Body: request.Item.Body, AttemptID: string(request.Item.ID),
 		Timeout: request.Timeout, Priority: request.Urgency,
 		Resume: permit,
-	}.NewRequest(ctx)
-	if err != nil {
-		return contract.RunResult{Outcome: contract.RunImpossible, Err: err}
 	}
 	sentAt := time.Now()
-	response, err := s.transport.RoundTrip(outgoing)
+	response, err := s.upstreams.Do(ctx, contract.Exchange{
+		Server: request.Server.ID, Address: request.Server.Address, Transport: s.transport, Repeatable: true, Build: outgoing.NewRequest,
+	})
 	if transport.IsDialFailure(err) {
 		return contract.RunResult{Outcome: contract.RunUnreachable, Err: err}
 	}
--- a/daemon/services/session/leadership.go
+++ b/daemon/services/session/leadership.go
@@ -40,6 +40,9 @@
 // once if it is the preferred candidate, which all daemons compute the same way, and
 // after candidateDelay otherwise.
 func (s *service) isCandidate() bool {
+	if s.mayNotLead {
+		return false
+	}
 	view := s.view.Load()
 	if batch.RendezvousPick(candidateElection, slices.Collect(maps.Keys(membership.JobHosts(view.Live)))) == view.Self.Name {
 		return true
@@ -47,6 +50,22 @@
 	return !s.leaderlessSince.IsZero() && s.loop.Now().Sub(s.leaderlessSince) > candidateDelay
 }
 
+// SetMayLead implements contract.Session.
+func (s *service) SetMayLead(may bool) {
+	s.mayNotLead = !may
+	held := *s.leadership.Load()
+	if may || held.token == 0 {
+		return
+	}
+	s.leadership.Store(&leadership{})
+	s.log.WithField("token", held.token).Info("Resigning as the leader.")
+	s.workers.Go(func(ctx context.Context) {
+		if err := s.deleteLeader(ctx, held.revision); err != nil {
+			s.log.WithError(err).Info("Could not resign as the leader; its key is found to be stray later.")
+		}
+	})
+}
+
 // writeLeader makes this daemon the leader if there is none. A conflict is not an
 // error: the watch reports the leader.
 func (s *service) writeLeader(ctx context.Context, request renewalRequest, result *renewalResult) error {
@@ -70,6 +89,11 @@
 // deleteStrayLeader deletes the leader's key unless it has changed.
 func (s *service) deleteStrayLeader(ctx context.Context, revision outside.Revision) error {
 	s.log.WithField("revision", revision).Info("Deleting a leader key whose lease is unknown.")
+	return s.deleteLeader(ctx, revision)
+}
+
+// deleteLeader deletes the leader's key unless it has changed.
+func (s *service) deleteLeader(ctx context.Context, revision outside.Revision) error {
 	_, err := s.store.Commit(ctx, outside.Transaction{
 		Conditions: []outside.Condition{{Key: leaderKey, Revision: revision}}, Removals: []string{leaderKey},
 	})
--- a/daemon/services/session/session.go
+++ b/daemon/services/session/session.go
@@ -92,6 +92,8 @@
 	longerSince time.Time
 	// ownsJobs is set while this daemon owns open batch jobs.
 	ownsJobs bool
+	// mayNotLead is set while this daemon cannot do the work of the leader.
+	mayNotLead bool
 	// leaderlessSince is when the leader's key was found missing; zero while
 	// there is a leader.
 	leaderlessSince time.Time
@@ -123,9 +125,9 @@
 	s.records, s.wantedTTL = make(map[string]outside.Record), longLeaseTTL
 	s.view = kernel.NewSnapshot(&contract.SessionView{Self: membership.Member{
 		Name:       fmt.Sprintf("%s.%x", daemon.Host, time.Now().UnixNano()),
-		RPCAddress: daemon.Listen.Peers,
-		Zone:       daemon.Place.Zone,
-		Strength:   daemon.Platform.Strength,
+		RPCAddress: daemon.Listen.Peers, RelayAddress: daemon.Listen.Relay,
+		Zone:     daemon.Place.Zone,
+		Strength: daemon.Platform.Strength,
 	}})
 	s.zone = daemon.Place.Zone
 	s.renewals = kernel.NewMailbox(s.loop, 1, s.handleRenewal)
--- /dev/null
+++ b/daemon/services/upstreams/exchange.go
@@ -0,0 +1,112 @@
+package upstreams
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"github.com/flamingobeam/flamingobeam/daemon/contract"
+)
+
+// exchange is a direct exchange with a server that is in progress.
+type exchange struct {
+	contract.Exchange
+	service *service
+	cancel  context.CancelCauseFunc
+	// heardAt is when the server was last heard, or else when the exchange began, in
+	// Unix nanoseconds.
+	heardAt atomic.Int64
+	// isConnected is set once the request has a connection, so that it may be sent.
+	isConnected atomic.Bool
+}
+
+// exchangeDirectly sends a request to its server.
+func (s *service) exchangeDirectly(ctx context.Context, request contract.Exchange) (*exchange, *http.Response, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	e := &exchange{Exchange: request, service: s, cancel: cancel}
+	e.heardAt.Store(time.Now().UnixNano())
+	isNew := false
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		e.isConnected.Store(true)
+		isNew = !info.Reused
+	}}
+	outgoing, err := request.Build(httptrace.WithClientTrace(ctx, trace))
+	if err != nil {
+		cancel(nil)
+		return e, nil, err
+	}
+	s.register(e)
+	response, err := request.Transport.RoundTrip(outgoing)
+	if err != nil {
+		if cause := context.Cause(ctx); cause != nil {
+			err = cause
+		}
+		e.end()
+		return e, nil, err
+	}
+	e.heard()
+	if isNew {
+		s.reportReached()
+	}
+	response.Body = &watchedBody{body: response.Body, exchange: e}
+	return e, response, nil
+}
+
+func (s *service) register(e *exchange) {
+	s.mu.Lock()
+	s.open[e] = true
+	s.mu.Unlock()
+	if !s.isChecking.Swap(true) {
+		_ = s.checks.Post(struct{}{}, struct{}{})
+	}
+}
+
+// heard records that a byte of the server arrived.
+func (e *exchange) heard() {
+	now := time.Now().UnixNano()
+	e.heardAt.Store(now)
+	e.service.lastHeard.Store(now)
+}
+
+func (e *exchange) end() {
+	e.service.mu.Lock()
+	delete(e.service.open, e)
+	e.service.mu.Unlock()
+	e.cancel(nil)
+}
+
+// openExchanges returns the exchanges in progress.
+func (s *service) openExchanges() []*exchange {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := make([]*exchange, 0, len(s.open))
+	for e := range s.open {
+		all = append(all, e)
+	}
+	return all
+}
+
+// watchedBody records when bytes of a response arrive.
+type watchedBody struct {
+	body     io.ReadCloser
+	exchange *exchange
+}
+
+// Read implements io.Reader.
+func (b *watchedBody) Read(p []byte) (int, error) {
+	count, err := b.body.Read(p)
+	if count > 0 {
+		b.exchange.heard()
+	}
+	return count, err
+}
+
+// Close implements io.Closer.
+func (b *watchedBody) Close() error {
+	err := b.body.Close()
+	b.exchange.end()
+	return err
+}
--- /dev/null
+++ b/daemon/services/upstreams/relay_client.go
@@ -0,0 +1,168 @@
+package upstreams
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/flamingobeam/flamingobeam/coord/membership"
+	"github.com/flamingobeam/flamingobeam/daemon/contract"
+	"github.com/flamingobeam/flamingobeam/daemon/transport"
+)
+
+// Headers of requests and responses between daemons.
+const (
+	// headerServer and headerAddress name the backend server, and headerTarget the path
+	// and query of the request to it, byte for byte.
+	headerServer  = "Flamingobeam-Relay-Server"
+	headerAddress = "Flamingobeam-Relay-Address"
+	headerTarget  = "Flamingobeam-Relay-Target"
+	// headerRefusal is set in a response of the helper itself.
+	headerRefusal = "Flamingobeam-Relay-Refusal"
+)
+
+// refusal is why a helper has no response of the server.
+type refusal string
+
+// The refusals. After all but refusalBroken the request was certainly not sent.
+const (
+	refusalCutOff      refusal = "cut off"
+	refusalBusy        refusal = "busy"
+	refusalUnknown     refusal = "unknown server"
+	refusalUnreachable refusal = "unreachable"
+	refusalBroken      refusal = "broken"
+)
+
+const (
+	// maxHelpers bounds the daemons that are tried for one request.
+	maxHelpers = 4
+	// poorHelperPeriod is how long others are preferred to a helper that was of no use.
+	poorHelperPeriod = 3 * time.Second
+	// helperDialTimeout bounds a connection to a helper, or of a helper to a server.
+	helperDialTimeout = 400 * time.Millisecond
+	helperIdleTimeout = 30 * time.Second
+	maxIdlePerHelper  = 16
+)
+
+var (
+	errNoHelper    = errors.New("upstreams: no other daemon reaches the server")
+	errUnreachable = errors.New("upstreams: the server is unreachable from another daemon too")
+	errBroken      = errors.New("upstreams: the server's response to another daemon broke off")
+)
+
+// relay sends a request through other daemons until one has sent it.
+func (s *service) relay(ctx context.Context, request contract.Exchange) (*http.Response, error) {
+	started := time.Now()
+	for _, helper := range s.helpers() {
+		response, isFinal, err := s.relayThrough(ctx, helper, request)
+		if isFinal {
+			s.metrics.Time("upstreams.relayed", time.Since(started))
+			return response, err
+		}
+		s.log.WithError(err).WithFields(logrus.Fields{"helper": helper.Name, "server": request.Server}).Info("A daemon does not pass a request on.")
+		s.markPoor(helper)
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	s.metrics.Count("upstreams.no_helper", 1)
+	return nil, dialError(errNoHelper)
+}
+
+// relayThrough sends a request through one helper. The result is final unless another
+// helper may be tried.
+func (s *service) relayThrough(ctx context.Context, helper membership.Member, request contract.Exchange) (*http.Response, bool, error) {
+	outgoing, err := request.Build(ctx)
+	if err != nil {
+		return nil, true, err
+	}
+	outgoing.Header.Set(headerServer, string(request.Server))
+	outgoing.Header.Set(headerAddress, request.Address)
+	outgoing.Header.Set(headerTarget, outgoing.URL.RequestURI())
+	outgoing.URL = &url.URL{Scheme: "http", Host: helper.RelayAddress, Path: "/"}
+	response, err := s.relayTransport.RoundTrip(outgoing)
+	if err != nil {
+		return nil, !transport.IsDialFailure(err) && !request.Repeatable, err
+	}
+	switch why := refusal(response.Header.Get(headerRefusal)); why {
+	case "":
+		return response, true, nil
+	case refusalUnreachable, refusalUnknown:
+		transport.Discard(response)
+		return nil, true, dialError(errUnreachable)
+	case refusalBroken:
+		transport.Discard(response)
+		return nil, true, errBroken
+	default:
+		transport.Discard(response)
+		return nil, false, errors.Errorf("refused: %s", why)
+	}
+}
+
+// helpers returns the daemons that may pass a request on: near ones first, and those
+// that were of no use lately last.
+func (s *service) helpers() []membership.Member {
+	view := s.session.View().Load()
+	now := time.Now()
+	type candidate struct {
+		membership.Member
+		isPoor   bool
+		distance int
+		salt     uint64
+	}
+	var candidates []candidate
+	s.mu.Lock()
+	for name, member := range view.Live {
+		if name == view.Self.Name || member.RelayAddress == "" {
+			continue
+		}
+		candidates = append(candidates, candidate{
+			Member: member, isPoor: now.Before(s.poorHelpers[member.RelayAddress]), distance: s.distanceTo(member), salt: rand.Uint64(),
+		})
+	}
+	s.mu.Unlock()
+	slices.SortFunc(candidates, func(a, b candidate) int {
+		if a.isPoor != b.isPoor {
+			if a.isPoor {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Or(cmp.Compare(a.distance, b.distance), cmp.Compare(a.salt, b.salt))
+	})
+	helpers := make([]membership.Member, 0, maxHelpers)
+	for _, c := range candidates[:min(maxHelpers, len(candidates))] {
+		helpers = append(helpers, c.Member)
+	}
+	return helpers
+}
+
+// distanceTo orders daemons by the price and the time of a round trip.
+func (s *service) distanceTo(member membership.Member) int {
+	switch {
+	case member.Zone == s.config.Place.Zone:
+		return 0
+	case s.config.Platform.Regions[member.Zone] == s.config.Place.Region:
+		return 1
+	}
+	return 2
+}
+
+func (s *service) markPoor(helper membership.Member) {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for address, until := range s.poorHelpers {
+		if now.After(until) {
+			delete(s.poorHelpers, address)
+		}
+	}
+	s.poorHelpers[helper.RelayAddress] = now.Add(poorHelperPeriod)
+}
--- /dev/null
+++ b/daemon/services/upstreams/relay_server.go
@@ -0,0 +1,198 @@
+package upstreams
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/flamingobeam/flamingobeam/coord/reach"
+	"github.com/flamingobeam/flamingobeam/coord/result"
+	"github.com/flamingobeam/flamingobeam/coord/structs"
+	"github.com/flamingobeam/flamingobeam/daemon/contract"
+	"github.com/flamingobeam/flamingobeam/platform"
+)
+
+const (
+	// maxHelped bounds the requests of other daemons in progress, so that a helper
+	// keeps most of its host for its own callers.
+	maxHelped = 128
+	// maxRelayedBody bounds the body of a relayed request, in bytes.
+	maxRelayedBody = 32 << 20
+	// relayHeaderTimeout bounds the time to read the headers of a relayed request.
+	relayHeaderTimeout = 5 * time.Second
+	// relayStopTimeout bounds the wait for relayed requests at a planned stop.
+	relayStopTimeout = 300 * time.Millisecond
+	// relayBufferBytes is the size of the buffer for passing a response back.
+	relayBufferBytes = 16 << 10
+)
+
+// startRelayServer listens for requests of other daemons.
+func (s *service) startRelayServer() error {
+	if s.config.Listen.Relay == "" {
+		return nil
+	}
+	listener, err := net.Listen("tcp", s.config.Listen.Relay)
+	if err != nil {
+		return result.Wrap(result.AddressTaken, err)
+	}
+	router := httprouter.New()
+	router.HandleMethodNotAllowed, router.HandleOPTIONS = false, false
+	router.NotFound = http.HandlerFunc(s.serveRelayed)
+	s.relayServer = &http.Server{Handler: router, ReadHeaderTimeout: relayHeaderTimeout, IdleTimeout: 2 * helperIdleTimeout}
+	s.log.WithField("address", s.config.Listen.Relay).Info("Listening for requests of other daemons.")
+	s.goroutines.Go(func() {
+		if err := s.relayServer.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			s.log.WithError(err).Error("Listener failed.")
+		}
+	})
+	return nil
+}
+
+func (s *service) stopRelayServer(ctx context.Context) error {
+	if s.relayServer == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, relayStopTimeout)
+	defer cancel()
+	if s.relayServer.Shutdown(ctx) == nil {
+		return nil
+	}
+	return s.relayServer.Close()
+}
+
+// serveRelayed sends a request of another daemon to its server. It never passes a
+// request on to a third daemon.
+func (s *service) serveRelayed(w http.ResponseWriter, r *http.Request) {
+	defer func() {
+		if value := recover(); value != nil {
+			if value != http.ErrAbortHandler {
+				s.guard.Record("a relayed request", value)
+			}
+			panic(http.ErrAbortHandler)
+		}
+	}()
+	if s.view.Load().State != reach.Reachable {
+		refuseRelayed(w, refusalCutOff)
+		return
+	}
+	defer s.helping.Add(-1)
+	if s.helping.Add(1) > maxHelped {
+		refuseRelayed(w, refusalBusy)
+		return
+	}
+	request, err := s.decodeRelayed(r)
+	if err != nil {
+		s.log.WithError(err).Info("A relayed request is refused.")
+		refuseRelayed(w, refusalUnknown)
+		return
+	}
+	e, response, err := s.exchangeDirectly(r.Context(), request)
+	if err != nil {
+		s.refuseFailed(w, r, e, err)
+		return
+	}
+	defer response.Body.Close()
+	s.metrics.Count("upstreams.helped", 1)
+	passBack(w, response)
+}
+
+// refuseFailed answers a relayed request that has no response.
+func (s *service) refuseFailed(w http.ResponseWriter, r *http.Request, e *exchange, err error) {
+	isUnsent := !e.isConnected.Load()
+	s.log.WithError(err).WithFields(logrus.Fields{"server": e.Server, "sent": !isUnsent}).Info("A relayed request failed.")
+	isCutOff := r.Context().Err() == nil && s.reportFailure(r.Context(), e.Server) == reach.CutOff
+	switch {
+	case isUnsent && isCutOff:
+		refuseRelayed(w, refusalCutOff)
+	case isUnsent:
+		refuseRelayed(w, refusalUnreachable)
+	default:
+		refuseRelayed(w, refusalBroken)
+	}
+}
+
+func refuseRelayed(w http.ResponseWriter, why refusal) {
+	w.Header().Set(headerRefusal, string(why))
+	w.WriteHeader(http.StatusBadGateway)
+}
+
+var errUnknownServer = errors.New("upstreams: the server is not listed")
+
+// decodeRelayed returns the exchange that a request of another daemon asks for. It fails
+// unless a listed server has the address.
+func (s *service) decodeRelayed(r *http.Request) (contract.Exchange, error) {
+	server := structs.HostName(r.Header.Get(headerServer))
+	address, target := r.Header.Get(headerAddress), r.Header.Get(headerTarget)
+	listed, ok := s.servers.Entries().Load().All[server]
+	if !ok || listed.Address != address {
+		return contract.Exchange{}, errors.Wrapf(errUnknownServer, "%s at %q", server, address)
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxRelayedBody))
+	if err != nil {
+		return contract.Exchange{}, errors.WithStack(err)
+	}
+	for _, name := range []string{headerServer, headerAddress, headerTarget} {
+		r.Header.Del(name)
+	}
+	return contract.Exchange{
+		Server: server, Address: address, Transport: s.helpTransport,
+		Build: func(ctx context.Context) (*http.Request, error) {
+			return buildRelayed(ctx, r, address, target, body), nil
+		},
+	}, nil
+}
+
+// buildRelayed returns the request that another daemon has built, for its server.
+func buildRelayed(ctx context.Context, r *http.Request, address, target string, body []byte) *http.Request {
+	outgoing := &http.Request{
+		Method: r.Method, URL: &url.URL{Scheme: "http", Host: address, Opaque: target}, Host: r.Host,
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: r.Header.Clone(),
+	}
+	if len(body) > 0 {
+		outgoing.Body, outgoing.ContentLength = io.NopCloser(bytes.NewReader(body)), int64(len(body))
+	}
+	// A nil value prevents net/http from adding its default User-Agent.
+	if _, ok := outgoing.Header["User-Agent"]; !ok {
+		outgoing.Header["User-Agent"] = nil
+	}
+	return outgoing.WithContext(ctx)
+}
+
+// passBack copies a response to the daemon that asked for it and flushes each piece. It
+// breaks off where the server did.
+func passBack(w http.ResponseWriter, response *http.Response) {
+	platform.CopyResponseHeaders(w.Header(), response.Header)
+	w.Header().Del(headerRefusal)
+	if response.ContentLength >= 0 {
+		w.Header().Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
+	}
+	w.WriteHeader(response.StatusCode)
+	control := http.NewResponseController(w)
+	buffer := make([]byte, relayBufferBytes)
+	for {
+		count, err := response.Body.Read(buffer)
+		if count > 0 {
+			if _, err := w.Write(buffer[:count]); err != nil {
+				return
+			}
+			if err := control.Flush(); err != nil {
+				return
+			}
+		}
+		if err == io.EOF {
+			return
+		}
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
--- /dev/null
+++ b/daemon/services/upstreams/upstreams.go
@@ -0,0 +1,177 @@
+// Package upstreams is the service "traffic.upstreams". It sends requests to backend
+// servers. While this daemon is cut off from all of them, it passes requests on through
+// another daemon that reaches them. It also takes such requests from other daemons.
+//
+// The control goroutine owns the evidence about the links and publishes the state. The
+// exchanges run on goroutines of traffic, which a mutex that is held only for short
+// calculations registers.
+package upstreams
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"github.com/flamingobeam/flamingobeam/coord/reach"
+	"github.com/flamingobeam/flamingobeam/coord/structs"
+	"github.com/flamingobeam/flamingobeam/daemon/config"
+	"github.com/flamingobeam/flamingobeam/daemon/contract"
+	"github.com/flamingobeam/flamingobeam/daemon/transport"
+	"github.com/flamingobeam/flamingobeam/kernel"
+)
+
+func init() {
+	kernel.Register(contract.NameUpstreams, func() kernel.Service {
+		return &service{open: make(map[*exchange]bool), poorHelpers: make(map[string]time.Time)}
+	})
+}
+
+const (
+	// mailboxCapacity bounds the queued messages of each kind.
+	mailboxCapacity = 1024
+	// verdictPatience is how long a request that could not be sent waits for the
+	// probes that show whether the links are down.
+	verdictPatience = 600 * time.Millisecond
+)
+
+type service struct {
+	kernel.Base
+	config       config.Daemon
+	servers      contract.Servers
+	session      contract.Session
+	linkFailures contract.LinkFailures
+	metrics      contract.Metrics
+	log          *logrus.Entry
+	loop         *kernel.Loop
+	workers      *kernel.Workers
+	executor     *kernel.LoopExecutor
+	guard        *kernel.Guard
+	view         *kernel.Snapshot[contract.UpstreamsView]
+	probeRounds  *kernel.Mailbox[kernel.AsyncResult[probeRound]]
+	checks       *kernel.CoalescingMailbox[struct{}, struct{}]
+	reached      *kernel.CoalescingMailbox[struct{}, struct{}]
+	failures     *kernel.Mailbox[structs.HostName]
+
+	// The following fields belong to the control goroutine.
+	detector reach.Detector
+	cutOffAt time.Time
+
+	// lastHeard is when any server was last heard, in Unix nanoseconds.
+	lastHeard atomic.Int64
+	// isChecking is set while the control goroutine looks at the open exchanges.
+	isChecking atomic.Bool
+	mu         sync.Mutex
+	open       map[*exchange]bool
+	// poorHelpers maps the relay addresses that were of no use to the time until which
+	// others are preferred.
+	poorHelpers map[string]time.Time
+
+	relayTransport *http.Transport
+	helpTransport  *http.Transport
+	relayServer    *http.Server
+	helping        atomic.Int64
+	goroutines     conc.WaitGroup
+}
+
+var _ contract.Upstreams = (*service)(nil)
+
+// Provision implements kernel.Service.
+func (s *service) Provision(ctx *kernel.Context) error {
+	var err error
+	if s.config, err = kernel.ConfigOf[config.Daemon](ctx); err != nil {
+		return err
+	}
+	s.log, s.loop, s.workers, s.guard = ctx.Log(), ctx.Loop(), ctx.Workers(), ctx.Guard()
+	s.executor = kernel.NewLoopExecutor(s.loop)
+	s.view = kernel.NewSnapshot(&contract.UpstreamsView{})
+	s.probeRounds = kernel.NewMailbox(s.loop, mailboxCapacity, s.handleProbes)
+	s.checks = kernel.NewCoalescingMailbox(s.loop, 1, func(struct{}, struct{}) { s.scheduleCheck() })
+	s.failures = kernel.NewMailbox(s.loop, mailboxCapacity, s.recordFailure)
+	s.reached = kernel.NewCoalescingMailbox(s.loop, 1, func(struct{}, struct{}) { s.detector.RecordReached() })
+	s.relayTransport = transport.New(transport.Options{DialTimeout: helperDialTimeout, IdleTimeout: helperIdleTimeout, MaxIdlePerHost: maxIdlePerHelper})
+	s.helpTransport = transport.New(transport.Options{
+		DialTimeout: helperDialTimeout, IdleTimeout: helperIdleTimeout, MaxIdlePerHost: maxIdlePerHelper, Dial: s.config.Platform.DialServer,
+	})
+	return kernel.FindAll(ctx,
+		kernel.Bind(&s.servers, contract.NameServers),
+		kernel.Bind(&s.session, contract.NameSession),
+		kernel.Bind(&s.linkFailures, contract.NameBalance),
+		kernel.Bind(&s.metrics, contract.NameMetrics),
+	)
+}
+
+// Start implements kernel.Service.
+func (s *service) Start() error { return s.startRelayServer() }
+
+// Stop implements kernel.Service.
+func (s *service) Stop(ctx context.Context) error {
+	err := s.stopRelayServer(ctx)
+	s.relayTransport.CloseIdleConnections()
+	s.helpTransport.CloseIdleConnections()
+	s.goroutines.Wait()
+	return err
+}
+
+// View implements contract.Upstreams.
+func (s *service) View() *kernel.Snapshot[contract.UpstreamsView] { return s.view }
+
+// Do implements contract.Upstreams.
+func (s *service) Do(ctx context.Context, request contract.Exchange) (*http.Response, error) {
+	if s.view.Load().State == reach.CutOff {
+		return s.relay(ctx, request)
+	}
+	e, response, err := s.exchangeDirectly(ctx, request)
+	if err == nil {
+		return response, nil
+	}
+	if ctx.Err() != nil {
+		return nil, err
+	}
+	if e.isConnected.Load() && !request.Repeatable {
+		// The request may have run, whatever the state of the links.
+		if err := s.failures.Post(request.Server); err != nil {
+			s.log.WithError(err).Debug("Dropped a failure of a server.")
+		}
+		return nil, err
+	}
+	if s.reportFailure(ctx, request.Server) != reach.CutOff {
+		return nil, err
+	}
+	return s.relay(ctx, request)
+}
+
+// reportFailure records that a server failed, and returns the state of the links. It
+// waits for the probes if they are in progress.
+func (s *service) reportFailure(ctx context.Context, server structs.HostName) reach.State {
+	if err := s.executor.Do(ctx, func() { s.recordFailure(server) }); err != nil {
+		return reach.Reachable
+	}
+	timer := time.NewTimer(verdictPatience)
+	defer timer.Stop()
+	for {
+		view, replaced := s.view.Watch()
+		if view.State != reach.Suspected {
+			return view.State
+		}
+		select {
+		case <-replaced:
+		case <-timer.C:
+			return reach.Suspected
+		case <-ctx.Done():
+			return reach.Suspected
+		}
+	}
+}
+
+// dialError returns an error for a request that was certainly not sent.
+func dialError(err error) error { return &net.OpError{Op: "dial", Net: "tcp", Err: err} }
+
+// errCutOff ends exchanges that are silent when the links are found to be down.
+var errCutOff = errors.New("upstreams: this daemon is cut off from the servers")
--- a/histories/managed/daemon_test.go
+++ b/histories/managed/daemon_test.go
@@ -120,21 +120,30 @@
 	return ports
 }
 
+// freePortRange returns the first of two adjacent free ports.
+func freePortRange(t *testing.T) int {
+	for {
+		if ports := freePorts(t, 2); ports[1] == ports[0]+1 {
+			return ports[0]
+		}
+	}
+}
+
 // startDaemon starts a daemon in this process and waits until it is ready.
 func (h *harness) startDaemon(name string) *daemon { return h.startDaemonWith(name, nil) }
 
 // startDaemonWith starts a daemon that opens its connections to servers with dial.
 func (h *harness) startDaemonWith(name string, dial config.DialFunc) *daemon {
-	ports := freePorts(h.t, 4)
+	ports := freePorts(h.t, 3)
 	d := &daemon{
 		storeProxy: newStoreProxy(h.t, h.store.address()),
 		address:    fmt.Sprintf("127.0.0.1:%d", ports[0]), readyAddress: fmt.Sprintf("127.0.0.1:%d", ports[1]),
 	}
-	settings, err := platform.ParseHostConfig([]byte(d.hostConfig(name, ports[2])))
+	settings, err := platform.ParseHostConfig([]byte(d.hostConfig(name, freePortRange(h.t))))
 	must.NoError(h.t, err)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	daemonConfig := agent.ManagedConfig(settings, ports[3])
+	daemonConfig := agent.ManagedConfig(settings, ports[2])
 	daemonConfig.Platform.DialServer = dial
 	d.kernel = agent.NewManaged(agent.RoleEntry, daemonConfig, log)
 	must.NoError(h.t, d.kernel.Start(context.Background()))
--- a/histories/managed/process_test.go
+++ b/histories/managed/process_test.go
@@ -42,15 +42,15 @@
 // startProcess starts a daemon as a process and waits until it is ready. If the
 // test fails, the end of the daemon's log is printed.
 func (h *harness) startProcess(name string) *process {
-	ports := freePorts(h.t, 4)
+	ports := freePorts(h.t, 3)
 	p := &process{daemon: daemon{
 		storeProxy: newStoreProxy(h.t, h.store.address()),
 		address:    fmt.Sprintf("127.0.0.1:%d", ports[0]), readyAddress: fmt.Sprintf("127.0.0.1:%d", ports[1]),
 	}}
 	folder := h.t.TempDir()
 	configPath := filepath.Join(folder, "local.conf")
-	must.NoError(h.t, os.WriteFile(configPath, []byte(p.hostConfig(name, ports[2])), 0o600))
-	p.command = exec.Command(daemonBinary, "entry", fmt.Sprintf("--metrics-port=%d", ports[3]))
+	must.NoError(h.t, os.WriteFile(configPath, []byte(p.hostConfig(name, freePortRange(h.t))), 0o600))
+	p.command = exec.Command(daemonBinary, "entry", fmt.Sprintf("--metrics-port=%d", ports[2]))
 	p.command.Env = append(os.Environ(), "FLAMINGOBEAM_NODE_FILE="+configPath)
 	log, err := os.Create(filepath.Join(folder, "log"))
 	must.NoError(h.t, err)
@@ -79,7 +79,7 @@
 	return strings.Join([]string{
 		"nodeName=" + name, "zone=zone-a", "region=region-a", "zones.zone-a=region-a", "ip=127.0.0.1",
 		"listenAddrs.front=" + d.address, "listenAddrs.ready=" + d.readyAddress,
-		fmt.Sprintf("internalPortRange=%d,%d", peersPort, peersPort),
+		fmt.Sprintf("internalPortRange=%d,%d", peersPort, peersPort+1),
 		"platformConfig.address=" + d.storeProxy.listener.Addr().String(),
 	}, "\n")
 }
