Answer long requests before a planned stop ends

What callers saw: a request that was still in progress 5.8 s after SIGTERM, such as one that came late in the grace with a long deadline, was cut without an answer, also one that may not be repeated. Cause: the stop closes the connections in use when its time is over, and took any request until then. Class: work is accepted that cannot end in the time that is known to be left. Change: while the daemon stops it refuses a request that may not be repeated if its deadline is after the end (503, not run); the others are ended 200 ms before it and answered 504. Measured: TestManaged_PlannedStopAnswersLongRequests failed (connection closed: EOF) and passes.

--- a/daemon/services/gate/gate.go
+++ b/daemon/services/gate/gate.go
@@ -33,6 +33,9 @@
 	unreadyPeriod = 3 * time.Second
 	// drainTimeout is the timeout for requests in flight after unreadyPeriod.
 	drainTimeout = 2800 * time.Millisecond
+	// lastResponseTime is the end of drainTimeout that is left for the responses to
+	// requests that did not end by themselves.
+	lastResponseTime = 200 * time.Millisecond
 	// headerTimeout and idleTimeout are longer than the operator's limits, so that
 	// the server closes no connection on which a request within these limits is
 	// arriving.
@@ -60,6 +63,11 @@
 	goroutines      conc.WaitGroup
 	stopping        atomic.Bool
 	wasReady        atomic.Bool
+	// drainEnd is when requests in progress are ended, in Unix nanoseconds; zero until
+	// the daemon stops. Then endRequests cancels drainCtx.
+	drainEnd    atomic.Int64
+	drainCtx    context.Context
+	endRequests context.CancelFunc
 }
 
 // Provision implements kernel.Service.
@@ -80,6 +88,7 @@
 
 // Start implements kernel.Service.
 func (s *service) Start() error {
+	s.drainCtx, s.endRequests = context.WithCancel(context.Background())
 	router := httprouter.New()
 	// All paths belong to callers, so the router must not clean or redirect them or
 	// respond to OPTIONS or other methods itself.
@@ -190,6 +199,9 @@
 // Stop implements kernel.Service. It continues to serve until the load balancer has
 // detected that this daemon is not ready, and then waits for the requests in flight.
 func (s *service) Stop(ctx context.Context) error {
+	drainTime := unreadyPeriod + drainTimeout - lastResponseTime
+	s.drainEnd.Store(time.Now().Add(drainTime).UnixNano())
+	defer time.AfterFunc(drainTime, s.endRequests).Stop()
 	s.stopping.Store(true)
 	s.jobs.Quiesce()
 	s.log.Info("Stopping; no longer ready.")
--- a/daemon/services/gate/handlers.go
+++ b/daemon/services/gate/handlers.go
@@ -100,6 +100,15 @@
 	return started.Add(timeout)
 }
 
+// checkDrain refuses a request that could still be in progress when this daemon has
+// stopped. One that may be repeated is served within the time that is left.
+func (s *service) checkDrain(route *catalog.Route, deadline time.Time) error {
+	if end := s.drainEnd.Load(); end != 0 && deadline.UnixNano() > end && route.Kind != catalog.KindIdempotent {
+		return result.New(result.Stopping, "its deadline is after the end of this daemon")
+	}
+	return nil
+}
+
 // writeGrace is how long after the deadline of a request its response may still be
 // written. A caller that does not read holds its connection no longer.
 const writeGrace = 2 * time.Second
@@ -126,8 +135,13 @@
 		return
 	}
 	deadline := requestDeadline(started, headers, route)
+	if err := s.checkDrain(route, deadline); err != nil {
+		s.writeError(w, r, headers, err)
+		return
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), deadline)
 	defer cancel()
+	defer context.AfterFunc(s.drainCtx, cancel)()
 	defer s.limitWrites(w, deadline.Add(writeGrace))()
 	reply, err := s.dispatch.Forward(ctx, contract.ForwardRequest{
 		Route: route, ID: headers.AttemptID, Method: r.Method, Host: r.Host, Target: r.RequestURI,
@@ -213,6 +227,7 @@
 	// nevertheless.
 	ctx, cancel := context.WithTimeout(r.Context(), timeout)
 	defer cancel()
+	defer context.AfterFunc(s.drainCtx, cancel)()
 	err = s.jobs.Submit(ctx, job, body)
 	s.metrics.Time("gate.submit", time.Since(started))
 	if err != nil {
