Send hedged requests on connections of their own

Cause: the hedge took an idle connection of the pool, which fell silent with the first. Class: a second attempt that shares the cause of the first one's failure. Change: a hedge opens a connection.

--- a/daemon/services/dispatch/forward.go
+++ b/daemon/services/dispatch/forward.go
@@ -77,13 +77,12 @@
 	ctx, cancel := context.WithCancel(ctx)
 	var group conc.WaitGroup
 	results := make(chan attemptResult, 2)
-	launch := func(ticket contract.Ticket) {
+	launch := func(ticket contract.Ticket, fresh bool) {
 		c.sentCount++
 		c.pick.Avoid = append(c.pick.Avoid, ticket.Server.Name)
-		fresh := c.needsFresh
 		group.Go(func() { results <- c.service.send(ctx, c.request, c.pick.Resumes, ticket, fresh) })
 	}
-	launch(ticket)
+	launch(ticket, c.needsFresh)
 	timer := time.NewTimer(c.hedgeDelay())
 	defer timer.Stop()
 	running := 1
@@ -113,7 +112,8 @@
 		case <-timer.C:
 			if ticket, ok := c.pickHedge(ctx); ok {
 				running++
-				launch(ticket)
+				// Connections that fell silent are often not the only ones.
+				launch(ticket, true)
 			}
 		}
 	}
--- a/histories/managed/cutoff_test.go
+++ b/histories/managed/cutoff_test.go
@@ -232,3 +232,22 @@
 		})
 	}
 }
+
+// TestManaged_ServesWhileOpenConnectionsAreSilent lets all open connections to the
+// servers fall silent for good, while new ones work. Look-ups must be served, and the
+// items that run must continue.
+func TestManaged_ServesWhileOpenConnectionsAreSilent(t *testing.T) {
+	h := newStandardHarness(t, 60, 10*time.Millisecond)
+	for i := range 3 {
+		h.addPlain(fmt.Sprintf("plain-%d", 2+i))
+	}
+	links := newServerLinks()
+	d := h.startDaemonWith("daemon-1", links.dial)
+	must.Eq(t, 40, checkServed(d, "before", 40))
+	submitJob(h, d, "job-1", jobBody("job-1", 0, 1, 2, 2))
+	h.waitFor("items run", func() bool { return len(h.runsOfItems()) > 0 })
+	links.set(linksHang)
+	links.set(linksUp)
+	must.Eq(t, 20, checkServed(d, "after", 20))
+	h.checkResults("job-1", h.fetchAllResults(d, "job-1", 4), 60, 1)
+}
