Use the links again once any server is reached; name the service after them

Cause: a daemon that was cut off waited for two rounds in which all probed servers are reached. If all servers were down and a few come back, such rounds are rare. Found by reading. Change: a round is good if one of four servers is reached, and ends with it. The service is called traffic.links, since upstream is the word for daemons that pass changes of the store on. Measured: TestDetector_MostServersDown failed with the old rule; the tests of cut-off daemons and silent connections pass.

--- a/coord/reach/reach.go
+++ b/coord/reach/reach.go
@@ -115,7 +115,7 @@
 }
 
 func (d *Detector) restore(now time.Time, probed, reached int) bool {
-	if probed == 0 || reached < probed {
+	if probed == 0 || reached == 0 {
 		d.goodRounds = 0
 		return false
 	}
--- a/daemon/agent/managed.go
+++ b/daemon/agent/managed.go
@@ -28,13 +28,13 @@
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/jobs"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/ledger"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/limits"
+	_ "github.com/flamingobeam/flamingobeam/daemon/services/links"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/origins"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/paces"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/retire"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/servers"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/session"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/swaps"
-	_ "github.com/flamingobeam/flamingobeam/daemon/services/upstreams"
 )
 
 // Role is the role of a daemon on a managed platform.
--- a/daemon/contract/upstreams.go
+++ b/daemon/contract/links.go
@@ -9,8 +9,8 @@
 	"github.com/flamingobeam/flamingobeam/kernel"
 )
 
-// NameUpstreams offers Upstreams.
-const NameUpstreams kernel.Name = "traffic.upstreams"
+// NameServerLinks offers ServerLinks.
+const NameServerLinks kernel.Name = "traffic.links"
 
 // Exchange is one request to one backend server.
 type Exchange struct {
@@ -24,20 +24,20 @@
 	Build func(ctx context.Context) (*http.Request, error)
 }
 
-// UpstreamsView is an immutable snapshot of a daemon's links to the backend servers.
-type UpstreamsView struct {
+// ServerLinksView is an immutable snapshot of a daemon's links to the backend servers.
+type ServerLinksView struct {
 	State reach.State
 }
 
-// Upstreams sends requests to backend servers, through another daemon while this one is
+// ServerLinks sends requests to backend servers, through another daemon while this one is
 // cut off from them.
-type Upstreams interface {
+type ServerLinks interface {
 	// Do sends a request and returns the response, whose body the caller must close. For
 	// an error transport.IsDialFailure reports whether the request was certainly not
 	// sent.
 	Do(ctx context.Context, exchange Exchange) (*http.Response, error)
 	// View returns the snapshot. It may be called from any goroutine.
-	View() *kernel.Snapshot[UpstreamsView]
+	View() *kernel.Snapshot[ServerLinksView]
 }
 
 // LinkFailures lets the balancer ignore failures of servers that are failures of this
--- a/daemon/services/dispatch/dispatch.go
+++ b/daemon/services/dispatch/dispatch.go
@@ -42,7 +42,7 @@
 	kernel.Base
 	balancer  contract.Balancer
 	hosts     contract.Hosts
-	upstreams contract.Upstreams
+	links     contract.ServerLinks
 	limits    contract.ServerLimits
 	retries   contract.RetryBudgets
 	origins   contract.StreamOrigins
@@ -67,7 +67,7 @@
 	return kernel.FindAll(ctx,
 		kernel.Bind(&s.balancer, contract.NameBalance),
 		kernel.Bind(&s.hosts, contract.NameHosts),
-		kernel.Bind(&s.upstreams, contract.NameUpstreams),
+		kernel.Bind(&s.links, contract.NameServerLinks),
 		kernel.Bind(&s.limits, contract.NameServerLimits),
 		kernel.Bind(&s.retries, contract.NameRetries),
 		kernel.Bind(&s.origins, contract.NameStreamOrigins),
--- a/daemon/services/dispatch/send.go
+++ b/daemon/services/dispatch/send.go
@@ -77,7 +77,7 @@
 		roundTripper = s.freshTransport
 	}
 	sentAt := time.Now()
-	response, err := s.upstreams.Do(ctx, contract.Exchange{
+	response, err := s.links.Do(ctx, contract.Exchange{
 		Server: ticket.Server.Name, Address: ticket.Server.Address, Transport: roundTripper,
 		Repeatable: request.Route.Kind == catalog.KindIdempotent, Build: outgoing.NewRequest,
 	})
--- a/daemon/services/engines/engines.go
+++ b/daemon/services/engines/engines.go
@@ -56,7 +56,7 @@
 type service struct {
 	kernel.Base
 	metrics   contract.Metrics
-	upstreams contract.Upstreams
+	links     contract.ServerLinks
 	hosts     contract.Hosts
 	limits    contract.ServerLimits
 	log       *logrus.Entry
@@ -75,7 +75,7 @@
 	s.transport = transport.New(transport.Options{DialTimeout: dialTimeout, IdleTimeout: idleTimeout, MaxIdlePerHost: maxIdlePerServer, Dial: daemon.Platform.DialServer})
 	return kernel.FindAll(ctx,
 		kernel.Bind(&s.metrics, contract.NameMetrics),
-		kernel.Bind(&s.upstreams, contract.NameUpstreams),
+		kernel.Bind(&s.links, contract.NameServerLinks),
 		kernel.Bind(&s.hosts, contract.NameHosts),
 		kernel.Bind(&s.limits, contract.NameServerLimits),
 	)
@@ -136,7 +136,7 @@
 		Resume: permit,
 	}
 	sentAt := time.Now()
-	response, err := s.upstreams.Do(ctx, contract.Exchange{
+	response, err := s.links.Do(ctx, contract.Exchange{
 		Server: request.Server.ID, Address: request.Server.Address, Transport: s.transport, Repeatable: true, Build: outgoing.NewRequest,
 	})
 	if transport.IsDialFailure(err) {
--- a/daemon/services/upstreams/exchange.go
+++ b/daemon/services/links/exchange.go
@@ -1,4 +1,4 @@
-package upstreams
+package links
 
 import (
 	"context"
--- a/daemon/services/upstreams/relay_client.go
+++ b/daemon/services/links/relay_client.go
@@ -1,4 +1,4 @@
-package upstreams
+package links
 
 import (
 	"cmp"
@@ -52,9 +52,9 @@
 )
 
 var (
-	errNoHelper    = errors.New("upstreams: no other daemon reaches the server")
-	errUnreachable = errors.New("upstreams: the server is unreachable from another daemon too")
-	errBroken      = errors.New("upstreams: the server's response to another daemon broke off")
+	errNoHelper    = errors.New("links: no other daemon reaches the server")
+	errUnreachable = errors.New("links: the server is unreachable from another daemon too")
+	errBroken      = errors.New("links: the server's response to another daemon broke off")
 )
 
 // relay sends a request through other daemons until one has sent it.
@@ -63,7 +63,7 @@
 	for _, helper := range s.helpers() {
 		response, isFinal, err := s.relayThrough(ctx, helper, request)
 		if isFinal {
-			s.metrics.Time("upstreams.relayed", time.Since(started))
+			s.metrics.Time("links.relayed", time.Since(started))
 			return response, err
 		}
 		s.log.WithError(err).WithFields(logrus.Fields{"helper": helper.Name, "server": request.Server}).Info("A daemon does not pass a request on.")
@@ -72,7 +72,7 @@
 			break
 		}
 	}
-	s.metrics.Count("upstreams.no_helper", 1)
+	s.metrics.Count("links.no_helper", 1)
 	return nil, dialError(errNoHelper)
 }
 
--- a/daemon/services/upstreams/relay_server.go
+++ b/daemon/services/links/relay_server.go
@@ -1,4 +1,4 @@
-package upstreams
+package links
 
 import (
 	"bytes"
@@ -101,7 +101,7 @@
 		return
 	}
 	defer response.Body.Close()
-	s.metrics.Count("upstreams.helped", 1)
+	s.metrics.Count("links.helped", 1)
 	passBack(w, response)
 }
 
@@ -125,7 +125,7 @@
 	w.WriteHeader(http.StatusBadGateway)
 }
 
-var errUnknownServer = errors.New("upstreams: the server is not listed")
+var errUnknownServer = errors.New("links: the server is not listed")
 
 // decodeRelayed returns the exchange that a request of another daemon asks for. It fails
 // unless a listed server has the address.
--- a/daemon/services/upstreams/upstreams.go
+++ b/daemon/services/links/service.go
@@ -1,11 +1,11 @@
-// Package upstreams is the service "traffic.upstreams". It sends requests to backend
+// Package links is the service "traffic.links". It sends requests to backend
 // servers. While this daemon is cut off from all of them, it passes requests on through
 // another daemon that reaches them. It also takes such requests from other daemons.
 //
 // The control goroutine owns the evidence about the links and publishes the state. The
 // exchanges run on goroutines of traffic, which a mutex that is held only for short
 // calculations registers.
-package upstreams
+package links
 
 import (
 	"context"
@@ -28,7 +28,7 @@
 )
 
 func init() {
-	kernel.Register(contract.NameUpstreams, func() kernel.Service {
+	kernel.Register(contract.NameServerLinks, func() kernel.Service {
 		return &service{open: make(map[*exchange]bool), poorHelpers: make(map[string]time.Time)}
 	})
 }
@@ -53,7 +53,7 @@
 	workers      *kernel.Workers
 	executor     *kernel.LoopExecutor
 	guard        *kernel.Guard
-	view         *kernel.Snapshot[contract.UpstreamsView]
+	view         *kernel.Snapshot[contract.ServerLinksView]
 	probeRounds  *kernel.Mailbox[kernel.AsyncResult[probeRound]]
 	checks       *kernel.CoalescingMailbox[struct{}, struct{}]
 	reached      *kernel.CoalescingMailbox[struct{}, struct{}]
@@ -80,7 +80,7 @@
 	goroutines     conc.WaitGroup
 }
 
-var _ contract.Upstreams = (*service)(nil)
+var _ contract.ServerLinks = (*service)(nil)
 
 // Provision implements kernel.Service.
 func (s *service) Provision(ctx *kernel.Context) error {
@@ -90,7 +90,7 @@
 	}
 	s.log, s.loop, s.workers, s.guard = ctx.Log(), ctx.Loop(), ctx.Workers(), ctx.Guard()
 	s.executor = kernel.NewLoopExecutor(s.loop)
-	s.view = kernel.NewSnapshot(&contract.UpstreamsView{})
+	s.view = kernel.NewSnapshot(&contract.ServerLinksView{})
 	s.probeRounds = kernel.NewMailbox(s.loop, mailboxCapacity, s.handleProbes)
 	s.checks = kernel.NewCoalescingMailbox(s.loop, 1, func(struct{}, struct{}) { s.scheduleCheck() })
 	s.failures = kernel.NewMailbox(s.loop, mailboxCapacity, s.recordFailure)
@@ -119,10 +119,10 @@
 	return err
 }
 
-// View implements contract.Upstreams.
-func (s *service) View() *kernel.Snapshot[contract.UpstreamsView] { return s.view }
+// View implements contract.ServerLinks.
+func (s *service) View() *kernel.Snapshot[contract.ServerLinksView] { return s.view }
 
-// Do implements contract.Upstreams.
+// Do implements contract.ServerLinks.
 func (s *service) Do(ctx context.Context, request contract.Exchange) (*http.Response, error) {
 	if s.view.Load().State == reach.CutOff {
 		return s.relay(ctx, request)
@@ -174,4 +174,4 @@
 func dialError(err error) error { return &net.OpError{Op: "dial", Net: "tcp", Err: err} }
 
 // errCutOff ends exchanges that are silent when the links are found to be down.
-var errCutOff = errors.New("upstreams: this daemon is cut off from the servers")
+var errCutOff = errors.New("links: this daemon is cut off from the servers")
--- a/daemon/services/upstreams/links.go
+++ b/daemon/services/links/verdict.go
@@ -1,4 +1,4 @@
-package upstreams
+package links
 
 import (
 	"context"
@@ -24,10 +24,8 @@
 	// silenceTimeout is how long all servers must be silent before the silent ones are
 	// taken for failed. A round trip between regions takes 60 ms.
 	silenceTimeout = 300 * time.Millisecond
-	// verdictProbes is the number of servers that are probed for a verdict, and
-	// returnProbes that of each later round.
-	verdictProbes = 4
-	returnProbes  = 2
+	// probedServers is the number of servers that are probed in a round.
+	probedServers = 4
 	// probeTimeout bounds a probe, and probeInterval is the pause between rounds while
 	// this daemon is cut off.
 	probeTimeout  = 400 * time.Millisecond
@@ -69,9 +67,9 @@
 		return
 	}
 	s.log.WithField("server", server).Info("Several servers failed at once; probing others.")
-	s.metrics.Count("upstreams.suspected", 1)
+	s.metrics.Count("links.suspected", 1)
 	s.publish()
-	s.probe(verdictProbes)
+	s.probe()
 }
 
 // reportReached records that a new connection to a server was established.
@@ -82,8 +80,8 @@
 }
 
 func (s *service) publish() {
-	s.view.Publish(&contract.UpstreamsView{State: s.detector.State()})
-	s.metrics.Gauge("upstreams.state", int64(s.detector.State()))
+	s.view.Publish(&contract.ServerLinksView{State: s.detector.State()})
+	s.metrics.Gauge("links.state", int64(s.detector.State()))
 }
 
 // listedServers returns the servers that may get new work.
@@ -100,18 +98,22 @@
 // probeRound is the result of probing some servers at once.
 type probeRound struct{ probed, reached int }
 
-// probe tries to connect to some servers.
-func (s *service) probe(count int) {
+// probe tries to connect to some servers. The round ends with the first one that is
+// reached.
+func (s *service) probe() {
 	servers := s.listedServers()
 	rand.Shuffle(len(servers), func(i, j int) { servers[i], servers[j] = servers[j], servers[i] })
-	servers = servers[:min(count, len(servers))]
+	servers = servers[:min(probedServers, len(servers))]
 	kernel.RunAsync(s.workers, probeTimeout, s.probeRounds, func(ctx context.Context) (probeRound, error) {
+		ctx, cancel := context.WithCancel(ctx)
+		defer cancel()
 		var reached atomic.Int64
 		var group conc.WaitGroup
 		for _, server := range servers {
 			group.Go(func() {
 				if s.connect(ctx, server.Address) == nil {
 					reached.Add(1)
+					cancel()
 				}
 			})
 		}
@@ -142,7 +144,7 @@
 	switch {
 	case hasChanged && state == reach.CutOff:
 		entry.Warn("Cut off from all servers; requests go through other daemons.")
-		s.metrics.Count("upstreams.cut_off", 1)
+		s.metrics.Count("links.cut_off", 1)
 		s.cutOffAt = now
 		s.linkFailures.SetLinksDown(true)
 	case hasChanged:
@@ -163,7 +165,7 @@
 	if now.Sub(s.cutOffAt) >= resignDelay {
 		s.session.SetMayLead(false)
 	}
-	s.loop.AfterFunc(probeInterval, func() { s.probe(returnProbes) })
+	s.loop.AfterFunc(probeInterval, func() { s.probe() })
 }
 
 // abandonSilent ends the direct exchanges that cannot be expected to end by themselves: a
