--- a/histories/managed/cutoff_test.go
+++ b/histories/managed/cutoff_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -251,3 +252,37 @@
 	must.Eq(t, 20, checkServed(d, "after", 20))
 	h.checkResults("job-1", h.fetchAllResults(d, "job-1", 4), 60, 1)
 }
+
+// TestManaged_CutOffDaemonStreams asks a daemon that is cut off for a stream. Its events
+// must arrive as the server sends them.
+func TestManaged_CutOffDaemonStreams(t *testing.T) {
+	const pace = 50 * time.Millisecond
+	h := newStandardHarness(t, 20, pace)
+	streams := routeConfig("/stream/", "streaming")
+	streams["service"], streams["resumable"] = engineService, true
+	h.putConfiguration(2, streams)
+	links := newServerLinks()
+	cut := h.startDaemonWith("daemon-1", links.dial)
+	h.startDaemon("daemon-2")
+	h.waitFor("both daemons are live", func() bool { return len(h.store.recordsUnder("flamingobeam/session/member/")) == 2 })
+	links.set(linksReset)
+	h.waitFor("a stream is served", func() bool {
+		return cut.call(http.MethodPost, "/stream/1", fmt.Sprint("first", time.Now().UnixNano()), nil, "").status == http.StatusOK
+	})
+	request, err := http.NewRequest(http.MethodPost, "http://"+cut.address+"/stream/1", nil)
+	must.NoError(t, err)
+	request.Host = routeHostname
+	request.Header.Set("Attempt-Id", "stream-1")
+	response, err := http.DefaultTransport.RoundTrip(request)
+	must.NoError(t, err)
+	defer response.Body.Close()
+	started := time.Now()
+	first := make([]byte, 1)
+	_, err = response.Body.Read(first)
+	must.NoError(t, err)
+	must.Less(t, 10*pace, time.Since(started))
+	rest, err := io.ReadAll(response.Body)
+	must.NoError(t, err)
+	must.StrContains(t, string(rest), eventData("stream-1", 20))
+	must.Eq(t, 20, h.runOf("stream-1").eventsSent)
+}
