--- a/daemon/services/links/exchange.go
+++ b/daemon/services/links/exchange.go
@@ -16,9 +16,9 @@
 	contract.Exchange
 	service *service
 	cancel  context.CancelCauseFunc
-	// heardAt is when the server was last heard, or else when the exchange began, in
-	// Unix nanoseconds.
-	heardAt atomic.Int64
+	// lastReceived is when the last byte of the server arrived, or else when the exchange
+	// began, in Unix nanoseconds.
+	lastReceived atomic.Int64
 	// isConnected is set once the request has a connection, so that it may be sent.
 	isConnected atomic.Bool
 }
@@ -27,7 +27,7 @@
 func (s *service) exchangeDirectly(ctx context.Context, request contract.Exchange) (*exchange, *http.Response, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	e := &exchange{Exchange: request, service: s, cancel: cancel}
-	e.heardAt.Store(time.Now().UnixNano())
+	e.lastReceived.Store(time.Now().UnixNano())
 	isNew := false
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		e.isConnected.Store(true)
@@ -47,7 +47,7 @@
 		e.end()
 		return e, nil, err
 	}
-	e.heard()
+	e.recordReceived()
 	if isNew {
 		s.reportReached()
 	}
@@ -64,11 +64,11 @@
 	}
 }
 
-// heard records that a byte of the server arrived.
-func (e *exchange) heard() {
+// recordReceived records that a byte of the server arrived.
+func (e *exchange) recordReceived() {
 	now := time.Now().UnixNano()
-	e.heardAt.Store(now)
-	e.service.lastHeard.Store(now)
+	e.lastReceived.Store(now)
+	e.service.lastReceived.Store(now)
 }
 
 func (e *exchange) end() {
@@ -99,7 +99,7 @@
 func (b *watchedBody) Read(p []byte) (int, error) {
 	count, err := b.body.Read(p)
 	if count > 0 {
-		b.exchange.heard()
+		b.exchange.recordReceived()
 	}
 	return count, err
 }
--- a/daemon/services/links/relay_client.go
+++ b/daemon/services/links/relay_client.go
@@ -43,8 +43,9 @@
 const (
 	// maxHelpers bounds the daemons that are tried for one request.
 	maxHelpers = 4
-	// poorHelperPeriod is how long others are preferred to a helper that was of no use.
-	poorHelperPeriod = 3 * time.Second
+	// helperAvoidance is how long others are preferred to a helper that passed no
+	// request on.
+	helperAvoidance = 3 * time.Second
 	// helperDialTimeout bounds a connection to a helper, or of a helper to a server.
 	helperDialTimeout = 400 * time.Millisecond
 	helperIdleTimeout = 30 * time.Second
@@ -67,7 +68,7 @@
 			return response, err
 		}
 		s.log.WithError(err).WithFields(logrus.Fields{"helper": helper.Name, "server": request.Server}).Info("A daemon does not pass a request on.")
-		s.markPoor(helper)
+		s.avoidHelper(helper)
 		if ctx.Err() != nil {
 			break
 		}
@@ -106,16 +107,16 @@
 	}
 }
 
-// helpers returns the daemons that may pass a request on: near ones first, and those
-// that were of no use lately last.
+// helpers returns the daemons that may pass a request on, near ones first and avoided
+// ones last.
 func (s *service) helpers() []membership.Member {
 	view := s.session.View().Load()
 	now := time.Now()
 	type candidate struct {
 		membership.Member
-		isPoor   bool
-		distance int
-		salt     uint64
+		isAvoided bool
+		distance  int
+		salt      uint64
 	}
 	var candidates []candidate
 	s.mu.Lock()
@@ -124,13 +125,13 @@
 			continue
 		}
 		candidates = append(candidates, candidate{
-			Member: member, isPoor: now.Before(s.poorHelpers[member.RelayAddress]), distance: s.distanceTo(member), salt: rand.Uint64(),
+			Member: member, isAvoided: now.Before(s.avoidedHelpers[member.RelayAddress]), distance: s.distanceTo(member), salt: rand.Uint64(),
 		})
 	}
 	s.mu.Unlock()
 	slices.SortFunc(candidates, func(a, b candidate) int {
-		if a.isPoor != b.isPoor {
-			if a.isPoor {
+		if a.isAvoided != b.isAvoided {
+			if a.isAvoided {
 				return 1
 			}
 			return -1
@@ -155,14 +156,14 @@
 	return 2
 }
 
-func (s *service) markPoor(helper membership.Member) {
+func (s *service) avoidHelper(helper membership.Member) {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for address, until := range s.poorHelpers {
+	for address, until := range s.avoidedHelpers {
 		if now.After(until) {
-			delete(s.poorHelpers, address)
+			delete(s.avoidedHelpers, address)
 		}
 	}
-	s.poorHelpers[helper.RelayAddress] = now.Add(poorHelperPeriod)
+	s.avoidedHelpers[helper.RelayAddress] = now.Add(helperAvoidance)
 }
--- a/daemon/services/links/service.go
+++ b/daemon/services/links/service.go
@@ -29,7 +29,7 @@
 
 func init() {
 	kernel.Register(contract.NameServerLinks, func() kernel.Service {
-		return &service{open: make(map[*exchange]bool), poorHelpers: make(map[string]time.Time)}
+		return &service{open: make(map[*exchange]bool), avoidedHelpers: make(map[string]time.Time)}
 	})
 }
 
@@ -63,15 +63,15 @@
 	detector reach.Detector
 	cutOffAt time.Time
 
-	// lastHeard is when any server was last heard, in Unix nanoseconds.
-	lastHeard atomic.Int64
+	// lastReceived is when the last byte of any server arrived, in Unix nanoseconds.
+	lastReceived atomic.Int64
 	// isChecking is set while the control goroutine looks at the open exchanges.
 	isChecking atomic.Bool
 	mu         sync.Mutex
 	open       map[*exchange]bool
-	// poorHelpers maps the relay addresses that were of no use to the time until which
-	// others are preferred.
-	poorHelpers map[string]time.Time
+	// avoidedHelpers maps the relay addresses that passed no request on to the time until
+	// which others are preferred.
+	avoidedHelpers map[string]time.Time
 
 	relayTransport *http.Transport
 	helpTransport  *http.Transport
--- a/daemon/services/links/verdict.go
+++ b/daemon/services/links/verdict.go
@@ -21,8 +21,8 @@
 const (
 	// checkInterval is how often open exchanges are checked for silence.
 	checkInterval = 150 * time.Millisecond
-	// silenceTimeout is how long all servers must be silent before the silent ones are
-	// taken for failed. A round trip between regions takes 60 ms.
+	// silenceTimeout is how long all servers must be silent before those with open
+	// exchanges count as failed. A round trip between regions takes 60 ms.
 	silenceTimeout = 300 * time.Millisecond
 	// probedServers is the number of servers that are probed in a round.
 	probedServers = 4
@@ -38,8 +38,8 @@
 // scheduleCheck checks the open exchanges after checkInterval.
 func (s *service) scheduleCheck() { s.loop.AfterFunc(checkInterval, s.checkSilence) }
 
-// checkSilence takes servers for failed that have been silent for silenceTimeout while
-// no other server was heard.
+// checkSilence counts servers as failed that sent nothing for silenceTimeout, if no other
+// server sent anything either.
 func (s *service) checkSilence() {
 	open := s.openExchanges()
 	if len(open) == 0 {
@@ -51,11 +51,11 @@
 	}
 	s.scheduleCheck()
 	oldest := s.loop.Now().Add(-silenceTimeout).UnixNano()
-	if s.lastHeard.Load() > oldest {
+	if s.lastReceived.Load() > oldest {
 		return
 	}
 	for _, e := range open {
-		if e.heardAt.Load() <= oldest {
+		if e.lastReceived.Load() <= oldest {
 			s.recordFailure(e.Server)
 		}
 	}
@@ -74,7 +74,7 @@
 
 // reportReached records that a new connection to a server was established.
 func (s *service) reportReached() {
-	s.lastHeard.Store(time.Now().UnixNano())
+	s.lastReceived.Store(time.Now().UnixNano())
 	// The evidence is a hint; a loop that is too busy to take it has other evidence.
 	_ = s.reached.Post(struct{}{}, struct{}{})
 }
@@ -177,7 +177,7 @@
 	}
 	oldest := s.loop.Now().Add(-silenceTimeout).UnixNano()
 	for _, e := range s.openExchanges() {
-		if !e.isConnected.Load() || e.Repeatable && e.heardAt.Load() <= oldest {
+		if !e.isConnected.Load() || e.Repeatable && e.lastReceived.Load() <= oldest {
 			e.cancel(errCutOff)
 		}
 	}
--- a/histories/managed/managed_test.go
+++ b/histories/managed/managed_test.go
@@ -286,7 +286,7 @@
 		"null":            `null`,
 		"empty":           ``,
 		"bytes":           "\xff\xfe\x00",
-		"software":    `{` + address + `,"version":7}`,
+		"software":        `{` + address + `,"version":7}`,
 		"null fields":     `{"service":null,"address":null,"state":null,"models":null}`,
 		"models":          `{` + address + `,"models":[{"name":"model-a","version":18446744073709551615},null]}`,
 	} {
