Copy streamed responses in one place

Cause: the relay repeated the copying loop of the gate, and texts without events were logged as generated anew. Change: transport.Stream serves both; a text without events is replaced without a line. Measured: go vet; the tests of cut-off daemons and of streams pass.

--- a/daemon/services/gate/handlers.go
+++ b/daemon/services/gate/handlers.go
@@ -15,6 +15,7 @@
 	"github.com/flamingobeam/flamingobeam/coord/catalog"
 	"github.com/flamingobeam/flamingobeam/coord/result"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
+	"github.com/flamingobeam/flamingobeam/daemon/transport"
 	"github.com/flamingobeam/flamingobeam/platform"
 )
 
@@ -172,9 +173,6 @@
 	}
 }
 
-// streamBufferBytes is the size of the buffer for relaying a streamed response.
-const streamBufferBytes = 16 << 10
-
 // writeStream relays a streamed response and flushes each piece. If the stream is
 // interrupted, it aborts the connection to the caller, so that the response does not
 // look complete.
@@ -184,25 +182,9 @@
 		w.Header().Set("Content-Length", strconv.FormatInt(length, 10))
 	}
 	w.WriteHeader(reply.Status)
-	control := http.NewResponseController(w)
-	buffer := make([]byte, streamBufferBytes)
-	for {
-		count, err := reply.Stream.Body.Read(buffer)
-		if count > 0 {
-			if _, err := w.Write(buffer[:count]); err != nil {
-				return
-			}
-			if err := control.Flush(); err != nil {
-				return
-			}
-		}
-		if err == io.EOF {
-			return
-		}
-		if err != nil {
-			s.log.WithError(err).WithField("request", headers.AttemptID).Info("Response stream was interrupted.")
-			panic(http.ErrAbortHandler)
-		}
+	if err := transport.Stream(w, reply.Stream.Body); err != nil {
+		s.log.WithError(err).WithField("request", headers.AttemptID).Info("Response stream was interrupted.")
+		panic(http.ErrAbortHandler)
 	}
 }
 
--- a/daemon/services/jobs/schedule.go
+++ b/daemon/services/jobs/schedule.go
@@ -302,6 +302,10 @@
 
 // discardText lets an item be generated from its beginning.
 func (s *service) discardText(j *job, it *item, why string) {
+	if it.resumeOffset == 0 {
+		it.text = &generatedText{}
+		return
+	}
 	s.log.WithFields(logrus.Fields{
 		"job": j.ID, "item": it.ID, "events": it.resumeOffset, "software": it.text.Position().Origin.Software, "why": why,
 	}).Info("A text is generated anew.")
--- a/daemon/services/links/relay_server.go
+++ b/daemon/services/links/relay_server.go
@@ -18,6 +18,7 @@
 	"github.com/flamingobeam/flamingobeam/coord/result"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
+	"github.com/flamingobeam/flamingobeam/daemon/transport"
 	"github.com/flamingobeam/flamingobeam/platform"
 )
 
@@ -31,8 +32,6 @@
 	relayHeaderTimeout = 5 * time.Second
 	// relayStopTimeout bounds the wait for relayed requests at a planned stop.
 	relayStopTimeout = 300 * time.Millisecond
-	// relayBufferBytes is the size of the buffer for passing a response back.
-	relayBufferBytes = 16 << 10
 )
 
 // startRelayServer listens for requests of other daemons.
@@ -176,23 +175,7 @@
 		w.Header().Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
 	}
 	w.WriteHeader(response.StatusCode)
-	control := http.NewResponseController(w)
-	buffer := make([]byte, relayBufferBytes)
-	for {
-		count, err := response.Body.Read(buffer)
-		if count > 0 {
-			if _, err := w.Write(buffer[:count]); err != nil {
-				return
-			}
-			if err := control.Flush(); err != nil {
-				return
-			}
-		}
-		if err == io.EOF {
-			return
-		}
-		if err != nil {
-			panic(http.ErrAbortHandler)
-		}
+	if err := transport.Stream(w, response.Body); err != nil {
+		panic(http.ErrAbortHandler)
 	}
 }
--- a/daemon/transport/transport.go
+++ b/daemon/transport/transport.go
@@ -86,3 +86,30 @@
 	// An error means that the connection cannot be reused.
 	_, _ = io.CopyN(io.Discard, response.Body, maxDiscardedBytes)
 }
+
+// streamBufferBytes is the size of the buffer for passing a response on.
+const streamBufferBytes = 16 << 10
+
+// Stream copies a body to a response and flushes each piece. It returns the error of the
+// body, and nil at its end or when the receiver has gone.
+func Stream(w http.ResponseWriter, body io.Reader) error {
+	control := http.NewResponseController(w)
+	buffer := make([]byte, streamBufferBytes)
+	for {
+		count, err := body.Read(buffer)
+		if count > 0 {
+			if _, err := w.Write(buffer[:count]); err != nil {
+				return nil
+			}
+			if err := control.Flush(); err != nil {
+				return nil
+			}
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
