--- a/coord/reach/reach.go
+++ b/coord/reach/reach.go
@@ -9,7 +9,7 @@
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 )
 
-// State is what a daemon knows about its links to the servers.
+// State is a daemon's verdict on its links to the servers.
 type State uint8
 
 // The states.
@@ -43,7 +43,7 @@
 	maxGoodRounds = 8
 )
 
-// Detector holds the evidence. The zero value knows of no failure. It is not safe for
+// Detector collects the failures. The zero value has recorded none. It is not safe for
 // concurrent use.
 type Detector struct {
 	state State
@@ -65,7 +65,7 @@
 func (d *Detector) RecordReached() { clear(d.failedAt) }
 
 // RecordFailure records that a server could not be connected, closed a connection
-// without a response or fell silent. It reports whether the links are now suspected, so
+// without a response or stopped sending. It reports whether the links are now suspected, so
 // that servers have to be probed. Listed is the number of servers in the list.
 func (d *Detector) RecordFailure(now time.Time, server structs.HostName, listed int) bool {
 	if d.state != Reachable || listed == 0 {
--- a/daemon/services/balance/quarantine.go
+++ b/daemon/services/balance/quarantine.go
@@ -108,8 +108,8 @@
 	return addresses
 }
 
-// reachesAny reports whether any of the addresses accepts a connection. Without an address
-// there is nothing that speaks against it.
+// reachesAny reports whether any of the addresses accepts a connection. It returns true
+// without addresses, so that the only server of a deployment can be found to have crashed.
 func reachesAny(ctx context.Context, probe probeFunc, addresses []string) bool {
 	for _, address := range addresses {
 		if probe(ctx, address) == nil {
--- a/daemon/services/dispatch/forward.go
+++ b/daemon/services/dispatch/forward.go
@@ -112,7 +112,7 @@
 		case <-timer.C:
 			if ticket, ok := c.pickHedge(ctx); ok {
 				running++
-				// Connections that fell silent are often not the only ones.
+				// An idle connection may have failed together with the first one.
 				launch(ticket, true)
 			}
 		}
--- a/histories/managed/streams_test.go
+++ b/histories/managed/streams_test.go
@@ -24,9 +24,6 @@
 	must.Len(t, 2, e.observedRuns())
 }
 
-// TestManaged_DrippingStream lets an engine stop in the middle of a text and send a
-// byte of the next event now and then. The run must end, and resume on another
-// engine after the last whole event.
 // TestManaged_ErrorsAfterBrokenStream lets a stream break off and answers its
 // continuations with errors that look like events or like an end. None of their text may
 // get into the item's output, which must be whole.
@@ -69,6 +66,9 @@
 	}
 }
 
+// TestManaged_DrippingStream lets an engine stop in the middle of a text and send a
+// byte of the next event now and then. The run must end, and resume on another
+// engine after the last whole event.
 func TestManaged_DrippingStream(t *testing.T) {
 	h := newHarness(t)
 	h.putConfiguration(1)
