--- a/review/standin/client.go
+++ b/review/standin/client_test.go
@@ -1,4 +1,4 @@
-package main
+package standin
 
 import (
 	"context"
--- a/review/standin/world.go
+++ b/review/standin/world_test.go
@@ -1,7 +1,7 @@
-// Command standin plays the outside of a small deployment for the cases of the review:
+// Package standin plays the outside of a small deployment for the cases of the review:
 // the platform's store, backend servers, clients and a trainer. It starts the daemons as
 // processes of their own and judges a rule by what its own parts have seen.
-package main
+package standin
 
 import (
 	"fmt"
