--- a/review/standin/cases_test.go
+++ b/review/standin/cases_test.go
@@ -20,11 +20,11 @@
 // TestMain plays the case that the arguments name. The stand-ins are test files, built by
 // review/build.sh as a program of their own.
 func TestMain(*testing.M) {
-	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standin CASE ROOT FOLDER")
+	if len(os.Args) != 5 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: standin CASE ROOT FOLDER TROUBLE")
 		os.Exit(exitNoRun)
 	}
-	w := newWorld(os.Args[2], os.Args[3])
+	w := newWorld(os.Args[2], os.Args[3], os.Args[4] != "0")
 	cases[os.Args[1]](w)
 }
 
--- a/review/standin/world_test.go
+++ b/review/standin/world_test.go
@@ -56,6 +56,10 @@
 	servers      []*server
 	daemons      []*daemon
 
+	// startMu is held while a process starts, and isStopped is set when all are ended.
+	startMu   sync.Mutex
+	isStopped bool
+
 	recordMu sync.Mutex
 	record   *os.File
 }
@@ -72,12 +76,12 @@
 }
 
 // newWorld starts the store.
-func newWorld(root, folder string) *world {
+func newWorld(root, folder string, trouble bool) *world {
 	record, err := os.Create(filepath.Join(folder, "record.txt"))
 	if err != nil {
 		cannotRun("%v", err)
 	}
-	w := &world{root: root, folder: folder, trouble: os.Getenv("TROUBLE") != "0", startedAt: time.Now(), record: record}
+	w := &world{root: root, folder: folder, trouble: trouble, startedAt: time.Now(), record: record}
 	theWorld = w
 	w.base = freeNetwork()
 	w.store = newStore(w.base + ".1:8142")
@@ -285,7 +289,13 @@
 			command.Stdout, command.Stderr = log, log
 		}
 	}
+	w.startMu.Lock()
+	if w.isStopped {
+		w.startMu.Unlock()
+		select {}
+	}
 	if err := command.Start(); err != nil {
+		w.startMu.Unlock()
 		cannotRun("%v", err)
 	}
 	done := make(chan struct{})
@@ -296,6 +306,7 @@
 	d.mu.Lock()
 	d.command, d.done = command, done
 	d.mu.Unlock()
+	w.startMu.Unlock()
 	w.note("daemon %s starts, bootstrap=%t", d.name, bootstrap)
 }
 
@@ -327,6 +338,9 @@
 
 // stopAll ends all processes that were started.
 func (w *world) stopAll() {
+	w.startMu.Lock()
+	w.isStopped = true
+	w.startMu.Unlock()
 	for _, d := range w.daemons {
 		d.mu.Lock()
 		if d.command != nil {
