Do not let a refusal hide an earlier attempt of the same commit

Cause: the store client makes up to four attempts of one call, over its own connection and through other daemons, and returned the error of the last. After a commit whose reply was lost, a 503 of the second attempt counted as "not applied", so the submission was refused while the job stood in the store.

TestManaged_LostWriteIsNotRefused forces the order (the store applies the first write of the job without a reply and refuses all further ones, so the other daemon keeps reaching it): failed 6 of 6 times with "status 503" before, passes 6 of 6 after.

Change: the attempts of a call are recorded together. After one that may have been applied a refusal becomes ErrUnavailable. Nothing changes in net/rpc for this. A model owner of an earlier release may still refuse a job that it has written, so SubmitReply has a new field, NotWritten; without it a refusal counts as an unknown outcome. TestSubmitToModelOwner_Refusals took any StoreUnavailable for certain; it now marks those of this release and has a case for earlier ones.

Ruled out: the statuses in platform/store.go, the daemon that relays (it makes one attempt), resolveAcceptance (runs after a 502 only).

--- a/daemon/services/jobs/model_owner.go
+++ b/daemon/services/jobs/model_owner.go
@@ -105,6 +105,9 @@
 type SubmitReply struct {
 	Code   result.Code
 	Detail string
+	// NotWritten is set if the job was certainly not written and will not be. Earlier
+	// releases do not set it, and may refuse a job that they have written.
+	NotWritten bool
 }
 
 // Submit accepts a job that was submitted to another daemon.
@@ -120,6 +123,7 @@
 	}
 	if err != nil {
 		reply.Code, reply.Detail = result.CodeOf(err), err.Error()
+		reply.NotWritten = result.OutcomeOf(err) == result.NotRun
 	}
 	return nil
 }
@@ -155,7 +159,7 @@
 		code := result.CodeOf(err)
 		log.WithError(err).WithField("code", code).Info("The model owner did not accept a batch job.")
 		if code != result.PeerUnreachable && code != result.Stopping {
-			return false, code == result.OutcomeUnknown
+			return false, result.OutcomeOf(err) == result.MayHaveRun
 		}
 		avoided.add(owner.Name, code == result.Stopping)
 	}
@@ -172,6 +176,9 @@
 	if err := s.peers.Call(ctx, owner.RPCAddress, rpcName+".Submit", call, &reply); err != nil {
 		return err
 	}
+	if reply.Code == result.StoreUnavailable && !reply.NotWritten {
+		return result.New(result.OutcomeUnknown, "%s", reply.Detail)
+	}
 	if reply.Code != 0 {
 		return result.New(reply.Code, "%s", reply.Detail)
 	}
--- a/daemon/services/jobs/model_owner_test.go
+++ b/daemon/services/jobs/model_owner_test.go
@@ -108,7 +108,9 @@
 type submitPeers struct {
 	contract.Peers
 	codes map[string]result.Code
-	asked []string
+	// isEarlierRelease leaves out what earlier releases do not report.
+	isEarlierRelease bool
+	asked            []string
 }
 
 func (p *submitPeers) Call(_ context.Context, address, _ string, _, reply any) error {
@@ -116,7 +118,11 @@
 	if code := p.codes[address]; code == result.PeerUnreachable {
 		return result.New(code, "")
 	}
-	reply.(*SubmitReply).Code = p.codes[address]
+	submitReply := reply.(*SubmitReply)
+	submitReply.Code = p.codes[address]
+	if code := submitReply.Code; code != 0 && !p.isEarlierRelease {
+		submitReply.NotWritten = result.OutcomeOf(result.New(code, "")) == result.NotRun
+	}
 	return nil
 }
 
@@ -124,6 +130,7 @@
 // certainly has not accepted the job is passed over for the next strong one;
 // after a lost reply no other daemon is asked.
 func TestSubmitToModelOwner_Refusals(t *testing.T) {
+	isEarlierRelease := false
 	submit := func(codes map[string]result.Code) (asked []string, accepted, isUnknown bool) {
 		view := zoneView("host-5.1a")
 		for name, member := range view.Live {
@@ -132,7 +139,7 @@
 		}
 		s := newService()
 		s.session.(*fakeServices).session.Publish(view)
-		peers := &submitPeers{codes: codes}
+		peers := &submitPeers{codes: codes, isEarlierRelease: isEarlierRelease}
 		s.peers = peers
 		accepted, isUnknown = s.submitToModelOwner(t.Context(), &batch.Job{ID: "job", Model: "model"}, nil)
 		return peers.asked, accepted, isUnknown
@@ -155,4 +162,13 @@
 	asked, accepted, isUnknown = submit(map[string]result.Code{first: result.StoreUnavailable})
 	must.Eq(t, []string{first}, asked)
 	must.False(t, accepted || isUnknown)
+	// An earlier release also refuses a job whose write was applied without a reply.
+	isEarlierRelease = true
+	asked, accepted, isUnknown = submit(map[string]result.Code{first: result.StoreUnavailable})
+	must.Eq(t, []string{first}, asked)
+	must.False(t, accepted)
+	must.True(t, isUnknown)
+	asked, accepted, _ = submit(map[string]result.Code{first: result.Stopping})
+	must.Eq(t, []string{first, second}, asked)
+	must.True(t, accepted)
 }
--- a/daemon/services/ledger/relay.go
+++ b/daemon/services/ledger/relay.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/flamingobeam/flamingobeam/coord/result"
 	"github.com/flamingobeam/flamingobeam/outside"
 )
 
@@ -157,9 +158,28 @@
 	return err
 }
 
+// attempts are the attempts of one call that have been made so far, over this daemon's own
+// connection and through other daemons.
+type attempts struct {
+	// mayBeApplied is set after an attempt that got no reply: the store may have applied
+	// it, or may do so later.
+	mayBeApplied bool
+}
+
+// record adds an attempt that failed and returns the error of the call. A refusal
+// only holds for its own attempt, and does not show that an earlier one was not applied.
+func (a *attempts) record(err error) error {
+	isRefusal := errors.Is(err, outside.ErrRefused) || errors.Is(err, outside.ErrRateLimited) || errors.Is(err, outside.ErrTooLarge)
+	if a.mayBeApplied && isRefusal {
+		return errors.Wrapf(outside.ErrUnavailable, "an earlier attempt may be applied; the last one: %v", err)
+	}
+	a.mayBeApplied = a.mayBeApplied || errors.Is(err, outside.ErrUnavailable)
+	return err
+}
+
 // callRelay makes a call through another daemon. An error other than errNoRelay
 // comes from the store.
-func (s *service) callRelay(ctx context.Context, call Call, reply *Reply) error {
+func (s *service) callRelay(ctx context.Context, call Call, reply *Reply, made *attempts) error {
 	addresses := s.relays.addresses.Load()
 	if addresses == nil {
 		return errNoRelay
@@ -176,7 +196,10 @@
 		cancel()
 		if err == nil && reply.Relayed {
 			s.metrics.Count("store.relayed", 1)
-			return wireErrors[min(max(0, reply.Failure), len(wireErrors)-1)]
+			return made.record(wireErrors[min(max(0, reply.Failure), len(wireErrors)-1)])
+		}
+		if err != nil && result.CodeOf(err) != result.PeerUnreachable {
+			made.mayBeApplied = true
 		}
 		s.relays.next.CompareAndSwap(index, index+1)
 	}
@@ -187,11 +210,15 @@
 // unavailable there, through another daemon. While the store is known to be
 // unreachable, the other daemon is tried first; renewals of the session's lease
 // still go to the store directly and detect when it is back.
+//
+// If an attempt may have been applied, a later refusal is returned as ErrUnavailable.
+// After ErrConflict such an attempt may be the cause of the conflict.
 func (s *service) call(ctx context.Context, metric string, timeout time.Duration, call Call) (Reply, error) {
 	var reply Reply
+	var made attempts
 	_, reached := s.ReachedSince()
 	if !reached && call.Op != OpKeepAlive && call.Op != OpGrant {
-		if err := s.callRelay(ctx, call, &reply); !errors.Is(err, errNoRelay) {
+		if err := s.callRelay(ctx, call, &reply, &made); !errors.Is(err, errNoRelay) {
 			return reply, err
 		}
 	}
@@ -201,15 +228,16 @@
 	cancel()
 	if err != nil && ctx.Err() != nil {
 		// A call that its caller canceled shows nothing about the store.
-		return reply, err
+		return reply, made.record(err)
 	}
 	s.recordCall(metric, started, err)
 	if _, reached = s.ReachedSince(); err == nil || !isUnavailable(err) && (reached || !errors.Is(err, outside.ErrRateLimited)) {
-		return reply, err
+		return reply, made.record(err)
 	}
+	err = made.record(err)
 	var relayReply Reply
-	if relayErr := s.callRelay(ctx, call, &relayReply); !errors.Is(relayErr, errNoRelay) {
+	if relayErr := s.callRelay(ctx, call, &relayReply, &made); !errors.Is(relayErr, errNoRelay) {
 		return relayReply, relayErr
 	}
-	return reply, err
+	return reply, made.record(err)
 }
--- a/daemon/services/ledger/relay_test.go
+++ b/daemon/services/ledger/relay_test.go
@@ -32,12 +32,12 @@
 	s.peers = relays
 	s.SetRelays([]string{"a", "b", "c", "d", "e", "f"})
 	for range 2 {
-		must.ErrorIs(t, s.callRelay(t.Context(), Call{}, &Reply{}), errNoRelay)
+		must.ErrorIs(t, s.callRelay(t.Context(), Call{}, &Reply{}, &attempts{}), errNoRelay)
 	}
 	var reply Reply
-	must.NoError(t, s.callRelay(t.Context(), Call{}, &reply))
+	must.NoError(t, s.callRelay(t.Context(), Call{}, &reply, &attempts{}))
 	must.Eq(t, outside.Revision(7), reply.Revision)
 	s.SetRelays([]string{"a", "c", "e", "f"})
-	must.NoError(t, s.callRelay(t.Context(), Call{}, &reply))
+	must.NoError(t, s.callRelay(t.Context(), Call{}, &reply, &attempts{}))
 	must.Eq(t, []string{"a", "b", "c", "d", "e", "e"}, relays.asked)
 }
--- a/daemon/services/ledger/watch_test.go
+++ b/daemon/services/ledger/watch_test.go
@@ -60,7 +60,7 @@
 	log.SetOutput(io.Discard)
 	state := &connectivity{}
 	if reachable {
-		state.reachableSince = time.Now()
+		state.reachableSince, state.cancelWatches = time.Now(), func() {}
 	}
 	s := &service{maxDirectDelay: testDirectDelay, peers: f, workers: kernel.NewWorkers(16), metrics: noMetrics{}, log: logrus.NewEntry(log), connectivity: kernel.NewSnapshot(state)}
 	s.upstreams.known = make(chan struct{})
--- /dev/null
+++ b/histories/managed/refusals_test.go
@@ -0,0 +1,70 @@
+package managed
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/flamingobeam/flamingobeam/daemon/contract"
+	"github.com/flamingobeam/flamingobeam/kernel"
+)
+
+// isRefusal reports whether a status promises that a request has not run and never will.
+func isRefusal(status int) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+}
+
+// loseThenRefuse lets the store apply the first transaction on keys that contain a text,
+// without a reply, and refuse all further ones.
+func (h *harness) loseThenRefuse(text string) {
+	hasText := func(key string) bool { return strings.Contains(key, text) }
+	applied := false
+	h.store.update(func(s *storeEmulator) {
+		s.disturb = func(keys []string) disturbance {
+			switch {
+			case !slices.ContainsFunc(keys, hasText):
+				return undisturbed
+			case applied:
+				return refuseCall
+			}
+			applied = true
+			return loseReply
+		}
+	})
+}
+
+// startTwoDaemons starts two daemons and waits until each knows the other, which then
+// makes calls to the store for it.
+func (h *harness) startTwoDaemons() (first, second *daemon) {
+	h.t.Helper()
+	first, second = h.startDaemon("daemon-1"), h.startDaemon("daemon-2")
+	h.awaitMembers(2)
+	return first, second
+}
+
+// awaitMembers waits until each daemon of this process knows as many live daemons.
+func (h *harness) awaitMembers(count int) {
+	h.t.Helper()
+	for _, d := range h.daemons {
+		session, err := kernel.FindLoaded[contract.Session](d.kernel, contract.NameSession)
+		must.NoError(h.t, err)
+		h.waitFor("all daemons are known", func() bool { return len(session.View().Load().Live) == count })
+	}
+}
+
+// TestManaged_LostWriteIsNotRefused guards against answering a submission with 503 whose
+// write was applied without a reply, because the store refused its repetitions.
+func TestManaged_LostWriteIsNotRefused(t *testing.T) {
+	h := newStandardHarness(t, 3, time.Millisecond)
+	first, second := h.startTwoDaemons()
+	h.loseThenRefuse("job-1")
+	response := first.call(http.MethodPost, "/train/job-1", "job-1", map[string]string{"Deadline-Ms": "1500"}, jobBody("job-1", 0, 1, 2, 1))
+	must.NoError(t, response.err)
+	must.False(t, isRefusal(response.status), must.Sprintf("status %d", response.status))
+	h.store.update(func(s *storeEmulator) { s.disturb = nil })
+	h.checkResults("job-1", h.fetchAllResults(second, "job-1", 2), 3, 1)
+}
--- a/histories/managed/store_test.go
+++ b/histories/managed/store_test.go
@@ -24,6 +24,17 @@
 	Removed  bool   `json:"removed,omitempty"`
 }
 
+// disturbance is a fault of the store at one transaction.
+type disturbance uint8
+
+const (
+	undisturbed disturbance = iota
+	// loseReply applies the transaction and closes the connection without a response.
+	loseReply
+	// refuseCall responds with status 503 and applies nothing.
+	refuseCall
+)
+
 type lease struct {
 	ttl    time.Duration
 	expiry time.Time
@@ -47,6 +58,9 @@
 	// that take effect but lose their response.
 	down            bool
 	responsesToLose int
+	// disturb chooses what happens to a transaction with these keys; nil disturbs none.
+	// It is called with mu held.
+	disturb func(keys []string) disturbance
 	// silentWatches makes watches deliver no events and send no response at their
 	// timeout.
 	silentWatches bool
@@ -278,6 +292,19 @@
 		return
 	}
 	s.mu.Lock()
+	fault := undisturbed
+	if s.disturb != nil {
+		keys := slices.Clone(request.Remove)
+		for _, write := range request.Writes {
+			keys = append(keys, write.Key)
+		}
+		fault = s.disturb(keys)
+	}
+	if fault == refuseCall {
+		s.mu.Unlock()
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	status := s.apply(request.Writes, request.Remove, func() bool {
 		return !slices.ContainsFunc(request.Expected, func(e struct {
 			Key      string `json:"key"`
@@ -291,7 +318,7 @@
 		s.responsesToLose--
 	}
 	s.mu.Unlock()
-	if loseResponse {
+	if loseResponse || fault == loseReply {
 		panic(http.ErrAbortHandler)
 	}
 	if status != http.StatusOK {
