Send requests that may not be repeated only once

Cause: net/http repeats a request by itself when a kept connection ends before the first byte of a response, if it has no body and is a GET, HEAD, OPTIONS or TRACE or has an Idempotency-Key. Leaving out GetBody only protects bodies. The same holds on both hops of a request that a cut-off daemon sends through another one, and for routes of kind streaming.

Change: such a request gets a connection of its own, on which net/http never repeats.

Ruled out: retries and hedges of dispatch (the log shows one server asked), redirects.

--- a/coord/membership/membership.go
+++ b/coord/membership/membership.go
@@ -24,8 +24,11 @@
 	RPCAddress string `json:"peers"`
 	// RelayAddress is where it takes requests to backend servers from daemons that
 	// cannot reach them; empty if it takes none.
-	RelayAddress string           `json:"relay,omitempty"`
-	Zone         structs.ZoneName `json:"zone"`
+	RelayAddress string `json:"relay,omitempty"`
+	// RelaysOnce is set if it never sends such a request twice unless it may be
+	// repeated. Earlier releases do not set it.
+	RelaysOnce bool             `json:"relays_once,omitempty"`
+	Zone       structs.ZoneName `json:"zone"`
 	// Strength is the number of processor cores that the host gives it, and may be
 	// a fraction.
 	Strength float64 `json:"strength,omitempty"`
--- a/daemon/contract/links.go
+++ b/daemon/contract/links.go
@@ -16,7 +16,8 @@
 type Exchange struct {
 	Server  structs.HostName
 	Address string
-	// Transport opens the connections for direct exchanges.
+	// Transport opens the connections for direct exchanges. A request without a body
+	// that is not Repeatable gets a connection of its own instead.
 	Transport http.RoundTripper
 	// Repeatable is set if the server may get the request a second time.
 	Repeatable bool
--- a/daemon/services/links/exchange.go
+++ b/daemon/services/links/exchange.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
+	"github.com/flamingobeam/flamingobeam/daemon/transport"
 )
 
 // exchange is a direct exchange with a server that is in progress.
@@ -39,7 +40,11 @@
 		return e, nil, err
 	}
 	s.register(e)
-	response, err := request.Transport.RoundTrip(outgoing)
+	roundTripper := request.Transport
+	if !request.Repeatable && transport.MayReplay(outgoing) {
+		roundTripper = s.singleUseTransport
+	}
+	response, err := roundTripper.RoundTrip(outgoing)
 	if err != nil {
 		if cause := context.Cause(ctx); cause != nil {
 			err = cause
--- a/daemon/services/links/relay_client.go
+++ b/daemon/services/links/relay_client.go
@@ -24,6 +24,9 @@
 	headerServer  = "Flamingobeam-Relay-Server"
 	headerAddress = "Flamingobeam-Relay-Address"
 	headerTarget  = "Flamingobeam-Relay-Target"
+	// headerRepeatable is set if the server may get the request a second time. Without
+	// it the helper sends the request once; earlier releases do not set it.
+	headerRepeatable = "Flamingobeam-Relay-Repeatable"
 	// headerRefusal is set in a response of the helper itself.
 	headerRefusal = "Flamingobeam-Relay-Refusal"
 )
@@ -61,7 +64,12 @@
 // relay sends a request through other daemons until one has sent it.
 func (s *service) relay(ctx context.Context, request contract.Exchange) (*http.Response, error) {
 	started := time.Now()
-	for _, helper := range s.helpers() {
+	outgoing, err := request.Build(ctx)
+	if err != nil {
+		return nil, err
+	}
+	onlyOnce := !request.Repeatable && transport.MayReplay(outgoing)
+	for _, helper := range s.helpers(onlyOnce) {
 		response, isFinal, err := s.relayThrough(ctx, helper, request)
 		if isFinal {
 			s.metrics.Time("links.relayed", time.Since(started))
@@ -87,8 +95,16 @@
 	outgoing.Header.Set(headerServer, string(request.Server))
 	outgoing.Header.Set(headerAddress, request.Address)
 	outgoing.Header.Set(headerTarget, outgoing.URL.RequestURI())
+	if request.Repeatable && helper.RelaysOnce {
+		// An earlier release would pass the header on to the server.
+		outgoing.Header.Set(headerRepeatable, "1")
+	}
 	outgoing.URL = &url.URL{Scheme: "http", Host: helper.RelayAddress, Path: "/"}
-	response, err := s.relayTransport.RoundTrip(outgoing)
+	roundTripper := s.relayTransport
+	if !request.Repeatable && transport.MayReplay(outgoing) {
+		roundTripper = s.singleUseRelayTransport
+	}
+	response, err := roundTripper.RoundTrip(outgoing)
 	if err != nil {
 		return nil, !transport.IsDialFailure(err) && !request.Repeatable, err
 	}
@@ -108,8 +124,8 @@
 }
 
 // helpers returns the daemons that may pass a request on, near ones first and avoided
-// ones last.
-func (s *service) helpers() []membership.Member {
+// ones last. If onlyOnce is set, it leaves out those that might send it twice.
+func (s *service) helpers(onlyOnce bool) []membership.Member {
 	view := s.session.View().Load()
 	now := time.Now()
 	type candidate struct {
@@ -121,7 +137,7 @@
 	var candidates []candidate
 	s.mu.Lock()
 	for name, member := range view.Live {
-		if name == view.Self.Name || member.RelayAddress == "" {
+		if name == view.Self.Name || member.RelayAddress == "" || onlyOnce && !member.RelaysOnce {
 			continue
 		}
 		candidates = append(candidates, candidate{
--- a/daemon/services/links/relay_server.go
+++ b/daemon/services/links/relay_server.go
@@ -139,11 +139,12 @@
 	if err != nil {
 		return contract.Exchange{}, errors.WithStack(err)
 	}
-	for _, name := range []string{headerServer, headerAddress, headerTarget} {
+	repeatable := r.Header.Get(headerRepeatable) != ""
+	for _, name := range []string{headerServer, headerAddress, headerTarget, headerRepeatable} {
 		r.Header.Del(name)
 	}
 	return contract.Exchange{
-		Server: server, Address: address, Transport: s.helpTransport,
+		Server: server, Address: address, Transport: s.helpTransport, Repeatable: repeatable,
 		Build: func(ctx context.Context) (*http.Request, error) {
 			return buildRelayed(ctx, r, address, target, body), nil
 		},
--- a/daemon/services/links/service.go
+++ b/daemon/services/links/service.go
@@ -39,6 +39,9 @@
 	// verdictPatience is how long a request that could not be sent waits for the
 	// probes that show whether the links are down.
 	verdictPatience = 600 * time.Millisecond
+	// serverDialTimeout bounds a connection to a server: a round trip between regions
+	// takes 60 ms, and a lost packet costs a second.
+	serverDialTimeout = 700 * time.Millisecond
 )
 
 type service struct {
@@ -75,9 +78,14 @@
 
 	relayTransport *http.Transport
 	helpTransport  *http.Transport
-	relayServer    *http.Server
-	helping        atomic.Int64
-	goroutines     conc.WaitGroup
+	// singleUseTransport and singleUseRelayTransport send the requests that net/http
+	// might otherwise repeat by itself.
+	singleUseTransport      *http.Transport
+	singleUseRelayTransport *http.Transport
+
+	relayServer *http.Server
+	helping     atomic.Int64
+	goroutines  conc.WaitGroup
 }
 
 var _ contract.ServerLinks = (*service)(nil)
@@ -99,6 +107,10 @@
 	s.helpTransport = transport.New(transport.Options{
 		DialTimeout: helperDialTimeout, IdleTimeout: helperIdleTimeout, MaxIdlePerHost: maxIdlePerHelper, Dial: s.config.Platform.DialServer,
 	})
+	s.singleUseTransport = transport.New(transport.Options{
+		DialTimeout: serverDialTimeout, SingleUse: true, Dial: s.config.Platform.DialServer,
+	})
+	s.singleUseRelayTransport = transport.New(transport.Options{DialTimeout: helperDialTimeout, SingleUse: true})
 	return kernel.FindAll(ctx,
 		kernel.Bind(&s.servers, contract.NameServers),
 		kernel.Bind(&s.session, contract.NameSession),
--- a/daemon/transport/transport.go
+++ b/daemon/transport/transport.go
@@ -65,6 +65,14 @@
 	return errors.As(err, &opError) && opError.Op == "dial"
 }
 
+// MayReplay reports whether net/http may send a request a second time by itself, after
+// a kept connection ended without a response. It does so with requests without a body,
+// depending on their methods and headers, and with bodies that GetBody can return again.
+// It never does so on a connection that has served no other request.
+func MayReplay(request *http.Request) bool {
+	return request.Body == nil || request.Body == http.NoBody || request.GetBody != nil
+}
+
 const (
 	// maxDiscardedBytes bounds how much of an unused body is read so that its
 	// connection can be reused, and maxDiscardTime how long that may take.
--- a/histories/managed/servers_test.go
+++ b/histories/managed/servers_test.go
@@ -38,6 +38,13 @@
 	p.notices = map[string]string{header: value}
 }
 
+// update calls a function with p.mu held, to change the injected faults.
+func (p *plainServer) update(change func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	change()
+}
+
 func (h *harness) addPlain(id string) *plainServer {
 	p := &plainServer{id: id}
 	p.server = httptest.NewServer(p)
