--- a/histories/managed/replays_test.go
+++ b/histories/managed/replays_test.go
@@ -91,3 +91,22 @@
 	h.waitFor("requests are relayed", func() bool { return checkServed(cut, fmt.Sprint("warm-", time.Now().UnixNano()), 1) == 1 })
 	h.checkRunsOnce(cut, first, second)
 }
+
+// TestManaged_MisdirectedResponseToAnotherRequest guards against a late copy of a 421
+// that answered another request: the request at hand may run, so it is sent nowhere else.
+func TestManaged_MisdirectedResponseToAnotherRequest(t *testing.T) {
+	h := newHarness(t)
+	h.putConfiguration(1, routeConfig("/claims/", "non_idempotent"))
+	servers := []*plainServer{h.addPlain("plain-1"), h.addPlain("plain-2")}
+	lateCopy := func(w http.ResponseWriter, _ *http.Request) bool {
+		w.Header().Set("Attempt-Id", "another")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return true
+	}
+	for _, server := range servers {
+		server.faults = []func(http.ResponseWriter, *http.Request) bool{lateCopy}
+	}
+	response := h.startDaemon("daemon-1").call(http.MethodPost, "/claims/1", "claim-1", nil, "body")
+	must.Eq(t, 1, servers[0].countRuns("claim-1")+servers[1].countRuns("claim-1"))
+	must.Eq(t, http.StatusBadGateway, response.status)
+}
