Do not refuse the end of a batch job that is still being written

Change: End returns OutcomeUnknown once it goes on in the background. Callers repeat a DELETE after either status.

--- a/daemon/contract/managed.go
+++ b/daemon/contract/managed.go
@@ -293,7 +293,8 @@
 	Results(ctx context.Context, request ResultsRequest) (ResultsReply, error)
 	// ItemBody returns the body of an item.
 	ItemBody(ctx context.Context, id string, item batch.ItemID) ([]byte, error)
-	// End ends a job. Results that were recorded remain readable.
+	// End ends a job. Results that were recorded remain readable. After an error
+	// with code OutcomeUnknown the job may still be ended.
 	End(ctx context.Context, id string) error
 	// Quiesce directs further submissions to other daemons, because this one is
 	// about to stop.
--- a/daemon/services/jobs/results.go
+++ b/daemon/services/jobs/results.go
@@ -207,7 +207,7 @@
 
 // End implements contract.Jobs. If the end cannot be written within the
 // caller's deadline, it is retried in the background, since the caller wants no
-// further work done.
+// further work done; the error is then OutcomeUnknown.
 func (s *service) End(ctx context.Context, id string) error {
 	err := s.writeEnd(ctx, id)
 	if err != nil && result.CodeOf(err) != result.NotFound {
@@ -219,6 +219,7 @@
 				s.log.WithError(err).WithField("job", id).Warn("Could not write the end of a batch job.")
 			}
 		})
+		return result.Wrap(result.OutcomeUnknown, err)
 	}
 	return err
 }
--- a/histories/managed/refusals_test.go
+++ b/histories/managed/refusals_test.go
@@ -68,3 +68,20 @@
 	h.store.update(func(s *storeEmulator) { s.disturb = nil })
 	h.checkResults("job-1", h.fetchAllResults(second, "job-1", 2), 3, 1)
 }
+
+// TestManaged_EndInProgressIsNotRefused guards against answering the end of a batch job
+// with 503 while the daemon goes on trying to write it.
+func TestManaged_EndInProgressIsNotRefused(t *testing.T) {
+	h := newStandardHarness(t, 3, time.Millisecond)
+	d := h.startDaemon("daemon-1")
+	submitJob(h, d, "job-1", jobBody("job-1", 0, 1, 2, 1))
+	h.fetchAllResults(d, "job-1", 2)
+	h.store.update(func(s *storeEmulator) { s.disturb = func([]string) disturbance { return refuseCall } })
+	response := d.call(http.MethodDelete, "/api/lots/job-1", "end-1", nil, "")
+	must.NoError(t, response.err)
+	must.False(t, isRefusal(response.status), must.Sprintf("status %d", response.status))
+	h.store.update(func(s *storeEmulator) { s.disturb = nil })
+	h.waitFor("the end is written", func() bool {
+		return strings.Contains(string(h.store.recordsUnder("flamingobeam/job/owner/job-1")[0].Value), `"ended":true`)
+	})
+}
