Report a request as not run only if none of its attempts ran

The status promises that the request has not run.

Change: the retrier's history also decides the error after the last attempt, and a hedged pair fails with the error of the attempt that may have run. Requests that may not be repeated were not affected: they are never sent again after an attempt that may have run.

--- a/daemon/contract/traffic.go
+++ b/daemon/contract/traffic.go
@@ -101,6 +101,9 @@
 	// the caller, whose code reports the request as not run only if no attempt
 	// ran.
 	AwaitRetry(ctx context.Context, err error) error
+	// FinalError records the error of the last attempt and returns the error for
+	// the caller, like AwaitRetry without a retry.
+	FinalError(err error) error
 	// SpendRetry takes one retry from the budget, for a hedged attempt, and
 	// reports whether the budget had one.
 	SpendRetry() bool
--- a/daemon/services/dispatch/forward.go
+++ b/daemon/services/dispatch/forward.go
@@ -44,14 +44,14 @@
 			reply.Attempts = c.sentCount
 			return reply, nil
 		}
-		err := lastErr
 		if c.pick.Resumes.Last > 0 && c.sentCount == 0 && result.CodeOf(lastErr) == result.NoBackend {
 			return contract.ForwardReply{}, result.New(result.StreamNotResumable, "no server of software version %q", c.pick.Resumes.Origin.Software)
 		}
-		if c.sentCount < c.request.Route.MaxAttempts {
-			if err = c.retrier.AwaitRetry(ctx, lastErr); err == nil {
-				continue
-			}
+		var err error
+		if c.sentCount >= c.request.Route.MaxAttempts {
+			err = c.retrier.FinalError(lastErr)
+		} else if err = c.retrier.AwaitRetry(ctx, lastErr); err == nil {
+			continue
 		}
 		c.service.log.WithError(lastErr).WithFields(logrus.Fields{
 			"request": c.request.ID, "servers_asked": c.sentCount, "max_attempts": c.request.Route.MaxAttempts,
@@ -86,10 +86,14 @@
 	timer := time.NewTimer(c.hedgeDelay())
 	defer timer.Stop()
 	running := 1
+	var mayHaveRunErr error
 	for {
 		select {
 		case outcome := <-results:
 			running--
+			if result.OutcomeOf(outcome.err) == result.MayHaveRun {
+				mayHaveRunErr = outcome.err
+			}
 			c.needsFresh = c.needsFresh || result.CodeOf(outcome.err) == result.BackendBroke
 			if outcome.failure != nil {
 				if outcome.failure.Status == http.StatusInternalServerError {
@@ -107,6 +111,9 @@
 			if outcome.err == nil || running == 0 {
 				cancel()
 				group.Wait()
+				if result.OutcomeOf(outcome.err) == result.NotRun && mayHaveRunErr != nil {
+					return outcome.reply, mayHaveRunErr
+				}
 				return outcome.reply, outcome.err
 			}
 		case <-timer.C:
--- a/daemon/services/retries/retries.go
+++ b/daemon/services/retries/retries.go
@@ -62,8 +62,7 @@
 // AwaitRetry implements contract.Retrier.
 func (r *retrier) AwaitRetry(ctx context.Context, err error) error {
 	if ctx.Err() != nil {
-		r.history.RecordFailure(err)
-		return r.history.FinalError(err)
+		return r.FinalError(err)
 	}
 	decision := r.decide(err)
 	if !decision.Retry {
@@ -83,6 +82,12 @@
 	}
 }
 
+// FinalError implements contract.Retrier.
+func (r *retrier) FinalError(err error) error {
+	r.history.RecordFailure(err)
+	return r.history.FinalError(err)
+}
+
 func (r *retrier) decide(err error) retry.Decision {
 	now := r.service.clock.Now()
 	r.history.RecordFailure(err)
--- a/histories/managed/refusals_test.go
+++ b/histories/managed/refusals_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -85,3 +86,30 @@
 		return strings.Contains(string(h.store.recordsUnder("flamingobeam/job/owner/job-1")[0].Value), `"ended":true`)
 	})
 }
+
+// TestManaged_RepeatedRequestIsNotRefused guards against answering a look-up with 503,
+// which promises that it has not run, when its last attempt was refused and an earlier
+// one has run.
+func TestManaged_RepeatedRequestIsNotRefused(t *testing.T) {
+	h := newHarness(t)
+	h.putConfiguration(1, routeConfig("/status/", "idempotent"))
+	refuse := func(w http.ResponseWriter, _ *http.Request) bool {
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return true
+	}
+	var attempts atomic.Int64
+	breakFirst := func(w http.ResponseWriter, r *http.Request) bool {
+		if attempts.Add(1) == 1 {
+			return breakOff(w, r)
+		}
+		return refuse(w, r)
+	}
+	for _, name := range []string{"plain-1", "plain-2", "plain-3"} {
+		h.addPlain(name).faults = []func(http.ResponseWriter, *http.Request) bool{breakFirst, breakFirst, breakFirst}
+	}
+	response := h.startDaemon("daemon-1").call(http.MethodPost, "/status/1", "look-1", nil, "")
+	must.NoError(t, response.err)
+	must.Eq(t, 3, attempts.Load())
+	must.False(t, isRefusal(response.status), must.Sprintf("status %d", response.status))
+}
