Continue restored texts of singleVersion routes, or begin them anew

Cause: whether a text may continue at an engine's weight version was checked against Text.Version, which checkpoints do not hold. A restored text seemed to be of version 0. The refusal counted as an engine with old weights, after which the item kept its text, so nothing ended the repetition; the engine was excluded for 250 ms each time. The second half also holds for texts that a stopping daemon hands over once the engines have moved on.

TestManaged_SingleVersionTextsContinueAfterTakeover on the code before: not complete after 20 s, with "weight version changed in a single-version text" twice a second for each item, at engines of version 1; ..._BeginAnewAfterSwap and ..._BeginAnewAfterHandover guard the second half.

Change: the text's list of versions decides, which checkpoints and handovers of all releases carry. Another version at the engine is an outcome of its own, which discards the text and does not exclude the engine. Before it is placed or judged, a waiting text is checked against the route once more, as the route may not have been known when the text was restored. Nothing changes in what is stored or crosses net/rpc.

Ruled out: placement, the software versions, the deadlines of the runs.

--- a/daemon/contract/runs.go
+++ b/daemon/contract/runs.go
@@ -67,6 +67,12 @@
 	return resume.Position{Last: t.Last, Origin: t.Origin}
 }
 
+// HasOnlyVersion reports whether no other weight version has generated an event. Only the
+// goroutine that adds to the text may call it.
+func (t *Text) HasOnlyVersion(version structs.WeightVersion) bool {
+	return !slices.ContainsFunc(t.Versions, func(other structs.WeightVersion) bool { return other != version })
+}
+
 // MarkWhole records that the text is complete.
 func (t *Text) MarkWhole() {
 	t.mu.Lock()
@@ -115,11 +121,14 @@
 	RunUnreachable
 	// RunStaleWeights means that the server's weights are older than the job allows.
 	RunStaleWeights
+	// RunOtherWeights means that the server's weights are not those that generated the
+	// text, which must have a single version.
+	RunOtherWeights
 )
 
 // String returns the name of the outcome in the log.
 func (o RunOutcome) String() string {
-	return [...]string{"whole", "cut", "not started", "failed", "impossible", "unreachable", "stale weights"}[o]
+	return [...]string{"whole", "cut", "not started", "failed", "impossible", "unreachable", "stale weights", "other weights"}[o]
 }
 
 // RunResult is the result of a run; Text includes what the run added.
--- a/daemon/services/engines/engines.go
+++ b/daemon/services/engines/engines.go
@@ -4,6 +4,7 @@
 package engines
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -14,6 +15,7 @@
 
 	"github.com/flamingobeam/flamingobeam/coord/result"
 	"github.com/flamingobeam/flamingobeam/coord/resume"
+	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/daemon/config"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
 	"github.com/flamingobeam/flamingobeam/daemon/transport"
@@ -161,9 +163,8 @@
 	}
 	// The response to a stream that is resumed after its last event has no
 	// version.
-	request.Text.Version = headers.Version
-	result.Outcome, result.Err = readEvents(request, response.Body, progress, stallTimer)
-	result.Version = request.Text.Version
+	version := cmp.Or(headers.Version, request.Text.Version)
+	result.Version, result.Outcome, result.Err = readEvents(request, version, response.Body, progress, stallTimer)
 	return result
 }
 
@@ -185,38 +186,38 @@
 		return contract.RunInterrupted, errNoVersion
 	case headers.Version != 0 && headers.Version < request.Job.MinVersion:
 		return contract.RunStaleWeights, errors.Errorf("weight version %d is too old", headers.Version)
-	case request.SingleVersion && request.Text.Last > 0 && headers.Version != 0 && request.Text.Version != headers.Version:
-		return contract.RunStaleWeights, errMixedVersions
+	case request.SingleVersion && headers.Version != 0 && !request.Text.HasOnlyVersion(headers.Version):
+		return contract.RunOtherWeights, errMixedVersions
 	}
 	return contract.RunCompleted, nil
 }
 
 // readEvents appends the events of a stream to the text, until the stream ends
-// or fails. Each event restarts the stall timer.
-func readEvents(request contract.RunRequest, body io.Reader, progress *contract.Progress, stallTimer *time.Timer) (contract.RunOutcome, error) {
-	text := request.Text
-	version, origin := text.Version, resume.OriginOf(request.Server)
+// or fails, and returns the weight version at that point. The stream begins at the
+// given version. Each event restarts the stall timer.
+func readEvents(request contract.RunRequest, version structs.WeightVersion, body io.Reader, progress *contract.Progress, stallTimer *time.Timer) (structs.WeightVersion, contract.RunOutcome, error) {
+	text, origin := request.Text, resume.OriginOf(request.Server)
 	reader := platform.NewEventReader(body)
 	for {
 		event, err := reader.Next()
 		if err == io.EOF {
 			text.MarkWhole()
-			return contract.RunCompleted, nil
+			return version, contract.RunCompleted, nil
 		}
 		if err != nil {
-			return contract.RunInterrupted, err
+			return version, contract.RunInterrupted, err
 		}
 		if event.ID != text.Last+1 {
-			return contract.RunInterrupted, errors.Errorf("event %d after event %d", event.ID, text.Last)
+			return version, contract.RunInterrupted, errors.Errorf("event %d after event %d", event.ID, text.Last)
 		}
 		if event.Version != 0 {
 			if request.SingleVersion && event.Version != version {
-				return contract.RunInterrupted, errMixedVersions
+				return event.Version, contract.RunInterrupted, errMixedVersions
 			}
 			version = event.Version
 		}
 		if version == 0 {
-			return contract.RunInterrupted, errNoVersion
+			return version, contract.RunInterrupted, errNoVersion
 		}
 		stallTimer.Reset(nextEventTimeout)
 		progress.RecordEvent(time.Now())
--- a/daemon/services/jobs/checkpoint.go
+++ b/daemon/services/jobs/checkpoint.go
@@ -159,6 +159,7 @@
 	text.Last = uint64(len(text.Events))
 	for _, version := range part.Versions {
 		text.Versions = batch.AddVersion(text.Versions, version)
+		text.Version = version
 	}
 	text.Whole = part.Whole
 }
--- a/daemon/services/jobs/runs.go
+++ b/daemon/services/jobs/runs.go
@@ -91,6 +91,8 @@
 			break
 		}
 		it.avoidServer(outcome.server.ID)
+	case contract.RunOtherWeights:
+		s.discardText(j, it, "its engine has other weights, and versions may not be mixed")
 	case contract.RunInterrupted:
 		it.avoidServer(outcome.server.ID)
 		if j.route.singleVersion || len(result.Text.Versions) > 0 && !j.AcceptsVersions(result.Text.Versions, false) {
--- a/daemon/services/jobs/schedule.go
+++ b/daemon/services/jobs/schedule.go
@@ -241,6 +241,10 @@
 			s.giveUpItem(j, it, "its time is over")
 			continue
 		}
+		if versions := it.text.Versions; len(versions) > 0 && !j.AcceptsVersions(versions, j.route.singleVersion) {
+			// The route was not known, or allowed several versions, when the text began.
+			s.discardText(j, it, "its weight versions may not be mixed or are too old")
+		}
 		if it.text.Whole {
 			s.judgeItem(j, it)
 			continue
