Serve batch jobs whose route was removed

Cause: the front end asked the configuration before it asked for the job. On a host without routes, or with a route that takes the path, the request counted as an ordinary one.

TestManaged_JobOutlivesItsRoute failed for all three of its configurations before: 404 without a route of the host, and the server's answer where a route with the prefix "/" stands beside or instead of the batch route. It also reads the body of an item and ends a job, which took the same way.

Change: a job outlives its route, so the front end asks whether there is one. Only where a route takes the path and there is no such job is the request an ordinary one. Ordinary requests to such paths cost a read of the store.

Ruled out: the store, the retention, the owner of the job.

--- a/coord/catalog/catalog.go
+++ b/coord/catalog/catalog.go
@@ -136,8 +136,10 @@
 	return nil
 }
 
-// HasHost reports whether a host has any route.
-func (c *Catalog) HasHost(host string) bool { return len(c.routes[strings.ToLower(host)]) > 0 }
+// HasBatchRoute reports whether a host has a route for batch jobs.
+func (c *Catalog) HasBatchRoute(host string) bool {
+	return slices.ContainsFunc(c.routes[strings.ToLower(host)], func(route *Route) bool { return route.Kind == KindBatch })
+}
 
 // RequiresSingleVersion reports whether any batch route to a service has
 // SingleVersion set.
--- a/daemon/contract/managed.go
+++ b/daemon/contract/managed.go
@@ -289,6 +289,9 @@
 	// body. After an error with code OutcomeUnknown the job may still become
 	// accepted.
 	Submit(ctx context.Context, job *batch.Job, source []byte) error
+	// Exists reports whether there is a job with an ID. It fails if the store does not
+	// answer.
+	Exists(ctx context.Context, id string) (bool, error)
 	// Results returns the recorded results from an index on.
 	Results(ctx context.Context, request ResultsRequest) (ResultsReply, error)
 	// ItemBody returns the body of an item.
--- a/daemon/services/gate/gate.go
+++ b/daemon/services/gate/gate.go
@@ -36,6 +36,9 @@
 	// lastResponseTime is the end of drainTimeout that is left for the responses to
 	// requests that did not end by themselves.
 	lastResponseTime = 200 * time.Millisecond
+	// jobLookupTimeout bounds the lookup of a batch job whose path an ordinary route
+	// takes as well.
+	jobLookupTimeout = 500 * time.Millisecond
 	// headerTimeout and idleTimeout are longer than the operator's limits, so that
 	// the server closes no connection on which a request within these limits is
 	// arriving.
@@ -163,12 +166,13 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// jobHandler wraps a handler of the batch job API. If the configuration has a route
-// for the path, or none for the host, the request is served as an ordinary one.
+// jobHandler wraps a handler of the batch job API. A job outlives its route, so the
+// configuration does not decide whether there is one. If a route also takes the path, a
+// request that does not concern a job is served as an ordinary one.
 func (s *service) jobHandler(handle httprouter.Handle) httprouter.Handle {
 	return func(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
 		current := s.catalog.Current().Load().Catalog
-		if current != nil && (!current.HasHost(r.Host) || current.Match(r.Host, r.URL.Path) != nil) {
+		if current != nil && current.Match(r.Host, r.URL.EscapedPath()) != nil && !s.concernsJob(r, params.ByName(platform.ParamID), current) {
 			s.serveRoute(w, r)
 			return
 		}
@@ -176,6 +180,19 @@
 	}
 }
 
+// concernsJob reports whether a request of which the path has the form of the batch job
+// API is for a job. While the store does not answer, that depends on whether jobs are
+// submitted to the host.
+func (s *service) concernsJob(r *http.Request, id string, current *catalog.Catalog) bool {
+	ctx, cancel := context.WithTimeout(r.Context(), jobLookupTimeout)
+	defer cancel()
+	exists, err := s.jobs.Exists(ctx, id)
+	if err != nil {
+		return current.HasBatchRoute(r.Host)
+	}
+	return exists
+}
+
 // serveRoute serves a request by its route: it submits a batch job or forwards the
 // request to a server.
 func (s *service) serveRoute(w http.ResponseWriter, r *http.Request) {
--- a/daemon/services/jobs/results.go
+++ b/daemon/services/jobs/results.go
@@ -40,6 +40,18 @@
 	readAt    time.Time
 }
 
+// Exists implements contract.Jobs.
+func (s *service) Exists(ctx context.Context, id string) (bool, error) {
+	if _, isOwned := s.jobViews.Load(id); isOwned {
+		return true, nil
+	}
+	_, err := s.lookUpOwner(ctx, id)
+	if result.CodeOf(err) == result.NotFound {
+		return false, nil
+	}
+	return err == nil, err
+}
+
 // Results implements contract.Jobs.
 func (s *service) Results(ctx context.Context, request contract.ResultsRequest) (contract.ResultsReply, error) {
 	if reply, ok := s.readOwnResults(ctx, request); ok {
--- a/histories/managed/routes_test.go
+++ b/histories/managed/routes_test.go
@@ -1,6 +1,7 @@
 package managed
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
@@ -36,3 +37,52 @@
 		}
 	}
 }
+
+// TestManaged_JobOutlivesItsRoute guards against batch jobs that cannot be read or ended
+// once the configuration has no route for their host, or an ordinary route that takes
+// all paths. The routes of the jobs are removed, or only such a route is added.
+func TestManaged_JobOutlivesItsRoute(t *testing.T) {
+	elsewhere := routeConfig("/status/", "idempotent")
+	elsewhere["hostname"] = "elsewhere.example"
+	all := routeConfig("/", "idempotent")
+	batch := routeConfig("/train/", "rollout")
+	batch["service"], batch["itemTtlS"] = engineService, 60
+	for name, routes := range map[string][]map[string]any{
+		"no route of the host":          {elsewhere},
+		"an ordinary route of the host": {all},
+		"the batch route and another":   {all, batch, routeConfig("/judge/", "idempotent")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h := newStandardHarness(t, 5, time.Millisecond)
+			first, second := h.startTwoDaemons()
+			submitJob(h, first, "job-1", jobBody("job-1", 0, 1, 3, 1))
+			results := h.fetchAllResults(second, "job-1", 3)
+			for _, e := range h.engines {
+				e.setPace(time.Minute)
+			}
+			submitJob(h, first, "job-2", jobBody("job-2", 1, 1, 1, 1))
+			h.putRoutes(2, routes)
+			for _, d := range h.daemons {
+				// The plain server answers for a route that takes all paths.
+				want := http.StatusNotFound
+				if routes[0]["pathPrefix"] == "/" {
+					want = http.StatusOK
+				}
+				h.waitFor("the configuration is in force", func() bool {
+					return d.call(http.MethodPost, "/claims/1", "probe", nil, "").status == want &&
+						d.call(http.MethodPost, "/status/1", "probe", nil, "").status == want
+				})
+				page, status := d.fetchResults("job-1", 0)
+				must.Eq(t, http.StatusOK, status)
+				must.Eq(t, results, page.Results)
+				body := d.call(http.MethodGet, "/api/items/job-2?id=job-2-0", "", nil, "")
+				must.Eq(t, http.StatusOK, body.status)
+				must.Eq(t, "prompt of job-2-0", body.body)
+				must.Eq(t, want, d.call(http.MethodGet, "/api/lots/unknown", "read-1", nil, "").status)
+			}
+			must.Eq(t, http.StatusOK, second.call(http.MethodDelete, "/api/lots/job-2", "", nil, "").status)
+			must.StrContains(t, string(h.store.recordsUnder("flamingobeam/job/owner/job-2")[0].Value), `"ended":true`)
+		})
+	}
+}
