Bound the text that an engine's stream may add

From the report of another operator: a faulty server sent bytes without end, and the machine that had called it ran out of memory.

Cause: the text of an item took every event with the next number, and each restarted the stall timer. Nothing bounded their sum.

Change: a text holds at most 512 KiB, what a value of the store can hold, and no more events than the longest output has tokens, with 64 to spare. Beyond that the run ends, the item avoids the engine and its text begins anew.

--- a/daemon/contract/runs.go
+++ b/daemon/contract/runs.go
@@ -124,11 +124,14 @@
 	// RunOtherWeights means that the server's weights are not those that generated the
 	// text, which must have a single version.
 	RunOtherWeights
+	// RunOverlong means that the server sent more than the item's text can hold, so
+	// that none of its events can be trusted.
+	RunOverlong
 )
 
 // String returns the name of the outcome in the log.
 func (o RunOutcome) String() string {
-	return [...]string{"whole", "cut", "not started", "failed", "impossible", "unreachable", "stale weights", "other weights"}[o]
+	return [...]string{"whole", "cut", "not started", "failed", "impossible", "unreachable", "stale weights", "other weights", "overlong"}[o]
 }
 
 // RunResult is the result of a run; Text includes what the run added.
--- a/daemon/services/engines/engines.go
+++ b/daemon/services/engines/engines.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"context"
 	"io"
+	"math"
 	"net/http"
 	"time"
 
@@ -43,6 +44,14 @@
 	// nextEventTimeout bounds the wait for each further event. It is longer
 	// than the pause of a weight swap.
 	nextEventTimeout = 1600 * time.Millisecond
+	// maxTextBytes bounds a text with its events: a result must fit in one value of the
+	// store, which holds 1 MiB of JSON.
+	maxTextBytes = 512 << 10
+	// eventOverhead is what an event costs in memory and in a result besides its data,
+	// in bytes.
+	eventOverhead = 32
+	// maxEmptyEvents is the number of events of a text that may hold no token.
+	maxEmptyEvents = 64
 	// limitPatience is how long a run waits for an engine whose limit of requests is
 	// used up, before it is placed elsewhere.
 	limitPatience = 100 * time.Millisecond
@@ -52,6 +61,7 @@
 	errStalled       = errors.New("engines: stream stalled")
 	errNoVersion     = errors.New("engines: response has no weight version")
 	errWrongAttempt  = errors.New("engines: response to another request")
+	errOverlong      = errors.New("engines: stream has more events than the longest output")
 	errMixedVersions = errors.New("engines: weight version changed in a single-version text")
 )
 
@@ -192,11 +202,34 @@
 	return contract.RunCompleted, nil
 }
 
+// textBounds is how much may still be added to a text. A faulty engine may send events
+// without end.
+type textBounds struct{ events, bytes int }
+
+func newTextBounds(request contract.RunRequest) textBounds {
+	bounds := textBounds{events: math.MaxInt, bytes: maxTextBytes}
+	if longest := request.Item.MaxOutputTokens; longest > 0 {
+		bounds.events = longest + maxEmptyEvents
+	}
+	for _, data := range request.Text.Events {
+		bounds.take(data)
+	}
+	return bounds
+}
+
+// take reports whether the data of another event may be added, and counts it.
+func (b *textBounds) take(data string) bool {
+	b.events--
+	b.bytes -= len(data) + eventOverhead
+	return b.events >= 0 && b.bytes >= 0
+}
+
 // readEvents appends the events of a stream to the text, until the stream ends
 // or fails, and returns the weight version at that point. The stream begins at the
 // given version. Each event restarts the stall timer.
 func readEvents(request contract.RunRequest, version structs.WeightVersion, body io.Reader, progress *contract.Progress, stallTimer *time.Timer) (structs.WeightVersion, contract.RunOutcome, error) {
 	text, origin := request.Text, resume.OriginOf(request.Server)
+	bounds := newTextBounds(request)
 	reader := platform.NewEventReader(body)
 	for {
 		event, err := reader.Next()
@@ -210,6 +243,9 @@
 		if event.ID != text.Last+1 {
 			return version, contract.RunInterrupted, errors.Errorf("event %d after event %d", event.ID, text.Last)
 		}
+		if !bounds.take(event.Data) {
+			return version, contract.RunOverlong, errOverlong
+		}
 		if event.Version != 0 {
 			if request.SingleVersion && event.Version != version {
 				return event.Version, contract.RunInterrupted, errMixedVersions
--- a/daemon/services/jobs/runs.go
+++ b/daemon/services/jobs/runs.go
@@ -93,6 +93,9 @@
 		it.avoidServer(outcome.server.ID)
 	case contract.RunOtherWeights:
 		s.discardText(j, it, "its engine has other weights, and versions may not be mixed")
+	case contract.RunOverlong:
+		it.avoidServer(outcome.server.ID)
+		s.discardText(j, it, "its engine sent more than a text can hold")
 	case contract.RunInterrupted:
 		it.avoidServer(outcome.server.ID)
 		if j.route.singleVersion || len(result.Text.Versions) > 0 && !j.AcceptsVersions(result.Text.Versions, false) {
--- a/daemon/services/links/relay_server.go
+++ b/daemon/services/links/relay_server.go
@@ -124,7 +124,10 @@
 	w.WriteHeader(http.StatusBadGateway)
 }
 
-var errUnknownServer = errors.New("links: the server is not listed")
+var (
+	errUnknownServer = errors.New("links: the server is not listed")
+	errBodyTooLong   = errors.New("links: the body of a relayed request is too long")
+)
 
 // decodeRelayed returns the exchange that a request of another daemon asks for. It fails
 // unless a listed server has the address.
@@ -135,10 +138,13 @@
 	if !ok || listed.Address != address {
 		return contract.Exchange{}, errors.Wrapf(errUnknownServer, "%s at %q", server, address)
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxRelayedBody))
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxRelayedBody+1))
 	if err != nil {
 		return contract.Exchange{}, errors.WithStack(err)
 	}
+	if len(body) > maxRelayedBody {
+		return contract.Exchange{}, errBodyTooLong
+	}
 	repeatable := r.Header.Get(headerRepeatable) != ""
 	for _, name := range []string{headerServer, headerAddress, headerTarget, headerRepeatable} {
 		r.Header.Del(name)
