--- a/histories/managed/daemon_test.go
+++ b/histories/managed/daemon_test.go
@@ -110,12 +110,9 @@
 	for len(ports) < count {
 		port := firstPort + int(portOffset.Add(1))
 		must.LessEq(t, lastPort, port)
-		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
-		if err != nil {
-			continue
+		if isFree(port) {
+			ports = append(ports, port)
 		}
-		must.NoError(t, listener.Close())
-		ports = append(ports, port)
 	}
 	return ports
 }
@@ -123,12 +120,20 @@
 // freePortRange returns the first of two adjacent free ports.
 func freePortRange(t *testing.T) int {
 	for {
-		if ports := freePorts(t, 2); ports[1] == ports[0]+1 {
-			return ports[0]
+		second := firstPort + int(portOffset.Add(2))
+		must.LessEq(t, lastPort, second)
+		if isFree(second-1) && isFree(second) {
+			return second - 1
 		}
 	}
 }
 
+// isFree reports whether no process listens on a port.
+func isFree(port int) bool {
+	listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+	return err == nil && listener.Close() == nil
+}
+
 // startDaemon starts a daemon in this process and waits until it is ready.
 func (h *harness) startDaemon(name string) *daemon { return h.startDaemonWith(name, nil) }
 
--- a/histories/managed/process_test.go
+++ b/histories/managed/process_test.go
@@ -41,7 +41,10 @@
 
 // startProcess starts a daemon as a process and waits until it is ready. If the
 // test fails, the end of the daemon's log is printed.
-func (h *harness) startProcess(name string) *process {
+func (h *harness) startProcess(name string) *process { return h.startProcessOf(daemonBinary, name) }
+
+// startProcessOf is startProcess for another binary of flamingobeamd.
+func (h *harness) startProcessOf(binary, name string) *process {
 	ports := freePorts(h.t, 3)
 	p := &process{daemon: daemon{
 		storeProxy: newStoreProxy(h.t, h.store.address()),
@@ -50,7 +53,7 @@
 	folder := h.t.TempDir()
 	configPath := filepath.Join(folder, "local.conf")
 	must.NoError(h.t, os.WriteFile(configPath, []byte(p.hostConfig(name, freePortRange(h.t))), 0o600))
-	p.command = exec.Command(daemonBinary, "entry", fmt.Sprintf("--metrics-port=%d", ports[2]))
+	p.command = exec.Command(binary, "entry", fmt.Sprintf("--metrics-port=%d", ports[2]))
 	p.command.Env = append(os.Environ(), "FLAMINGOBEAM_NODE_FILE="+configPath)
 	log, err := os.Create(filepath.Join(folder, "log"))
 	must.NoError(h.t, err)
--- a/histories/managed/single_version_test.go
+++ b/histories/managed/single_version_test.go
@@ -51,6 +51,7 @@
 // singleVersion route that are never finished once their texts were restored from
 // checkpoints.
 func TestManaged_SingleVersionTextsContinueAfterTakeover(t *testing.T) {
+	t.Parallel()
 	h := newStandardHarness(t, 120, 20*time.Millisecond)
 	h.putSingleVersionRoute(2)
 	first := h.startProcess("daemon-1")
@@ -66,6 +67,7 @@
 // route that are never finished because all engines have moved to a newer weight version
 // than that of their restored texts.
 func TestManaged_SingleVersionTextsBeginAnewAfterSwap(t *testing.T) {
+	t.Parallel()
 	h := newStandardHarness(t, 120, 20*time.Millisecond)
 	h.putSingleVersionRoute(2)
 	first := h.startProcess("daemon-1")
@@ -83,6 +85,7 @@
 // TestManaged_SingleVersionTextsBeginAnewAfterSwap for texts that a stopping daemon hands
 // over.
 func TestManaged_SingleVersionTextsBeginAnewAfterHandover(t *testing.T) {
+	t.Parallel()
 	h := newStandardHarness(t, 120, 50*time.Millisecond)
 	h.putSingleVersionRoute(2)
 	first := h.startProcess("daemon-1")
