Wait for requests in flight as long as the grace period allows

Cause: the drain time was fixed and not taken from the grace period, since batch jobs were handed over only after the drain.

Change: requests are waited for until five sixths of the grace period. If that lasts longer than 5.6 s, the jobs are handed over at that time as before, beside the drain. A job that is handed over is dropped at once, so that reads of its results that wait here go to the new owner.

Ruled out: the route's timeout and the callers' deadlines, which are later.

--- a/daemon/agent/managed.go
+++ b/daemon/agent/managed.go
@@ -104,6 +104,7 @@
 		Metrics:       fmt.Sprintf("%s:%d", host.IP, metricsPort),
 		Regions:       host.Regions,
 		Strength:      host.CPUCores,
+		StopGrace:     host.TimeLimits.StopGracePeriod,
 		ResultsKept:   host.TimeLimits.ResultRetention,
 		ConfigApply:   host.TimeLimits.ConfigApply,
 		FirstStart:    host.FirstStart,
--- a/daemon/config/config.go
+++ b/daemon/config/config.go
@@ -56,6 +56,8 @@
 	// Strength is the number of processor cores that the daemon may use, and may be
 	// a fraction; zero means unknown.
 	Strength float64
+	// StopGrace is the time between the request to stop this process and its kill.
+	StopGrace time.Duration
 	// ResultsKept is how long the results of a batch job must remain readable.
 	ResultsKept time.Duration
 	// ConfigApply is how soon a configuration must be in force.
--- a/daemon/contract/managed.go
+++ b/daemon/contract/managed.go
@@ -302,4 +302,6 @@
 	// Quiesce directs further submissions to other daemons, because this one is
 	// about to stop.
 	Quiesce()
+	// HandOver stops the work on all open jobs and hands them over to other daemons.
+	HandOver(ctx context.Context) error
 }
--- a/daemon/services/gate/gate.go
+++ b/daemon/services/gate/gate.go
@@ -31,11 +31,16 @@
 	// ready before it closes its listener. The load balancer probes once a second
 	// and stops sending requests after two failed probes.
 	unreadyPeriod = 3 * time.Second
-	// drainTimeout is the timeout for requests in flight after unreadyPeriod.
-	drainTimeout = 2800 * time.Millisecond
-	// lastResponseTime is the end of drainTimeout that is left for the responses to
-	// requests that did not end by themselves.
+	// drainFraction is the part of the time between the request to stop this process and
+	// its kill for which requests in flight are waited for. The platform expects no
+	// longer ones to end.
+	drainFraction = 5.0 / 6
+	// lastResponseTime is left after that for the responses to requests that did not end
+	// by themselves.
 	lastResponseTime = 200 * time.Millisecond
+	// handoverDelay is how long after unreadyPeriod batch jobs are handed over at the
+	// latest. While requests are waited for, the time afterwards may not suffice.
+	handoverDelay = 2600 * time.Millisecond
 	// jobLookupTimeout bounds the lookup of a batch job whose path an ordinary route
 	// takes as well.
 	jobLookupTimeout = 500 * time.Millisecond
@@ -166,6 +171,22 @@
 	w.WriteHeader(http.StatusOK)
 }
 
+// awaitDrain waits until the requests in flight have ended. If that takes long, it hands
+// over the batch jobs meanwhile.
+func (s *service) awaitDrain(ctx context.Context, drained <-chan error) error {
+	timer := time.NewTimer(handoverDelay)
+	defer timer.Stop()
+	select {
+	case err := <-drained:
+		return err
+	case <-timer.C:
+	}
+	if err := s.jobs.HandOver(ctx); err != nil {
+		s.log.WithError(err).Warn("Could not hand over the batch jobs; trying again later.")
+	}
+	return <-drained
+}
+
 // jobHandler wraps a handler of the batch job API. A job outlives its route, so the
 // configuration does not decide whether there is one. If a route also takes the path, a
 // request that does not concern a job is served as an ordinary one.
@@ -213,10 +234,16 @@
 	}
 }
 
+// drainTime returns how long after the request to stop this process requests in flight
+// are ended.
+func (s *service) drainTime() time.Duration {
+	return max(unreadyPeriod, time.Duration(drainFraction*float64(s.config.Platform.StopGrace)))
+}
+
 // Stop implements kernel.Service. It continues to serve until the load balancer has
 // detected that this daemon is not ready, and then waits for the requests in flight.
 func (s *service) Stop(ctx context.Context) error {
-	drainTime := unreadyPeriod + drainTimeout - lastResponseTime
+	drainTime := s.drainTime()
 	s.drainEnd.Store(time.Now().Add(drainTime).UnixNano())
 	defer time.AfterFunc(drainTime, s.endRequests).Stop()
 	s.stopping.Store(true)
@@ -226,9 +253,11 @@
 	case <-time.After(unreadyPeriod):
 	case <-ctx.Done():
 	}
-	ctx, cancel := context.WithTimeout(ctx, drainTimeout)
+	shutdownCtx, cancel := context.WithTimeout(ctx, drainTime+lastResponseTime-unreadyPeriod)
 	defer cancel()
-	err := s.callerServer.Shutdown(ctx)
+	drained := make(chan error, 1)
+	s.goroutines.Go(func() { drained <- s.callerServer.Shutdown(shutdownCtx) })
+	err := s.awaitDrain(ctx, drained)
 	if err != nil {
 		s.log.WithError(err).Warn("Drain timed out; closing connections in use.")
 		err = s.callerServer.Close()
--- a/daemon/services/jobs/jobs.go
+++ b/daemon/services/jobs/jobs.go
@@ -301,5 +301,6 @@
 	s.offerTexts(j)
 }
 
-// Stop implements kernel.Service. It hands the open jobs over to other daemons.
-func (s *service) Stop(ctx context.Context) error { return s.handOverJobs(ctx) }
+// Stop implements kernel.Service. It hands over the open jobs that this daemon still
+// owns.
+func (s *service) Stop(ctx context.Context) error { return s.HandOver(ctx) }
--- a/daemon/services/jobs/takeover.go
+++ b/daemon/services/jobs/takeover.go
@@ -258,8 +258,8 @@
 	texts     map[batch.ItemID]*contract.Text
 }
 
-// handOverJobs hands the open jobs over to other daemons at a planned stop.
-func (s *service) handOverJobs(ctx context.Context) error {
+// HandOver implements contract.Jobs.
+func (s *service) HandOver(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
 	defer cancel()
 	var handovers []handover
@@ -336,7 +336,9 @@
 	}
 	log.Info("Batch job handed over.")
 	s.rememberOwner(h.id, ownership)
-	s.jobViews.Delete(h.id)
+	if err := s.loopExecutor.Do(ctx, func() { s.dropHandedOver(h) }); err != nil {
+		log.WithError(err).Info("Could not drop a batch job that was handed over.")
+	}
 	if address := s.addressOf(successor); address != "" {
 		var reply struct{}
 		if err := s.callPeer(ctx, address, "Adopt", AdoptRPC{ID: h.id, Texts: h.texts}, &reply, 0); err != nil {
@@ -345,6 +347,14 @@
 	}
 }
 
+// dropHandedOver drops a job that another daemon owns now, so that reads of its results
+// which wait here are passed on. It runs on the control goroutine.
+func (s *service) dropHandedOver(h handover) {
+	if j := s.ownedJobs[h.id]; j != nil && j.ownership.Epoch == h.ownership.Epoch {
+		s.dropJob(j, "it was handed over")
+	}
+}
+
 // errNotHandedOver is returned when a job at a planned stop has another owner or
 // was ended.
 var errNotHandedOver = errors.New("jobs: job was ended or has another owner")
