Do not report a relayed look-up as unsent that may have run

Requests that may not be repeated were not affected: they are not tried again after such a failure.

Change: the relay returns the error of the attempt that may have been made, and so does an exchange that was made directly before.

--- a/daemon/services/links/relay_client.go
+++ b/daemon/services/links/relay_client.go
@@ -56,18 +56,21 @@
 )
 
 var (
-	errNoHelper    = errors.New("links: no other daemon reaches the server")
-	errUnreachable = errors.New("links: the server is unreachable from another daemon too")
-	errBroken      = errors.New("links: the server's response to another daemon broke off")
+	errNoHelper      = errors.New("links: no other daemon reaches the server")
+	errUnreachable   = errors.New("links: the server is unreachable from another daemon too")
+	errHelperRefused = errors.New("links: the other daemon did not pass the request on")
+	errBroken        = errors.New("links: the server's response to another daemon broke off")
 )
 
-// relay sends a request through other daemons until one has sent it.
+// relay sends a request through other daemons until one has sent it. If one of them may
+// have sent a repeatable request, a failure of the others does not hide that.
 func (s *service) relay(ctx context.Context, request contract.Exchange) (*http.Response, error) {
 	started := time.Now()
 	outgoing, err := request.Build(ctx)
 	if err != nil {
 		return nil, err
 	}
+	var mayBeSentErr error
 	onlyOnce := !request.Repeatable && transport.MayReplay(outgoing)
 	for _, helper := range s.helpers(onlyOnce) {
 		response, isFinal, err := s.relayThrough(ctx, helper, request)
@@ -77,11 +80,17 @@
 		}
 		s.log.WithError(err).WithFields(logrus.Fields{"helper": helper.Name, "server": request.Server}).Info("A daemon does not pass a request on.")
 		s.avoidHelper(helper)
+		if !transport.IsDialFailure(err) && !errors.Is(err, errHelperRefused) {
+			mayBeSentErr = err
+		}
 		if ctx.Err() != nil {
 			break
 		}
 	}
 	s.metrics.Count("links.no_helper", 1)
+	if mayBeSentErr != nil {
+		return nil, mayBeSentErr
+	}
 	return nil, dialError(errNoHelper)
 }
 
@@ -119,7 +128,7 @@
 		return nil, true, errBroken
 	default:
 		transport.Discard(response)
-		return nil, false, errors.Errorf("refused: %s", why)
+		return nil, false, errors.Wrap(errHelperRefused, string(why))
 	}
 }
 
--- a/daemon/services/links/relay_test.go
+++ b/daemon/services/links/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -11,6 +12,7 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+	"github.com/sirupsen/logrus"
 
 	"github.com/flamingobeam/flamingobeam/coord/membership"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
@@ -32,7 +34,10 @@
 	for _, member := range members {
 		live[member.Name] = member
 	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
 	return &service{
+		log: logrus.NewEntry(log), metrics: noMetrics{},
 		session:                 fakeSession{view: kernel.NewSnapshot(&contract.SessionView{Live: live})},
 		avoidedHelpers:          make(map[string]time.Time),
 		relayTransport:          transport.New(transport.Options{DialTimeout: time.Second, MaxIdlePerHost: 1}),
@@ -44,6 +49,19 @@
 	return http.NewRequestWithContext(ctx, http.MethodGet, "http://server/claims/1", nil)
 }
 
+func buildPost(ctx context.Context) (*http.Request, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://server/status/1", strings.NewReader("body"))
+	request.GetBody = nil
+	return request, err
+}
+
+// noMetrics drops all metrics.
+type noMetrics struct{ contract.Metrics }
+
+func (noMetrics) Count(string, int64) {}
+
+func (noMetrics) Time(string, time.Duration) {}
+
 // TestRelayThrough_HelperBreaksOff guards against a request that reaches a helper twice:
 // its connection ends after it has passed the request on.
 func TestRelayThrough_HelperBreaksOff(t *testing.T) {
@@ -65,6 +83,28 @@
 	must.Eq(t, 2, received.Load())
 }
 
+// TestRelay_UnknownOutcomeIsNotHidden guards against reporting a look-up as not sent that
+// one helper may have passed on, because the others refuse it.
+func TestRelay_UnknownOutcomeIsNotHidden(t *testing.T) {
+	var attempts atomic.Int64
+	respond := func(w http.ResponseWriter, _ *http.Request) {
+		if attempts.Add(1) == 1 {
+			panic(http.ErrAbortHandler)
+		}
+		refuseRelayed(w, refusalBusy)
+	}
+	var members []membership.Member
+	for _, name := range []string{"first.1", "second.1"} {
+		helper := httptest.NewServer(http.HandlerFunc(respond))
+		defer helper.Close()
+		members = append(members, membership.Member{Name: name, RelayAddress: strings.TrimPrefix(helper.URL, "http://"), RelaysOnce: true})
+	}
+	_, err := newRelayClient(members...).relay(t.Context(), contract.Exchange{Repeatable: true, Build: buildPost})
+	must.Error(t, err)
+	must.Eq(t, 2, attempts.Load())
+	must.False(t, transport.IsDialFailure(err))
+}
+
 // TestHelpers_EarlierRelease checks that a request that must not be repeated is not sent
 // through a helper of an earlier release, which might send it twice.
 func TestHelpers_EarlierRelease(t *testing.T) {
--- a/daemon/services/links/service.go
+++ b/daemon/services/links/service.go
@@ -156,7 +156,12 @@
 	if s.reportFailure(ctx, request.Server) != reach.CutOff {
 		return nil, err
 	}
-	return s.relay(ctx, request)
+	response, relayErr := s.relay(ctx, request)
+	if e.isConnected.Load() && transport.IsDialFailure(relayErr) {
+		// The request was not relayed, but the direct exchange may have run it.
+		return nil, err
+	}
+	return response, relayErr
 }
 
 // reportFailure records that a server failed, and returns the state of the links. It
