Ignore a caller's header that is for daemons only

TestRelayThrough_RepeatableHeader now builds its requests with that header: it failed before and passes now.

--- a/daemon/services/links/relay_client.go
+++ b/daemon/services/links/relay_client.go
@@ -104,6 +104,8 @@
 	outgoing.Header.Set(headerServer, string(request.Server))
 	outgoing.Header.Set(headerAddress, request.Address)
 	outgoing.Header.Set(headerTarget, outgoing.URL.RequestURI())
+	// A caller's header of this name says nothing.
+	outgoing.Header.Del(headerRepeatable)
 	if request.Repeatable && helper.RelaysOnce {
 		// An earlier release would pass the header on to the server.
 		outgoing.Header.Set(headerRepeatable, "1")
--- a/daemon/services/links/relay_test.go
+++ b/daemon/services/links/relay_test.go
@@ -45,8 +45,11 @@
 	}
 }
 
+// buildGet builds a request whose caller has set a header that is for daemons only.
 func buildGet(ctx context.Context) (*http.Request, error) {
-	return http.NewRequestWithContext(ctx, http.MethodGet, "http://server/claims/1", nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://server/claims/1", nil)
+	request.Header.Set(headerRepeatable, "yes")
+	return request, err
 }
 
 func buildPost(ctx context.Context) (*http.Request, error) {
