--- a/histories/managed/single_version_test.go
+++ b/histories/managed/single_version_test.go
@@ -47,15 +47,23 @@
 	}
 }
 
+// startSingleVersionJob starts a daemon and submits a job to it whose texts must have one
+// weight version.
+func startSingleVersionJob(t *testing.T, pace time.Duration) (*harness, *process) {
+	t.Helper()
+	h := newStandardHarness(t, 120, pace)
+	h.putSingleVersionRoute(2)
+	d := h.startProcess("daemon-1")
+	submitJob(h, &d.daemon, "job-1", jobBody("job-1", 0, 1, 2, 2))
+	return h, d
+}
+
 // TestManaged_SingleVersionTextsContinueAfterTakeover guards against items of a
 // singleVersion route that are never finished once their texts were restored from
 // checkpoints.
 func TestManaged_SingleVersionTextsContinueAfterTakeover(t *testing.T) {
 	t.Parallel()
-	h := newStandardHarness(t, 120, 20*time.Millisecond)
-	h.putSingleVersionRoute(2)
-	first := h.startProcess("daemon-1")
-	submitJob(h, &first.daemon, "job-1", jobBody("job-1", 0, 1, 2, 2))
+	h, first := startSingleVersionJob(t, 20*time.Millisecond)
 	h.waitFor("a checkpoint is stored", func() bool { return len(h.store.recordsUnder("flamingobeam/job/text/")) > 0 })
 	first.kill()
 	restarted := h.startProcess("daemon-1")
@@ -68,10 +76,7 @@
 // than that of their restored texts.
 func TestManaged_SingleVersionTextsBeginAnewAfterSwap(t *testing.T) {
 	t.Parallel()
-	h := newStandardHarness(t, 120, 20*time.Millisecond)
-	h.putSingleVersionRoute(2)
-	first := h.startProcess("daemon-1")
-	submitJob(h, &first.daemon, "job-1", jobBody("job-1", 0, 1, 2, 2))
+	h, first := startSingleVersionJob(t, 20*time.Millisecond)
 	h.waitFor("a checkpoint is stored", func() bool { return len(h.store.recordsUnder("flamingobeam/job/text/")) > 0 })
 	first.kill()
 	for _, e := range h.engines {
@@ -86,10 +91,7 @@
 // over.
 func TestManaged_SingleVersionTextsBeginAnewAfterHandover(t *testing.T) {
 	t.Parallel()
-	h := newStandardHarness(t, 120, 50*time.Millisecond)
-	h.putSingleVersionRoute(2)
-	first := h.startProcess("daemon-1")
-	submitJob(h, &first.daemon, "job-1", jobBody("job-1", 0, 1, 2, 2))
+	h, first := startSingleVersionJob(t, 50*time.Millisecond)
 	second := h.startDaemon("daemon-2")
 	h.waitFor("every item runs", func() bool { return len(h.runsOfItems()) == 4 })
 	h.refuseRuns()
