Give the test of a handover the executor of the control loop

TestHandOverJob_LostReply panicked, because its service had no executor of the control loop, which a handover needs since it drops the job. The daemon has one. The fixture gets it; the test is unchanged, and TestHandOverJob_DropsJob checks the drop.

--- a/daemon/services/jobs/reconcile_test.go
+++ b/daemon/services/jobs/reconcile_test.go
@@ -82,7 +82,7 @@
 	t.Helper()
 	s, store, peers := newService(), &memoryStore{records: make(map[string]outside.Record)}, &recordedPeers{}
 	s.store, s.jobStore, s.peers = store, newJobStore(store), peers
-	s.workers = kernel.NewWorkers(10)
+	s.workers, s.loopExecutor = kernel.NewWorkers(10), kernel.NewLoopExecutor(s.loop)
 	// There are no engines to place items on.
 	s.isStopping = true
 	s.adoptions = kernel.NewMailbox(s.loop, mailboxCapacity, s.adopt)
@@ -160,3 +160,14 @@
 	s.handOverJob(t.Context(), handover{id: "job", ownership: stored.ownership}, "host-2.1a")
 	must.Eq(t, []string{"Jobs.Adopt"}, peers.methods)
 }
+
+// TestHandOverJob_DropsJob checks that a daemon no longer owns a job that it has handed
+// over, as reads of its results would wait there.
+func TestHandOverJob_DropsJob(t *testing.T) {
+	s, _, _ := newStoredService(t)
+	stored := storeJob(t, s, "host-1.1a")
+	s.deliverAdoption(adoption{storedJob: stored})
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return s.isOwned("job") }), wait.Timeout(10*time.Second), wait.Gap(5*time.Millisecond)))
+	s.handOverJob(t.Context(), handover{id: "job", ownership: stored.ownership}, "host-2.1a")
+	must.False(t, s.isOwned("job"))
+}
