Reword three comments and an error, group the drain with Stop, test a record

Read as a newcomer would: awaitDrain now stands with Stop, which calls it; a comment, a test's comment and an error said less than they should. No logic is changed. TestMember_ReadByEarlierRelease shows the other direction of the daemon's record in the store, which only the test of two builds had shown; it passes.

--- a/daemon/services/engines/engines.go
+++ b/daemon/services/engines/engines.go
@@ -61,7 +61,7 @@
 	errStalled       = errors.New("engines: stream stalled")
 	errNoVersion     = errors.New("engines: response has no weight version")
 	errWrongAttempt  = errors.New("engines: response to another request")
-	errOverlong      = errors.New("engines: stream has more events than the longest output")
+	errOverlong      = errors.New("engines: stream is longer than a text can be")
 	errMixedVersions = errors.New("engines: weight version changed in a single-version text")
 )
 
--- a/daemon/services/gate/gate.go
+++ b/daemon/services/gate/gate.go
@@ -171,22 +171,6 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// awaitDrain waits until the requests in flight have ended. If that takes long, it hands
-// over the batch jobs meanwhile.
-func (s *service) awaitDrain(ctx context.Context, drained <-chan error) error {
-	timer := time.NewTimer(handoverDelay)
-	defer timer.Stop()
-	select {
-	case err := <-drained:
-		return err
-	case <-timer.C:
-	}
-	if err := s.jobs.HandOver(ctx); err != nil {
-		s.log.WithError(err).Warn("Could not hand over the batch jobs; trying again later.")
-	}
-	return <-drained
-}
-
 // jobHandler wraps a handler of the batch job API. A job outlives its route, so the
 // configuration does not decide whether there is one. If a route also takes the path, a
 // request that does not concern a job is served as an ordinary one.
@@ -268,3 +252,19 @@
 	s.goroutines.Wait()
 	return err
 }
+
+// awaitDrain waits until the requests in flight have ended. If that takes long, it hands
+// over the batch jobs meanwhile.
+func (s *service) awaitDrain(ctx context.Context, drained <-chan error) error {
+	timer := time.NewTimer(handoverDelay)
+	defer timer.Stop()
+	select {
+	case err := <-drained:
+		return err
+	case <-timer.C:
+	}
+	if err := s.jobs.HandOver(ctx); err != nil {
+		s.log.WithError(err).Warn("Could not hand over the batch jobs; trying again later.")
+	}
+	return <-drained
+}
--- a/daemon/services/ledger/outcome_test.go
+++ b/daemon/services/ledger/outcome_test.go
@@ -47,8 +47,8 @@
 }
 
 // TestCommit_UnknownOutcomeIsNotHidden guards against a refusal that hides an earlier
-// attempt of the same commit, which may have been applied: the caller of the batch job
-// was told that nothing runs.
+// attempt of the same commit, which may have been applied: the batch job was answered
+// 503 and ran.
 func TestCommit_UnknownOutcomeIsNotHidden(t *testing.T) {
 	lost := scriptedRelay{err: result.Wrap(result.OutcomeUnknown, context.DeadlineExceeded)}
 	unsent := scriptedRelay{err: result.Wrap(result.PeerUnreachable, errors.New("connection refused"))}
--- a/daemon/services/links/relay_client.go
+++ b/daemon/services/links/relay_client.go
@@ -104,7 +104,7 @@
 	outgoing.Header.Set(headerServer, string(request.Server))
 	outgoing.Header.Set(headerAddress, request.Address)
 	outgoing.Header.Set(headerTarget, outgoing.URL.RequestURI())
-	// A caller's header of this name says nothing.
+	// Only daemons may set the header, not callers.
 	outgoing.Header.Del(headerRepeatable)
 	if request.Repeatable && helper.RelaysOnce {
 		// An earlier release would pass the header on to the server.
--- a/daemon/services/links/relay_test.go
+++ b/daemon/services/links/relay_test.go
@@ -108,6 +108,24 @@
 	must.False(t, transport.IsDialFailure(err))
 }
 
+// memberOfEarlierRelease is membership.Member without the fields that were added since.
+type memberOfEarlierRelease struct {
+	Name         string `json:"name"`
+	RPCAddress   string `json:"peers"`
+	RelayAddress string `json:"relay,omitempty"`
+	Zone         string `json:"zone"`
+}
+
+// TestMember_ReadByEarlierRelease checks that an earlier release reads the record of a
+// daemon of this one.
+func TestMember_ReadByEarlierRelease(t *testing.T) {
+	encoded, err := json.Marshal(membership.Member{Name: "new.1", RPCAddress: "p", RelayAddress: "b", RelaysOnce: true, Zone: "z"})
+	must.NoError(t, err)
+	var read memberOfEarlierRelease
+	must.NoError(t, json.Unmarshal(encoded, &read))
+	must.Eq(t, memberOfEarlierRelease{Name: "new.1", RPCAddress: "p", RelayAddress: "b", Zone: "z"}, read)
+}
+
 // TestHelpers_EarlierRelease checks that a request that must not be repeated is not sent
 // through a helper of an earlier release, which might send it twice.
 func TestHelpers_EarlierRelease(t *testing.T) {
--- a/histories/managed/refusals_test.go
+++ b/histories/managed/refusals_test.go
@@ -71,7 +71,7 @@
 }
 
 // TestManaged_EndInProgressIsNotRefused guards against answering the end of a batch job
-// with 503 while the daemon goes on trying to write it.
+// with 503 while the daemon keeps trying to write it.
 func TestManaged_EndInProgressIsNotRefused(t *testing.T) {
 	h := newStandardHarness(t, 3, time.Millisecond)
 	d := h.startDaemon("daemon-1")
