Take all times of a planned stop from the grace period

Callers saw: streams that would have ended 6.6 to 6.8 s after SIGTERM were cut at 6.67 s, with 1.3 s of the grace period left. With a grace period of 4 s the process also ended with an error, as the batch jobs were not handed over in time.

Cause: requests were ended at exactly five sixths of the grace period, without room for the delay of their last bytes, and the time of the handover (5.6 s after SIGTERM) did not follow from the grace period at all.

Evidence: TestManaged_PlannedStopFinishesLateStreams, 18 streams that end from one hundredth of the grace period before five sixths of it to two hundredths after.

--- a/daemon/agent/managed.go
+++ b/daemon/agent/managed.go
@@ -34,6 +34,7 @@
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/retire"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/servers"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/session"
+	_ "github.com/flamingobeam/flamingobeam/daemon/services/shutdown"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/swaps"
 )
 
@@ -62,9 +63,6 @@
 	gcPercent = 40
 	// maxWorkers bounds concurrent blocking calls; each item in flight needs one.
 	maxWorkers = 4096
-	// stopMargin is subtracted from the platform's grace period, so that the
-	// process exits before it is killed.
-	stopMargin = 500 * time.Millisecond
 	// logFlushTimeout bounds the wait for the last log lines to be written.
 	logFlushTimeout = 200 * time.Millisecond
 )
@@ -73,9 +71,9 @@
 // they depend on.
 func ManagedServices(role Role) []kernel.Name {
 	if role == RoleStorage {
-		return []kernel.Name{contract.NameRetire}
+		return []kernel.Name{contract.NameShutdown, contract.NameRetire}
 	}
-	return []kernel.Name{contract.NameMetricsHTTP, contract.NameRPCServer, contract.NameWeightSwaps, contract.NameManagedFront}
+	return []kernel.Name{contract.NameShutdown, contract.NameMetricsHTTP, contract.NameRPCServer, contract.NameWeightSwaps, contract.NameManagedFront}
 }
 
 // ManagedReplacements maps services to those that replace them on a managed platform,
@@ -162,7 +160,11 @@
 		}
 	}
 	entry.Info("Stopping.")
-	stopCtx, cancel := context.WithTimeout(context.Background(), host.TimeLimits.StopGracePeriod-stopMargin)
+	planned, err := kernel.FindLoaded[contract.Shutdown](k, contract.NameShutdown)
+	if err != nil {
+		return err
+	}
+	stopCtx, cancel := context.WithDeadline(context.Background(), planned.Begin(time.Now()).StopEnd)
 	defer cancel()
 	err = k.Stop(stopCtx)
 	entry.WithField("clean", err == nil).Info("Stopped.")
--- a/daemon/services/gate/gate.go
+++ b/daemon/services/gate/gate.go
@@ -27,20 +27,6 @@
 }
 
 const (
-	// unreadyPeriod is how long a daemon that is stopping reports that it is not
-	// ready before it closes its listener. The load balancer probes once a second
-	// and stops sending requests after two failed probes.
-	unreadyPeriod = 3 * time.Second
-	// drainFraction is the part of the time between the request to stop this process and
-	// its kill for which requests in flight are waited for. The platform expects no
-	// longer ones to end.
-	drainFraction = 5.0 / 6
-	// lastResponseTime is left after that for the responses to requests that did not end
-	// by themselves.
-	lastResponseTime = 200 * time.Millisecond
-	// handoverDelay is how long after unreadyPeriod batch jobs are handed over at the
-	// latest. While requests are waited for, the time afterwards may not suffice.
-	handoverDelay = 2600 * time.Millisecond
 	// jobLookupTimeout bounds the lookup of a batch job whose path an ordinary route
 	// takes as well.
 	jobLookupTimeout = 500 * time.Millisecond
@@ -61,6 +47,7 @@
 	table    contract.ServerTable
 	dispatch contract.Dispatch
 	jobs     contract.Jobs
+	shutdown contract.Shutdown
 	metrics  contract.Metrics
 	log      *logrus.Entry
 	loop     *kernel.Loop
@@ -71,9 +58,7 @@
 	goroutines      conc.WaitGroup
 	stopping        atomic.Bool
 	wasReady        atomic.Bool
-	// drainEnd is when requests in progress are ended, in Unix nanoseconds; zero until
-	// the daemon stops. Then endRequests cancels drainCtx.
-	drainEnd    atomic.Int64
+	// endRequests cancels drainCtx when the drain of a planned stop ends.
 	drainCtx    context.Context
 	endRequests context.CancelFunc
 }
@@ -90,6 +75,7 @@
 		kernel.Bind(&s.table, contract.NameBalance),
 		kernel.Bind(&s.dispatch, contract.NameDispatch),
 		kernel.Bind(&s.jobs, contract.NameJobs),
+		kernel.Bind(&s.shutdown, contract.NameShutdown),
 		kernel.Bind(&s.metrics, contract.NameMetrics),
 	)
 }
@@ -218,30 +204,19 @@
 	}
 }
 
-// drainTime returns how long after the request to stop this process requests in flight
-// are ended.
-func (s *service) drainTime() time.Duration {
-	return max(unreadyPeriod, time.Duration(drainFraction*float64(s.config.Platform.StopGrace)))
-}
-
 // Stop implements kernel.Service. It continues to serve until the load balancer has
 // detected that this daemon is not ready, and then waits for the requests in flight.
 func (s *service) Stop(ctx context.Context) error {
-	drainTime := s.drainTime()
-	s.drainEnd.Store(time.Now().Add(drainTime).UnixNano())
-	defer time.AfterFunc(drainTime, s.endRequests).Stop()
+	schedule := s.shutdown.Schedule()
+	defer time.AfterFunc(time.Until(schedule.DrainEnd), s.endRequests).Stop()
 	s.stopping.Store(true)
 	s.jobs.Quiesce()
 	s.log.Info("Stopping; no longer ready.")
-	select {
-	case <-time.After(unreadyPeriod):
-	case <-ctx.Done():
-	}
-	shutdownCtx, cancel := context.WithTimeout(ctx, drainTime+lastResponseTime-unreadyPeriod)
+	ctx, cancel := context.WithDeadline(ctx, schedule.CloseAt)
 	defer cancel()
 	drained := make(chan error, 1)
-	s.goroutines.Go(func() { drained <- s.callerServer.Shutdown(shutdownCtx) })
-	err := s.awaitDrain(ctx, drained)
+	s.goroutines.Go(func() { drained <- s.drain(ctx, schedule.UnreadyEnd) })
+	err := s.handOverJobs(ctx, schedule.HandoverAt, drained)
 	if err != nil {
 		s.log.WithError(err).Warn("Drain timed out; closing connections in use.")
 		err = s.callerServer.Close()
@@ -253,10 +228,22 @@
 	return err
 }
 
-// awaitDrain waits until the requests in flight have ended. If that takes long, it hands
-// over the batch jobs meanwhile.
-func (s *service) awaitDrain(ctx context.Context, drained <-chan error) error {
-	timer := time.NewTimer(handoverDelay)
+// drain serves new requests until a time, and then waits until those in flight have
+// ended.
+func (s *service) drain(ctx context.Context, unreadyEnd time.Time) error {
+	timer := time.NewTimer(time.Until(unreadyEnd))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return s.callerServer.Shutdown(ctx)
+}
+
+// handOverJobs hands over the batch jobs at a time, unless the requests in flight have
+// ended before. It returns the result of the drain.
+func (s *service) handOverJobs(ctx context.Context, at time.Time, drained <-chan error) error {
+	timer := time.NewTimer(time.Until(at))
 	defer timer.Stop()
 	select {
 	case err := <-drained:
--- a/daemon/services/gate/handlers.go
+++ b/daemon/services/gate/handlers.go
@@ -104,7 +104,7 @@
 // checkDrain refuses a request that could still be in progress when this daemon has
 // stopped. One that may be repeated is served within the time that is left.
 func (s *service) checkDrain(route *catalog.Route, deadline time.Time) error {
-	if end := s.drainEnd.Load(); end != 0 && deadline.UnixNano() > end && route.Kind != catalog.KindIdempotent {
+	if s.stopping.Load() && route.Kind != catalog.KindIdempotent && s.shutdown.Schedule().MayOutlast(deadline) {
 		return result.New(result.Stopping, "its deadline is after the end of this daemon")
 	}
 	return nil
--- a/histories/managed/process_test.go
+++ b/histories/managed/process_test.go
@@ -43,8 +43,16 @@
 // test fails, the end of the daemon's log is printed.
 func (h *harness) startProcess(name string) *process { return h.startProcessOf(daemonBinary, name) }
 
-// startProcessOf is startProcess for another binary of flamingobeamd.
-func (h *harness) startProcessOf(binary, name string) *process {
+// startProcessOf is startProcess for another binary of flamingobeamd, and with further
+// lines of the host's settings.
+func (h *harness) startProcessOf(binary, name string, settings ...string) *process {
+	p := h.launchProcess(binary, name, settings...)
+	h.waitFor("daemon "+name+" is ready", p.isReady)
+	return p
+}
+
+// launchProcess is startProcessOf without the wait until the daemon is ready.
+func (h *harness) launchProcess(binary, name string, settings ...string) *process {
 	ports := freePorts(h.t, 3)
 	p := &process{daemon: daemon{
 		storeProxy: newStoreProxy(h.t, h.store.address()),
@@ -52,7 +60,8 @@
 	}}
 	folder := h.t.TempDir()
 	configPath := filepath.Join(folder, "local.conf")
-	must.NoError(h.t, os.WriteFile(configPath, []byte(p.hostConfig(name, freePortRange(h.t))), 0o600))
+	lines := append([]string{p.hostConfig(name, freePortRange(h.t))}, settings...)
+	must.NoError(h.t, os.WriteFile(configPath, []byte(strings.Join(lines, "\n")), 0o600))
 	p.command = exec.Command(binary, "entry", fmt.Sprintf("--metrics-port=%d", ports[2]))
 	p.command.Env = append(os.Environ(), "FLAMINGOBEAM_NODE_FILE="+configPath)
 	log, err := os.Create(filepath.Join(folder, "log"))
@@ -68,7 +77,6 @@
 		}
 		_ = log.Close()
 	})
-	h.waitFor("daemon "+name+" is ready", p.isReady)
 	return p
 }
 
--- /dev/null
+++ b/histories/managed/stops_test.go
@@ -0,0 +1,131 @@
+package managed
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// lastEvent is the data of the last event of a timedStream.
+const lastEvent = "data: the last event\n\n"
+
+// timedStreams are responses of a plain server that end at set times after the signal
+// to stop a daemon.
+type timedStreams struct {
+	signaled   chan struct{}
+	signaledAt time.Time
+}
+
+func newTimedStreams() *timedStreams { return &timedStreams{signaled: make(chan struct{})} }
+
+// signal sends SIGTERM to a process, from which the times count.
+func (s *timedStreams) signal(t *testing.T, p *process) {
+	s.signaledAt = time.Now()
+	close(s.signaled)
+	must.NoError(t, p.command.Process.Signal(syscall.SIGTERM))
+}
+
+// stream returns the fault of a plain server that streams events until a time after the
+// signal.
+func (s *timedStreams) stream(endsAfter time.Duration) func(http.ResponseWriter, *http.Request) bool {
+	return func(w http.ResponseWriter, r *http.Request) bool {
+		w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
+		w.Header().Set("Server-Stamp", serverStamp(r.Header.Get("Attempt-Id")))
+		w.Header().Set("Content-Type", "text/event-stream")
+		controller := http.NewResponseController(w)
+		events := time.NewTicker(50 * time.Millisecond)
+		defer events.Stop()
+		var ended <-chan time.Time
+		signaled := s.signaled
+		for {
+			select {
+			case <-signaled:
+				ended, signaled = time.After(time.Until(s.signaledAt.Add(endsAfter))), nil
+			case <-ended:
+				_, _ = fmt.Fprint(w, lastEvent)
+				return true
+			case <-events.C:
+				_, _ = fmt.Fprint(w, "data: an event\n\n")
+				_ = controller.Flush()
+			case <-r.Context().Done():
+				return true
+			}
+		}
+	}
+}
+
+// putStreamRoute writes a configuration with a streaming route to the plain service.
+func (h *harness) putStreamRoute(timeout time.Duration) {
+	route := routeConfig("/stream/", "streaming")
+	route["timeoutMs"] = timeout.Milliseconds()
+	h.putConfiguration(1, route, routeConfig("/status/", "idempotent"))
+}
+
+// callStreams begins streams at a daemon and returns a function that waits for their ends.
+func callStreams(d *daemon, count int, deadline time.Duration) func() []callerResponse {
+	responses := make([]callerResponse, count)
+	var callers sync.WaitGroup
+	for i := range count {
+		callers.Go(func() {
+			responses[i] = d.call(http.MethodPost, "/stream/1", fmt.Sprint("stream-", i),
+				map[string]string{"Deadline-Ms": fmt.Sprint(deadline.Milliseconds())}, "prompt")
+		})
+	}
+	return func() []callerResponse { callers.Wait(); return responses }
+}
+
+func isWhole(response callerResponse) bool {
+	return response.err == nil && response.status == http.StatusOK && strings.HasSuffix(response.body, lastEvent)
+}
+
+// checkExit checks that a process ends by itself, without an error and within its grace
+// period after the signal.
+func (s *timedStreams) checkExit(t *testing.T, p *process, grace time.Duration) {
+	t.Helper()
+	must.NoError(t, p.command.Wait())
+	must.Less(t, grace, time.Since(s.signaledAt))
+}
+
+// graceSetting returns the line of a host's settings with a grace period.
+func graceSetting(grace time.Duration) string {
+	return fmt.Sprintf("bounds.graceS=%g", grace.Seconds())
+}
+
+// TestManaged_PlannedStopFinishesLateStreams guards against streams that are cut at a
+// planned stop about five sixths into the grace period, with a part of it unused, and
+// against times of a stop that do not depend on the grace period.
+func TestManaged_PlannedStopFinishesLateStreams(t *testing.T) {
+	t.Parallel()
+	for _, grace := range []time.Duration{4 * time.Second, 8 * time.Second, 20 * time.Second} {
+		t.Run(grace.String(), func(t *testing.T) {
+			t.Parallel()
+			const streams = 18
+			h := newHarness(t)
+			h.putStreamRoute(30 * time.Second)
+			server, timed := h.addPlain("plain-1"), newTimedStreams()
+			for i := range streams {
+				// From a hundredth of the grace period before that time to two after it.
+				end := grace*5/6 + grace*time.Duration(3*i-streams)/(streams*100)
+				server.faults = append(server.faults, timed.stream(end))
+			}
+			p := h.startProcessOf(daemonBinary, "daemon-1", graceSetting(grace))
+			await := callStreams(&p.daemon, streams, 30*time.Second)
+			h.waitFor("all streams run", func() bool { return len(server.requests()) == streams })
+			timed.signal(t, p)
+			whole := 0
+			for _, response := range await() {
+				if isWhole(response) {
+					whole++
+				}
+			}
+			must.Eq(t, streams, whole)
+			timed.checkExit(t, p, grace)
+		})
+	}
+}
