Wait at a planned stop for requests of cut-off daemons

Cause: a time that does not come from the grace period, and that began only after the gate had stopped.

Now all streams are whole, every look-up is answered, and the process ends in time.

The gate and the links drain until the same end.

--- a/daemon/services/gate/gate.go
+++ b/daemon/services/gate/gate.go
@@ -204,9 +204,9 @@
 	}
 }
 
-// Stop implements kernel.Service. It continues to serve until the load balancer has
+// Drain implements kernel.Drainer. It continues to serve until the load balancer has
 // detected that this daemon is not ready, and then waits for the requests in flight.
-func (s *service) Stop(ctx context.Context) error {
+func (s *service) Drain(ctx context.Context) error {
 	schedule := s.shutdown.Schedule()
 	defer time.AfterFunc(time.Until(schedule.DrainEnd), s.endRequests).Stop()
 	s.stopping.Store(true)
@@ -214,44 +214,51 @@
 	s.log.Info("Stopping; no longer ready.")
 	ctx, cancel := context.WithDeadline(ctx, schedule.CloseAt)
 	defer cancel()
-	drained := make(chan error, 1)
-	s.goroutines.Go(func() { drained <- s.drain(ctx, schedule.UnreadyEnd) })
-	err := s.handOverJobs(ctx, schedule.HandoverAt, drained)
-	if err != nil {
-		s.log.WithError(err).Warn("Drain timed out; closing connections in use.")
-		err = s.callerServer.Close()
-	}
-	if closeErr := s.readinessServer.Close(); err == nil {
-		err = closeErr
-	}
-	s.goroutines.Wait()
-	return err
+	drained := make(chan struct{})
+	s.goroutines.Go(func() {
+		defer close(drained)
+		s.awaitRequests(ctx, schedule.UnreadyEnd)
+	})
+	s.handOverJobs(ctx, schedule.HandoverAt, drained)
+	<-drained
+	return nil
 }
 
-// drain serves new requests until a time, and then waits until those in flight have
-// ended.
-func (s *service) drain(ctx context.Context, unreadyEnd time.Time) error {
+// awaitRequests serves new requests until a time, and then waits until those in flight
+// have ended.
+func (s *service) awaitRequests(ctx context.Context, unreadyEnd time.Time) {
 	timer := time.NewTimer(time.Until(unreadyEnd))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	return s.callerServer.Shutdown(ctx)
+	if err := s.callerServer.Shutdown(ctx); err != nil {
+		s.log.WithError(err).Warn("Drain timed out; closing connections in use.")
+	}
 }
 
-// handOverJobs hands over the batch jobs at a time, unless the requests in flight have
-// ended before. It returns the result of the drain.
-func (s *service) handOverJobs(ctx context.Context, at time.Time, drained <-chan error) error {
+// handOverJobs hands over the batch jobs once the requests in flight have ended, at a time
+// at the latest.
+func (s *service) handOverJobs(ctx context.Context, at time.Time, drained <-chan struct{}) {
 	timer := time.NewTimer(time.Until(at))
 	defer timer.Stop()
 	select {
-	case err := <-drained:
-		return err
+	case <-drained:
 	case <-timer.C:
 	}
 	if err := s.jobs.HandOver(ctx); err != nil {
 		s.log.WithError(err).Warn("Could not hand over the batch jobs; trying again later.")
 	}
-	return <-drained
+}
+
+// Stop implements kernel.Service.
+func (s *service) Stop(context.Context) error {
+	s.endRequests()
+	err := s.callerServer.Close()
+	if closeErr := s.readinessServer.Close(); err == nil {
+		err = closeErr
+	}
+	s.goroutines.Wait()
+	return err
 }
--- a/daemon/services/links/relay_client.go
+++ b/daemon/services/links/relay_client.go
@@ -38,6 +38,7 @@
 const (
 	refusalCutOff      refusal = "cut off"
 	refusalBusy        refusal = "busy"
+	refusalStopping    refusal = "stopping"
 	refusalUnknown     refusal = "unknown server"
 	refusalUnreachable refusal = "unreachable"
 	refusalBroken      refusal = "broken"
--- a/daemon/services/links/relay_server.go
+++ b/daemon/services/links/relay_server.go
@@ -30,8 +30,6 @@
 	maxRelayedBody = 32 << 20
 	// relayHeaderTimeout bounds the time to read the headers of a relayed request.
 	relayHeaderTimeout = 5 * time.Second
-	// relayStopTimeout bounds the wait for relayed requests at a planned stop.
-	relayStopTimeout = 300 * time.Millisecond
 )
 
 // startRelayServer listens for requests of other daemons.
@@ -60,7 +58,7 @@
 	if s.relayServer == nil {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, relayStopTimeout)
+	ctx, cancel := context.WithDeadline(ctx, s.shutdown.Schedule().CloseAt)
 	defer cancel()
 	if s.relayServer.Shutdown(ctx) == nil {
 		return nil
@@ -83,11 +81,20 @@
 		refuseRelayed(w, refusalCutOff)
 		return
 	}
-	defer s.helping.Add(-1)
-	if s.helping.Add(1) > maxHelped {
+	if !s.helped.begin() {
 		refuseRelayed(w, refusalBusy)
 		return
 	}
+	defer s.helped.end()
+	if s.isStopping.Load() {
+		// The next request of the other daemon needs another connection soon.
+		w.Header().Set("Connection", "close")
+		timeout := platform.DecodeRequestHeaders(r).Timeout
+		if timeout == 0 || s.shutdown.Schedule().MayOutlast(time.Now().Add(timeout)) {
+			refuseRelayed(w, refusalStopping)
+			return
+		}
+	}
 	request, err := s.decodeRelayed(r)
 	if err != nil {
 		s.log.WithError(err).Info("A relayed request is refused.")
--- a/daemon/services/links/service.go
+++ b/daemon/services/links/service.go
@@ -50,6 +50,7 @@
 	servers      contract.Servers
 	session      contract.Session
 	linkFailures contract.LinkFailures
+	shutdown     contract.Shutdown
 	metrics      contract.Metrics
 	log          *logrus.Entry
 	loop         *kernel.Loop
@@ -84,8 +85,10 @@
 	singleUseRelayTransport *http.Transport
 
 	relayServer *http.Server
-	helping     atomic.Int64
-	goroutines  conc.WaitGroup
+	helped      helpedRequests
+	// isStopping is set when a planned stop begins.
+	isStopping atomic.Bool
+	goroutines conc.WaitGroup
 }
 
 var _ contract.ServerLinks = (*service)(nil)
@@ -115,6 +118,7 @@
 		kernel.Bind(&s.servers, contract.NameServers),
 		kernel.Bind(&s.session, contract.NameSession),
 		kernel.Bind(&s.linkFailures, contract.NameBalance),
+		kernel.Bind(&s.shutdown, contract.NameShutdown),
 		kernel.Bind(&s.metrics, contract.NameMetrics),
 	)
 }
@@ -122,6 +126,18 @@
 // Start implements kernel.Service.
 func (s *service) Start() error { return s.startRelayServer() }
 
+// Drain implements kernel.Drainer. It waits for the requests in flight of other daemons.
+func (s *service) Drain(ctx context.Context) error {
+	schedule := s.shutdown.Schedule()
+	s.isStopping.Store(true)
+	ctx, cancel := context.WithDeadline(ctx, schedule.DrainEnd)
+	defer cancel()
+	if count := s.helped.awaitNone(ctx); count > 0 {
+		s.log.WithField("requests", count).Warn("Requests of other daemons have not ended in time.")
+	}
+	return nil
+}
+
 // Stop implements kernel.Service.
 func (s *service) Stop(ctx context.Context) error {
 	err := s.stopRelayServer(ctx)
--- a/histories/managed/stops_test.go
+++ b/histories/managed/stops_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -129,3 +130,69 @@
 		})
 	}
 }
+
+// startCutOffDaemon starts a daemon that is cut off from all servers, so that it passes
+// requests on through others. The helpers must be live already.
+func (h *harness) startCutOffDaemon(name string, liveDaemons int) *daemon {
+	links := newServerLinks()
+	d := h.startDaemonWith(name, links.dial)
+	h.waitFor("all daemons are live", func() bool { return len(h.store.recordsUnder("flamingobeam/session/member/")) == liveDaemons })
+	links.set(linksReset)
+	h.waitFor("requests are passed on", func() bool { return checkServed(d, fmt.Sprint("first", time.Now().UnixNano()), 10) == 10 })
+	return d
+}
+
+// beginTimedStreams begins a stream for each end at a daemon and waits until all run.
+func (h *harness) beginTimedStreams(d *daemon, servers []*plainServer, timed *timedStreams, ends []time.Duration) func() []callerResponse {
+	var mu sync.Mutex
+	begun := 0
+	stream := func(w http.ResponseWriter, r *http.Request) bool {
+		mu.Lock()
+		end := ends[begun]
+		begun++
+		mu.Unlock()
+		return timed.stream(end)(w, r)
+	}
+	setFaults := func(faults ...func(http.ResponseWriter, *http.Request) bool) {
+		for _, server := range servers {
+			server.update(func() { server.faults = faults })
+		}
+	}
+	setFaults(slices.Repeat([]func(http.ResponseWriter, *http.Request) bool{stream}, len(ends))...)
+	await := callStreams(d, len(ends), 30*time.Second)
+	h.waitFor("all streams run", func() bool { mu.Lock(); defer mu.Unlock(); return begun == len(ends) })
+	setFaults()
+	return await
+}
+
+// TestManaged_PlannedStopFinishesRelayedStreams guards against streams that break off
+// because the daemon that passes them on for a cut-off one stops. The cut-off daemon must
+// serve its other callers all the while.
+func TestManaged_PlannedStopFinishesRelayedStreams(t *testing.T) {
+	t.Parallel()
+	for _, grace := range []time.Duration{4 * time.Second, 8 * time.Second} {
+		t.Run(grace.String(), func(t *testing.T) {
+			t.Parallel()
+			h := newHarness(t)
+			h.putStreamRoute(30 * time.Second)
+			servers := []*plainServer{h.addPlain("plain-1"), h.addPlain("plain-2"), h.addPlain("plain-3")}
+			helper := h.startProcessOf(daemonBinary, "daemon-2", graceSetting(grace))
+			cut := h.startCutOffDaemon("daemon-1", 2)
+			timed := newTimedStreams()
+			end := grace * 5 / 6
+			await := h.beginTimedStreams(cut, servers, timed, []time.Duration{end / 2, end - 100*time.Millisecond, end})
+			h.startDaemon("daemon-3")
+			h.waitFor("the third daemon is live", func() bool { return len(h.store.recordsUnder("flamingobeam/session/member/")) == 3 })
+			time.Sleep(300 * time.Millisecond) // Longer than the batching delay of session updates.
+			timed.signal(t, helper)
+			lookups := 0
+			for ; time.Since(timed.signaledAt) < end; lookups++ {
+				must.Eq(t, 1, checkServed(cut, fmt.Sprint("during-", lookups), 1))
+			}
+			for _, response := range await() {
+				must.True(t, isWhole(response))
+			}
+			timed.checkExit(t, helper, grace)
+		})
+	}
+}
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -7,6 +7,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc/pool"
 )
 
 // ErrCycle is returned when services depend on each other in a cycle.
@@ -31,6 +32,14 @@
 	Stop(ctx context.Context) error
 }
 
+// Drainer is implemented by services with work in progress that must end before other
+// services stop.
+type Drainer interface {
+	// Drain returns once the work in progress has ended or ctx is done. Kernel.Stop
+	// calls the Drainers at the same time, before it stops any service.
+	Drain(ctx context.Context) error
+}
+
 // Base provides empty lifecycle methods for services to embed.
 type Base struct{}
 
@@ -133,10 +142,10 @@
 	return nil
 }
 
-// Stop stops the started services in reverse order, then the workers and the
-// control loop. It continues after an error and returns the first one.
+// Stop drains the started services, stops them in reverse order, and then stops the
+// workers and the control loop. It continues after an error and returns the first one.
 func (k *Kernel) Stop(ctx context.Context) error {
-	var firstErr error
+	firstErr := k.drain(ctx)
 	for k.startedCount > 0 {
 		k.startedCount--
 		name := k.startOrder[k.startedCount]
@@ -152,6 +161,23 @@
 	return firstErr
 }
 
+// drain drains the started services at the same time and returns the first error.
+func (k *Kernel) drain(ctx context.Context) error {
+	group := pool.New().WithErrors().WithFirstError()
+	for _, name := range k.startOrder[:k.startedCount] {
+		drainer, ok := k.services[name].(Drainer)
+		if !ok {
+			continue
+		}
+		group.Go(func() error {
+			err := ErrPanicked
+			k.guard.Run("drain of "+string(name), func() { err = drainer.Drain(ctx) })
+			return errors.WithMessage(err, string(name))
+		})
+	}
+	return group.Wait()
+}
+
 // Failed returns a channel that is closed when the control state violates an
 // invariant. The process must then stop.
 func (k *Kernel) Failed() <-chan struct{} { return k.guard.failed }
--- a/kernel/kernel_test.go
+++ b/kernel/kernel_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"io"
 	"testing"
 
 	"github.com/pkg/errors"
 	"github.com/shoenig/test/must"
+	"github.com/sirupsen/logrus"
 )
 
 type recorder struct {
@@ -60,6 +62,49 @@
 		"stop front", "stop route", "stop hosts"}, log)
 }
 
+// drainingRecorder is a recorder that drains until another one does.
+type drainingRecorder struct {
+	recorder
+	begun, other chan struct{}
+}
+
+func (d *drainingRecorder) Drain(ctx context.Context) error {
+	close(d.begun)
+	select {
+	case <-d.other:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// TestKernel_DrainsBeforeStop checks that services drain at the same time, and that none
+// is stopped before all have drained, even if one of them panics.
+func TestKernel_DrainsBeforeStop(t *testing.T) {
+	var log []string
+	first, second := make(chan struct{}), make(chan struct{})
+	registry := newTestRegistry(&log, recorder{name: "hosts"})
+	registry.Register("front", func() Service {
+		return &drainingRecorder{recorder: recorder{name: "front", dependencies: []Name{"links"}, log: &log}, begun: first, other: second}
+	})
+	registry.Register("links", func() Service {
+		return &drainingRecorder{recorder: recorder{name: "links", dependencies: []Name{"broken"}, log: &log}, begun: second, other: first}
+	})
+	closed := make(chan struct{})
+	close(closed)
+	registry.Register("broken", func() Service {
+		// Closing a closed channel panics.
+		return &drainingRecorder{recorder: recorder{name: "broken", dependencies: []Name{"hosts"}, log: &log}, begun: closed}
+	})
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	k := New(Options{Registry: registry, Services: []Name{"front"}, Log: logger})
+	must.NoError(t, k.Start(t.Context()))
+	log = nil
+	must.ErrorIs(t, k.Stop(t.Context()), ErrPanicked)
+	must.Eq(t, []string{"stop front", "stop links", "stop broken", "stop hosts"}, log)
+}
+
 func TestKernel_RejectsCycle(t *testing.T) {
 	var log []string
 	registry := newTestRegistry(&log,
