Give the handover of batch jobs the time that the grace period leaves

Trainers lost: with a store that takes a second for each call and loses the reply to the handover, a stopping daemon gave up after 1.5 s, so that the successor was not handed the texts of unfinished items. With requests in flight the handover began only 5.6 s after SIGTERM, and the services that stop later had no time left: the session was not ended ("store.session: context deadline exceeded", exit status 1).

Cause: a fixed time for the handover, that the drain of requests used up besides.

Change: jobs are handed over when the listener closes, beside the requests in flight, or earlier with a short grace period, and again once those have ended. That may last until the connections are closed, which leaves time for the services after it.

--- a/coord/shutdown/shutdown.go
+++ b/coord/shutdown/shutdown.go
@@ -21,11 +21,10 @@
 	// were ended, the remaining services, and the last lines of the log.
 	closeFraction = 0.2
 	endFraction   = 0.75
-	// handoverTime is reserved before DrainEnd for handing over the batch jobs: a write,
-	// its repetition after an unknown outcome and a call, with a store that is slow.
-	handoverTime = 1600 * time.Millisecond
-	// maxHandoverFraction bounds handoverTime, as a fraction of the grace period.
-	maxHandoverFraction = 0.4
+	// minHandoverFraction is the least fraction of the grace period that is reserved
+	// before DrainEnd for handing over the batch jobs: with a slow store a write and
+	// reading its outcome take seconds.
+	minHandoverFraction = 0.4
 )
 
 // Schedule is the schedule of a planned stop.
@@ -33,8 +32,7 @@
 	// UnreadyEnd is when the listener for callers is closed. Until then the load balancer
 	// may send new requests.
 	UnreadyEnd time.Time
-	// HandoverAt is when the batch jobs are handed over, unless the requests in flight
-	// have ended before.
+	// HandoverAt is when the batch jobs are handed over, beside the requests in flight.
 	HandoverAt time.Time
 	// DrainEnd is when requests in flight are ended.
 	DrainEnd time.Time
@@ -51,9 +49,10 @@
 	reserve := min(maxReserve, fraction(reserveFraction))
 	part := func(f float64) time.Duration { return time.Duration(f * float64(reserve)) }
 	drainEnd := requested.Add(grace - reserve)
+	unready := min(unreadyPeriod, fraction(maxUnreadyFraction))
 	return Schedule{
-		UnreadyEnd: requested.Add(min(unreadyPeriod, fraction(maxUnreadyFraction))),
-		HandoverAt: drainEnd.Add(-min(handoverTime, fraction(maxHandoverFraction))),
+		UnreadyEnd: requested.Add(unready),
+		HandoverAt: requested.Add(min(unready, grace-reserve-fraction(minHandoverFraction))),
 		DrainEnd:   drainEnd,
 		CloseAt:    drainEnd.Add(part(closeFraction)),
 		StopEnd:    drainEnd.Add(part(endFraction)),
--- a/daemon/services/gate/gate.go
+++ b/daemon/services/gate/gate.go
@@ -214,41 +214,38 @@
 	s.log.Info("Stopping; no longer ready.")
 	ctx, cancel := context.WithDeadline(ctx, schedule.CloseAt)
 	defer cancel()
-	drained := make(chan struct{})
-	s.goroutines.Go(func() {
-		defer close(drained)
-		s.awaitRequests(ctx, schedule.UnreadyEnd)
-	})
-	s.handOverJobs(ctx, schedule.HandoverAt, drained)
-	<-drained
+	var requests conc.WaitGroup
+	requests.Go(func() { s.awaitRequests(ctx, schedule.UnreadyEnd) })
+	waitUntil(ctx, schedule.HandoverAt)
+	s.handOverJobs(ctx)
+	requests.Wait()
+	// Submissions that were in flight may have been accepted meanwhile.
+	s.handOverJobs(ctx)
 	return nil
 }
 
 // awaitRequests serves new requests until a time, and then waits until those in flight
 // have ended.
 func (s *service) awaitRequests(ctx context.Context, unreadyEnd time.Time) {
-	timer := time.NewTimer(time.Until(unreadyEnd))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	waitUntil(ctx, unreadyEnd)
 	if err := s.callerServer.Shutdown(ctx); err != nil {
 		s.log.WithError(err).Warn("Drain timed out; closing connections in use.")
 	}
 }
 
-// handOverJobs hands over the batch jobs once the requests in flight have ended, at a time
-// at the latest.
-func (s *service) handOverJobs(ctx context.Context, at time.Time, drained <-chan struct{}) {
+func (s *service) handOverJobs(ctx context.Context) {
+	if err := s.jobs.HandOver(ctx); err != nil {
+		s.log.WithError(err).Warn("Could not hand over the batch jobs; trying again later.")
+	}
+}
+
+// waitUntil waits until a time or until ctx is done.
+func waitUntil(ctx context.Context, at time.Time) {
 	timer := time.NewTimer(time.Until(at))
 	defer timer.Stop()
 	select {
-	case <-drained:
 	case <-timer.C:
-	}
-	if err := s.jobs.HandOver(ctx); err != nil {
-		s.log.WithError(err).Warn("Could not hand over the batch jobs; trying again later.")
+	case <-ctx.Done():
 	}
 }
 
--- a/daemon/services/jobs/jobs.go
+++ b/daemon/services/jobs/jobs.go
@@ -50,6 +50,7 @@
 	swaps        contract.WeightSwaps
 	paces        contract.EnginePaces
 	limits       contract.ServerLimits
+	shutdown     contract.Shutdown
 	metrics      contract.Metrics
 	log          *logrus.Entry
 	loop         *kernel.Loop
@@ -112,6 +113,7 @@
 		kernel.Bind(&s.swaps, contract.NameWeightSwaps),
 		kernel.Bind(&s.paces, contract.NameEnginePaces),
 		kernel.Bind(&s.limits, contract.NameServerLimits),
+		kernel.Bind(&s.shutdown, contract.NameShutdown),
 		kernel.Bind(&s.metrics, contract.NameMetrics),
 	)
 	if err != nil {
@@ -302,5 +304,9 @@
 }
 
 // Stop implements kernel.Service. It hands over the open jobs that this daemon still
-// owns.
-func (s *service) Stop(ctx context.Context) error { return s.HandOver(ctx) }
+// owns, and leaves time for the services that stop later.
+func (s *service) Stop(ctx context.Context) error {
+	ctx, cancel := context.WithDeadline(ctx, s.shutdown.Schedule().CloseAt)
+	defer cancel()
+	return s.HandOver(ctx)
+}
--- a/daemon/services/jobs/takeover.go
+++ b/daemon/services/jobs/takeover.go
@@ -32,8 +32,6 @@
 	sweepInterval = 20 * time.Second
 	// sweeperElection is the rendezvous hashing key that selects this daemon.
 	sweeperElection = "orphaned jobs"
-	// handoverTimeout bounds the handover at a planned stop.
-	handoverTimeout = 1500 * time.Millisecond
 	// startSkew is the maximum difference in start time of daemons that count
 	// as started together.
 	startSkew = 500 * time.Millisecond
@@ -260,8 +258,6 @@
 
 // HandOver implements contract.Jobs.
 func (s *service) HandOver(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
-	defer cancel()
 	var handovers []handover
 	if err := s.loopExecutor.Do(ctx, func() { handovers = s.prepareHandover() }); err != nil {
 		return err
--- a/histories/managed/stops_test.go
+++ b/histories/managed/stops_test.go
@@ -196,3 +196,47 @@
 		})
 	}
 }
+
+// TestManaged_PlannedStopHandsOverWithSlowStore guards against batch jobs that a stopping
+// daemon still owns when it ends, because the store takes a second for each call and loses
+// the reply to the handover. Without a handover the work since the last checkpoints is
+// lost. It must make no difference whether requests in flight use up the grace period.
+func TestManaged_PlannedStopHandsOverWithSlowStore(t *testing.T) {
+	t.Parallel()
+	for name, streams := range map[string]int{"idle": 0, "with streams": 3} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			const grace = 8 * time.Second
+			h := newHarness(t)
+			h.putStreamRoute(30 * time.Second)
+			h.addEngine("engine-1", 200, 50*time.Millisecond)
+			h.addEngine("engine-2", 200, 50*time.Millisecond)
+			plain, timed := h.addPlain("plain-1"), newTimedStreams()
+			first := h.startProcess("daemon-1")
+			submitJob(h, &first.daemon, "job-1", jobBody("job-1", 0, 1, 2, 2))
+			second := h.startDaemon("daemon-2")
+			h.waitFor("every item runs", func() bool { return len(h.runsOfItems()) == 4 })
+			await := h.beginTimedStreams(&first.daemon, []*plainServer{plain}, timed, slices.Repeat([]time.Duration{grace * 5 / 6}, streams))
+			isLost := false
+			h.store.update(func(s *storeEmulator) {
+				s.latency = time.Second
+				s.disturb = func(keys []string) disturbance {
+					if isLost || !slices.Contains(keys, "flamingobeam/job/owner/job-1") {
+						return undisturbed
+					}
+					isLost = true
+					return loseReply
+				}
+			})
+			timed.signal(t, first)
+			for _, response := range await() {
+				must.True(t, isWhole(response))
+			}
+			timed.checkExit(t, first, grace)
+			must.Eq(t, "daemon-2", h.jobOwner("job-1"))
+			h.store.update(func(s *storeEmulator) { s.latency = 0 })
+			h.checkResults("job-1", h.fetchAllResults(second, "job-1", 4), 200, 1)
+			must.True(t, h.hasResumedRun())
+		})
+	}
+}
--- a/histories/managed/store_test.go
+++ b/histories/managed/store_test.go
@@ -64,7 +64,10 @@
 	// silentWatches makes watches deliver no events and send no response at their
 	// timeout.
 	silentWatches bool
-	callCounts    map[string]int
+	// latency delays transactions and reads of a key, which are executed even if the
+	// caller gives up meanwhile.
+	latency    time.Duration
+	callCounts map[string]int
 }
 
 func newStoreEmulator(t *testing.T) *storeEmulator {
@@ -83,9 +86,12 @@
 	s.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
 		s.callCounts[r.URL.Path]++
-		down := s.down
+		down, latency := s.down, s.latency
 		s.expireLeases()
 		s.mu.Unlock()
+		if r.URL.Path == "/api/kv-txn" || r.URL.Path == "/api/kv-key" {
+			<-time.After(latency)
+		}
 		if down {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
