Keep the texts of a handover that arrives after the job was adopted

Trainers lost: the texts of unfinished items were generated again, when the successor learned of its ownership in another way before the call that hands them over arrived. With a slow store the earlier owner learns seconds late that its write was applied.

TestAdopt_TextsOfLateHandover fails without the change.

Change: a job that is adopted already takes over the texts, like those of an ended job.

--- a/daemon/services/jobs/earlier_texts.go
+++ b/daemon/services/jobs/earlier_texts.go
@@ -109,16 +109,17 @@
 	}
 }
 
-// earlierTexts holds texts from an ended job for the items of a new one.
+// earlierTexts holds texts from an ended job for the items of a new one, or from an
+// earlier owner of the same job.
 type earlierTexts struct {
 	id    string
 	epoch uint64
 	texts map[batch.ItemID]*contract.Text
 }
 
-// applyEarlierTexts lets items of a job resume after texts of an ended job,
-// provided their weight versions are accepted. It stops a run that has
-// generated less than the text that replaces it.
+// applyEarlierTexts lets items of a job resume after earlier texts, provided their weight
+// versions are accepted. It stops a run that has generated less than the text that
+// replaces it.
 func (s *service) applyEarlierTexts(found earlierTexts) {
 	j := s.ownedJobs[found.id]
 	if j == nil || j.ownership.Epoch != found.epoch || j.ownership.Ended {
@@ -142,7 +143,7 @@
 		used++
 	}
 	if used > 0 {
-		s.log.WithField("job", j.ID).WithField("texts", used).Info("Reusing texts of an ended batch job.")
+		s.log.WithField("job", j.ID).WithField("texts", used).Info("Reusing texts of an ended batch job or an earlier owner.")
 		s.schedulePlacement()
 	}
 }
--- a/daemon/services/jobs/earlier_texts_test.go
+++ b/daemon/services/jobs/earlier_texts_test.go
@@ -72,6 +72,24 @@
 	must.Eq(t, 31, int(second.items[0].replacement.Last))
 }
 
+// TestAdopt_TextsOfLateHandover guards against losing the texts that an earlier owner hands
+// over after this daemon has adopted the job by itself. Those of another epoch are ignored.
+func TestAdopt_TextsOfLateHandover(t *testing.T) {
+	handedOver := newTextJob("job-1", 31).items[0].text
+	for _, epoch := range []uint64{1, 2} {
+		owned := newTextJob("job-1", 0)
+		owned.ownership.Epoch = 2
+		stopped := false
+		owned.items[0].cancel = func() { stopped = true }
+		s := newTextService(owned)
+		s.adopt(adoption{
+			storedJob: storedJob{job: &owned.Job, ownership: ownershipRecord{Ownership: batch.Ownership{Epoch: epoch}}},
+			texts:     map[batch.ItemID]*contract.Text{"item": handedOver},
+		})
+		must.Eq(t, epoch == 2, stopped)
+	}
+}
+
 // clock is a clock that stands still.
 type clock struct{ clockwork.Clock }
 
--- a/daemon/services/jobs/jobs.go
+++ b/daemon/services/jobs/jobs.go
@@ -226,9 +226,11 @@
 	texts map[batch.ItemID]*contract.Text
 }
 
-// adopt makes this daemon run a job, unless it does already.
+// adopt makes this daemon run a job. If it does already, because it learned of its
+// ownership before the earlier owner could hand the texts over, only those are added.
 func (s *service) adopt(a adoption) {
 	if _, isOwned := s.ownedJobs[a.job.ID]; isOwned {
+		s.applyEarlierTexts(earlierTexts{id: a.job.ID, epoch: a.ownership.Epoch, texts: a.texts})
 		return
 	}
 	if ownership, ok := s.earlyEnds[a.job.ID]; ok && ownership.Epoch >= a.ownership.Epoch {
