Answer the calls of other daemons that are in progress at a stop

Callers saw: an unknown outcome (502) for a submission or the end of a job at a daemon for which a stopping one was making a call to the store. And a call that did not return kept the stop from ending, whatever the grace period.

Cause: the net/rpc server closed its connections at once, and then waited for the calls without a bound.

Evidence: TestStop_AnswersCallsInProgress and TestStop_EndsInTime failed before and pass. The effect on callers is by reading, not played.

Change: a stop reads no further calls, answers those in progress, and closes the connections after 0.7 s or at the end of the schedule.

--- a/daemon/services/rpcserver/codec.go
+++ b/daemon/services/rpcserver/codec.go
@@ -6,9 +6,11 @@
 	"io"
 	"net"
 	"net/rpc"
+	"os"
 	"sync"
 
 	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
 )
 
 // maxMessageBytes bounds one request. The largest is a batch job that is handed
@@ -109,16 +111,18 @@
 func (c *callCodec) Close() error { return nil }
 
 // serveConn serves the calls of a connection until it is closed or sends what
-// cannot be read, and waits for those that run. A call that panics is answered
+// cannot be read, and answers those that run. A call that panics is answered
 // with an error.
 func (s *service) serveConn(conn net.Conn) {
 	defer conn.Close()
+	var calls conc.WaitGroup
+	defer calls.Wait()
 	codec := newConnCodec(conn)
 	for {
 		read := make(chan error, 1)
-		s.serving.Go(func() { s.serveCall(codec, func(err error) { read <- err }) })
+		calls.Go(func() { s.serveCall(codec, func(err error) { read <- err }) })
 		if err := <-read; err != nil {
-			if !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
+			if !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) && !errors.Is(err, os.ErrDeadlineExceeded) {
 				s.log.WithError(err).WithField("peer", conn.RemoteAddr().String()).Info("Closing a connection that cannot be read.")
 			}
 			return
--- a/daemon/services/rpcserver/codec_test.go
+++ b/daemon/services/rpcserver/codec_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/gob"
 	"io"
 	"net"
 	"net/rpc"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 	"github.com/sirupsen/logrus"
@@ -35,6 +37,17 @@
 
 // dialEcho starts a server and returns a connection to it.
 func dialEcho(t *testing.T, echo *Echo) net.Conn {
+	t.Helper()
+	conn, s := startEcho(t, echo)
+	t.Cleanup(func() {
+		_ = conn.Close()
+		must.NoError(t, s.Stop(t.Context()))
+	})
+	return conn
+}
+
+// startEcho is dialEcho for tests that stop the server.
+func startEcho(t *testing.T, echo *Echo) (net.Conn, *service) {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -46,11 +59,46 @@
 	s.serving.Go(s.acceptConns)
 	conn, err := net.Dial("tcp", listener.Addr().String())
 	must.NoError(t, err)
-	t.Cleanup(func() {
-		_ = conn.Close()
-		must.NoError(t, s.Stop(t.Context()))
-	})
-	return conn
+	return conn, s
+}
+
+// TestStop_AnswersCallsInProgress guards against cutting off the calls of other daemons
+// that a stopping one is handling, such as a write to the store, whose outcome they then
+// do not know.
+func TestStop_AnswersCallsInProgress(t *testing.T) {
+	echo := &Echo{release: make(chan struct{})}
+	conn, s := startEcho(t, echo)
+	client := rpc.NewClient(conn)
+	var waited, repeated string
+	waiting := client.Go("Echo.Wait", "a", &waited, nil)
+	must.NoError(t, client.Call("Echo.Repeat", "b", &repeated))
+	time.AfterFunc(100*time.Millisecond, func() { close(echo.release) })
+	must.NoError(t, s.Stop(t.Context()))
+	must.NoError(t, (<-waiting.Done).Error)
+	must.Eq(t, "a", waited)
+}
+
+// TestStop_EndsInTime guards against a stop that outlasts the grace period because a call
+// does not return.
+func TestStop_EndsInTime(t *testing.T) {
+	echo := &Echo{release: make(chan struct{})}
+	defer close(echo.release)
+	conn, s := startEcho(t, echo)
+	client := rpc.NewClient(conn)
+	var waited, repeated string
+	waiting := client.Go("Echo.Wait", "a", &waited, nil)
+	must.NoError(t, client.Call("Echo.Repeat", "b", &repeated))
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	stopped := make(chan error)
+	go func() { stopped <- s.Stop(ctx) }()
+	select {
+	case err := <-stopped:
+		must.NoError(t, err)
+	case <-time.After(time.Second):
+		t.Fatal("Stop waits for the call")
+	}
+	must.Error(t, (<-waiting.Done).Error)
 }
 
 // TestServeConn_Panic lets a handler panic while another call of the connection
--- a/daemon/services/rpcserver/rpcserver.go
+++ b/daemon/services/rpcserver/rpcserver.go
@@ -38,6 +38,8 @@
 
 	mu        sync.Mutex
 	openConns map[net.Conn]bool
+	// isStopping is set when no further calls are read.
+	isStopping bool
 }
 
 var _ contract.RPCServer = (*service)(nil)
@@ -100,25 +102,50 @@
 	}
 }
 
-// trackConn records whether a connection is open, so that Stop can close it.
+// trackConn records whether a connection is open, for Stop.
 func (s *service) trackConn(conn net.Conn, isOpen bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if isOpen {
-		s.openConns[conn] = true
-	} else {
+	if !isOpen {
 		delete(s.openConns, conn)
+		return
+	}
+	s.openConns[conn] = true
+	if s.isStopping {
+		_ = conn.SetReadDeadline(time.Now())
 	}
 }
 
-// Stop implements kernel.Service.
-func (s *service) Stop(context.Context) error {
+// maxCallWait bounds the wait for calls in progress at a stop. Calls to the store that
+// this daemon makes for another one end sooner; polls for changes may not.
+const maxCallWait = 700 * time.Millisecond
+
+// Stop implements kernel.Service. Calls in progress are answered, but no further ones are
+// read.
+func (s *service) Stop(ctx context.Context) error {
 	err := s.listener.Close()
 	s.mu.Lock()
+	s.isStopping = true
 	for conn := range s.openConns {
-		_ = conn.Close()
+		_ = conn.SetReadDeadline(time.Now())
 	}
 	s.mu.Unlock()
-	s.serving.Wait()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		s.serving.Wait()
+	}()
+	ctx, cancel := context.WithTimeout(ctx, maxCallWait)
+	defer cancel()
+	select {
+	case <-ended:
+	case <-ctx.Done():
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.log.WithField("connections", len(s.openConns)).Info("Closing connections with calls in progress.")
+		for conn := range s.openConns {
+			_ = conn.Close()
+		}
+	}
 	return err
 }
