Answer every request in progress when a planned stop ends the drain

Callers saw: a closed connection without an answer for reads of results that wait, for other calls of the batch job API whose call to the store is slow, and for uploads, when they began shortly before the listener closed and the grace period is short.

Cause: the end of the drain ended requests to servers and submissions only.

Change: all requests end with the drain, and a body that has not arrived by then is refused as not run. A stop for which no time is left to hand over jobs is no error.

--- a/daemon/services/gate/gate.go
+++ b/daemon/services/gate/gate.go
@@ -175,7 +175,9 @@
 // API is for a job. While the store does not answer, that depends on whether jobs are
 // submitted to the host.
 func (s *service) concernsJob(r *http.Request, id string, current *catalog.Catalog) bool {
-	ctx, cancel := context.WithTimeout(r.Context(), jobLookupTimeout)
+	ctx, release := s.withDrain(r.Context())
+	defer release()
+	ctx, cancel := context.WithTimeout(ctx, jobLookupTimeout)
 	defer cancel()
 	exists, err := s.jobs.Exists(ctx, id)
 	if err != nil {
@@ -219,8 +221,10 @@
 	waitUntil(ctx, schedule.HandoverAt)
 	s.handOverJobs(ctx)
 	requests.Wait()
-	// Submissions that were in flight may have been accepted meanwhile.
-	s.handOverJobs(ctx)
+	if ctx.Err() == nil {
+		// Submissions that were in flight may have been accepted meanwhile.
+		s.handOverJobs(ctx)
+	}
 	return nil
 }
 
--- a/daemon/services/gate/handlers.go
+++ b/daemon/services/gate/handlers.go
@@ -70,18 +70,32 @@
 	}
 }
 
+// withDrain returns a context that also ends when requests in flight are ended at a
+// planned stop. The returned function must be called once it is not needed any more.
+func (s *service) withDrain(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(s.drainCtx, cancel)
+	return ctx, func() { stop(); cancel() }
+}
+
 // readBody reads the body of a request. It fails with code BodyTooLarge if the body
-// exceeds the operator's limit.
-func readBody(w http.ResponseWriter, r *http.Request, limits catalog.Limits) ([]byte, error) {
+// exceeds the operator's limit, and with code Stopping if it has not arrived when requests
+// in flight are ended at a planned stop.
+func (s *service) readBody(w http.ResponseWriter, r *http.Request, limits catalog.Limits) ([]byte, error) {
 	maxBytes := limits.BodyBytes
 	if maxBytes <= 0 {
 		maxBytes = defaultMaxBodyBytes
 	}
+	control := http.NewResponseController(w)
+	defer context.AfterFunc(s.drainCtx, func() { _ = control.SetReadDeadline(time.Now()) })()
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBytes))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, result.New(result.BodyTooLarge, "over %d bytes", maxBytes)
 	}
+	if err != nil && s.drainCtx.Err() != nil {
+		return nil, result.New(result.Stopping, "its body has not arrived: %v", err)
+	}
 	if err != nil {
 		return nil, result.Wrap(result.BadRequest, err)
 	}
@@ -127,7 +141,7 @@
 // forward sends a request to a backend server and relays the response.
 func (s *service) forward(w http.ResponseWriter, r *http.Request, headers platform.RequestHeaders, route *catalog.Route, current *catalog.Catalog) {
 	started := time.Now()
-	body, err := readBody(w, r, current.Limits)
+	body, err := s.readBody(w, r, current.Limits)
 	if err == nil && headers.InvalidPosition {
 		err = result.New(result.BadRequest, "the ID of the last event is not a number")
 	}
@@ -140,9 +154,10 @@
 		s.writeError(w, r, headers, err)
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), deadline)
+	ctx, release := s.withDrain(r.Context())
+	defer release()
+	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	defer context.AfterFunc(s.drainCtx, cancel)()
 	defer s.limitWrites(w, deadline.Add(writeGrace))()
 	reply, err := s.dispatch.Forward(ctx, contract.ForwardRequest{
 		Route: route, ID: headers.AttemptID, Method: r.Method, Host: r.Host, Target: r.RequestURI,
@@ -191,7 +206,7 @@
 // submitJob accepts a batch job.
 func (s *service) submitJob(w http.ResponseWriter, r *http.Request, headers platform.RequestHeaders, route *catalog.Route, current *catalog.Catalog) {
 	started := time.Now()
-	body, err := readBody(w, r, current.Limits)
+	body, err := s.readBody(w, r, current.Limits)
 	if err != nil {
 		s.writeError(w, r, headers, err)
 		return
@@ -207,9 +222,10 @@
 	}
 	// The caller may disconnect. A submission that has been started is completed
 	// nevertheless.
-	ctx, cancel := context.WithTimeout(r.Context(), timeout)
+	ctx, release := s.withDrain(r.Context())
+	defer release()
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	defer context.AfterFunc(s.drainCtx, cancel)()
 	err = s.jobs.Submit(ctx, job, body)
 	s.metrics.Time("gate.submit", time.Since(started))
 	if err != nil {
@@ -228,7 +244,9 @@
 		after = 0
 	}
 	id := params.ByName(platform.ParamID)
-	reply, err := s.jobs.Results(r.Context(), contract.ResultsRequest{ID: id, After: after, Wait: min(headers.Wait, maxResultsWait)})
+	ctx, release := s.withDrain(r.Context())
+	defer release()
+	reply, err := s.jobs.Results(ctx, contract.ResultsRequest{ID: id, After: after, Wait: min(headers.Wait, maxResultsWait)})
 	if err != nil {
 		s.writeError(w, r, headers, err)
 		return
@@ -252,7 +270,9 @@
 // serveItemBody responds with the body of an item of a batch job.
 func (s *service) serveItemBody(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
 	item := batch.ItemID(r.URL.Query().Get(platform.QueryItem))
-	body, err := s.jobs.ItemBody(r.Context(), params.ByName(platform.ParamID), item)
+	ctx, release := s.withDrain(r.Context())
+	defer release()
+	body, err := s.jobs.ItemBody(ctx, params.ByName(platform.ParamID), item)
 	if err != nil {
 		s.writeError(w, r, platform.DecodeRequestHeaders(r), err)
 		return
@@ -262,7 +282,9 @@
 
 // endJob serves a request to end a batch job.
 func (s *service) endJob(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
-	ctx, cancel := context.WithTimeout(r.Context(), jobCallTimeout)
+	ctx, release := s.withDrain(r.Context())
+	defer release()
+	ctx, cancel := context.WithTimeout(ctx, jobCallTimeout)
 	defer cancel()
 	if err := s.jobs.End(ctx, params.ByName(platform.ParamID)); err != nil {
 		s.writeError(w, r, platform.DecodeRequestHeaders(r), err)
--- a/daemon/services/jobs/jobs.go
+++ b/daemon/services/jobs/jobs.go
@@ -306,9 +306,12 @@
 }
 
 // Stop implements kernel.Service. It hands over the open jobs that this daemon still
-// owns, and leaves time for the services that stop later.
+// owns, if that leaves time for the services that stop later.
 func (s *service) Stop(ctx context.Context) error {
 	ctx, cancel := context.WithDeadline(ctx, s.shutdown.Schedule().CloseAt)
 	defer cancel()
+	if ctx.Err() != nil {
+		return nil
+	}
 	return s.HandOver(ctx)
 }
--- a/histories/managed/stops_test.go
+++ b/histories/managed/stops_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"slices"
 	"strings"
@@ -240,3 +241,74 @@
 		})
 	}
 }
+
+// beginCall sends a request and returns a function that waits for the response.
+func (d *daemon) beginCall(method, path, id string, header map[string]string, body string) func() callerResponse {
+	var caller sync.WaitGroup
+	var response callerResponse
+	caller.Go(func() { response = d.call(method, path, id, header, body) })
+	return func() callerResponse { caller.Wait(); return response }
+}
+
+// upload sends a request whose body never ends and returns its response.
+func (d *daemon) upload(path, id string) callerResponse {
+	body, writer := io.Pipe()
+	defer writer.Close()
+	request, err := http.NewRequest(http.MethodPost, "http://"+d.address+path, body)
+	if err != nil {
+		return callerResponse{err: err}
+	}
+	request.Host = routeHostname
+	request.Header.Set("Attempt-Id", id)
+	response, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(request)
+	if err != nil {
+		return callerResponse{err: err}
+	}
+	defer response.Body.Close()
+	_, err = io.ReadAll(response.Body)
+	return callerResponse{status: response.StatusCode, err: err}
+}
+
+// TestManaged_PlannedStopAnswersEveryRequest guards against requests that get no answer at
+// all, because they are still in progress when a stopping daemon closes its connections:
+// calls of the batch job API wait for the store or for results, look-ups and their hedges
+// for servers, and uploads for their body.
+func TestManaged_PlannedStopAnswersEveryRequest(t *testing.T) {
+	t.Parallel()
+	const grace = 4 * time.Second
+	h := newHarness(t)
+	h.putStreamRoute(30 * time.Second)
+	h.addEngine("engine-1", 10, time.Minute)
+	for _, server := range []*plainServer{h.addPlain("plain-1"), h.addPlain("plain-2")} {
+		server.faults = slices.Repeat([]func(http.ResponseWriter, *http.Request) bool{func(_ http.ResponseWriter, r *http.Request) bool {
+			<-r.Context().Done()
+			return true
+		}}, 4)
+	}
+	p, timed := h.startProcessOf(daemonBinary, "daemon-1", graceSetting(grace)), newTimedStreams()
+	submitJob(h, &p.daemon, "job-1", jobBody("job-1", 0, 1, 1, 1))
+	timed.signal(t, p)
+	// Shortly before the listener is closed.
+	<-time.After(2700 * time.Millisecond)
+	h.store.update(func(s *storeEmulator) { s.latency = 6 * time.Second })
+	deadline := map[string]string{"Deadline-Ms": "20000", "Wait-Ms": "2000"}
+	calls := map[string]func() callerResponse{
+		"results": p.beginCall(http.MethodGet, "/api/lots/job-1?after=0", "", deadline, ""),
+		"unknown": p.beginCall(http.MethodGet, "/api/lots/job-2?after=0", "", deadline, ""),
+		"item":    p.beginCall(http.MethodGet, "/api/items/job-2?id=job-2-0", "", deadline, ""),
+		"end":     p.beginCall(http.MethodDelete, "/api/lots/job-2", "end-1", deadline, ""),
+		"look-up": p.beginCall(http.MethodPost, "/status/1", "look-1", deadline, ""),
+		"job":     p.beginCall(http.MethodPost, "/train/job-3", "job-3", deadline, jobBody("job-3", 1, 1, 1, 1)),
+	}
+	uploaded := make(chan callerResponse, 1)
+	go func() { uploaded <- p.upload("/status/2", "upload-1") }()
+	for name, await := range calls {
+		response := await()
+		must.NoError(t, response.err, must.Sprint(name))
+		must.Greater(t, 0, response.status, must.Sprint(name))
+	}
+	response := <-uploaded
+	must.NoError(t, response.err)
+	must.Eq(t, http.StatusServiceUnavailable, response.status)
+	timed.checkExit(t, p, grace)
+}
