Leave batch jobs with their host when no other daemon is live

Cause: the only daemon of a deployment handed its jobs over to an owner without a name at a stop, so that its next process did not take them back as its own, but only when it swept the jobs of lost owners, 2.5 s after it reached the store.

Evidence: TestManaged_PlannedStopOfOnlyDaemon failed before (owner "") and passes.

Beside it: tests of signals during a stop (SIGTERM twice, SIGINT, SIGHUP) and of SIGTERM at 12 moments of a start. Both pass on the code before as well: the signals are caught until the process ends, and a start does not block.

--- a/daemon/services/jobs/takeover.go
+++ b/daemon/services/jobs/takeover.go
@@ -264,6 +264,10 @@
 	}
 	view := s.session.View().Load()
 	successors := handoverCandidates(view)
+	if len(handovers) > 0 && len(successors) == 0 {
+		s.log.WithField("jobs", len(handovers)).Info("No other daemon is live; batch jobs remain with this host.")
+		return nil
+	}
 	var group conc.WaitGroup
 	for _, h := range handovers {
 		group.Go(func() { s.handOverJob(ctx, h, batch.RendezvousPick(h.id, successors)) })
