Count the grace period from the signal to stop

Cause: the schedule of a stop began when the services had started and the agent noticed the signal. A signal during a start, or with a busy processor, left less time than the schedule counted on.

Evidence: by reading only.

--- a/daemon/agent/managed.go
+++ b/daemon/agent/managed.go
@@ -140,6 +140,9 @@
 	if host.Memory > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(host.Memory)))
 	}
+	// The grace period runs from the signal, also while the services start.
+	stopRequests := make(chan time.Time, 1)
+	defer context.AfterFunc(ctx, func() { stopRequests <- time.Now() })()
 	k := NewManaged(role, ManagedConfig(host, metricsPort), log)
 	if err := k.Start(ctx); err != nil {
 		return err
@@ -148,15 +151,15 @@
 	reloads := make(chan os.Signal, 1)
 	signal.Notify(reloads, syscall.SIGHUP)
 	defer signal.Stop(reloads)
-	for running := true; running; {
+	var stopRequested time.Time
+	for stopRequested.IsZero() {
 		select {
 		case <-reloads:
 			checkHostConfig(entry, host)
-		case <-ctx.Done():
-			running = false
+		case stopRequested = <-stopRequests:
 		case <-k.Failed():
 			entry.Error("The control state is invalid.")
-			running = false
+			stopRequested = time.Now()
 		}
 	}
 	entry.Info("Stopping.")
@@ -164,7 +167,7 @@
 	if err != nil {
 		return err
 	}
-	stopCtx, cancel := context.WithDeadline(context.Background(), planned.Begin(time.Now()).StopEnd)
+	stopCtx, cancel := context.WithDeadline(context.Background(), planned.Begin(stopRequested).StopEnd)
 	defer cancel()
 	err = k.Stop(stopCtx)
 	entry.WithField("clean", err == nil).Info("Stopped.")
