Hand batch jobs over only to daemons that are not stopping

Trainers lost: when two daemons stopped at once, each handed jobs to the other, where nobody ran them until the ownership of lost owners was swept.

Evidence: TestManaged_PlannedStopsAtOnce (six jobs, two of three daemons get SIGTERM) failed before, as a job was owned by the other stopping daemon at the end.

Change: a stopping daemon marks its session key, an optional field that earlier releases ignore and do not set.

--- a/coord/membership/membership.go
+++ b/coord/membership/membership.go
@@ -27,7 +27,10 @@
 	RelayAddress string `json:"relay,omitempty"`
 	// RelaysOnce is set if it never sends such a request twice unless it may be
 	// repeated. Earlier releases do not set it.
-	RelaysOnce bool             `json:"relays_once,omitempty"`
+	RelaysOnce bool `json:"relays_once,omitempty"`
+	// IsStopping is set while a planned stop is in progress. Earlier releases do not set
+	// it.
+	IsStopping bool             `json:"stopping,omitempty"`
 	Zone       structs.ZoneName `json:"zone"`
 	// Strength is the number of processor cores that the host gives it, and may be
 	// a fraction.
--- a/daemon/services/jobs/takeover.go
+++ b/daemon/services/jobs/takeover.go
@@ -278,9 +278,10 @@
 
 // handoverCandidates returns the daemons that may receive a job: those that may
 // own jobs if there are others than this one, and of these the ones that started
-// after this one, because a rolling restart has passed them.
+// after this one, because a rolling restart has passed them. Daemons that are
+// stopping as well are left out.
 func handoverCandidates(view *contract.SessionView) []string {
-	isOther := func(name string) bool { return name != view.Self.Name }
+	isOther := func(name string) bool { return name != view.Self.Name && !view.Live[name].IsStopping }
 	isNewer := func(name string) bool { return startedAfter(name, membership.StartOf(view.Self.Name)) }
 	candidates := filter(jobHostNames(view), isOther)
 	if len(candidates) == 0 {
--- a/daemon/services/links/relay_client.go
+++ b/daemon/services/links/relay_client.go
@@ -135,8 +135,8 @@
 	}
 }
 
-// helpers returns the daemons that may pass a request on, near ones first and avoided
-// ones last. If onlyOnce is set, it leaves out those that might send it twice.
+// helpers returns the daemons that may pass a request on, near ones first, and those that
+// are avoided or stopping last. If onlyOnce is set, it leaves out those that might send it twice.
 func (s *service) helpers(onlyOnce bool) []membership.Member {
 	view := s.session.View().Load()
 	now := time.Now()
@@ -153,7 +153,7 @@
 			continue
 		}
 		candidates = append(candidates, candidate{
-			Member: member, isAvoided: now.Before(s.avoidedHelpers[member.RelayAddress]), distance: s.distanceTo(member), salt: rand.Uint64(),
+			Member: member, isAvoided: member.IsStopping || now.Before(s.avoidedHelpers[member.RelayAddress]), distance: s.distanceTo(member), salt: rand.Uint64(),
 		})
 	}
 	s.mu.Unlock()
--- a/daemon/services/session/renewal.go
+++ b/daemon/services/session/renewal.go
@@ -68,7 +68,7 @@
 	if s.lease == 0 || s.wantedTTL < s.leaseTTL || s.wantedTTL > s.leaseTTL && mayLengthen {
 		request.needsNewLease, request.ttl = true, s.wantedTTL
 	}
-	request.writesMember = request.needsNewLease || s.lacksKey(memberPrefix+self.Name)
+	request.writesMember = request.needsNewLease || !s.hasOwnKey(self)
 	request.writesLeader = s.lease != 0 && !request.writesMember && s.lacksKey(leaderKey) && s.isCandidate()
 	if key, ok := s.records[leaderKey]; ok && s.view.Load().Leader == self.Name && request.led.token == 0 {
 		request.strayLeader = key.Revision
@@ -157,6 +157,7 @@
 		s.leadership.Store(&led)
 		s.leaseValidUntil.Store(int64(renewed.validUntil))
 	}
+	self := s.view.Load().Self
 	delay := min(s.leaseTTL, s.wantedTTL) / renewalsPerTTL
 	switch {
 	case errors.Is(reply.Err, outside.ErrLeaseLost):
@@ -168,6 +169,9 @@
 		delay = renewalRetryDelay
 	case reply.Err != nil:
 		delay = idleRetryDelay/2 + rand.N(idleRetryDelay/2)
+	case self.IsStopping && !s.hasOwnKey(self):
+		// The renewal began before the stop.
+		delay = min(delay, renewalRetryDelay)
 	case s.lacksKey(leaderKey):
 		delay = min(delay, candidateDelay)
 	}
--- a/daemon/services/session/session.go
+++ b/daemon/services/session/session.go
@@ -160,6 +160,13 @@
 	}
 }
 
+// hasOwnKey reports whether the store has this daemon's key as it should be.
+func (s *service) hasOwnKey(self membership.Member) bool {
+	record, ok := s.records[memberPrefix+self.Name]
+	var stored membership.Member
+	return ok && json.Unmarshal(record.Value, &stored) == nil && stored.IsStopping == self.IsStopping
+}
+
 // updateLeaseTTL decides which TTL the lease should have, and renews at once
 // when it must become shorter.
 func (s *service) updateLeaseTTL() {
@@ -267,6 +274,17 @@
 	return slices.Concat(upstreams, near, far)
 }
 
+// Drain implements kernel.Drainer. It lets the other daemons know that this one is about
+// to stop, so that they hand no work over to it.
+func (s *service) Drain(ctx context.Context) error {
+	return s.loopExecutor.Do(ctx, func() {
+		next := *s.view.Load()
+		next.Self.IsStopping = true
+		s.view.Publish(&next)
+		s.scheduleRenewal(0)
+	})
+}
+
 // Stop implements kernel.Service. It revokes the lease, so that other daemons
 // need not wait for its expiry.
 func (s *service) Stop(ctx context.Context) error {
--- a/histories/managed/stops_test.go
+++ b/histories/managed/stops_test.go
@@ -372,3 +372,39 @@
 	}
 	starts.Wait()
 }
+
+// TestManaged_PlannedStopsAtOnce guards against batch jobs that a stopping daemon hands
+// over to another one that is stopping too. Those that either owns must go to the third.
+func TestManaged_PlannedStopsAtOnce(t *testing.T) {
+	t.Parallel()
+	const (
+		jobs  = 6
+		grace = 8 * time.Second
+	)
+	h := newStandardHarness(t, 200, 50*time.Millisecond)
+	first := h.startProcess("daemon-1")
+	for i := range jobs {
+		id := fmt.Sprint("job-", i)
+		submitJob(h, &first.daemon, id, jobBody(id, i, 1, 1, 1))
+	}
+	second, third := h.startProcess("daemon-2"), h.startDaemon("daemon-3")
+	h.waitFor("every item runs", func() bool { return len(h.runsOfItems()) == jobs })
+	h.waitFor("all daemons are live", func() bool { return len(h.store.recordsUnder("flamingobeam/session/member/")) == 3 })
+	time.Sleep(300 * time.Millisecond) // Longer than the batching delay of session updates.
+	timed, other := newTimedStreams(), newTimedStreams()
+	timed.signal(t, first)
+	other.signal(t, second)
+	timed.checkExit(t, first, grace)
+	other.checkExit(t, second, grace)
+	for i := range jobs {
+		id := fmt.Sprint("job-", i)
+		must.Eq(t, "daemon-3", h.jobOwner(id))
+		h.checkResults(id, h.fetchAllResults(third, id, 1), 200, 1)
+	}
+	// The texts are continued, none is generated again.
+	for _, runs := range h.runsOfItems() {
+		for _, r := range runs[1:] {
+			must.Greater(t, 0, r.resumedAfter)
+		}
+	}
+}
