--- a/daemon/services/links/relay_client.go
+++ b/daemon/services/links/relay_client.go
@@ -136,7 +136,8 @@
 }
 
 // helpers returns the daemons that may pass a request on, near ones first, and those that
-// are avoided or stopping last. If onlyOnce is set, it leaves out those that might send it twice.
+// are avoided or stopping last. If onlyOnce is set, it leaves out those that might send it
+// twice.
 func (s *service) helpers(onlyOnce bool) []membership.Member {
 	view := s.session.View().Load()
 	now := time.Now()
--- a/daemon/services/links/relay_test.go
+++ b/daemon/services/links/relay_test.go
@@ -119,7 +119,7 @@
 // TestMember_ReadByEarlierRelease checks that an earlier release reads the record of a
 // daemon of this one.
 func TestMember_ReadByEarlierRelease(t *testing.T) {
-	encoded, err := json.Marshal(membership.Member{Name: "new.1", RPCAddress: "p", RelayAddress: "b", RelaysOnce: true, Zone: "z"})
+	encoded, err := json.Marshal(membership.Member{Name: "new.1", RPCAddress: "p", RelayAddress: "b", RelaysOnce: true, IsStopping: true, Zone: "z"})
 	must.NoError(t, err)
 	var read memberOfEarlierRelease
 	must.NoError(t, json.Unmarshal(encoded, &read))
--- a/histories/managed/releases_test.go
+++ b/histories/managed/releases_test.go
@@ -14,44 +14,62 @@
 	"github.com/shoenig/test/must"
 )
 
-// earlierRevision is the release that runs beside the present one while hosts are
+// firstRevision is a release that may send a relayed request twice, and does not continue
+// stored texts of singleVersion routes.
+const firstRevision = "49ac955"
+
+// earlierRevisions are the releases that run beside the present one while hosts are
 // upgraded one after the other.
-const earlierRevision = "49ac955"
+var earlierRevisions = []string{firstRevision, "6ead1fa"}
+
+// earlierBuilds builds flamingobeamd of each of earlierRevisions, once for all tests.
+var earlierBuilds = func() map[string]func() (string, error) {
+	builds := make(map[string]func() (string, error))
+	for _, revision := range earlierRevisions {
+		builds[revision] = sync.OnceValues(func() (string, error) { return buildRevision(revision) })
+	}
+	return builds
+}()
 
-// buildEarlierRelease builds flamingobeamd of earlierRevision, once for all tests. The path
-// is empty where the history of the repository is not available.
-var buildEarlierRelease = sync.OnceValues(func() (string, error) {
+// buildRevision builds flamingobeamd of a revision and returns its path, which is empty
+// where the history of the repository is not available.
+func buildRevision(revision string) (string, error) {
 	top, err := exec.Command("git", "rev-parse", "--show-toplevel").Output()
 	if err != nil {
 		return "", nil
 	}
 	root := strings.TrimSpace(string(top))
-	if exec.Command("git", "-C", root, "cat-file", "-e", earlierRevision+"^{commit}").Run() != nil {
+	if exec.Command("git", "-C", root, "cat-file", "-e", revision+"^{commit}").Run() != nil {
 		return "", nil
 	}
-	folder := filepath.Join(filepath.Dir(daemonBinary), "earlier")
+	folder := filepath.Join(filepath.Dir(daemonBinary), revision)
 	script := `mkdir "$2" && git -C "$0" archive "$1" -- . ':!journal' | tar x -C "$2" && cd "$2" && go build -o flamingobeamd ./cmd/flamingobeamd`
-	if output, err := exec.Command("sh", "-c", script, root, earlierRevision, folder).CombinedOutput(); err != nil {
-		return "", fmt.Errorf("build %s: %w: %s", earlierRevision, err, output)
+	if output, err := exec.Command("sh", "-c", script, root, revision, folder).CombinedOutput(); err != nil {
+		return "", fmt.Errorf("build %s: %w: %s", revision, err, output)
 	}
 	return filepath.Join(folder, "flamingobeamd"), nil
-})
+}
 
-// earlierRelease returns the binary of the earlier release.
-func earlierRelease(t *testing.T) string {
+// earlierRelease returns the binary of an earlier release.
+func earlierRelease(t *testing.T, revision string) string {
 	t.Helper()
-	binary, err := buildEarlierRelease()
+	binary, err := earlierBuilds[revision]()
 	must.NoError(t, err)
 	if binary == "" {
-		t.Skipf("the history of the repository does not have %s", earlierRevision)
+		t.Skipf("the history of the repository does not have %s", revision)
 	}
 	return binary
 }
 
 // releaseOrders are the releases of two hosts, as both may be upgraded first.
 func releaseOrders(t *testing.T) map[string][2]string {
-	earlier := earlierRelease(t)
-	return map[string][2]string{"earlier and current": {earlier, daemonBinary}, "current and earlier": {daemonBinary, earlier}}
+	orders := make(map[string][2]string)
+	for _, revision := range earlierRevisions {
+		earlier := earlierRelease(t, revision)
+		orders[revision+" and current"] = [2]string{earlier, daemonBinary}
+		orders["current and "+revision] = [2]string{daemonBinary, earlier}
+	}
+	return orders
 }
 
 // startReleases starts two daemons and waits until the store lists both.
@@ -156,22 +174,31 @@
 	}
 }
 
-// TestReleases_HelperOfEarlierRelease cuts a daemon off from the servers, beside one of the
+// TestReleases_HelperOfEarlierRelease cuts a daemon off from the servers, beside one of an
 // earlier release. Requests go through that one, but for those that it might send twice.
 func TestReleases_HelperOfEarlierRelease(t *testing.T) {
 	t.Parallel()
-	earlier := earlierRelease(t)
-	h := newHarness(t)
-	h.putConfiguration(1, routeConfig("/claims/", "non_idempotent"), routeConfig("/status/", "idempotent"))
-	servers := []*plainServer{h.addPlain("plain-1"), h.addPlain("plain-2")}
-	links := newServerLinks()
-	cut := h.startDaemonWith("daemon-1", links.dial)
-	h.startProcessOf(earlier, "daemon-2")
-	h.awaitMembers(2)
-	links.set(linksReset)
-	h.waitFor("requests are relayed", func() bool { return checkServed(cut, fmt.Sprint("warm-", time.Now().UnixNano()), 1) == 1 })
-	must.Eq(t, http.StatusOK, cut.call(http.MethodGet, "/status/1", "look-1", nil, "").status)
-	must.Eq(t, http.StatusOK, cut.call(http.MethodPost, "/claims/1", "claim-1", nil, "body").status)
-	must.Eq(t, http.StatusServiceUnavailable, cut.call(http.MethodGet, "/claims/1", "claim-2", nil, "").status)
-	must.Eq(t, 0, servers[0].countRuns("claim-2")+servers[1].countRuns("claim-2"))
+	for _, revision := range earlierRevisions {
+		t.Run(revision, func(t *testing.T) {
+			t.Parallel()
+			earlier := earlierRelease(t, revision)
+			h := newHarness(t)
+			h.putConfiguration(1, routeConfig("/claims/", "non_idempotent"), routeConfig("/status/", "idempotent"))
+			servers := []*plainServer{h.addPlain("plain-1"), h.addPlain("plain-2")}
+			links := newServerLinks()
+			cut := h.startDaemonWith("daemon-1", links.dial)
+			h.startProcessOf(earlier, "daemon-2")
+			h.awaitMembers(2)
+			links.set(linksReset)
+			h.waitFor("requests are relayed", func() bool { return checkServed(cut, fmt.Sprint("warm-", time.Now().UnixNano()), 1) == 1 })
+			must.Eq(t, http.StatusOK, cut.call(http.MethodGet, "/status/1", "look-1", nil, "").status)
+			must.Eq(t, http.StatusOK, cut.call(http.MethodPost, "/claims/1", "claim-1", nil, "body").status)
+			status, runs := http.StatusOK, 1
+			if revision == firstRevision {
+				status, runs = http.StatusServiceUnavailable, 0
+			}
+			must.Eq(t, status, cut.call(http.MethodGet, "/claims/1", "claim-2", nil, "").status)
+			must.Eq(t, runs, servers[0].countRuns("claim-2")+servers[1].countRuns("claim-2"))
+		})
+	}
 }
