Let no stopping daemon take over the jobs of a dead one

Evidence: TestIsJobSuccessorOf_StoppingDaemon failed before and passes.

Change: stopping daemons are no successors, as for handovers.

Beside it: TestManaged_PlannedStopFinishesLateAnswers, for answers that are not streamed.

--- a/daemon/services/jobs/takeover.go
+++ b/daemon/services/jobs/takeover.go
@@ -137,9 +137,14 @@
 	return batch.RendezvousPick(name, jobHostNames(view)) == view.Self.Name
 }
 
-// jobHostNames returns the names of the live daemons that may own jobs.
+// jobHostNames returns the names of the live daemons that may own jobs, without those that
+// are stopping unless all are.
 func jobHostNames(view *contract.SessionView) []string {
-	return slices.Collect(maps.Keys(membership.JobHosts(view.Live)))
+	hosts := slices.Collect(maps.Keys(membership.JobHosts(view.Live)))
+	if staying := filter(hosts, func(name string) bool { return !view.Live[name].IsStopping }); len(staying) > 0 {
+		return staying
+	}
+	return hosts
 }
 
 // isSweeper reports whether this daemon scans for jobs that no successor has
--- a/daemon/services/jobs/takeover_test.go
+++ b/daemon/services/jobs/takeover_test.go
@@ -42,6 +42,27 @@
 	must.Eq(t, []string{"host-7.1a"}, successorsOf("host-7.0f"))
 }
 
+// TestIsJobSuccessorOf_StoppingDaemon guards against jobs of a lost host that nobody takes
+// over, because their successor is stopping and does not scan any more.
+func TestIsJobSuccessorOf_StoppingDaemon(t *testing.T) {
+	stopping := membership.Member{Name: "host-1.1a", IsStopping: true}
+	for i := range 50 {
+		lost := fmt.Sprintf("host-lost-%d.1a", i)
+		for self, isSuccessor := range map[string]bool{"host-1.1a": false, "host-2.1a": true} {
+			view := sessionView(self, "host-1.1a", "host-2.1a")
+			view.Live[stopping.Name] = stopping
+			var m takeoverMonitor
+			must.Eq(t, isSuccessor, m.isJobSuccessorOf(lost, view))
+			must.Eq(t, isSuccessor, m.isSweeper(view))
+		}
+	}
+	// With no other daemon left it still is.
+	view := sessionView(stopping.Name)
+	view.Live[stopping.Name] = stopping
+	var m takeoverMonitor
+	must.True(t, m.isJobSuccessorOf("host-lost.1a", view))
+}
+
 func TestIsJobSuccessorOf_NoSession(t *testing.T) {
 	var m takeoverMonitor
 	must.False(t, m.isJobSuccessorOf("host-lost.1a", sessionView("host-1.1a")))
--- a/histories/managed/stops_test.go
+++ b/histories/managed/stops_test.go
@@ -408,3 +408,66 @@
 		}
 	}
 }
+
+// TestManaged_PlannedStopFinishesLateAnswers guards against answers that are not streamed
+// and are cut at a planned stop although their servers give them five sixths into the grace
+// period: a look-up, a request that may not be repeated, and one whose body arrives late.
+func TestManaged_PlannedStopFinishesLateAnswers(t *testing.T) {
+	t.Parallel()
+	for _, grace := range []time.Duration{4 * time.Second, 8 * time.Second} {
+		t.Run(grace.String(), func(t *testing.T) {
+			t.Parallel()
+			h := newHarness(t)
+			var routes []map[string]any
+			for prefix, kind := range map[string]string{"/status/": "idempotent", "/claims/": "non_idempotent"} {
+				route := routeConfig(prefix, kind)
+				route["timeoutMs"], route["maxAttempts"] = 30000, 1
+				routes = append(routes, route)
+			}
+			h.putConfiguration(1, routes...)
+			server, timed := h.addPlain("plain-1"), newTimedStreams()
+			answerLate := func(_ http.ResponseWriter, r *http.Request) bool {
+				_, _ = io.Copy(io.Discard, r.Body)
+				<-timed.signaled
+				<-time.After(time.Until(timed.signaledAt.Add(grace * 5 / 6)))
+				return false
+			}
+			server.faults = slices.Repeat([]func(http.ResponseWriter, *http.Request) bool{answerLate}, 3)
+			p := h.startProcessOf(daemonBinary, "daemon-1", graceSetting(grace))
+			deadline := map[string]string{"Deadline-Ms": "30000"}
+			calls := []func() callerResponse{
+				p.beginCall(http.MethodPost, "/status/1", "look-1", deadline, ""),
+				p.beginCall(http.MethodPost, "/claims/1", "claim-1", deadline, "body"),
+			}
+			body, writer := io.Pipe()
+			request, err := http.NewRequest(http.MethodPost, "http://"+p.address+"/status/2", body)
+			must.NoError(t, err)
+			request.Host = routeHostname
+			request.Header.Set("Attempt-Id", "upload-1")
+			request.Header.Set("Deadline-Ms", "30000")
+			uploaded := make(chan int, 1)
+			go func() {
+				response, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(request)
+				if err != nil {
+					uploaded <- 0
+					return
+				}
+				_ = response.Body.Close()
+				uploaded <- response.StatusCode
+			}()
+			_, err = writer.Write([]byte("the start of a body"))
+			must.NoError(t, err)
+			h.waitFor("the requests run", func() bool { return len(server.requests()) == 2 })
+			timed.signal(t, p)
+			<-time.After(grace * 3 / 4)
+			must.NoError(t, writer.Close())
+			for _, await := range calls {
+				response := await()
+				must.NoError(t, response.err)
+				must.Eq(t, http.StatusOK, response.status)
+			}
+			must.Eq(t, http.StatusOK, <-uploaded)
+			timed.checkExit(t, p, grace)
+		})
+	}
+}
