Keep time of a stop for handing over beside a stuck request

Cause: on hosts without a managed platform a request that does not end used up the whole of limits.stop_within. Then samples and buckets were not handed over, and the lease of the zone's collector was not ended.

Evidence: TestShutdown_StuckLookup failed before (the collector's key was still there when the daemon had stopped) and passes. That samples and buckets were concerned is by reading: they stop after the front end, with the same deadline.

Change: requests in flight get three quarters of the time.

--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -43,7 +43,7 @@
 }
 
 // Run runs a daemon until ctx ends and then shuts it down gracefully. Requests in
-// flight have Limits.StopWithin to finish.
+// flight have a part of Limits.StopWithin to finish.
 func Run(ctx context.Context, daemon config.Daemon, log *logrus.Logger) error {
 	k := New(daemon, log)
 	if err := k.Start(ctx); err != nil {
--- a/daemon/agent/shutdown_test.go
+++ b/daemon/agent/shutdown_test.go
@@ -19,6 +19,7 @@
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
 	"github.com/flamingobeam/flamingobeam/emulate/store"
 	"github.com/flamingobeam/flamingobeam/kernel"
+	"github.com/flamingobeam/flamingobeam/outside"
 )
 
 // freeAddress returns a loopback address on which no process currently listens.
@@ -181,3 +182,31 @@
 	must.Eq(t, "whole answer", string(got.body))
 	must.NoError(t, <-stopped)
 }
+
+// TestShutdown_StuckLookup guards against state that a stopping daemon does not hand over,
+// because a request that does not end uses up the whole time of the stop.
+func TestShutdown_StuckLookup(t *testing.T) {
+	fleet, p := store.NewFleet(0), &blockingPortal{entered: make(chan struct{}), release: make(chan struct{})}
+	addServer(t, fleet, structs.BackendServer{Name: "portal-1", Place: ashanti, Service: "portal"}, p)
+	records := store.New(store.DefaultLimits(), 1)
+	platform := httptest.NewServer(store.Handler(records, fleet))
+	t.Cleanup(platform.Close)
+	k, address := startHost(t, fleet, platform.Listener.Addr().String(), "ashanti-1")
+	createDocument(t, k)
+	const collectorKey = "zones/ashanti-a/collector"
+	_, err := records.Get(t.Context(), collectorKey)
+	must.NoError(t, err)
+	t.Cleanup(func() { close(p.release) })
+	go func() {
+		if got, err := http.Get("http://" + address + "/v1/workspaces/audit/service/records/1"); err == nil {
+			_ = got.Body.Close()
+		}
+	}()
+	<-p.entered
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	must.Error(t, k.Stop(ctx))
+	// The lease of the collector was revoked.
+	_, err = records.Get(t.Context(), collectorKey)
+	must.ErrorIs(t, err, outside.ErrNotFound)
+}
--- a/daemon/config/config.go
+++ b/daemon/config/config.go
@@ -146,7 +146,8 @@
 	// UnreadyFor is how long a stopping daemon reports itself unready and still
 	// accepts requests, so that the load balancer can remove it first.
 	UnreadyFor settings.Duration `yaml:"unready_for" validate:"min=0,max=3600000000000"`
-	// StopWithin is how long a graceful shutdown waits for requests in flight.
+	// StopWithin is how long a graceful shutdown takes at the most. Requests in flight
+	// get three quarters of it.
 	// Rollouts, drafts and waits for a step are aborted after half of it.
 	StopWithin settings.Duration `yaml:"stop_within" validate:"min=0,max=86400000000000"`
 }
--- a/daemon/services/front/front.go
+++ b/daemon/services/front/front.go
@@ -107,6 +107,8 @@
 	timer := s.clock.AfterFunc(longRequestTimeout(time.Duration(s.config.Limits.StopWithin)), s.longRequests.cancelAll)
 	defer timer.Stop()
 	s.server.SetKeepAlivesEnabled(false)
+	ctx, cancel := withDrainDeadline(ctx)
+	defer cancel()
 	s.awaitUnreadyPeriod(ctx)
 	err := s.server.Shutdown(ctx)
 	if err != nil {
@@ -116,6 +118,16 @@
 	return err
 }
 
+// withDrainDeadline returns a context that ends at drainFraction of the time that is left
+// until the deadline of ctx.
+func withDrainDeadline(ctx context.Context) (context.Context, context.CancelFunc) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, time.Duration(drainFraction*float64(time.Until(deadline))))
+}
+
 func (s *service) awaitUnreadyPeriod(ctx context.Context) {
 	timer := s.clock.NewTimer(time.Duration(s.config.Limits.UnreadyFor))
 	defer timer.Stop()
--- a/daemon/services/front/longrequests.go
+++ b/daemon/services/front/longrequests.go
@@ -14,6 +14,10 @@
 // of this daemon.
 const longRequestFraction = 0.5
 
+// drainFraction is the fraction of the shutdown timeout for which requests in flight are
+// waited for. The rest is for handing over the state of this daemon.
+const drainFraction = 0.75
+
 // longRequests cancels the long requests of a daemon that is stopping.
 type longRequests struct {
 	ctx    context.Context
