Count escapes in the length of results that are written together

Trainers lost: results of outputs with many characters that JSON escapes were never listed. Up to 500 KiB of text were written at once, and the store refuses values over 1 MiB; the write was repeated for ever (suspected since the review).

Cause: the unescaped length counted.

By unit test only; no deployment in force has such outputs.

Change: the length of the escaped text counts, and escapes that only HTML needs are left out.

--- a/daemon/services/jobs/commit.go
+++ b/daemon/services/jobs/commit.go
@@ -90,7 +90,7 @@
 func firstChunk(pending []batch.Result) []batch.Result {
 	size := 0
 	for i, result := range pending {
-		size += len(result.Output) + len(result.Score) + 200
+		size += encodedLen(result.Output) + encodedLen(result.Score) + 200
 		if size > maxChunkBytes && i > 0 {
 			return pending[:i:i]
 		}
--- a/daemon/services/jobs/store.go
+++ b/daemon/services/jobs/store.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -8,6 +9,7 @@
 	"slices"
 	"sync"
 	"time"
+	"unicode/utf8"
 
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc/pool"
@@ -105,13 +107,36 @@
 	return nil
 }
 
+// encode returns a value in JSON, without the escapes that are only of use in HTML: they
+// would lengthen code in a text sixfold.
 func encode(value any) []byte {
-	text, err := json.Marshal(value)
-	if err != nil {
+	var text bytes.Buffer
+	encoder := json.NewEncoder(&text)
+	encoder.SetEscapeHTML(false)
+	if err := encoder.Encode(value); err != nil {
 		// All types that are stored here can be encoded.
 		panic(err)
 	}
-	return text
+	return bytes.TrimSuffix(text.Bytes(), []byte("\n"))
+}
+
+// encodedLen returns an upper bound of the bytes that encode needs for a string.
+func encodedLen(text string) int {
+	const escapeLen = 6
+	size := 0
+	for i := 0; i < len(text); {
+		r, width := utf8.DecodeRuneInString(text[i:])
+		i += width
+		switch {
+		case r == '"' || r == '\\':
+			size += 2
+		case r < ' ' || r == '\u007f' || r == utf8.RuneError || r == '\u2028' || r == '\u2029':
+			size += escapeLen
+		default:
+			size += width
+		}
+	}
+	return size
 }
 
 // readKey reads and decodes a key. It returns errNotFound if there is none.
