Keep checkpoints within a value of the store

Cause: the unescaped length of the events counted, and the last text of a checkpoint was added whatever its length. The store refused such a checkpoint and all later ones, so that a takeover generated the texts again.

Evidence: TestUncheckpointedParts_EscapedTexts (twelve texts of 80 KiB with characters that need an escape) fails if the unescaped length counts, and passes. By unit test only.

Change: a text that does not fit with the others waits for the next checkpoint.

--- a/daemon/services/jobs/checkpoint.go
+++ b/daemon/services/jobs/checkpoint.go
@@ -49,21 +49,7 @@
 	if j.isCheckpointing || now.Sub(j.lastCheckpointAt) < checkpointInterval {
 		return
 	}
-	var parts []textPart
-	size := 0
-	for _, it := range j.items {
-		if it.isListed || it.phase == phaseWaiting && it.resumeOffset == 0 {
-			continue
-		}
-		part, ok := it.uncheckpointedPart()
-		if !ok || size > maxChunkBytes {
-			continue
-		}
-		for _, event := range part.Events {
-			size += len(event)
-		}
-		parts = append(parts, part)
-	}
+	parts := j.uncheckpointedParts()
 	if len(parts) == 0 {
 		return
 	}
@@ -79,6 +65,32 @@
 	})
 }
 
+// uncheckpointedParts returns the parts of the job's texts that no checkpoint holds, as many
+// as fit in one value of the store, and at least one if there is any.
+func (j *job) uncheckpointedParts() []textPart {
+	var parts []textPart
+	size := 0
+	for _, it := range j.items {
+		if it.isListed || it.phase == phaseWaiting && it.resumeOffset == 0 {
+			continue
+		}
+		part, ok := it.uncheckpointedPart()
+		if !ok {
+			continue
+		}
+		partSize := 0
+		for _, event := range part.Events {
+			partSize += encodedLen(event) + len(`"",`)
+		}
+		if len(parts) > 0 && size+partSize > maxChunkBytes {
+			continue
+		}
+		size += partSize
+		parts = append(parts, part)
+	}
+	return parts
+}
+
 // uncheckpointedPart returns the part of an item's text that no checkpoint
 // holds. It returns false if there is none or the text is too short.
 func (it *item) uncheckpointedPart() (textPart, bool) {
--- a/daemon/services/jobs/chunk_test.go
+++ b/daemon/services/jobs/chunk_test.go
@@ -9,6 +9,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/flamingobeam/flamingobeam/coord/batch"
+	"github.com/flamingobeam/flamingobeam/coord/resume"
 )
 
 // maxStoreValue is the size of a value that every store of the platform accepts, in bytes.
@@ -34,6 +35,30 @@
 	}
 }
 
+// TestUncheckpointedParts_EscapedTexts guards against checkpoints that the store refuses
+// because texts are long together, so that a takeover generates them all again.
+func TestUncheckpointedParts_EscapedTexts(t *testing.T) {
+	j := newTextJob("job-1", 0)
+	j.items = nil
+	for i := range 12 {
+		it := newTextJob("", 0).items[0]
+		it.Item.ID = batch.ItemID(fmt.Sprint("item-", i))
+		for event := range 40 {
+			it.text.Add(uint64(event+1), strings.Repeat("\x01", 2<<10), 1, resume.Origin{Service: "models", Software: "v1"})
+		}
+		j.items = append(j.items, it)
+	}
+	for stored := 0; stored < len(j.items); {
+		parts := j.uncheckpointedParts()
+		must.SliceNotEmpty(t, parts)
+		must.Less(t, maxStoreValue, len(encode(parts)))
+		for _, part := range parts {
+			j.findItem(part.Item).checkpointOffset = len(part.Events)
+		}
+		stored += len(parts)
+	}
+}
+
 // TestEncode_ReadByEarlierReleases checks that what encode writes is the same JSON value as
 // what earlier releases wrote.
 func TestEncode_ReadByEarlierReleases(t *testing.T) {
