End the wait for the last log lines with the grace period

With a grace period of 4 s the last service may stop at 3.9 s, and the wait for a log that nobody reads took up to 0.2 s more. By reading; the order of the times is checked by TestNewSchedule, a log that blocks at a stop was not played.

--- a/coord/shutdown/shutdown.go
+++ b/coord/shutdown/shutdown.go
@@ -40,6 +40,8 @@
 	CloseAt time.Time
 	// StopEnd is when the last service must have stopped.
 	StopEnd time.Time
+	// KillAt is when the platform kills the process.
+	KillAt time.Time
 }
 
 // NewSchedule returns the schedule of a process that was asked to stop at a time and is
@@ -56,6 +58,7 @@
 		DrainEnd:   drainEnd,
 		CloseAt:    drainEnd.Add(part(closeFraction)),
 		StopEnd:    drainEnd.Add(part(endFraction)),
+		KillAt:     requested.Add(grace),
 	}
 }
 
--- a/coord/shutdown/shutdown_test.go
+++ b/coord/shutdown/shutdown_test.go
@@ -17,10 +17,11 @@
 		s := NewSchedule(requested, grace)
 		for _, pair := range [][2]time.Time{
 			{requested, s.UnreadyEnd}, {requested, s.HandoverAt}, {s.UnreadyEnd, s.DrainEnd}, {s.HandoverAt, s.DrainEnd},
-			{s.DrainEnd, s.CloseAt}, {s.CloseAt, s.StopEnd}, {s.StopEnd, requested.Add(grace)},
+			{s.DrainEnd, s.CloseAt}, {s.CloseAt, s.StopEnd}, {s.StopEnd, s.KillAt},
 		} {
 			must.True(t, pair[0].Before(pair[1]))
 		}
+		must.Eq(t, grace, s.KillAt.Sub(requested))
 		expectedEnd := requested.Add(grace * 5 / 6)
 		must.Less(t, s.DrainEnd.Sub(expectedEnd), grace/20)
 		must.False(t, s.MayOutlast(expectedEnd))
--- a/daemon/agent/managed.go
+++ b/daemon/agent/managed.go
@@ -63,7 +63,8 @@
 	gcPercent = 40
 	// maxWorkers bounds concurrent blocking calls; each item in flight needs one.
 	maxWorkers = 4096
-	// logFlushTimeout bounds the wait for the last log lines to be written.
+	// logFlushTimeout bounds the wait for the last log lines to be written. At a planned
+	// stop it is also bounded by the end of the grace period.
 	logFlushTimeout = 200 * time.Millisecond
 )
 
@@ -126,7 +127,8 @@
 		return result.Wrap(result.SettingsInvalid, err)
 	}
 	logWriter := logs.NewAsyncWriter(os.Stdout)
-	defer logWriter.Close(logFlushTimeout)
+	flushTimeout := logFlushTimeout
+	defer func() { logWriter.Close(flushTimeout) }()
 	log, err := logs.New(logWriter, "info", "json")
 	if err != nil {
 		return result.Wrap(result.SettingsInvalid, err)
@@ -167,9 +169,11 @@
 	if err != nil {
 		return err
 	}
-	stopCtx, cancel := context.WithDeadline(context.Background(), planned.Begin(stopRequested).StopEnd)
+	schedule := planned.Begin(stopRequested)
+	stopCtx, cancel := context.WithDeadline(context.Background(), schedule.StopEnd)
 	defer cancel()
 	err = k.Stop(stopCtx)
+	flushTimeout = max(0, min(logFlushTimeout, time.Until(schedule.KillAt)))
 	entry.WithField("clean", err == nil).Info("Stopped.")
 	return err
 }
--- a/daemon/services/jobs/store.go
+++ b/daemon/services/jobs/store.go
@@ -107,8 +107,8 @@
 	return nil
 }
 
-// encode returns a value in JSON, without the escapes that are only of use in HTML: they
-// would lengthen code in a text sixfold.
+// encode returns a value in JSON. It leaves out the escapes that only HTML needs, because
+// each takes six bytes in place of one.
 func encode(value any) []byte {
 	var text bytes.Buffer
 	encoder := json.NewEncoder(&text)
--- a/daemon/services/journal/journal.go
+++ b/daemon/services/journal/journal.go
@@ -26,8 +26,8 @@
 }
 
 const (
-	// handBackTimeout bounds a planned stop, which waits for the submissions in
-	// flight and for the writes that hand the buckets back.
+	// handBackTimeout bounds the wait for the submissions in flight and for the writes
+	// that hand the buckets back, within the time that a planned stop has left.
 	handBackTimeout = 10 * time.Second
 	// ownerRequestCapacity bounds the requests for the owner of a bucket that
 	// wait for the control loop.
--- a/daemon/services/links/relay_server.go
+++ b/daemon/services/links/relay_server.go
@@ -87,7 +87,8 @@
 	}
 	defer s.helped.end()
 	if s.isStopping.Load() {
-		// The next request of the other daemon needs another connection soon.
+		// Otherwise the other daemon could send its next request on this connection just
+		// as it is closed.
 		w.Header().Set("Connection", "close")
 		timeout := platform.DecodeRequestHeaders(r).Timeout
 		if timeout == 0 || s.shutdown.Schedule().MayOutlast(time.Now().Add(timeout)) {
--- a/daemon/services/rpcserver/rpcserver.go
+++ b/daemon/services/rpcserver/rpcserver.go
@@ -116,8 +116,9 @@
 	}
 }
 
-// maxCallWait bounds the wait for calls in progress at a stop. Calls to the store that
-// this daemon makes for another one end sooner; polls for changes may not.
+// maxCallWait bounds the wait for calls in progress at a stop, within the time that the
+// stop has left. Calls to the store for another daemon usually end sooner; polls for
+// changes may not.
 const maxCallWait = 700 * time.Millisecond
 
 // Stop implements kernel.Service. Calls in progress are answered, but no further ones are
--- a/daemon/services/session/session.go
+++ b/daemon/services/session/session.go
@@ -64,7 +64,8 @@
 	// lease expired during an outage of the store needs that long to register
 	// again.
 	absenceGrace = 2500 * time.Millisecond
-	// revokeTimeout bounds the revocation of the lease at a planned stop.
+	// revokeTimeout bounds the revocation of the lease, within the time that a planned stop
+	// has left.
 	revokeTimeout = 500 * time.Millisecond
 )
 
