Interfaces of keys, duties, sizes of services and entry settings

The parts that serve them are built side by side and need common types first.

Only decoding is new, nothing acts on it yet.

Ruled out: one package for all of it (keys are looked up by traffic, duties belong to control), and settings by environment variables (the platform passes none).

--- a/cmd/flamingobeamd/main.go
+++ b/cmd/flamingobeamd/main.go
@@ -53,9 +53,14 @@
 func roleCommand(role agent.Role, usage string) *cli.Command {
 	return &cli.Command{
 		Name: string(role), Usage: usage,
-		Flags: []cli.Flag{&cli.IntFlag{Name: "metrics-port", Usage: "serve metrics on `PORT`", Value: defaultMetricsPort}},
+		Flags: []cli.Flag{
+			&cli.IntFlag{Name: "metrics-port", Usage: "serve metrics on `PORT`", Value: defaultMetricsPort},
+			&cli.StringFlag{Name: "settings", Usage: "settings `FILE` of the project's own settings; none for the defaults"},
+		},
 		Action: func(ctx context.Context, command *cli.Command) error {
-			return agent.RunManaged(ctx, role, command.Int("metrics-port"))
+			return agent.RunManaged(ctx, role, agent.ManagedOptions{
+				MetricsPort: command.Int("metrics-port"), Settings: command.String("settings"),
+			})
 		},
 	}
 }
--- a/coord/batch/batch.go
+++ b/coord/batch/batch.go
@@ -48,6 +48,8 @@
 	ID   string
 	Host string
 	Path string
+	// Workspace submitted the job. It is empty in a deployment without workspaces.
+	Workspace structs.WorkspaceName
 	// Step is the trainer's step.
 	Step  uint64
 	Model structs.ServiceName
--- a/coord/result/result.go
+++ b/coord/result/result.go
@@ -72,6 +72,8 @@
 	// StreamNotResumable is for a stream of which the software version is unknown or has
 	// no server.
 	StreamNotResumable Code = 3015
+	// NotHolder is for a call of a singleton duty that was not sent.
+	NotHolder Code = 3016
 
 	OutcomeUnknown  Code = 4000
 	AnswerCut       Code = 4001
@@ -150,6 +152,7 @@
 	{FairShareExceeded, "fair-share-exceeded", NotRun, 429, "The workspace has used its share; try again later."},
 	{BackendBusy, "backend-busy", NotRun, 503, "The backend server is full and has not run the request."},
 	{StreamNotResumable, "stream-not-resumable", NotRun, 503, "No server can continue the stream; ask for it from its beginning."},
+	{NotHolder, "not-holder", NotRun, 503, "This daemon does not hold the duty."},
 	{OutcomeUnknown, "outcome-unknown", MayHaveRun, 502, "The request may have run; it will not run again."},
 	{AnswerCut, "answer-cut", MayHaveRun, 502, "The answer broke off before its end."},
 	{StillRunning, "still-running", MayHaveRun, 409, "The first request with this key is still running."},
--- a/daemon/agent/managed.go
+++ b/daemon/agent/managed.go
@@ -107,6 +107,13 @@
 		ResultsKept:   host.TimeLimits.ResultRetention,
 		ConfigApply:   host.TimeLimits.ConfigApply,
 		FirstStart:    host.FirstStart,
+
+		KeyRevocation:    host.TimeLimits.KeyRevocation,
+		StrictRevocation: host.TimeLimits.StrictRevocation,
+		Memory:           host.Memory,
+		Descriptors:      host.Descriptors,
+		Duties:           host.Duties,
+		Entry:            config.DefaultEntry(),
 	}
 	return daemon
 }
@@ -119,13 +126,26 @@
 	})
 }
 
+// ManagedOptions are the options of a daemon's command line on a managed platform.
+type ManagedOptions struct {
+	// MetricsPort is the port on which metrics are served.
+	MetricsPort int
+	// Settings is the path of the project's own settings; empty for the defaults.
+	Settings string
+}
+
 // RunManaged runs a daemon on a managed platform until ctx ends and then shuts it down
-// gracefully. It fails with code SettingsInvalid or with the error of a service.
-func RunManaged(ctx context.Context, role Role, metricsPort int) error {
+// gracefully. It fails with code SettingsInvalid, with the errors of config.ReadEntry or
+// with the error of a service.
+func RunManaged(ctx context.Context, role Role, options ManagedOptions) error {
 	host, err := platform.ReadHostConfig()
 	if err != nil {
 		return result.Wrap(result.SettingsInvalid, err)
 	}
+	daemon := ManagedConfig(host, options.MetricsPort)
+	if daemon.Platform.Entry, err = config.ReadEntry(options.Settings); err != nil {
+		return err
+	}
 	logWriter := logs.NewAsyncWriter(os.Stdout)
 	flushTimeout := logFlushTimeout
 	defer func() { logWriter.Close(flushTimeout) }()
@@ -145,7 +165,7 @@
 	// The grace period runs from the signal, also while the services start.
 	stopRequests := make(chan time.Time, 1)
 	defer context.AfterFunc(ctx, func() { stopRequests <- time.Now() })()
-	k := NewManaged(role, ManagedConfig(host, metricsPort), log)
+	k := NewManaged(role, daemon, log)
 	if err := k.Start(ctx); err != nil {
 		return err
 	}
--- a/daemon/config/config.go
+++ b/daemon/config/config.go
@@ -16,6 +16,7 @@
 	"github.com/flamingobeam/flamingobeam/coord/result"
 	"github.com/flamingobeam/flamingobeam/coord/settings"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
+	"github.com/flamingobeam/flamingobeam/outside"
 )
 
 // Daemon is the settings file of a daemon.
@@ -62,6 +63,17 @@
 	ResultsKept time.Duration
 	// ConfigApply is how soon a configuration must be in force.
 	ConfigApply time.Duration
+	// KeyRevocation is how soon a caller's key that was taken away must be refused, and
+	// StrictRevocation whether a daemon that cannot learn of that in time refuses all keys.
+	KeyRevocation    time.Duration
+	StrictRevocation bool
+	// Memory is the memory limit of the process in bytes, and Descriptors that of its
+	// file descriptors; zero means unknown.
+	Memory      int64
+	Descriptors int
+	Duties      outside.DutySettings
+	// Entry holds the project's own settings.
+	Entry Entry
 	// FirstStart is set when the whole system starts for the first time, so that
 	// there are no batch jobs of earlier runs.
 	FirstStart bool
--- a/daemon/contract/managed.go
+++ b/daemon/contract/managed.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/flamingobeam/flamingobeam/coord/access"
 	"github.com/flamingobeam/flamingobeam/coord/batch"
 	"github.com/flamingobeam/flamingobeam/coord/catalog"
 	"github.com/flamingobeam/flamingobeam/coord/membership"
@@ -183,6 +184,8 @@
 	// the attempt ResumedAttempt began; zero begins a new stream.
 	ResumeAfter    uint64
 	ResumedAttempt string
+	// Workspace is the workspace of the caller's key; nil if the request needs none.
+	Workspace *access.Workspace
 	// IsAccepted is set for a call on behalf of accepted work. Such calls do not crash
 	// servers by themselves and are never quarantined: the work must be completed.
 	IsAccepted bool
--- a/scripts/check-imports.sh
+++ b/scripts/check-imports.sh
@@ -34,7 +34,7 @@
   "$(imports ./platform/... | grep -E " $root/coord/(placement|limit|retry|route|quarantine|weights|step|group|change)")"
 # Words of the managed platform's messages, which only its adapter and tests may
 # use.
-words='Attempt-Id|Server-Stamp|Server-Leaving|Server-Limit|Not-Executed|Expect-Instance|Instance-Id|Weight-Versions|Prompt-Prefix|Token-Count|Deadline-Ms|Length-Hint|Request-Priority|Last-Event-Id|Wait-Ms|/api/|kv-txn|kv-watch|kv-key|kv-range|scoringEndpoint|desiredCount|trainStep|minVersion|targetLatencyMs|resultDeadlineMs|itemTtlS|routeType|pathPrefix|fencingToken|kvCapacityTokens|platformConfig|listenAddrs|FLAMINGOBEAM_NODE_FILE|"op/|"servers/|"draining"'
+words='Attempt-Id|Server-Stamp|Server-Leaving|Server-Limit|Not-Executed|Expect-Instance|Instance-Id|Weight-Versions|Prompt-Prefix|Token-Count|Deadline-Ms|Length-Hint|Request-Priority|Last-Event-Id|Wait-Ms|/api/|kv-txn|kv-watch|kv-key|kv-range|scoringEndpoint|desiredCount|trainStep|minVersion|targetLatencyMs|resultDeadlineMs|itemTtlS|routeType|pathPrefix|fencingToken|kvCapacityTokens|platformConfig|listenAddrs|FLAMINGOBEAM_NODE_FILE|X-Api-Key|"Tenant"|usage-reports|Duty-Holder|Fencing-Token|cloudApi|apiKeys|authExempt|spotPrice|bootTimeS|usageWindowS|strictRevoke|"Resumes"|"op/|"servers/|"draining"'
 report "only platform may use the words of the managed platform's messages" \
   "$(git grep -nE "$words" -- '*.go' ':!platform' ':!*_test.go')"
 report "services must look each other up by name" \
