Duties: calls of the leader, under its fencing token

A daemon that alone cannot reach the platform yields the leadership. A renewal that was in flight when a leader resigned no longer restores its leadership.

Ruled out: a key and a lease of their own, which cost renewals and a second election beside one that is checked; passing calls on through another daemon, as a holder is one host.

--- a/daemon/agent/managed.go
+++ b/daemon/agent/managed.go
@@ -22,6 +22,7 @@
 	// Each service registers itself under its name.
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/catalog"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/dispatch"
+	_ "github.com/flamingobeam/flamingobeam/daemon/services/duties"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/engines"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/expose"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/gate"
@@ -74,7 +75,7 @@
 	if role == RoleStorage {
 		return []kernel.Name{contract.NameShutdown, contract.NameRetire}
 	}
-	return []kernel.Name{contract.NameShutdown, contract.NameMetricsHTTP, contract.NameRPCServer, contract.NameWeightSwaps, contract.NameManagedFront}
+	return []kernel.Name{contract.NameShutdown, contract.NameMetricsHTTP, contract.NameRPCServer, contract.NameWeightSwaps, contract.NameDuties, contract.NameManagedFront}
 }
 
 // ManagedReplacements maps services to those that replace them on a managed platform,
--- a/daemon/contract/managed.go
+++ b/daemon/contract/managed.go
@@ -124,6 +124,9 @@
 	// SetMayLead sets whether this daemon may be the leader; it resigns if it is. It
 	// must be called on the control goroutine.
 	SetMayLead(may bool)
+	// YieldLeadership resigns and leaves the leadership to other daemons for a time. It
+	// must be called on the control goroutine.
+	YieldLeadership(pause time.Duration)
 	// SetOwnsJobs sets whether this daemon owns open batch jobs, whose callers wait
 	// for a successor when it dies. It must be called on the control goroutine.
 	SetOwnsJobs(owns bool)
--- a/daemon/services/session/leadership.go
+++ b/daemon/services/session/leadership.go
@@ -40,7 +40,7 @@
 // once if it is the preferred candidate, which all daemons compute the same way, and
 // after candidateDelay otherwise.
 func (s *service) isCandidate() bool {
-	if s.mayNotLead {
+	if s.mayNotLead || s.loop.Now().Before(s.yieldsUntil) {
 		return false
 	}
 	view := s.view.Load()
@@ -53,11 +53,25 @@
 // SetMayLead implements contract.Session.
 func (s *service) SetMayLead(may bool) {
 	s.mayNotLead = !may
+	if !may {
+		s.resign()
+	}
+}
+
+// YieldLeadership implements contract.Session.
+func (s *service) YieldLeadership(pause time.Duration) {
+	s.yieldsUntil = s.loop.Now().Add(pause)
+	s.resign()
+}
+
+// resign deletes the leader's key if this daemon holds it.
+func (s *service) resign() {
 	held := *s.leadership.Load()
-	if may || held.token == 0 {
+	if held.token == 0 {
 		return
 	}
 	s.leadership.Store(&leadership{})
+	s.resignedToken = held.token
 	s.log.WithField("token", held.token).Info("Resigning as the leader.")
 	s.workers.Go(func(ctx context.Context) {
 		if err := s.deleteLeader(ctx, held.revision); err != nil {
--- a/daemon/services/session/renewal.go
+++ b/daemon/services/session/renewal.go
@@ -154,6 +154,9 @@
 		}
 		s.lease, s.leaseTTL = renewed.lease, renewed.ttl
 		led := renewed.led
+		if led.token == s.resignedToken {
+			led = leadership{}
+		}
 		s.leadership.Store(&led)
 		s.leaseValidUntil.Store(int64(renewed.validUntil))
 	}
--- a/daemon/services/session/session.go
+++ b/daemon/services/session/session.go
@@ -95,6 +95,11 @@
 	ownsJobs bool
 	// mayNotLead is set while this daemon cannot do the work of the leader.
 	mayNotLead bool
+	// yieldsUntil is the time until which this daemon leaves the leadership to others.
+	yieldsUntil time.Time
+	// resignedToken is the token with which this daemon resigned last. A renewal that
+	// began before does not bring it back.
+	resignedToken uint64
 	// leaderlessSince is when the leader's key was found missing; zero while
 	// there is a leader.
 	leaderlessSince time.Time
