Fleet size: servers ordered from the steps of the trainers

Cause: a deployment may let the system choose how many servers of a service run in each zone, and may sell reclaimable ones at a lower price; the number stayed as it was.

Change: coord/scaling decides from the steps that owners of jobs report to the holder of the duties; control.fleet gathers the reports and sends the orders. Without the duty or without a service with scaling nothing is sent.

--- a/coord/catalog/catalog.go
+++ b/coord/catalog/catalog.go
@@ -175,6 +175,20 @@
 	return false
 }
 
+// IsRepeatable reports whether all work of a service may run more than once, so that a
+// server may leave while it runs.
+func (c *Catalog) IsRepeatable(service structs.ServiceName) bool {
+	for _, hostRoutes := range c.routes {
+		for _, route := range hostRoutes {
+			isTarget := slices.ContainsFunc(route.Targets, func(t Target) bool { return t.Service == service })
+			if isTarget && route.Kind != KindBatch && route.Kind != KindIdempotent && !route.Resumable {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // Models returns the models that a service's engines serve, or nil for a plain
 // service.
 func (c *Catalog) Models(service structs.ServiceName) []structs.ServiceName {
--- a/daemon/agent/managed.go
+++ b/daemon/agent/managed.go
@@ -25,6 +25,7 @@
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/duties"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/engines"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/expose"
+	_ "github.com/flamingobeam/flamingobeam/daemon/services/fleetsize"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/gate"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/jobs"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/ledger"
@@ -75,7 +76,7 @@
 	if role == RoleStorage {
 		return []kernel.Name{contract.NameShutdown, contract.NameRetire}
 	}
-	return []kernel.Name{contract.NameShutdown, contract.NameMetricsHTTP, contract.NameRPCServer, contract.NameWeightSwaps, contract.NameDuties, contract.NameManagedFront}
+	return []kernel.Name{contract.NameShutdown, contract.NameMetricsHTTP, contract.NameRPCServer, contract.NameWeightSwaps, contract.NameDuties, contract.NameFleetSize, contract.NameManagedFront}
 }
 
 // ManagedReplacements maps services to those that replace them on a managed platform,
--- a/daemon/services/jobs/jobs.go
+++ b/daemon/services/jobs/jobs.go
@@ -49,6 +49,7 @@
 	peers        contract.Peers
 	swaps        contract.WeightSwaps
 	paces        contract.EnginePaces
+	fleet        contract.FleetSize
 	limits       contract.ServerLimits
 	shutdown     contract.Shutdown
 	metrics      contract.Metrics
@@ -112,6 +113,7 @@
 		kernel.Bind(&s.peers, contract.NamePeers),
 		kernel.Bind(&s.swaps, contract.NameWeightSwaps),
 		kernel.Bind(&s.paces, contract.NameEnginePaces),
+		kernel.Bind(&s.fleet, contract.NameFleetSize),
 		kernel.Bind(&s.limits, contract.NameServerLimits),
 		kernel.Bind(&s.shutdown, contract.NameShutdown),
 		kernel.Bind(&s.metrics, contract.NameMetrics),
@@ -140,6 +142,7 @@
 		s.loop.AfterFunc(0, s.takeover.reclaimOwnJobs)
 	}
 	s.loop.AfterFunc(tickInterval, s.tick)
+	s.loop.AfterFunc(loadInterval, s.reportLoad)
 	return rpc.Register(rpcName, &Receiver{service: s})
 }
 
