Reclaimed servers: runs that would not finish are resumed elsewhere

Cause: reclaimable servers of a zone leave within seconds, whatever runs there.

Change: a decision in coord/scaling says whether a run finishes before its server leaves; owners of jobs move those that do not. A server that names no time is treated as before: its runs may finish. The fleet decision takes a pool whose servers drain without an order for a reclaimed one and orders elsewhere.

--- a/coord/scaling/pool.go
+++ b/coord/scaling/pool.go
@@ -43,9 +43,12 @@
 
 // Pool is the state of the servers of one key.
 type Pool struct {
-	// Present is the number of listed servers that take work, and Reclaimed that of those
-	// that were reclaimed and are about to leave.
-	Present, Reclaimed int
+	// Present is the number of listed servers that take work.
+	Present int
+	// isReclaimed is set while servers leave that no order took away.
+	isReclaimed bool
+	// isLowered is set from an order for fewer servers until none is draining.
+	isLowered bool
 	// ordered is the number of the last order.
 	ordered int
 	// settlesAt is when the server list shows the effect of the last order.
@@ -59,10 +62,15 @@
 	inFlight bool
 }
 
-// List sets what the server list shows.
-func (p *Pool) List(present, reclaimed int) {
-	p.Present, p.Reclaimed = present, reclaimed
-	if reclaimed > 0 {
+// List sets what the server list shows: the servers that take work and those that are
+// draining.
+func (p *Pool) List(present, draining int, now time.Time) {
+	p.Present = present
+	if draining == 0 && !p.inFlight && !now.Before(p.settlesAt) {
+		p.isLowered = false
+	}
+	p.isReclaimed = draining > 0 && !p.isLowered
+	if p.isReclaimed {
 		// What was ordered before does not come any more.
 		p.settlesAt = time.Time{}
 	}
@@ -88,7 +96,7 @@
 // servers may.
 func (p *Pool) mayOrder(now time.Time) bool { return !p.inFlight && !now.Before(p.blockedUntil) }
 func (p *Pool) mayGrow(now time.Time) bool {
-	return p.mayOrder(now) && !now.Before(p.unavailableUntil) && p.Reclaimed == 0
+	return p.mayOrder(now) && !now.Before(p.unavailableUntil) && !p.isReclaimed
 }
 
 // mayShrink reports whether an order for fewer servers may be sent: none for more is
@@ -99,11 +107,14 @@
 
 // isUnavailable reports whether the zone had no such servers when it was asked last.
 func (p *Pool) isUnavailable(now time.Time) bool {
-	return now.Before(p.unavailableUntil) || p.Reclaimed > 0
+	return now.Before(p.unavailableUntil) || p.isReclaimed
 }
 
 // Sent records that an order was sent.
-func (p *Pool) Sent(count int) { p.inFlight, p.ordered = true, count }
+func (p *Pool) Sent(count int) {
+	p.inFlight, p.ordered = true, count
+	p.isLowered = p.isLowered || count < p.Present
+}
 
 // Answered records the outcome of an order.
 func (p *Pool) Answered(outcome Outcome, bootTime time.Duration, now time.Time) {
--- a/daemon/services/fleetsize/fleetsize.go
+++ b/daemon/services/fleetsize/fleetsize.go
@@ -197,21 +197,20 @@
 
 // list sets the pools to what the server list shows.
 func (s *service) list(f *fleet, name structs.ServiceName) {
-	view := s.servers.Entries().Load()
-	present, reclaimed := make(map[scaling.PoolKey]int), make(map[scaling.PoolKey]int)
-	for _, server := range view.ByService[name] {
-		present[scaling.PoolKey{Zone: server.Zone, Reclaimable: server.Reclaimable}]++
-	}
+	view, now := s.servers.Entries().Load(), s.loop.Now()
+	present, draining := make(map[scaling.PoolKey]int), make(map[scaling.PoolKey]int)
 	for _, server := range view.All {
-		if server.Service == name && server.Reclaimable && server.Draining && server.LeavesIn > 0 {
-			reclaimed[scaling.PoolKey{Zone: server.Zone, Reclaimable: true}]++
+		if server.Service == name && server.Draining {
+			draining[scaling.PoolKey{Zone: server.Zone, Reclaimable: server.Reclaimable}]++
 		}
 	}
-	for key, pool := range f.planner.Pools {
-		pool.List(present[key], reclaimed[key])
+	for _, server := range view.ByService[name] {
+		key := scaling.PoolKey{Zone: server.Zone, Reclaimable: server.Reclaimable}
+		present[key]++
+		f.planner.Pool(key)
 	}
-	for key, count := range present {
-		f.planner.Pool(key).List(count, reclaimed[key])
+	for key, pool := range f.planner.Pools {
+		pool.List(present[key], draining[key], now)
 	}
 }
 
--- a/daemon/services/jobs/jobs.go
+++ b/daemon/services/jobs/jobs.go
@@ -18,6 +18,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/flamingobeam/flamingobeam/coord/batch"
+	"github.com/flamingobeam/flamingobeam/coord/scaling"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/daemon/broadcast"
 	"github.com/flamingobeam/flamingobeam/daemon/config"
@@ -29,7 +30,7 @@
 	kernel.Register(contract.NameJobs, func() kernel.Service {
 		return &service{
 			ownedJobs: make(map[string]*job), engines: make(map[structs.HostName]*engineState), ownerCache: make(map[string]ownerEntry),
-			earlyEnds: make(map[string]ownershipRecord),
+			earlyEnds: make(map[string]ownershipRecord), departures: make(map[structs.HostName]scaling.Departure),
 		}
 	})
 }
@@ -77,6 +78,8 @@
 	isPlacementScheduled bool
 	isStopping           bool
 	takeover             takeoverMonitor
+	// departures holds the servers that said when they leave.
+	departures map[structs.HostName]scaling.Departure
 	// earlyEnds holds the ownership records of jobs whose end was reported
 	// before they were adopted here.
 	earlyEnds map[string]ownershipRecord
--- a/daemon/services/jobs/schedule.go
+++ b/daemon/services/jobs/schedule.go
@@ -123,7 +123,7 @@
 }
 
 // serversChanged removes the state of engines that are gone or have restarted.
-// It stops no runs, as those on draining servers may finish.
+// Runs on draining servers may finish, unless the server leaves before.
 func (s *service) serversChanged(view *contract.ServersView) {
 	for id, state := range s.engines {
 		server, listed := view.All[id]
@@ -131,6 +131,7 @@
 			delete(s.engines, id)
 		}
 	}
+	s.updateDepartures(view)
 	s.schedulePlacement()
 }
 
@@ -182,6 +183,7 @@
 func (s *service) tick() {
 	s.loop.AfterFunc(tickInterval, s.tick)
 	now := s.loop.Now()
+	s.moveFromLeaving(now)
 	hasOpen := false
 	for _, j := range s.ownedJobs {
 		if j.isOpen() {
