--- a/coord/scaling/plan.go
+++ b/coord/scaling/plan.go
@@ -65,6 +65,9 @@
 	surplusTolerance = 0.1
 )
 
+// lowerPrice is the reason for orders that only lower the price.
+const lowerPrice = "reclaimable servers carry the steps at a lower price"
+
 // Planner decides the sizes of a service's pools.
 //
 // The load that it answers: trainers send steps at about equal intervals, each of which
@@ -180,6 +183,9 @@
 func (d *draft) fillMinimum() {
 	for _, zone := range d.Bounds.Zones {
 		for _, key := range keysOf(zone.Name) {
+			if key.Reclaimable && d.Bounds.ReclaimablePrice <= 0 {
+				continue
+			}
 			for d.zoneTotal(zone.Name) < d.Bounds.Min && d.canGrow(key) {
 				d.add(key, "the zone has fewer than it must have")
 			}
@@ -221,7 +227,10 @@
 		if !ok {
 			break
 		}
-		d.add(key, d.reason("reclaimable servers carry the steps at a lower price"))
+		d.add(key, d.reason(lowerPrice))
+	}
+	if wanted > 0 && d.IsComplete {
+		d.replaceMinimum()
 	}
 	for d.isShort() {
 		key, ok := d.smallestPool(false)
@@ -232,6 +241,17 @@
 	}
 }
 
+// replaceMinimum adds a reclaimable server to each zone whose only servers are plain ones,
+// which can then be taken away.
+func (d *draft) replaceMinimum() {
+	for _, zone := range d.Bounds.Zones {
+		key := PoolKey{Zone: zone.Name, Reclaimable: true}
+		if d.counts[key] == 0 && d.counts[PoolKey{Zone: zone.Name}] > 0 && d.canGrow(key) {
+			d.add(key, lowerPrice)
+		}
+	}
+}
+
 // isShort reports whether the steps need more servers.
 func (d *draft) isShort() bool {
 	return d.total(false)+d.total(true) < d.need.Servers || d.survivors() < d.need.Floor
