--- a/coord/scaling/leave.go
+++ b/coord/scaling/leave.go
@@ -17,7 +17,7 @@
 // older than the one before, so the earlier departure holds.
 func (d Departure) Update(started int64, leavesIn time.Duration, now time.Time) Departure {
 	next := Departure{Started: started, At: now.Add(leavesIn)}
-	if d.Started == started && d.At.Before(next.At) {
+	if !d.At.IsZero() && d.Started == started && d.At.Before(next.At) {
 		return d
 	}
 	return next
--- a/coord/scaling/scaling_test.go
+++ b/coord/scaling/scaling_test.go
@@ -18,6 +18,7 @@
 	must.True(t, departure.Finishes(30, pace, start))
 	must.False(t, departure.Finishes(31, pace, start))
 	must.False(t, departure.Finishes(30, pace, start.Add(time.Millisecond)))
+	must.Eq(t, start.Add(time.Second), Departure{}.Update(0, time.Second, start).At)
 	// A later notice may be an older one, unless the server restarted.
 	must.Eq(t, departure, departure.Update(1, 2*time.Second, start.Add(time.Second)))
 	must.Eq(t, start.Add(time.Second), departure.Update(1, time.Second, start).At)
--- a/daemon/services/fleetsize/fleetsize.go
+++ b/daemon/services/fleetsize/fleetsize.go
@@ -104,10 +104,15 @@
 		return err
 	}
 	s.log, s.loop, s.workers = ctx.Log(), ctx.Loop(), ctx.Workers()
+	s.newMailboxes()
+	return rpc.Register(rpcName, &Receiver{service: s})
+}
+
+// newMailboxes creates the mailboxes of the control loop.
+func (s *service) newMailboxes() {
 	s.fleets = make(map[structs.ServiceName]*fleet)
 	s.loads = kernel.NewMailbox(s.loop, mailboxCapacity, s.handleLoad)
 	s.answers = kernel.NewMailbox(s.loop, mailboxCapacity, s.handleAnswer)
-	return rpc.Register(rpcName, &Receiver{service: s})
 }
 
 // Start implements kernel.Service.
