Usage reports: counts gathered by zone, decided in the store, reported by the holder

Change: control.usage counts them on each daemon by the time since boot. The holder of the duties gathers the counts through one daemon of each zone, decides on them with one conditional write and reports what it has written; a successor goes on from the record. coord/usage decides the steps. Windows follow the clocks of most daemons. A daemon that stops hands its counts over.

Ruled out: a record for each daemon and window, which grows with both; windows cut by each daemon's own clock, which is wrong for all that a wrong clock touches.

--- a/coord/membership/membership.go
+++ b/coord/membership/membership.go
@@ -92,6 +92,9 @@
 	return cmp.Compare(a.Name, b.Name)
 }
 
+// ByRank returns members in the order of their rank.
+func ByRank(members []Member) []Member { return slices.SortedFunc(slices.Values(members), byRank) }
+
 // ZoneFirsts returns the first member of each zone, by rank. It gets the changes
 // of the store for its zone.
 func ZoneFirsts(live map[string]Member) []Member {
--- /dev/null
+++ b/coord/usage/window.go
@@ -0,0 +1,65 @@
+// Package usage decides which counts of begun requests are reported for which window of
+// time. It answers the load of hundreds of daemons that begin requests, are killed,
+// stopped and cut off while one of them gathers their counts, and of a store and a
+// platform that are away for a while.
+package usage
+
+import (
+	"slices"
+	"time"
+)
+
+// Window is the number of a window of true time, counted from the start of 1970.
+type Window int64
+
+// Rules are the times of reports.
+type Rules struct {
+	// Length is the length of a window, and Due how soon after its end it must be
+	// reported.
+	Length time.Duration
+	Due    time.Duration
+}
+
+const (
+	// settleTime is how long after its end the counts of a window are gathered, so that
+	// requests which began just before have been counted.
+	settleTime = 700 * time.Millisecond
+	// gatherRetryDelay is the pause before daemons that did not answer are asked again.
+	gatherRetryDelay = 600 * time.Millisecond
+	// stepRetryDelay is the pause after the store or the platform failed a step.
+	stepRetryDelay = 300 * time.Millisecond
+	// maxOpenWindows bounds the windows that are gathered, decided or reported late.
+	maxOpenWindows = 24
+	// gatherFraction is the part of Due after which a window is decided without the
+	// daemons that have not answered.
+	gatherFraction = 0.45
+)
+
+// KeepTime returns how long daemons must keep their counts.
+func (r Rules) KeepTime() time.Duration { return (maxOpenWindows + 1) * r.Length }
+
+// WindowAt returns the window that a time belongs to.
+func (r Rules) WindowAt(at time.Time) Window { return Window(at.UnixNano() / int64(r.Length)) }
+
+// StartOf returns the start of a window, and EndOf its end.
+func (r Rules) StartOf(window Window) time.Time { return time.Unix(0, int64(window)*int64(r.Length)) }
+
+// EndOf returns the end of a window.
+func (r Rules) EndOf(window Window) time.Time { return r.StartOf(window + 1) }
+
+// clockTolerance is the difference between two clocks that is ascribed to the time of a
+// message. Beyond it a clock is considered wrong.
+const clockTolerance = 250 * time.Millisecond
+
+// IsWrong reports whether a clock that is ahead of another one by an offset is wrong.
+func IsWrong(offset time.Duration) bool { return offset.Abs() > clockTolerance }
+
+// Median returns the median of the offsets of clocks, and zero without any. It is right as
+// long as most clocks are.
+func Median(offsets []time.Duration) time.Duration {
+	if len(offsets) == 0 {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(offsets))
+	return sorted[len(sorted)/2]
+}
--- a/daemon/agent/managed.go
+++ b/daemon/agent/managed.go
@@ -37,6 +37,7 @@
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/session"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/shutdown"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/swaps"
+	_ "github.com/flamingobeam/flamingobeam/daemon/services/usage"
 )
 
 // Role is the role of a daemon on a managed platform.
@@ -75,7 +76,7 @@
 	if role == RoleStorage {
 		return []kernel.Name{contract.NameShutdown, contract.NameRetire}
 	}
-	return []kernel.Name{contract.NameShutdown, contract.NameMetricsHTTP, contract.NameRPCServer, contract.NameWeightSwaps, contract.NameDuties, contract.NameManagedFront}
+	return []kernel.Name{contract.NameShutdown, contract.NameMetricsHTTP, contract.NameRPCServer, contract.NameWeightSwaps, contract.NameDuties, contract.NameUsage, contract.NameManagedFront}
 }
 
 // ManagedReplacements maps services to those that replace them on a managed platform,
--- a/daemon/services/dispatch/dispatch.go
+++ b/daemon/services/dispatch/dispatch.go
@@ -46,6 +46,7 @@
 	limits    contract.ServerLimits
 	retries   contract.RetryBudgets
 	origins   contract.StreamOrigins
+	usage     contract.Usage
 	metrics   contract.Metrics
 	log       *logrus.Entry
 	transport *http.Transport
@@ -71,6 +72,7 @@
 		kernel.Bind(&s.limits, contract.NameServerLimits),
 		kernel.Bind(&s.retries, contract.NameRetries),
 		kernel.Bind(&s.origins, contract.NameStreamOrigins),
+		kernel.Bind(&s.usage, contract.NameUsage),
 		kernel.Bind(&s.metrics, contract.NameMetrics),
 	)
 }
--- a/daemon/services/dispatch/send.go
+++ b/daemon/services/dispatch/send.go
@@ -91,6 +91,9 @@
 	if headers.Leaving {
 		s.hosts.Report(ticket.Server.Name, contract.SignalLeaving)
 	}
+	if request.Workspace != nil && headers.MatchesAttempt && !headers.NotRun && !headers.Misdirected {
+		s.usage.RecordStart(request.Workspace.Name, time.Now())
+	}
 	attempt := s.readResponse(ctx, request, response, headers)
 	s.recordOrigin(ctx, request, origin, attempt.reply)
 	return attempt
