Look up the key of a workspace at each request, and give batch jobs a workspace

Change: coord/access parses keys, decides whose they are, which are in force after a flawed configuration, which batch jobs a caller may see, and what strict revocation means. The gate refuses unknown keys with 401 and removes what identifies the caller; the request for a server names the workspace last. Jobs and their ownership records carry the workspace in optional fields; other workspaces get 404 from every call. Texts are reused only within a workspace.

Ruled out: a prefix of job IDs by workspace (releases before keys would answer 404 for jobs that exist); a look-up for each connection; keeping the whole table when one workspace is flawed.

--- a/coord/batch/batch.go
+++ b/coord/batch/batch.go
@@ -80,6 +80,8 @@
 	Ended bool   `json:"ended,omitempty"`
 	// Submitted is the time of the first submission, in Unix milliseconds.
 	Submitted int64 `json:"submitted"`
+	// Workspace submitted the job; releases before keys of workspaces leave it out.
+	Workspace structs.WorkspaceName `json:"workspace,omitempty"`
 }
 
 // Log describes the chunks in which a job's results are stored.
--- a/coord/catalog/catalog.go
+++ b/coord/catalog/catalog.go
@@ -161,6 +161,11 @@
 	return slices.ContainsFunc(c.routes[strings.ToLower(host)], func(route *Route) bool { return route.Kind == KindBatch })
 }
 
+// HasPublicBatchRoute reports whether batch jobs may be submitted to a host without a key.
+func (c *Catalog) HasPublicBatchRoute(host string) bool {
+	return slices.ContainsFunc(c.routes[strings.ToLower(host)], func(route *Route) bool { return route.Kind == KindBatch && route.Public })
+}
+
 // RequiresSingleVersion reports whether any batch route to a service has
 // SingleVersion set.
 func (c *Catalog) RequiresSingleVersion(service structs.ServiceName) bool {
--- a/coord/result/result.go
+++ b/coord/result/result.go
@@ -96,6 +96,8 @@
 	ChangeWithdrawn Code = 5002
 	ChangeUnknown   Code = 5003
 	ChangePending   Code = 5004
+	// WorkspaceFlawed is logged for a workspace in the operator's configuration.
+	WorkspaceFlawed Code = 5005
 
 	SettingsMalformed Code = 6000
 	SettingsInvalid   Code = 6001
@@ -167,6 +169,7 @@
 	{ChangeWithdrawn, "change-withdrawn", NotRun, 409, "The change was withdrawn because an availability zone did not acknowledge it."},
 	{ChangeUnknown, "change-unknown", MayHaveRun, 503, "The change may have been accepted; apply it again with the same change id."},
 	{ChangePending, "change-pending", MayHaveRun, 202, "The change is being decided."},
+	{WorkspaceFlawed, "workspace-flawed", NotRun, 422, "The configuration of a workspace or its keys cannot be used; the last usable one stays in force."},
 	{SettingsMalformed, "settings-malformed", NotRun, 400, "The settings file is not well-formed."},
 	{SettingsInvalid, "settings-invalid", NotRun, 400, "A value in the settings file is not allowed."},
 	{SettingsUnread, "settings-unread", NotRun, 400, "The settings file cannot be read."},
--- a/daemon/contract/managed.go
+++ b/daemon/contract/managed.go
@@ -92,6 +92,14 @@
 	ReachedSince() (time.Time, bool)
 }
 
+// StoreKnowledge tells how old a daemon's knowledge of the store is. The service
+// NameTransactionalStore offers it.
+type StoreKnowledge interface {
+	// Staleness returns the time since the store last replied to a watch of a prefix,
+	// directly or through other daemons. It may be called from any goroutine.
+	Staleness(prefix string) time.Duration
+}
+
 // SessionView is an immutable snapshot of the live daemons.
 type SessionView struct {
 	Self membership.Member
@@ -286,22 +294,22 @@
 }
 
 // Jobs runs batch jobs. Errors are of package result; code NotFound means that the
-// job certainly does not exist.
+// job certainly does not exist for the caller.
 type Jobs interface {
-	// Submit accepts a job, once for each ID, and stores source, the submitted
-	// body. After an error with code OutcomeUnknown the job may still become
+	// Submit accepts a job of its workspace, once for each ID, and stores source, the
+	// submitted body. After an error with code OutcomeUnknown the job may still become
 	// accepted.
 	Submit(ctx context.Context, job *batch.Job, source []byte) error
-	// Exists reports whether there is a job with an ID. It fails if the store does not
-	// answer.
-	Exists(ctx context.Context, id string) (bool, error)
+	// Exists reports whether there is a job with an ID for a caller. It fails if the
+	// store does not answer.
+	Exists(ctx context.Context, scope access.Scope, id string) (bool, error)
 	// Results returns the recorded results from an index on.
-	Results(ctx context.Context, request ResultsRequest) (ResultsReply, error)
+	Results(ctx context.Context, scope access.Scope, request ResultsRequest) (ResultsReply, error)
 	// ItemBody returns the body of an item.
-	ItemBody(ctx context.Context, id string, item batch.ItemID) ([]byte, error)
+	ItemBody(ctx context.Context, scope access.Scope, id string, item batch.ItemID) ([]byte, error)
 	// End ends a job. Results that were recorded remain readable. After an error
 	// with code OutcomeUnknown the job may still be ended.
-	End(ctx context.Context, id string) error
+	End(ctx context.Context, scope access.Scope, id string) error
 	// Quiesce directs further submissions to other daemons, because this one is
 	// about to stop.
 	Quiesce()
--- a/daemon/contract/runs.go
+++ b/daemon/contract/runs.go
@@ -14,9 +14,11 @@
 
 // RunRequest describes a run, the generation of an item's text at an engine.
 type RunRequest struct {
-	Job    *batch.Job
-	Item   *batch.Item
-	Server catalog.Server
+	Job *batch.Job
+	// HasWorkspaces is set in a deployment with workspaces.
+	HasWorkspaces bool
+	Item          *batch.Item
+	Server        catalog.Server
 	// Urgency is the priority, from 0 (highest) to 9 (lowest).
 	Urgency int
 	// Text is the text of earlier runs, which this run continues.
--- a/daemon/services/catalog/catalog.go
+++ b/daemon/services/catalog/catalog.go
@@ -96,12 +96,13 @@
 func (s *service) applyConfiguration(next *contract.CatalogView, record outside.Record, changes contract.News) bool {
 	decoded, err := platform.DecodeCatalog(record.Value)
 	if err != nil {
-		s.log.WithError(err).WithField("revision", record.Revision).Error("Cannot decode a configuration; the previous one stays in force.")
+		s.log.WithError(err).WithFields(logrus.Fields{"revision": record.Revision, "code": int(result.SettingsMalformed)}).Error("Cannot decode a configuration; the previous one stays in force.")
 		return false
 	}
 	if next.Catalog != nil && decoded.Version <= next.Catalog.Version {
 		return false
 	}
+	s.applyWorkspaces(decoded, next.Catalog)
 	s.log.WithFields(logrus.Fields{
 		"version": decoded.Version, "revision": record.Revision, "source": changes.Source, "age_ms": changes.Age.Milliseconds(),
 	}).Info("A configuration is in force.")
--- a/daemon/services/dispatch/send.go
+++ b/daemon/services/dispatch/send.go
@@ -70,7 +70,7 @@
 		Method: request.Method, Host: request.Host, Target: request.Target,
 		Header: request.Header, Body: request.Body, AttemptID: request.ID,
 		Timeout: remaining, Priority: platform.NoPriority,
-		Resume: permit,
+		Resume: permit, Identity: identityOf(request.Workspace),
 	}
 	roundTripper := s.transport
 	if fresh {
--- a/daemon/services/engines/engines.go
+++ b/daemon/services/engines/engines.go
@@ -145,7 +145,7 @@
 		Method: http.MethodPost, Host: request.Job.Host, Target: request.Item.Path,
 		Header: header, Body: request.Item.Body, AttemptID: string(request.Item.ID),
 		Timeout: request.Timeout, Priority: request.Urgency,
-		Resume: permit,
+		Resume: permit, Identity: platform.Identity{IsManaged: request.HasWorkspaces, Workspace: request.Job.Workspace},
 	}
 	sentAt := time.Now()
 	response, err := s.links.Do(ctx, contract.Exchange{
--- a/daemon/services/gate/gate.go
+++ b/daemon/services/gate/gate.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 
+	"github.com/flamingobeam/flamingobeam/coord/access"
 	"github.com/flamingobeam/flamingobeam/coord/catalog"
 	"github.com/flamingobeam/flamingobeam/coord/result"
 	"github.com/flamingobeam/flamingobeam/daemon/config"
@@ -41,17 +42,19 @@
 
 type service struct {
 	kernel.Base
-	config   config.Daemon
-	catalog  contract.Catalog
-	guard    *kernel.Guard
-	table    contract.ServerTable
-	dispatch contract.Dispatch
-	jobs     contract.Jobs
-	shutdown contract.Shutdown
-	metrics  contract.Metrics
-	log      *logrus.Entry
-	loop     *kernel.Loop
-	workers  *kernel.Workers
+	config  config.Daemon
+	catalog contract.Catalog
+	// knowledge tells how old the configuration may be.
+	knowledge contract.StoreKnowledge
+	guard     *kernel.Guard
+	table     contract.ServerTable
+	dispatch  contract.Dispatch
+	jobs      contract.Jobs
+	shutdown  contract.Shutdown
+	metrics   contract.Metrics
+	log       *logrus.Entry
+	loop      *kernel.Loop
+	workers   *kernel.Workers
 
 	callerServer    *http.Server
 	readinessServer *http.Server
@@ -72,6 +75,7 @@
 	s.log, s.loop, s.workers, s.guard = ctx.Log(), ctx.Loop(), ctx.Workers(), ctx.Guard()
 	return kernel.FindAll(ctx,
 		kernel.Bind(&s.catalog, contract.NameCatalog),
+		kernel.Bind(&s.knowledge, contract.NameTransactionalStore),
 		kernel.Bind(&s.table, contract.NameBalance),
 		kernel.Bind(&s.dispatch, contract.NameDispatch),
 		kernel.Bind(&s.jobs, contract.NameJobs),
@@ -160,26 +164,32 @@
 // jobHandler wraps a handler of the batch job API. A job outlives its route, so the
 // configuration does not decide whether there is one. If a route also takes the path, a
 // request that does not concern a job is served as an ordinary one.
-func (s *service) jobHandler(handle httprouter.Handle) httprouter.Handle {
+func (s *service) jobHandler(handle func(http.ResponseWriter, *http.Request, jobCall)) httprouter.Handle {
 	return func(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
+		headers := platform.DecodeRequestHeaders(r)
 		current := s.catalog.Current().Load().Catalog
-		if current != nil && current.Match(r.Host, r.URL.EscapedPath()) != nil && !s.concernsJob(r, params.ByName(platform.ParamID), current) {
+		scope, err := s.jobScope(r.Host, headers.Key, current)
+		if current != nil && current.Match(r.Host, r.URL.EscapedPath()) != nil && (err != nil || !s.concernsJob(r, scope, params.ByName(platform.ParamID), current)) {
 			s.serveRoute(w, r)
 			return
 		}
-		handle(w, r, params)
+		if err != nil {
+			s.writeError(w, r, headers, err)
+			return
+		}
+		handle(w, r, jobCall{id: params.ByName(platform.ParamID), headers: headers, scope: scope})
 	}
 }
 
 // concernsJob reports whether a request of which the path has the form of the batch job
 // API is for a job. While the store does not answer, that depends on whether jobs are
 // submitted to the host.
-func (s *service) concernsJob(r *http.Request, id string, current *catalog.Catalog) bool {
+func (s *service) concernsJob(r *http.Request, scope access.Scope, id string, current *catalog.Catalog) bool {
 	ctx, release := s.withDrain(r.Context())
 	defer release()
 	ctx, cancel := context.WithTimeout(ctx, jobLookupTimeout)
 	defer cancel()
-	exists, err := s.jobs.Exists(ctx, id)
+	exists, err := s.jobs.Exists(ctx, scope, id)
 	if err != nil {
 		return current.HasBatchRoute(r.Host)
 	}
@@ -196,14 +206,21 @@
 		return
 	}
 	route := current.Match(r.Host, r.URL.EscapedPath())
-	switch {
-	case route == nil:
+	if route == nil {
 		s.writeError(w, r, headers, result.New(result.NotFound, "version %d has no route", current.Version))
-	case route.Kind == catalog.KindBatch && r.Method == http.MethodPost:
-		s.submitJob(w, r, headers, route, current)
-	default:
-		s.forward(w, r, headers, route, current)
+		return
+	}
+	workspace, err := s.identifyCaller(r.Header, headers.Key, route, current)
+	if err != nil {
+		s.writeError(w, r, headers, err)
+		return
+	}
+	call := routeCall{headers: headers, route: route, catalog: current, workspace: workspace}
+	if route.Kind == catalog.KindBatch && r.Method == http.MethodPost {
+		s.submitJob(w, r, call)
+		return
 	}
+	s.forward(w, r, call)
 }
 
 // Drain implements kernel.Drainer. It continues to serve until the load balancer has
--- a/daemon/services/gate/handlers.go
+++ b/daemon/services/gate/handlers.go
@@ -7,7 +7,6 @@
 	"strconv"
 	"time"
 
-	"github.com/julienschmidt/httprouter"
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
@@ -139,7 +138,8 @@
 }
 
 // forward sends a request to a backend server and relays the response.
-func (s *service) forward(w http.ResponseWriter, r *http.Request, headers platform.RequestHeaders, route *catalog.Route, current *catalog.Catalog) {
+func (s *service) forward(w http.ResponseWriter, r *http.Request, call routeCall) {
+	headers, route, current := call.headers, call.route, call.catalog
 	started := time.Now()
 	body, err := s.readBody(w, r, current.Limits)
 	if err == nil && headers.InvalidPosition {
@@ -162,7 +162,7 @@
 	reply, err := s.dispatch.Forward(ctx, contract.ForwardRequest{
 		Route: route, ID: headers.AttemptID, Method: r.Method, Host: r.Host, Target: r.RequestURI,
 		Header: r.Header, Body: body, Deadline: deadline,
-		ResumeAfter: headers.ResumeAfter, ResumedAttempt: headers.ResumedAttempt,
+		ResumeAfter: headers.ResumeAfter, ResumedAttempt: headers.ResumedAttempt, Workspace: call.workspace,
 	})
 	if err != nil {
 		if ctx.Err() != nil && result.OutcomeOf(err) == result.MayHaveRun {
@@ -204,9 +204,9 @@
 }
 
 // submitJob accepts a batch job.
-func (s *service) submitJob(w http.ResponseWriter, r *http.Request, headers platform.RequestHeaders, route *catalog.Route, current *catalog.Catalog) {
-	started := time.Now()
-	body, err := s.readBody(w, r, current.Limits)
+func (s *service) submitJob(w http.ResponseWriter, r *http.Request, call routeCall) {
+	started, headers := time.Now(), call.headers
+	body, err := s.readBody(w, r, call.catalog.Limits)
 	if err != nil {
 		s.writeError(w, r, headers, err)
 		return
@@ -216,6 +216,9 @@
 		s.writeError(w, r, headers, result.Wrap(result.BadRequest, err))
 		return
 	}
+	if call.workspace != nil {
+		job.Workspace = call.workspace.Name
+	}
 	timeout := jobCallTimeout
 	if headers.Timeout > 0 {
 		timeout = min(timeout, headers.Timeout-responseMargin)
@@ -237,16 +240,15 @@
 }
 
 // listResults responds with the results of a batch job after a position.
-func (s *service) listResults(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
-	headers := platform.DecodeRequestHeaders(r)
+func (s *service) listResults(w http.ResponseWriter, r *http.Request, call jobCall) {
+	headers := call.headers
 	after, err := strconv.Atoi(r.URL.Query().Get(platform.QueryAfter))
 	if err != nil || after < 0 {
 		after = 0
 	}
-	id := params.ByName(platform.ParamID)
 	ctx, release := s.withDrain(r.Context())
 	defer release()
-	reply, err := s.jobs.Results(ctx, contract.ResultsRequest{ID: id, After: after, Wait: min(headers.Wait, maxResultsWait)})
+	reply, err := s.jobs.Results(ctx, call.scope, contract.ResultsRequest{ID: call.id, After: after, Wait: min(headers.Wait, maxResultsWait)})
 	if err != nil {
 		s.writeError(w, r, headers, err)
 		return
@@ -268,26 +270,26 @@
 }
 
 // serveItemBody responds with the body of an item of a batch job.
-func (s *service) serveItemBody(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
+func (s *service) serveItemBody(w http.ResponseWriter, r *http.Request, call jobCall) {
 	item := batch.ItemID(r.URL.Query().Get(platform.QueryItem))
 	ctx, release := s.withDrain(r.Context())
 	defer release()
-	body, err := s.jobs.ItemBody(ctx, params.ByName(platform.ParamID), item)
+	body, err := s.jobs.ItemBody(ctx, call.scope, call.id, item)
 	if err != nil {
-		s.writeError(w, r, platform.DecodeRequestHeaders(r), err)
+		s.writeError(w, r, call.headers, err)
 		return
 	}
 	s.writeBody(w, "application/octet-stream", body)
 }
 
 // endJob serves a request to end a batch job.
-func (s *service) endJob(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
+func (s *service) endJob(w http.ResponseWriter, r *http.Request, call jobCall) {
 	ctx, release := s.withDrain(r.Context())
 	defer release()
 	ctx, cancel := context.WithTimeout(ctx, jobCallTimeout)
 	defer cancel()
-	if err := s.jobs.End(ctx, params.ByName(platform.ParamID)); err != nil {
-		s.writeError(w, r, platform.DecodeRequestHeaders(r), err)
+	if err := s.jobs.End(ctx, call.scope, call.id); err != nil {
+		s.writeError(w, r, call.headers, err)
 		return
 	}
 	w.WriteHeader(http.StatusOK)
--- a/daemon/services/jobs/earlier_texts.go
+++ b/daemon/services/jobs/earlier_texts.go
@@ -2,10 +2,11 @@
 
 import (
 	"context"
-	"github.com/flamingobeam/flamingobeam/coord/membership"
 	"time"
 
 	"github.com/flamingobeam/flamingobeam/coord/batch"
+	"github.com/flamingobeam/flamingobeam/coord/membership"
+	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
 )
 
@@ -24,16 +25,23 @@
 	// Job is the ID of the later job, whose own texts are excluded.
 	Job   string
 	Items []batch.ItemID
+	// Workspace is that of the later job, whose texts may come only from jobs of the same
+	// workspace.
+	Workspace structs.WorkspaceName
 }
 
 // CarryReply holds the longest text that the called daemon has for each item.
 type CarryReply struct {
 	Texts map[batch.ItemID]*contract.Text
+	// Workspace repeats that of the request. Earlier releases, which leave it out, may
+	// return texts of other workspaces.
+	Workspace structs.WorkspaceName
 }
 
 // Carry is called by the owner of a new job. It returns the texts that this
 // daemon holds for items of ended jobs.
 func (r *Receiver) Carry(request CarryRPC, reply *CarryReply) error {
+	reply.Workspace = request.Workspace
 	return r.service.loopExecutor.Do(context.Background(), func() { reply.Texts = r.service.textsFromEndedJobs(request) })
 }
 
@@ -46,7 +54,7 @@
 	}
 	texts := make(map[batch.ItemID]*contract.Text)
 	for _, j := range s.ownedJobs {
-		if j.ID == request.Job || !j.ownership.Ended {
+		if j.ID == request.Job || j.Workspace != request.Workspace || !j.ownership.Ended {
 			continue
 		}
 		for _, it := range j.items {
@@ -78,6 +86,9 @@
 		if err := s.peers.Call(ctx, member.RPCAddress, rpcName+".Carry", request, &reply); err != nil {
 			return err
 		}
+		if reply.Workspace != request.Workspace {
+			return nil
+		}
 		return s.earlierTexts.Post(earlierTexts{id: id, epoch: epoch, texts: reply.Texts})
 	})
 }
@@ -85,7 +96,7 @@
 // earlierTextsRequest returns the request for texts of the unfinished items that
 // began without one.
 func (j *job) earlierTextsRequest() CarryRPC {
-	request := CarryRPC{Job: j.ID}
+	request := CarryRPC{Job: j.ID, Workspace: j.Workspace}
 	for _, it := range j.items {
 		if it.phase != phaseFinished && it.resumeOffset == 0 {
 			request.Items = append(request.Items, it.ID)
--- a/daemon/services/jobs/jobs.go
+++ b/daemon/services/jobs/jobs.go
@@ -194,6 +194,7 @@
 // jobView is an immutable snapshot of a job's log.
 type jobView struct {
 	itemCount int
+	workspace structs.WorkspaceName
 	results   []batch.Result
 	isEnded   bool
 	// verifiedAt is when the store last confirmed that the log is no longer
@@ -257,7 +258,7 @@
 		}
 		j.items = append(j.items, it)
 	}
-	j.view = kernel.NewSnapshot(&jobView{itemCount: len(j.items), results: a.results, isEnded: a.ownership.Ended, verifiedAt: j.verifiedAt})
+	j.view = kernel.NewSnapshot(&jobView{itemCount: len(j.items), workspace: j.Workspace, results: a.results, isEnded: a.ownership.Ended, verifiedAt: j.verifiedAt})
 	s.swaps.RecordDemand(contract.ModelDemand{Model: j.Model, Size: estimatedTokens(&j.Job)})
 	s.ownedJobs[j.ID] = j
 	if a.texts == nil && len(a.results) == 0 {
--- a/daemon/services/jobs/model_owner.go
+++ b/daemon/services/jobs/model_owner.go
@@ -10,6 +10,7 @@
 	"github.com/flamingobeam/flamingobeam/coord/batch"
 	"github.com/flamingobeam/flamingobeam/coord/membership"
 	"github.com/flamingobeam/flamingobeam/coord/result"
+	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
 	"github.com/flamingobeam/flamingobeam/platform"
 )
@@ -97,6 +98,8 @@
 	Host   string
 	Path   string
 	Source []byte
+	// Workspace submitted the job. Earlier releases drop it.
+	Workspace structs.WorkspaceName
 	// Within is the time that the model owner has to accept the job.
 	Within time.Duration
 }
@@ -113,6 +116,9 @@
 // Submit accepts a job that was submitted to another daemon.
 func (r *Receiver) Submit(request SubmitRPC, reply *SubmitReply) error {
 	job, err := platform.DecodeJob(request.ID, request.Host, request.Path, request.Source)
+	if err == nil {
+		job.Workspace = request.Workspace
+	}
 	if r.service.isQuiesced.Load() {
 		err = result.New(result.Stopping, "")
 	}
@@ -172,7 +178,7 @@
 	ctx, cancel := context.WithTimeout(ctx, within+modelOwnerReplyMargin)
 	defer cancel()
 	var reply SubmitReply
-	call := SubmitRPC{ID: job.ID, Host: job.Host, Path: job.Path, Source: source, Within: within}
+	call := SubmitRPC{ID: job.ID, Host: job.Host, Path: job.Path, Source: source, Workspace: job.Workspace, Within: within}
 	if err := s.peers.Call(ctx, owner.RPCAddress, rpcName+".Submit", call, &reply); err != nil {
 		return err
 	}
--- a/daemon/services/jobs/results.go
+++ b/daemon/services/jobs/results.go
@@ -1,11 +1,13 @@
 package jobs
 
 import (
+	"cmp"
 	"context"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/flamingobeam/flamingobeam/coord/access"
 	"github.com/flamingobeam/flamingobeam/coord/batch"
 	"github.com/flamingobeam/flamingobeam/coord/result"
 	"github.com/flamingobeam/flamingobeam/daemon/boottime"
@@ -41,19 +43,29 @@
 }
 
 // Exists implements contract.Jobs.
-func (s *service) Exists(ctx context.Context, id string) (bool, error) {
+func (s *service) Exists(ctx context.Context, scope access.Scope, id string) (bool, error) {
+	if err := s.checkScope(ctx, scope, id); err != nil {
+		return false, ignoreNotFound(err)
+	}
 	if _, isOwned := s.jobViews.Load(id); isOwned {
 		return true, nil
 	}
 	_, err := s.lookUpOwner(ctx, id)
+	return err == nil, ignoreNotFound(err)
+}
+
+func ignoreNotFound(err error) error {
 	if result.CodeOf(err) == result.NotFound {
-		return false, nil
+		return nil
 	}
-	return err == nil, err
+	return err
 }
 
 // Results implements contract.Jobs.
-func (s *service) Results(ctx context.Context, request contract.ResultsRequest) (contract.ResultsReply, error) {
+func (s *service) Results(ctx context.Context, scope access.Scope, request contract.ResultsRequest) (contract.ResultsReply, error) {
+	if err := s.checkScope(ctx, scope, request.ID); err != nil {
+		return contract.ResultsReply{}, err
+	}
 	if reply, ok := s.readOwnResults(ctx, request); ok {
 		return reply, nil
 	}
@@ -176,9 +188,12 @@
 func (s *service) rememberOwner(id string, ownership ownershipRecord) {
 	s.ownerCacheMu.Lock()
 	defer s.ownerCacheMu.Unlock()
-	if s.ownerCache[id].ownership.revision > ownership.revision {
+	known := s.ownerCache[id].ownership
+	if known.revision > ownership.revision {
 		return
 	}
+	// Records of earlier releases leave the workspace out, which never changes.
+	ownership.Workspace = cmp.Or(ownership.Workspace, known.Workspace)
 	if len(s.ownerCache) >= maxCachedOwners {
 		clear(s.ownerCache)
 	}
@@ -204,11 +219,14 @@
 }
 
 // ItemBody implements contract.Jobs.
-func (s *service) ItemBody(ctx context.Context, id string, itemID batch.ItemID) ([]byte, error) {
+func (s *service) ItemBody(ctx context.Context, scope access.Scope, id string, itemID batch.ItemID) ([]byte, error) {
 	job, err := s.jobStore.readJobCached(ctx, id)
 	if err != nil {
 		return nil, s.storeError(id, err)
 	}
+	if err := s.visibilityError(id, scope.Sees(job.Workspace)); err != nil {
+		return nil, err
+	}
 	for i := range job.Items {
 		if job.Items[i].ID == itemID {
 			return job.Items[i].Body, nil
@@ -220,7 +238,10 @@
 // End implements contract.Jobs. If the end cannot be written within the
 // caller's deadline, it is retried in the background, since the caller wants no
 // further work done; the error is then OutcomeUnknown.
-func (s *service) End(ctx context.Context, id string) error {
+func (s *service) End(ctx context.Context, scope access.Scope, id string) error {
+	if err := s.checkScope(ctx, scope, id); err != nil {
+		return err
+	}
 	err := s.writeEnd(ctx, id)
 	if err != nil && result.CodeOf(err) != result.NotFound {
 		s.log.WithError(err).WithField("job", id).Warn("Could not write the end of a batch job; retrying.")
--- a/daemon/services/jobs/runs.go
+++ b/daemon/services/jobs/runs.go
@@ -37,7 +37,7 @@
 	it.progress = &contract.Progress{}
 	s.engineStateOf(server).localItems++
 	request := contract.RunRequest{
-		Job: &j.Job, Item: it.Item, Server: server, Urgency: placement.Urgency(eventsLeft, pace, j.deadline().Sub(now), j.route.priority), Text: it.text,
+		Job: &j.Job, HasWorkspaces: j.Workspace != "" || s.hasWorkspaces(), Item: it.Item, Server: server, Urgency: placement.Urgency(eventsLeft, pace, j.deadline().Sub(now), j.route.priority), Text: it.text,
 		Timeout: max(time.Second, j.submittedAt.Add(j.route.itemTTL).Sub(now)), SingleVersion: j.route.singleVersion,
 	}
 	progress := it.progress
--- a/daemon/services/jobs/store.go
+++ b/daemon/services/jobs/store.go
@@ -15,6 +15,7 @@
 	"github.com/sourcegraph/conc/pool"
 
 	"github.com/flamingobeam/flamingobeam/coord/batch"
+	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/daemon/boottime"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
 	"github.com/flamingobeam/flamingobeam/outside"
@@ -67,9 +68,11 @@
 
 // jobSpec is a job as it was submitted.
 type jobSpec struct {
-	Host   string          `json:"host"`
-	Path   string          `json:"path"`
-	Source json.RawMessage `json:"source"`
+	Host string `json:"host"`
+	Path string `json:"path"`
+	// Workspace submitted the job. Releases before keys of workspaces leave it out.
+	Workspace structs.WorkspaceName `json:"workspace,omitempty"`
+	Source    json.RawMessage       `json:"source"`
 }
 
 // storedJob is the stored state of a job.
@@ -171,7 +174,11 @@
 	if _, err := js.readKey(ctx, specKey(id), &submitted); err != nil {
 		return nil, err
 	}
-	return platform.DecodeJob(id, submitted.Host, submitted.Path, submitted.Source)
+	job, err := platform.DecodeJob(id, submitted.Host, submitted.Path, submitted.Source)
+	if err == nil {
+		job.Workspace = submitted.Workspace
+	}
+	return job, err
 }
 
 // readJobCached is readJob with a cache, as a submitted job never changes.
@@ -271,7 +278,11 @@
 		}
 		return err
 	})
-	return stored, group.Wait()
+	if err := group.Wait(); err != nil {
+		return stored, err
+	}
+	stored.ownership.Workspace = stored.job.Workspace
+	return stored, nil
 }
 
 // create writes a new job. It returns outside.ErrConflict if the job exists.
@@ -281,7 +292,7 @@
 		Conditions: []outside.Condition{{Key: ownerKey(job.ID)}},
 		Writes: []outside.Write{
 			{Key: ownerKey(job.ID), Value: encode(ownership)},
-			{Key: specKey(job.ID), Value: encode(jobSpec{Host: job.Host, Path: job.Path, Source: source})},
+			{Key: specKey(job.ID), Value: encode(jobSpec{Host: job.Host, Path: job.Path, Workspace: job.Workspace, Source: source})},
 			{Key: logKey(job.ID), Value: encode(log)},
 		},
 	})
--- a/daemon/services/jobs/submit.go
+++ b/daemon/services/jobs/submit.go
@@ -46,7 +46,7 @@
 // another daemon may have written the job already: the outcome is then unknown
 // until the store confirms it.
 func (s *service) accept(ctx context.Context, job *batch.Job, source []byte, isOutcomeUnknown bool) error {
-	ownership := batch.Ownership{Owner: s.session.View().Load().Self.Name, Epoch: 1, Submitted: time.Now().UnixMilli()}
+	ownership := batch.Ownership{Owner: s.session.View().Load().Self.Name, Epoch: 1, Submitted: time.Now().UnixMilli(), Workspace: job.Workspace}
 	log := s.log.WithFields(logrus.Fields{"job": job.ID, "items": len(job.Items), "model": job.Model, "step": job.Step})
 	retryBackoff := newRetryBackoff()
 	var err error
@@ -58,7 +58,7 @@
 			return nil
 		}
 		if errors.Is(err, outside.ErrConflict) {
-			return s.acceptExisting(ctx, job.ID, ownership.Owner)
+			return s.acceptExisting(ctx, job, ownership.Owner)
 		}
 		// The job may be accepted once a write with an unknown outcome was
 		// sent.
@@ -86,7 +86,13 @@
 // acceptExisting answers a submission of a job that exists: the job was
 // submitted before, or a reply of the store was lost. In the latter case this
 // daemon owns the job.
-func (s *service) acceptExisting(ctx context.Context, id, self string) error {
+func (s *service) acceptExisting(ctx context.Context, job *batch.Job, self string) error {
+	id := job.ID
+	if job.Workspace != "" {
+		if err := s.checkResubmission(ctx, job); err != nil {
+			return err
+		}
+	}
 	ownership, err := s.jobStore.readOwnership(ctx, id)
 	if err != nil {
 		// The conflict has shown that the job exists, which is all the caller
--- a/daemon/services/ledger/ledger.go
+++ b/daemon/services/ledger/ledger.go
@@ -86,7 +86,10 @@
 	cancelWatches context.CancelFunc
 }
 
-var _ contract.TransactionalStore = (*service)(nil)
+var (
+	_ contract.TransactionalStore = (*service)(nil)
+	_ contract.StoreKnowledge     = (*service)(nil)
+)
 
 // Provision implements kernel.Service.
 func (s *service) Provision(ctx *kernel.Context) error {
@@ -129,6 +132,17 @@
 	return since, !since.IsZero()
 }
 
+// Staleness implements contract.StoreKnowledge. A prefix that is not watched is unknown
+// since the host was started.
+func (s *service) Staleness(prefix string) time.Duration {
+	for _, w := range s.watches {
+		if w.prefix == prefix {
+			return w.cache.staleness()
+		}
+	}
+	return boottime.Now()
+}
+
 // recordCall records the latency of a call and whether the store was reachable.
 func (s *service) recordCall(call string, started time.Time, err error) {
 	s.metrics.Time("store."+call, time.Since(started))
--- a/histories/managed/daemon_test.go
+++ b/histories/managed/daemon_test.go
@@ -148,6 +148,9 @@
 	must.NoError(h.t, err)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
+	if h.logs != nil {
+		log.SetOutput(h.logs)
+	}
 	daemonConfig := agent.ManagedConfig(settings, ports[2])
 	daemonConfig.Platform.DialServer = dial
 	d.kernel = agent.NewManaged(agent.RoleEntry, daemonConfig, log)
@@ -203,7 +206,7 @@
 
 // putRoutes writes a configuration with exactly these routes.
 func (h *harness) putRoutes(version int, routes []map[string]any) {
-	h.store.put("op/config", map[string]any{
+	configuration := map[string]any{
 		"version": version, "routes": routes,
 		"services": []map[string]any{
 			{"name": engineService, "healthPath": "/healthz", "maxConnections": 100,
@@ -211,7 +214,11 @@
 			{"name": plainService, "healthPath": "/healthz", "maxConnections": 100},
 		},
 		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-	})
+	}
+	if h.workspaces != nil {
+		configuration["tenants"] = h.workspaces
+	}
+	h.store.put("op/config", configuration)
 }
 
 // routeConfig returns a route to the plain service.
--- a/histories/managed/engine_test.go
+++ b/histories/managed/engine_test.go
@@ -71,6 +71,7 @@
 	// callerGone is set when the caller closed the stream before its end.
 	callerGone bool
 	startedAt  time.Time
+	header     http.Header
 }
 
 func (h *harness) addEngine(id string, events int, pace time.Duration) *engine {
@@ -216,7 +217,7 @@
 	for name, value := range e.notices {
 		w.Header().Set(name, value)
 	}
-	e.runs = append(e.runs, engineRun{item: item, resumedAfter: after, version: version, startedAt: time.Now()})
+	e.runs = append(e.runs, engineRun{item: item, resumedAfter: after, version: version, startedAt: time.Now(), header: r.Header.Clone()})
 	index := len(e.runs) - 1
 	e.mu.Unlock()
 	w.Header().Set("Attempt-Id", item)
--- a/histories/managed/releases_test.go
+++ b/histories/managed/releases_test.go
@@ -20,7 +20,7 @@
 
 // earlierRevisions are the releases that run beside the present one while hosts are
 // upgraded one after the other.
-var earlierRevisions = []string{firstRevision, "6ead1fa"}
+var earlierRevisions = []string{firstRevision, "6ead1fa", "9634fe6"}
 
 // earlierBuilds builds flamingobeamd of each of earlierRevisions, once for all tests.
 var earlierBuilds = func() map[string]func() (string, error) {
--- a/histories/managed/servers_test.go
+++ b/histories/managed/servers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"sync"
@@ -22,6 +23,7 @@
 
 	mu         sync.Mutex
 	attemptIDs []string
+	headers    []http.Header
 	// arrivals are the times of the requests.
 	arrivals []time.Time
 	// faults handle the next requests, one each and in order. A fault that returns
@@ -59,6 +61,13 @@
 	return append([]string(nil), p.attemptIDs...)
 }
 
+// headersOf returns the headers of the requests that arrived, in order.
+func (p *plainServer) headersOf() []http.Header {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]http.Header(nil), p.headers...)
+}
+
 // arrivalTimes returns when requests arrived, in order.
 func (p *plainServer) arrivalTimes() []time.Time {
 	p.mu.Lock()
@@ -72,6 +81,7 @@
 	}
 	id := r.Header.Get("Attempt-Id")
 	p.mu.Lock()
+	p.headers = append(p.headers, r.Header.Clone())
 	p.attemptIDs, p.arrivals = append(p.attemptIDs, id), append(p.arrivals, time.Now())
 	var fault func(http.ResponseWriter, *http.Request) bool
 	if len(p.faults) > 0 {
@@ -108,6 +118,10 @@
 	store   *storeEmulator
 	engines []*engine
 	daemons []*daemon
+	// workspaces is the list of workspaces in the configurations; nil leaves it out.
+	workspaces []map[string]any
+	// logs receives the logs of the daemons that start in this process; nil discards them.
+	logs io.Writer
 }
 
 func newHarness(t *testing.T) *harness { return &harness{t: t, store: newStoreEmulator(t)} }
