--- a/spec/duties.pml
+++ b/spec/duties.pml
@@ -99,7 +99,7 @@
 	:: token[d] == 0 && keyHolder == NONE && lastToken < TOKENS ->
 		requestedAt = now;
 		d_step {
-			ok = keyHolder == NONE;
+			ok = keyHolder == NONE && lastToken < TOKENS;
 			if
 			:: ok ->
 #ifdef BAD_REUSE
