--- a/daemon/services/fleetsize/fleetsize.go
+++ b/daemon/services/fleetsize/fleetsize.go
@@ -154,6 +154,7 @@
 	if !s.isHolder || current == nil || !s.servers.Entries().Load().Loaded || !s.duties.Holds() {
 		return
 	}
+	maps.DeleteFunc(s.fleets, func(name structs.ServiceName, _ *fleet) bool { return current.Services[name].Scaling == nil })
 	for name, configured := range current.Services {
 		if configured.Scaling != nil {
 			s.plan(current, name, configured)
--- a/daemon/services/fleetsize/messages.go
+++ b/daemon/services/fleetsize/messages.go
@@ -68,8 +68,15 @@
 
 // handleLoad takes the report of an owner of jobs. Steps are dated by this daemon's clock.
 func (s *service) handleLoad(load contract.FleetLoad) {
+	current := s.catalog.Current().Load().Catalog
+	if current == nil {
+		return
+	}
 	now := s.loop.Now()
 	for _, reported := range load.Services {
+		if current.Services[reported.Service].Scaling == nil {
+			continue
+		}
 		next := scaling.Load{Open: reported.Open, Running: reported.Running}
 		for _, step := range reported.Steps {
 			next.Steps = append(next.Steps, scaling.Step{
