--- a/daemon/agent/managed.go
+++ b/daemon/agent/managed.go
@@ -22,8 +22,10 @@
 	// Each service registers itself under its name.
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/catalog"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/dispatch"
+	_ "github.com/flamingobeam/flamingobeam/daemon/services/duties"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/engines"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/expose"
+	_ "github.com/flamingobeam/flamingobeam/daemon/services/fleetsize"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/gate"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/jobs"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/ledger"
@@ -36,6 +38,7 @@
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/session"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/shutdown"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/swaps"
+	_ "github.com/flamingobeam/flamingobeam/daemon/services/usage"
 )
 
 // Role is the role of a daemon on a managed platform.
@@ -74,7 +77,7 @@
 	if role == RoleStorage {
 		return []kernel.Name{contract.NameShutdown, contract.NameRetire}
 	}
-	return []kernel.Name{contract.NameShutdown, contract.NameMetricsHTTP, contract.NameRPCServer, contract.NameWeightSwaps, contract.NameManagedFront}
+	return []kernel.Name{contract.NameShutdown, contract.NameMetricsHTTP, contract.NameRPCServer, contract.NameWeightSwaps, contract.NameDuties, contract.NameUsage, contract.NameFleetSize, contract.NameManagedFront}
 }
 
 // ManagedReplacements maps services to those that replace them on a managed platform,
--- a/daemon/services/jobs/jobs.go
+++ b/daemon/services/jobs/jobs.go
@@ -18,6 +18,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/flamingobeam/flamingobeam/coord/batch"
+	"github.com/flamingobeam/flamingobeam/coord/scaling"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/daemon/broadcast"
 	"github.com/flamingobeam/flamingobeam/daemon/config"
@@ -29,7 +30,7 @@
 	kernel.Register(contract.NameJobs, func() kernel.Service {
 		return &service{
 			ownedJobs: make(map[string]*job), engines: make(map[structs.HostName]*engineState), ownerCache: make(map[string]ownerEntry),
-			earlyEnds: make(map[string]ownershipRecord),
+			earlyEnds: make(map[string]ownershipRecord), departures: make(map[structs.HostName]scaling.Departure),
 		}
 	})
 }
@@ -49,6 +50,7 @@
 	peers        contract.Peers
 	swaps        contract.WeightSwaps
 	paces        contract.EnginePaces
+	fleet        contract.FleetSize
 	limits       contract.ServerLimits
 	shutdown     contract.Shutdown
 	metrics      contract.Metrics
@@ -76,6 +78,8 @@
 	isPlacementScheduled bool
 	isStopping           bool
 	takeover             takeoverMonitor
+	// departures holds the servers that said when they leave.
+	departures map[structs.HostName]scaling.Departure
 	// earlyEnds holds the ownership records of jobs whose end was reported
 	// before they were adopted here.
 	earlyEnds map[string]ownershipRecord
@@ -112,6 +116,7 @@
 		kernel.Bind(&s.peers, contract.NamePeers),
 		kernel.Bind(&s.swaps, contract.NameWeightSwaps),
 		kernel.Bind(&s.paces, contract.NameEnginePaces),
+		kernel.Bind(&s.fleet, contract.NameFleetSize),
 		kernel.Bind(&s.limits, contract.NameServerLimits),
 		kernel.Bind(&s.shutdown, contract.NameShutdown),
 		kernel.Bind(&s.metrics, contract.NameMetrics),
@@ -140,6 +145,7 @@
 		s.loop.AfterFunc(0, s.takeover.reclaimOwnJobs)
 	}
 	s.loop.AfterFunc(tickInterval, s.tick)
+	s.loop.AfterFunc(loadInterval, s.reportLoad)
 	return rpc.Register(rpcName, &Receiver{service: s})
 }
 
@@ -194,6 +200,7 @@
 // jobView is an immutable snapshot of a job's log.
 type jobView struct {
 	itemCount int
+	workspace structs.WorkspaceName
 	results   []batch.Result
 	isEnded   bool
 	// verifiedAt is when the store last confirmed that the log is no longer
@@ -257,7 +264,7 @@
 		}
 		j.items = append(j.items, it)
 	}
-	j.view = kernel.NewSnapshot(&jobView{itemCount: len(j.items), results: a.results, isEnded: a.ownership.Ended, verifiedAt: j.verifiedAt})
+	j.view = kernel.NewSnapshot(&jobView{itemCount: len(j.items), workspace: j.Workspace, results: a.results, isEnded: a.ownership.Ended, verifiedAt: j.verifiedAt})
 	s.swaps.RecordDemand(contract.ModelDemand{Model: j.Model, Size: estimatedTokens(&j.Job)})
 	s.ownedJobs[j.ID] = j
 	if a.texts == nil && len(a.results) == 0 {
