Hedge slow requests within a limit that operators set

Change: coord/hedge decides after which delay a request is slow, from the times of responses, and keeps hedges of all daemons within a share of the requests, for each service and workspace; traffic.hedging moves counts between daemons; dispatch runs the race in a file of its own, picks the second server without waiting and cancels the loser also when the winner is a stream. Settings: hedging.extra_share; unset, requests are hedged as before.

Tests of coord/hedge, hedging and balance pass.

--- a/daemon/agent/managed.go
+++ b/daemon/agent/managed.go
@@ -25,6 +25,7 @@
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/engines"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/expose"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/gate"
+	_ "github.com/flamingobeam/flamingobeam/daemon/services/hedging"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/jobs"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/ledger"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/limits"
--- a/daemon/config/entry.go
+++ b/daemon/config/entry.go
@@ -19,7 +19,13 @@
 type Clients struct{}
 
 // Hedging limits the extra work of hedged requests.
-type Hedging struct{}
+type Hedging struct {
+	// ExtraShare is the number of hedged requests that are allowed for each request to a
+	// service, over all daemons together and for each workspace. Zero sets no limit of its
+	// own: requests are hedged after a fixed part of their latency target, within the
+	// retry budget.
+	ExtraShare float64 `yaml:"extra_share" validate:"min=0,max=1"`
+}
 
 // DefaultEntry returns the defaults.
 func DefaultEntry() Entry { return Entry{} }
--- a/daemon/contract/traffic.go
+++ b/daemon/contract/traffic.go
@@ -26,6 +26,9 @@
 	Resumes resume.Position
 	// Avoid lists servers that were already tried.
 	Avoid []structs.HostName
+	// NoWait is set for a request that is only sent to a server that has a slot now.
+	// Otherwise Pick fails with code Overloaded.
+	NoWait bool
 	// Fingerprint is the same for equal requests, so that requests that crash
 	// servers can be quarantined; zero means none.
 	Fingerprint quarantine.Fingerprint
--- a/daemon/services/balance/admission.go
+++ b/daemon/services/balance/admission.go
@@ -42,6 +42,22 @@
 	return q.wait(ctx, clock, decision.Waiter)
 }
 
+// tryAcquire is acquire for a request that does not wait. It fails with code Overloaded if
+// no slot is free.
+func (q *admissionQueue) tryAcquire(_ context.Context, clock clockwork.Clock, request limit.Request) error {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	decision := q.controller.Admit(clock.Now(), request)
+	switch decision.Action {
+	case limit.ActionRun:
+		return nil
+	case limit.ActionQueue:
+		q.controller.Cancel(decision.Waiter)
+		return result.New(result.Overloaded, "no slot is free")
+	}
+	return &result.Error{Code: decision.Code, RetryAfter: decision.RetryAfter}
+}
+
 func (q *admissionQueue) wait(ctx context.Context, clock clockwork.Clock, waiter *limit.Waiter[chan error]) error {
 	var expired <-chan time.Time
 	if !waiter.Request.Deadline.IsZero() {
--- a/daemon/services/balance/balance.go
+++ b/daemon/services/balance/balance.go
@@ -100,7 +100,11 @@
 		return contract.Ticket{}, result.New(result.NoBackend, "service %s", request.Service)
 	}
 	admissionRequest := limit.Request{Workspace: request.Workspace, Class: request.Class, Share: s.share(request.Workspace), Deadline: request.Deadline}
-	if err := target.admission.acquire(ctx, s.clock, admissionRequest); err != nil {
+	acquire := target.admission.acquire
+	if request.NoWait {
+		acquire = target.admission.tryAcquire
+	}
+	if err := acquire(ctx, s.clock, admissionRequest); err != nil {
 		s.metrics.Count("balance.refused."+codeName(err), 1)
 		return contract.Ticket{}, err
 	}
@@ -141,6 +145,10 @@
 		target.admission.release(s.clock.Now(), request.Class, 0)
 		return contract.Ticket{}, result.New(result.NoBackend, "service %s", request.Service)
 	}
+	if request.NoWait && loads.Full(choice.Server) {
+		target.admission.release(s.clock.Now(), request.Class, 0)
+		return contract.Ticket{}, result.New(result.Overloaded, "no server of service %s has a slot", request.Service)
+	}
 	slot := &ticket{
 		service:     s,
 		view:        target,
--- a/daemon/services/dispatch/dispatch.go
+++ b/daemon/services/dispatch/dispatch.go
@@ -40,12 +40,15 @@
 
 type service struct {
 	kernel.Base
-	balancer  contract.Balancer
-	hosts     contract.Hosts
-	links     contract.ServerLinks
-	limits    contract.ServerLimits
-	retries   contract.RetryBudgets
-	origins   contract.StreamOrigins
+	balancer contract.Balancer
+	hosts    contract.Hosts
+	links    contract.ServerLinks
+	limits   contract.ServerLimits
+	retries  contract.RetryBudgets
+	origins  contract.StreamOrigins
+	hedging  contract.Hedging
+	// place is where this daemon is.
+	place     structs.Place
 	metrics   contract.Metrics
 	log       *logrus.Entry
 	transport *http.Transport
@@ -61,7 +64,7 @@
 	if err != nil {
 		return err
 	}
-	s.log = ctx.Log()
+	s.log, s.place = ctx.Log(), daemon.Place
 	s.transport = transport.New(transport.Options{DialTimeout: dialTimeout, IdleTimeout: idleTimeout, MaxIdlePerHost: maxIdlePerServer, Dial: daemon.Platform.DialServer})
 	s.freshTransport = transport.New(transport.Options{DialTimeout: dialTimeout, SingleUse: true, Dial: daemon.Platform.DialServer})
 	return kernel.FindAll(ctx,
@@ -71,6 +74,7 @@
 		kernel.Bind(&s.limits, contract.NameServerLimits),
 		kernel.Bind(&s.retries, contract.NameRetries),
 		kernel.Bind(&s.origins, contract.NameStreamOrigins),
+		kernel.Bind(&s.hedging, contract.NameHedging),
 		kernel.Bind(&s.metrics, contract.NameMetrics),
 	)
 }
--- a/daemon/services/dispatch/forward.go
+++ b/daemon/services/dispatch/forward.go
@@ -3,13 +3,11 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/http"
 	"slices"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
-	"github.com/sourcegraph/conc"
 
 	"github.com/flamingobeam/flamingobeam/coord/catalog"
 	"github.com/flamingobeam/flamingobeam/coord/result"
@@ -32,6 +30,7 @@
 	// needsFresh is set after an attempt without a usable response: bytes of an
 	// earlier exchange may have spoilt its connection, and so those of others.
 	needsFresh bool
+	hedges     hedgePlan
 }
 
 // run sends the request until a server answers, the attempts are used up or the
@@ -64,87 +63,6 @@
 	}
 }
 
-// sendHedged sends the request to a server and, if it is idempotent and no
-// answer comes within hedgeDelay, to a second one. The first complete answer
-// wins.
-func (c *forwardCall) sendHedged(ctx context.Context) (contract.ForwardReply, error) {
-	ticket, err := c.pickServer(ctx, limitPatience(c.request.Route))
-	if err != nil {
-		// Retrying servers that failed before is better than having none.
-		c.pick.Avoid = nil
-		return contract.ForwardReply{}, err
-	}
-	ctx, cancel := context.WithCancel(ctx)
-	var group conc.WaitGroup
-	results := make(chan attemptResult, 2)
-	launch := func(ticket contract.Ticket, fresh bool) {
-		c.sentCount++
-		c.pick.Avoid = append(c.pick.Avoid, ticket.Server.Name)
-		group.Go(func() { results <- c.service.send(ctx, c.request, c.pick.Resumes, ticket, fresh) })
-	}
-	launch(ticket, c.needsFresh)
-	timer := time.NewTimer(c.hedgeDelay())
-	defer timer.Stop()
-	running := 1
-	var mayHaveRunErr error
-	for {
-		select {
-		case outcome := <-results:
-			running--
-			if result.OutcomeOf(outcome.err) == result.MayHaveRun {
-				mayHaveRunErr = outcome.err
-			}
-			c.needsFresh = c.needsFresh || result.CodeOf(outcome.err) == result.BackendBroke
-			if outcome.failure != nil {
-				if outcome.failure.Status == http.StatusInternalServerError {
-					c.failureCount++
-				}
-				outcome.failure.Failures = c.failureCount
-				c.lastFailure = outcome.failure
-			}
-			if outcome.err == nil && outcome.reply.Stream != nil {
-				// The caller still reads the stream, so the context stays open
-				// until the request's own context ends.
-				context.AfterFunc(outcome.reply.Stream.Request.Context(), cancel)
-				return outcome.reply, nil
-			}
-			if outcome.err == nil || running == 0 {
-				cancel()
-				group.Wait()
-				if result.OutcomeOf(outcome.err) == result.NotRun && mayHaveRunErr != nil {
-					return outcome.reply, mayHaveRunErr
-				}
-				return outcome.reply, outcome.err
-			}
-		case <-timer.C:
-			if ticket, ok := c.pickHedge(ctx); ok {
-				running++
-				// An idle connection may have failed together with the first one.
-				launch(ticket, true)
-			}
-		}
-	}
-}
-
-func (c *forwardCall) hedgeDelay() time.Duration {
-	return max(minHedgeDelay, time.Duration(hedgeFraction*float64(c.request.Route.LatencyTarget)))
-}
-
-// pickHedge picks a second server, if the retry budget allows it.
-func (c *forwardCall) pickHedge(ctx context.Context) (contract.Ticket, bool) {
-	if c.request.Route.Kind != catalog.KindIdempotent || c.sentCount >= c.request.Route.MaxAttempts || !c.retrier.SpendRetry() {
-		return contract.Ticket{}, false
-	}
-	ticket, err := c.pickServer(ctx, 0)
-	if err != nil {
-		return contract.Ticket{}, false
-	}
-	c.service.metrics.Count("dispatch.hedged", 1)
-	c.service.log.WithFields(logrus.Fields{"request": c.request.ID, "server": ticket.Server.Name, "avoid": c.pick.Avoid}).
-		Info("Hedged request sent.")
-	return ticket, true
-}
-
 // limitPatienceFraction is the part of the latency target for which a request waits for
 // a server whose limit is used up. A caller that is refused by then can still be served
 // in time when it returns.
@@ -157,9 +75,9 @@
 // pickServer picks a server that takes a request now or, where the limits of all are
 // used up, within patience.
 func (c *forwardCall) pickServer(ctx context.Context, patience time.Duration) (contract.Ticket, error) {
-	ticket, refusal, err := c.pickWithin(ctx, 0)
+	ticket, refusal, err := c.pickWithin(ctx, c.pick, 0)
 	if refusal != nil && patience > 0 {
-		ticket, refusal, err = c.pickWithin(ctx, patience)
+		ticket, refusal, err = c.pickWithin(ctx, c.pick, patience)
 	}
 	if refusal == nil {
 		return ticket, err
@@ -177,8 +95,7 @@
 // pickWithin picks servers in turn until one takes a request within patience. If none
 // does because of its limit, it returns the refusal of the server that takes a request
 // first; any other failure is the error.
-func (c *forwardCall) pickWithin(ctx context.Context, patience time.Duration) (contract.Ticket, *result.Error, error) {
-	pick := c.pick
+func (c *forwardCall) pickWithin(ctx context.Context, pick contract.PickRequest, patience time.Duration) (contract.Ticket, *result.Error, error) {
 	var refusal *result.Error
 	for range maxLimitedPicks {
 		ticket, err := c.service.balancer.Pick(ctx, pick)
