Hedges: ask a second pool, and let no answer wait for a question

Change: calls between daemons open connections within their context; the pool of another region is asked when that of the own one does not answer, and a call to the own region's pool may take 50 ms.

Ruled out: not waiting for the question when the answer has come (its goroutine would outlive the request), the leader as the only pool.

--- a/daemon/services/hedging/hedging.go
+++ b/daemon/services/hedging/hedging.go
@@ -44,8 +44,8 @@
 	pooled map[hedge.Key]pooledDelay
 	// samples holds the times of responses that no pool has got.
 	samples map[hedge.Key][]time.Duration
-	// poolFailedAt is when the pool last did not answer; zero if it did.
-	poolFailedAt time.Time
+	// poolFailures holds when pools did not answer, by name.
+	poolFailures map[string]time.Time
 	// nextDeposit and nextLearning are the earliest times of the next messages to pools
 	// that ask for no hedge.
 	nextDeposit  time.Time
@@ -89,6 +89,7 @@
 func (s *service) init(share float64) {
 	s.share, s.own, s.delays = share, hedge.NewAccount(share), hedge.NewDelays(share)
 	s.pooled, s.samples = make(map[hedge.Key]pooledDelay), make(map[hedge.Key][]time.Duration)
+	s.poolFailures = make(map[string]time.Time)
 	s.pool = pool{account: hedge.NewAccount(share), delays: hedge.NewDelays(share)}
 }
 
--- a/daemon/services/hedging/hedging_test.go
+++ b/daemon/services/hedging/hedging_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"testing"
 	"time"
 
@@ -105,6 +106,21 @@
 	must.Eq(t, hedge.RefusedByService, b.Allow(t.Context(), lookup))
 }
 
+// TestAllow_OtherPool checks that the pool of another region is asked while that of the own
+// region does not answer.
+func TestAllow_OtherPool(t *testing.T) {
+	peers, _ := newDaemons("a", "b", "c")
+	b := peers.daemons["b"]
+	view := *b.session.View().Load()
+	view.Live = maps.Clone(view.Live)
+	view.Live["far"] = membership.Member{Name: "far", RPCAddress: "c", Zone: "far", Strength: 0.5}
+	b.session.View().Publish(&view)
+	b.regions["far"] = "other"
+	peers.daemons["c"].pool.account.Add(b.clock.Now(), "desk", hedge.Tallies{"": {Requests: 100}})
+	peers.cut["a"] = true
+	must.Eq(t, hedge.Allowed, b.Allow(t.Context(), lookup))
+}
+
 // TestDeposit checks that counts that a daemon gives away allow hedges of another one, and
 // that both together stay within the share.
 func TestDeposit(t *testing.T) {
--- a/daemon/services/hedging/pool.go
+++ b/daemon/services/hedging/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -15,11 +16,15 @@
 const (
 	// rpcName is the name under which the receiver is registered with net/rpc.
 	rpcName = "Hedging"
-	// poolTimeout bounds a call to a pool. The pool of the own region answers in some
-	// milliseconds, and a hedge that waits longer is worth little.
-	poolTimeout = 150 * time.Millisecond
+	// ownPoolTimeout bounds a call to the pool of the own region, which answers in some
+	// milliseconds, and poolTimeout a call to another one. A hedge that waits longer is
+	// worth little.
+	ownPoolTimeout = 50 * time.Millisecond
+	poolTimeout    = 150 * time.Millisecond
 	// poolRetryDelay is how long a pool that did not answer is not asked for a hedge.
 	poolRetryDelay = time.Second
+	// maxPoolsAsked is how many pools are asked for one hedge.
+	maxPoolsAsked = 2
 	// A daemon with at least minDeposit requests to a service gives depositPart of its
 	// counts to the pools, each minDepositInterval while daemons are refused hedges there,
 	// and each depositInterval otherwise.
@@ -115,33 +120,44 @@
 	return append(own, others...)
 }
 
-// askPool asks the pool of the own region for a hedge that this daemon's own requests do
-// not allow for the given reason.
+// askPool asks the pool of the own region, or else that of another one, for a hedge that
+// this daemon's own requests do not allow for the given reason.
 func (s *service) askPool(ctx context.Context, request contract.HedgeRequest, refusal hedge.Refusal) hedge.Refusal {
-	pools := s.pools()
-	if len(pools) == 0 || s.hasPoolFailed() {
-		return refusal
-	}
-	reply, err := s.call(ctx, pools[0], s.newCall(request, 1))
-	if ctx.Err() == nil {
-		s.recordPoolCall(err)
-	}
-	if err != nil {
-		return hedge.RefusedByNoResponse
+	asked := 0
+	for _, pool := range s.pools() {
+		if asked == maxPoolsAsked || ctx.Err() != nil {
+			break
+		}
+		if s.hasPoolFailed(pool.Name) {
+			continue
+		}
+		asked++
+		reply, err := s.call(ctx, pool, s.newCall(request, 1))
+		if err == nil {
+			return reply.Refusal
+		}
+		if ctx.Err() == nil {
+			s.recordPoolFailure(pool.Name, err)
+		}
+		refusal = hedge.RefusedByNoResponse
 	}
-	return reply.Refusal
+	return refusal
 }
 
 // call calls a pool. The counts of the call stay with this daemon if the pool certainly has
 // not got them.
-func (s *service) call(ctx context.Context, member membership.Member, call TakeCall) (TakeReply, error) {
-	if member.Name == s.session.View().Load().Self.Name {
+func (s *service) call(ctx context.Context, pool membership.Member, call TakeCall) (TakeReply, error) {
+	if pool.Name == s.session.View().Load().Self.Name {
 		return s.takeFromPool(call), nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, poolTimeout)
+	timeout := poolTimeout
+	if s.regions[pool.Zone] == s.region {
+		timeout = ownPoolTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var reply TakeReply
-	err := s.peers.Call(ctx, member.RPCAddress, rpcName+".Take", call, &reply)
+	err := s.peers.Call(ctx, pool.RPCAddress, rpcName+".Take", call, &reply)
 	now := s.clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -206,18 +222,19 @@
 	return call
 }
 
-func (s *service) hasPoolFailed() bool {
+// hasPoolFailed reports whether a pool has just not answered.
+func (s *service) hasPoolFailed(name string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !s.poolFailedAt.IsZero() && s.clock.Since(s.poolFailedAt) < poolRetryDelay
+	failedAt, hasFailed := s.poolFailures[name]
+	return hasFailed && s.clock.Since(failedAt) < poolRetryDelay
 }
 
-func (s *service) recordPoolCall(err error) {
+func (s *service) recordPoolFailure(name string, err error) {
+	now := s.clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.poolFailedAt = time.Time{}
-	if err != nil {
-		s.poolFailedAt = s.clock.Now()
-		s.log.WithError(err).Info("The pool of hedged requests does not answer.")
-	}
+	maps.DeleteFunc(s.poolFailures, func(_ string, failedAt time.Time) bool { return now.Sub(failedAt) >= poolRetryDelay })
+	s.poolFailures[name] = now
+	s.log.WithError(err).WithField("daemon", name).Info("A pool of hedged requests does not answer.")
 }
--- a/daemon/services/peers/peers.go
+++ b/daemon/services/peers/peers.go
@@ -88,18 +88,19 @@
 }
 
 // dial opens a connection, with mutual TLS if certificates are configured.
-func (s *service) dial(address string) (net.Conn, error) {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+func (s *service) dial(ctx context.Context, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
 	if settings := s.trust.PeerClientTLS(); settings != nil {
-		return tls.DialWithDialer(dialer, "tcp", address, settings)
+		return (&tls.Dialer{Config: settings}).DialContext(ctx, "tcp", address)
 	}
-	return dialer.Dial("tcp", address)
+	return (&net.Dialer{}).DialContext(ctx, "tcp", address)
 }
 
 // Call implements contract.Peers.
 func (s *service) Call(ctx context.Context, address, method string, args, reply any) error {
 	key := connKeyOf(address, method)
-	c, err := s.clientFor(key)
+	c, err := s.clientFor(ctx, key)
 	if err != nil {
 		return result.Wrap(result.PeerUnreachable, err)
 	}
@@ -152,11 +153,11 @@
 // clientFor returns the open client of a connection, or opens one. A connection that
 // the peer has closed, as a daemon does that restarts, is replaced: net/rpc would fail
 // the next call on it without having sent it, and its outcome would count as unknown.
-func (s *service) clientFor(key connKey) (*client, error) {
+func (s *service) clientFor(ctx context.Context, key connKey) (*client, error) {
 	if existing := s.openClient(key); existing != nil {
 		return existing, nil
 	}
-	conn, err := s.dial(key.address)
+	conn, err := s.dial(ctx, key.address)
 	if err != nil {
 		return nil, err
 	}
--- a/daemon/services/peers/peers_test.go
+++ b/daemon/services/peers/peers_test.go
@@ -138,3 +138,18 @@
 	must.NoError(t, s.Call(t.Context(), address, "Zone.Echo", &args, &reply))
 	must.Eq(t, 2, reply)
 }
+
+// TestCall_ContextBoundsDialing checks that a call whose context has ended opens no
+// connection.
+func TestCall_ContextBoundsDialing(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	s := newService()
+	s.trust = noTrust{}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	var args, reply int
+	err = s.Call(ctx, listener.Addr().String(), "Zone.Wait", &args, &reply)
+	must.Eq(t, result.PeerUnreachable, result.CodeOf(err))
+}
