--- a/daemon/agent/managed.go
+++ b/daemon/agent/managed.go
@@ -27,6 +27,7 @@
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/expose"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/fleetsize"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/gate"
+	_ "github.com/flamingobeam/flamingobeam/daemon/services/hedging"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/jobs"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/ledger"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/limits"
--- a/daemon/services/dispatch/dispatch.go
+++ b/daemon/services/dispatch/dispatch.go
@@ -40,13 +40,16 @@
 
 type service struct {
 	kernel.Base
-	balancer  contract.Balancer
-	hosts     contract.Hosts
-	links     contract.ServerLinks
-	limits    contract.ServerLimits
-	retries   contract.RetryBudgets
-	origins   contract.StreamOrigins
-	usage     contract.Usage
+	balancer contract.Balancer
+	hosts    contract.Hosts
+	links    contract.ServerLinks
+	limits   contract.ServerLimits
+	retries  contract.RetryBudgets
+	origins  contract.StreamOrigins
+	usage    contract.Usage
+	hedging  contract.Hedging
+	// place is where this daemon is.
+	place     structs.Place
 	metrics   contract.Metrics
 	log       *logrus.Entry
 	transport *http.Transport
@@ -62,7 +65,7 @@
 	if err != nil {
 		return err
 	}
-	s.log = ctx.Log()
+	s.log, s.place = ctx.Log(), daemon.Place
 	s.transport = transport.New(transport.Options{DialTimeout: dialTimeout, IdleTimeout: idleTimeout, MaxIdlePerHost: maxIdlePerServer, Dial: daemon.Platform.DialServer})
 	s.freshTransport = transport.New(transport.Options{DialTimeout: dialTimeout, SingleUse: true, Dial: daemon.Platform.DialServer})
 	return kernel.FindAll(ctx,
@@ -73,6 +76,7 @@
 		kernel.Bind(&s.retries, contract.NameRetries),
 		kernel.Bind(&s.origins, contract.NameStreamOrigins),
 		kernel.Bind(&s.usage, contract.NameUsage),
+		kernel.Bind(&s.hedging, contract.NameHedging),
 		kernel.Bind(&s.metrics, contract.NameMetrics),
 	)
 }
