Count starts and ends of runs by reason, and connections to servers

Cause: the log told that a run was cut, not why, and nothing counted the connections that engines and dispatch open.

Change: a run carries why it starts (first, resumed, moved, continued, declined, repeated), and its context ends with a typed cause (moved, replaced, job ended, owner changed, stopping, stalled). Both are fields of 'A run ended.' and counters jobs.runs_started.REASON and engines.runs_ended.REASON; 'Moving a slow run.' names the target, the runs on both servers and whether the pace of the target was measured. engines.connections_opened and dispatch.connections_opened count established connections. No decision changes.

Tests: the fakes of the context's cancel function take a cause now; newService has metrics, as a run counts its start.

--- a/daemon/contract/runs.go
+++ b/daemon/contract/runs.go
@@ -17,6 +17,8 @@
 	Job    *batch.Job
 	Item   *batch.Item
 	Server catalog.Server
+	// Start is why the run starts.
+	Start RunStart
 	// Urgency is the priority, from 0 (highest) to 9 (lowest).
 	Urgency int
 	// Text is the text of earlier runs, which this run continues.
--- a/daemon/services/dispatch/dispatch.go
+++ b/daemon/services/dispatch/dispatch.go
@@ -62,8 +62,8 @@
 		return err
 	}
 	s.log = ctx.Log()
-	s.transport = transport.New(transport.Options{DialTimeout: dialTimeout, IdleTimeout: idleTimeout, MaxIdlePerHost: maxIdlePerServer, Dial: daemon.Platform.DialServer})
-	s.freshTransport = transport.New(transport.Options{DialTimeout: dialTimeout, SingleUse: true, Dial: daemon.Platform.DialServer})
+	s.transport = transport.New(transport.Options{DialTimeout: dialTimeout, IdleTimeout: idleTimeout, MaxIdlePerHost: maxIdlePerServer, Dial: daemon.Platform.DialServer, OnDial: s.countDial})
+	s.freshTransport = transport.New(transport.Options{DialTimeout: dialTimeout, SingleUse: true, Dial: daemon.Platform.DialServer, OnDial: s.countDial})
 	return kernel.FindAll(ctx,
 		kernel.Bind(&s.balancer, contract.NameBalance),
 		kernel.Bind(&s.hosts, contract.NameHosts),
@@ -75,6 +75,9 @@
 	)
 }
 
+// countDial counts an established connection to a server.
+func (s *service) countDial() { s.metrics.Count("dispatch.connections_opened", 1) }
+
 // Stop implements kernel.Service.
 func (s *service) Stop(context.Context) error {
 	s.transport.CloseIdleConnections()
--- a/daemon/services/engines/engines.go
+++ b/daemon/services/engines/engines.go
@@ -9,6 +9,7 @@
 	"io"
 	"math"
 	"net/http"
+	"net/http/httptrace"
 	"time"
 
 	"github.com/pkg/errors"
@@ -58,7 +59,6 @@
 )
 
 var (
-	errStalled       = errors.New("engines: stream stalled")
 	errNoVersion     = errors.New("engines: response has no weight version")
 	errWrongAttempt  = errors.New("engines: response to another request")
 	errOverlong      = errors.New("engines: stream is longer than a text can be")
@@ -84,7 +84,7 @@
 		return err
 	}
 	s.log = ctx.Log()
-	s.transport = transport.New(transport.Options{DialTimeout: dialTimeout, IdleTimeout: idleTimeout, MaxIdlePerHost: maxIdlePerServer, Dial: daemon.Platform.DialServer})
+	s.transport = transport.New(transport.Options{DialTimeout: dialTimeout, IdleTimeout: idleTimeout, MaxIdlePerHost: maxIdlePerServer, Dial: daemon.Platform.DialServer, OnDial: s.countDial})
 	return kernel.FindAll(ctx,
 		kernel.Bind(&s.metrics, contract.NameMetrics),
 		kernel.Bind(&s.links, contract.NameServerLinks),
@@ -93,6 +93,9 @@
 	)
 }
 
+// countDial counts an established connection to an engine.
+func (s *service) countDial() { s.metrics.Count("engines.connections_opened", 1) }
+
 // Stop implements kernel.Service.
 func (s *service) Stop(context.Context) error {
 	s.transport.CloseIdleConnections()
@@ -105,18 +108,23 @@
 	resumed := request.Text.Position()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	stallTimer := time.AfterFunc(firstEventTimeout, func() { cancel(errStalled) })
+	stallTimer := time.AfterFunc(firstEventTimeout, func() { cancel(contract.CutStalled) })
 	defer stallTimer.Stop()
-	result := s.runStream(ctx, request, progress, stallTimer)
+	isNewConnection := false
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { isNewConnection = !info.Reused }})
+	result := s.runStream(traced, request, progress, stallTimer)
 	result.Text = request.Text
 	if cause := context.Cause(ctx); cause != nil && result.Err != nil {
 		result.Err = cause
 	}
+	reason := contract.EndReason(ctx, result)
 	s.metrics.Time("engines.run", time.Since(started))
+	s.metrics.Count("engines.runs_ended."+reason, 1)
 	entry := s.log.WithFields(logrus.Fields{
 		"job": request.Job.ID, "item": request.Item.ID, "server": request.Server.ID, "software": request.Server.Software, "model": request.Job.Model,
 		"version": result.Version, "after": resumed.Last, "text_software": resumed.Origin.Software, "last": result.Text.Last, "end": result.Outcome.String(), "status": result.Status,
 		"ms": time.Since(started).Milliseconds(), "first_ms": progress.TimeToFirstEvent(started).Milliseconds(), "urgency": request.Urgency,
+		"start": request.Start.String(), "reason": reason, "new_connection": isNewConnection,
 	})
 	if result.Err != nil {
 		entry = entry.WithError(result.Err)
--- a/daemon/services/jobs/earlier_texts.go
+++ b/daemon/services/jobs/earlier_texts.go
@@ -136,7 +136,7 @@
 			it.text, it.resumeOffset, it.checkpointOffset = text, len(text.Events), 0
 		case it.phase == phaseRunning && it.checkpointOffset == 0 && int(text.Last) > it.resumeOffset+it.progress.EventCount():
 			it.replacement = text
-			it.cancel()
+			it.cancel(contract.CutReplaced)
 		default:
 			continue
 		}
--- a/daemon/services/jobs/earlier_texts_test.go
+++ b/daemon/services/jobs/earlier_texts_test.go
@@ -26,8 +26,8 @@
 	}
 	j := &job{Job: batch.Job{ID: id, Model: "model"}, view: kernel.NewSnapshot(&jobView{itemCount: 1})}
 	j.route.service = "models"
-	j.ctx, j.cancel = context.WithCancel(context.Background())
-	j.items = []*item{{Item: &batch.Item{ID: "item"}, text: text, phase: phaseRunning, progress: &contract.Progress{}, cancel: func() {}}}
+	j.ctx, j.cancel = context.WithCancelCause(context.Background())
+	j.items = []*item{{Item: &batch.Item{ID: "item"}, text: text, phase: phaseRunning, progress: &contract.Progress{}, cancel: func(error) {}}}
 	return j
 }
 
@@ -64,7 +64,7 @@
 func TestMarkEnded_OffersTexts(t *testing.T) {
 	first, second := newTextJob("job-1", 31), newTextJob("job-2", 0)
 	stopped := false
-	second.items[0].cancel = func() { stopped = true }
+	second.items[0].cancel = func(error) { stopped = true }
 	s := newTextService(first, second)
 	s.isPlacementScheduled = true
 	s.markEnded(first, ownershipRecord{Ownership: batch.Ownership{Ended: true}})
@@ -80,7 +80,7 @@
 		owned := newTextJob("job-1", 0)
 		owned.ownership.Epoch = 2
 		stopped := false
-		owned.items[0].cancel = func() { stopped = true }
+		owned.items[0].cancel = func(error) { stopped = true }
 		s := newTextService(owned)
 		s.adopt(adoption{
 			storedJob: storedJob{job: &owned.Job, ownership: ownershipRecord{Ownership: batch.Ownership{Epoch: epoch}}},
--- a/daemon/services/jobs/jobs.go
+++ b/daemon/services/jobs/jobs.go
@@ -188,7 +188,7 @@
 	endedAt time.Time
 	view    *kernel.Snapshot[jobView]
 	ctx     context.Context
-	cancel  context.CancelFunc
+	cancel  context.CancelCauseFunc
 }
 
 // jobView is an immutable snapshot of a job's log.
@@ -241,7 +241,7 @@
 		Job: *a.job, ownership: a.ownership, log: a.log,
 		submittedAt: time.UnixMilli(a.ownership.Submitted), verifiedAt: a.readAt, lastCheckpointAt: s.loop.Now(),
 	}
-	j.ctx, j.cancel = context.WithCancel(context.Background())
+	j.ctx, j.cancel = context.WithCancelCause(context.Background())
 	s.updateRoute(j)
 	listed := make(map[batch.ItemID]bool, len(a.results))
 	for _, result := range a.results {
@@ -284,7 +284,7 @@
 // dropJob removes a job that this daemon no longer owns or keeps.
 func (s *service) dropJob(j *job, why string) {
 	s.log.WithFields(logrus.Fields{"job": j.ID, "epoch": j.ownership.Epoch, "why": why}).Info("Batch job dropped.")
-	j.cancel()
+	j.cancel(contract.CutOwnerChanged)
 	delete(s.ownedJobs, j.ID)
 	s.jobViews.Delete(j.ID)
 	last := *j.view.Load()
@@ -296,7 +296,7 @@
 // later jobs.
 func (s *service) markEnded(j *job, ownership ownershipRecord) {
 	j.ownership, j.endedAt = ownership, s.loop.Now()
-	j.cancel()
+	j.cancel(contract.CutJobEnded)
 	j.pendingResults = nil
 	next := *j.view.Load()
 	next.isEnded = true
--- a/daemon/services/jobs/jobs_test.go
+++ b/daemon/services/jobs/jobs_test.go
@@ -76,6 +76,10 @@
 func (f *fakeServices) View() *kernel.Snapshot[contract.SessionView]    { return f.session }
 func (f *fakeServices) ReachedSince() (time.Time, bool)                 { return time.Now(), true }
 
+type noMetrics struct{ contract.Metrics }
+
+func (noMetrics) Count(string, int64) {}
+
 func newService() *service {
 	f := &fakeServices{
 		catalog: kernel.NewSnapshot(&contract.CatalogView{}),
@@ -86,7 +90,7 @@
 	s := &service{
 		ownerCache: make(map[string]ownerEntry),
 		store:      f, swaps: f, session: f, catalog: f, log: logrus.NewEntry(log), loop: kernel.NewLoop(clockwork.NewFakeClock()),
-		workers: kernel.NewWorkers(1), engines: make(map[structs.HostName]*engineState), ownedJobs: make(map[string]*job), earlyEnds: make(map[string]ownershipRecord),
+		metrics: noMetrics{}, workers: kernel.NewWorkers(1), engines: make(map[structs.HostName]*engineState), ownedJobs: make(map[string]*job), earlyEnds: make(map[string]ownershipRecord),
 	}
 	s.broadcaster = broadcast.Broadcaster{Session: f, Workers: s.workers, Log: s.log}
 	return s
--- a/daemon/services/jobs/runs.go
+++ b/daemon/services/jobs/runs.go
@@ -32,18 +32,19 @@
 
 // startRun runs an item on an engine.
 func (s *service) startRun(j *job, it *item, server catalog.Server, eventsLeft int, pace time.Duration, now time.Time) {
-	ctx, cancel := context.WithCancel(j.ctx)
+	ctx, cancel := context.WithCancelCause(j.ctx)
 	it.phase, it.server, it.startedAt, it.cancel, it.isMoving = phaseRunning, server.ID, now, cancel, false
 	it.progress = &contract.Progress{}
 	s.engineStateOf(server).localItems++
 	request := contract.RunRequest{
 		Job: &j.Job, Item: it.Item, Server: server, Urgency: placement.Urgency(eventsLeft, pace, j.deadline().Sub(now), j.route.priority), Text: it.text,
-		Timeout: max(time.Second, j.submittedAt.Add(j.route.itemTTL).Sub(now)), SingleVersion: j.route.singleVersion,
+		Start: it.nextStart(), Timeout: max(time.Second, j.submittedAt.Add(j.route.itemTTL).Sub(now)), SingleVersion: j.route.singleVersion,
 	}
+	s.metrics.Count("jobs.runs_started."+request.Start.String(), 1)
 	progress := it.progress
 	id, epoch, model := j.ID, j.ownership.Epoch, j.Model
 	s.workers.Go(func(workersCtx context.Context) {
-		defer cancel()
+		defer cancel(nil)
 		// A run that panics is no failure of the engine and is made again.
 		result := contract.RunResult{Outcome: contract.RunInterrupted, Text: request.Text, Err: kernel.ErrPanicked}
 		defer func() {
@@ -64,6 +65,10 @@
 		return
 	}
 	it.phase, it.resumeOffset, it.waitingSince = phaseWaiting, len(result.Text.Events), now
+	it.start = contract.StartAfter(result.Outcome)
+	if it.isMoving && result.Outcome == contract.RunInterrupted {
+		it.start = contract.StartMoved
+	}
 	if replacement := it.replacement; replacement != nil {
 		it.replacement = nil
 		if replacement.Last > it.text.Last && result.Outcome != contract.RunCompleted {
@@ -112,6 +117,14 @@
 	return ok && listed.Started != chosen.Started && listed.Software != chosen.Software
 }
 
+// nextStart returns why the next run of the item starts.
+func (it *item) nextStart() contract.RunStart {
+	if it.start == contract.StartFirst && it.text.Last > 0 {
+		return contract.StartResumed
+	}
+	return it.start
+}
+
 func (it *item) avoidServer(server structs.HostName) {
 	it.avoidedServers = append(it.avoidedServers, server)
 	if len(it.avoidedServers) > maxAvoided {
@@ -182,12 +195,14 @@
 		if !ok || !placement.ShouldMove(eventsLeft, sample.Recent, selector.PaceOf(choice)) {
 			continue
 		}
+		target := selector.Engine(choice)
 		s.log.WithFields(logrus.Fields{
 			"job": j.ID, "item": it.ID, "from": it.server, "pace_ms": sample.Recent.Milliseconds(), "left": eventsLeft,
-			"elsewhere_ms": selector.PaceOf(choice).Milliseconds(),
+			"elsewhere_ms": selector.PaceOf(choice).Milliseconds(), "to": target.Server.ID, "events": sample.Events,
+			"from_runs": s.engineStateOf(listed[it.server]).localItems, "to_runs": target.LocalItems, "to_measured": target.Pace > 0,
 		}).Info("Moving a slow run.")
 		selector.Assign(choice)
 		it.isMoving = true
-		it.cancel()
+		it.cancel(contract.CutMoved)
 	}
 }
--- a/daemon/services/jobs/schedule.go
+++ b/daemon/services/jobs/schedule.go
@@ -98,8 +98,10 @@
 	waitingSince time.Time
 	server       structs.HostName
 	startedAt    time.Time
-	progress     *contract.Progress
-	cancel       context.CancelFunc
+	// start is why the next run starts.
+	start    contract.RunStart
+	progress *contract.Progress
+	cancel   context.CancelCauseFunc
 	// isMoving is set when the run was stopped to resume on another engine.
 	isMoving bool
 	// replacement is a text of an ended job that replaces the text of the
--- a/daemon/services/jobs/takeover.go
+++ b/daemon/services/jobs/takeover.go
@@ -323,7 +323,7 @@
 			}
 			handovers = append(handovers, h)
 		}
-		j.cancel()
+		j.cancel(contract.CutStopping)
 	}
 	return handovers
 }
--- a/daemon/services/jobs/takeover_test.go
+++ b/daemon/services/jobs/takeover_test.go
@@ -85,7 +85,7 @@
 // successor would generate them again.
 func TestPrepareHandover_UnlistedTexts(t *testing.T) {
 	s := &service{ownedJobs: make(map[string]*job)}
-	j := &job{Job: batch.Job{ID: "job-1"}, cancel: func() {}}
+	j := &job{Job: batch.Job{ID: "job-1"}, cancel: func(error) {}}
 	for _, id := range []batch.ItemID{"listed", "finished", "running"} {
 		it := &item{Item: &batch.Item{ID: id}, text: &contract.Text{}, phase: phaseFinished, isListed: id == "listed"}
 		it.text.Add(1, "event", 1, resume.Origin{Service: "models", Software: "v1"})
