Owners of batch jobs share their runs on engines, and engines have a home model

Cause: the owners of different models did not know of each other's runs. Steps are asked at the same moment, each owner filled all slots of the fastest engines, and up to 24 runs were on an engine with 6 slots: they stalled, were preempted and then moved.

--- a/coord/membership/membership.go
+++ b/coord/membership/membership.go
@@ -30,7 +30,10 @@
 	RelaysOnce bool `json:"relays_once,omitempty"`
 	// IsStopping is set while a planned stop is in progress. Earlier releases do not set
 	// it.
-	IsStopping bool             `json:"stopping,omitempty"`
+	IsStopping bool `json:"stopping,omitempty"`
+	// SharesRuns is set if it takes reports on the runs of other owners of batch jobs.
+	// Earlier releases do not set it.
+	SharesRuns bool             `json:"shares_runs,omitempty"`
 	Zone       structs.ZoneName `json:"zone"`
 	// Strength is the number of processor cores that the host gives it, and may be
 	// a fraction.
--- a/coord/placement/engine_selector.go
+++ b/coord/placement/engine_selector.go
@@ -20,6 +20,10 @@
 	Version structs.WeightVersion
 	// LocalItems is the number of items that this daemon runs on the engine.
 	LocalItems int
+	// OtherItems is the number of items that other daemons reported to run on it.
+	OtherItems int
+	// IsForeign is set if the engine takes the items of another model first.
+	IsForeign bool
 	// Pace is the expected time between the events of a run that starts now,
 	// and BestPace the shortest mean time of a run so far; zero means unknown.
 	Pace     time.Duration
@@ -37,12 +41,18 @@
 	// occupancyPenalty is the relative increase of the cost of a full engine,
 	// which spreads items over engines of equal pace.
 	occupancyPenalty = 0.5
+	// foreignOccupancy is the part of a foreign engine's slots that the items of its own
+	// model are assumed to take soon.
+	foreignOccupancy = 1.0
 	// tieBreakSpread is the relative range of the factors by which the costs of
 	// engines differ between daemons, so that not all daemons start with the
 	// same one of several equal engines.
 	tieBreakSpread = 0.03
 )
 
+// isFull reports whether all slots of the engine have items.
+func (e *Engine) isFull() bool { return e.LocalItems+e.OtherItems >= e.Server.Slots }
+
 // MeanBestPace returns the mean of the known best paces, or DefaultPace when
 // none is known.
 func MeanBestPace(engines []Engine) time.Duration {
@@ -89,7 +99,7 @@
 	s := &EngineSelector{engines: engines, fallbackPace: MeanBestPace(engines), salts: make([]float64, len(engines))}
 	for i := range engines {
 		engine := &engines[i]
-		if engine.Blocked || engine.LocalItems >= engine.Server.Slots || engine.Version < oldestVersion {
+		if engine.Blocked || engine.isFull() || engine.Version < oldestVersion {
 			continue
 		}
 		s.salts[i] = 1 + tieBreakSpread*fraction(xxhash.Sum64String(string(engine.Server.ID))^salt)
@@ -109,6 +119,11 @@
 	return s
 }
 
+// rendezvousHash returns the rank of a model at a server among other models.
+func rendezvousHash(server structs.HostName, model structs.ServiceName) uint64 {
+	return xxhash.Sum64String(string(server) + string(model))
+}
+
 // fraction maps a hash to [0, 1).
 func fraction(hash uint64) float64 { return float64(hash>>11) / (1 << 53) }
 
@@ -130,7 +145,10 @@
 // eventCost returns the cost of an event on an engine, in nanoseconds.
 func (s *EngineSelector) eventCost(index int32) float64 {
 	engine := &s.engines[index]
-	occupancy := float64(engine.LocalItems) / float64(engine.Server.Slots)
+	occupancy := float64(engine.LocalItems+engine.OtherItems) / float64(engine.Server.Slots)
+	if engine.IsForeign {
+		occupancy += foreignOccupancy
+	}
 	return float64(s.PaceOf(int(index))) * s.salts[index] * (1 + occupancyPenalty*occupancy)
 }
 
@@ -221,7 +239,7 @@
 		if at < 0 {
 			return
 		}
-		if engine.LocalItems >= engine.Server.Slots {
+		if engine.isFull() {
 			last := len(group.heap) - 1
 			group.heap[at] = group.heap[last]
 			group.heap = group.heap[:last]
--- a/coord/placement/weight_loads.go
+++ b/coord/placement/weight_loads.go
@@ -5,8 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/flamingobeam/flamingobeam/coord/catalog"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 )
@@ -210,7 +208,7 @@
 	for range paceExponent {
 		cost *= ratio
 	}
-	return cost + tieBreakSpread*fraction(xxhash.Sum64String(string(engine.Server.ID)+string(model)))
+	return cost + tieBreakSpread*fraction(rendezvousHash(engine.Server.ID, model))
 }
 
 // medianPace returns the median of the known paces, or zero.
--- a/daemon/broadcast/broadcast.go
+++ b/daemon/broadcast/broadcast.go
@@ -29,14 +29,14 @@
 // concurrently, and does not wait for the replies. Failed calls are logged and not
 // retried, so the receivers must tolerate a lost message.
 func (b *Broadcaster) NotifyJobHosts(method string, message any) {
-	b.EachJobHost(b.notification(method, message))
+	b.EachJobHost(b.Notification(method, message))
 }
 
 // NotifyZoneFirsts is NotifyJobHosts for the first daemon of each zone, this one
 // included.
 func (b *Broadcaster) NotifyZoneFirsts(method string, message any) {
 	for _, first := range membership.ZoneFirsts(b.Session.View().Load().Live) {
-		b.start(first, b.notification(method, message))
+		b.start(first, b.Notification(method, message))
 	}
 }
 
@@ -45,7 +45,7 @@
 	view := b.Session.View().Load()
 	for _, member := range view.Live {
 		if member.Zone == view.Self.Zone && member.Name != view.Self.Name {
-			b.start(member, b.notification(method, message))
+			b.start(member, b.Notification(method, message))
 		}
 	}
 }
@@ -54,17 +54,22 @@
 // the leader, each on its own worker, and does not wait for them to return. Errors are
 // logged.
 func (b *Broadcaster) EachJobHost(call func(ctx context.Context, member membership.Member) error) {
+	b.EachJobHostIf(func(membership.Member) bool { return true }, call)
+}
+
+// EachJobHostIf is EachJobHost for the daemons that isWanted accepts.
+func (b *Broadcaster) EachJobHostIf(isWanted func(membership.Member) bool, call func(ctx context.Context, member membership.Member) error) {
 	view := b.Session.View().Load()
 	hosts := membership.JobHosts(view.Live)
 	for name, member := range view.Live {
-		if (hosts[name] || name == view.Leader) && name != view.Self.Name {
+		if (hosts[name] || name == view.Leader) && name != view.Self.Name && isWanted(member) {
 			b.start(member, call)
 		}
 	}
 }
 
-// notification returns a function that calls a method and ignores the reply.
-func (b *Broadcaster) notification(method string, message any) func(context.Context, membership.Member) error {
+// Notification returns a function that calls a method and ignores the reply.
+func (b *Broadcaster) Notification(method string, message any) func(context.Context, membership.Member) error {
 	return func(ctx context.Context, member membership.Member) error {
 		var reply struct{}
 		return b.Peers.Call(ctx, member.RPCAddress, method, message, &reply)
--- /dev/null
+++ b/daemon/services/jobs/engine_selection.go
@@ -0,0 +1,65 @@
+package jobs
+
+import (
+	"time"
+
+	"github.com/flamingobeam/flamingobeam/coord/catalog"
+	"github.com/flamingobeam/flamingobeam/coord/placement"
+	"github.com/flamingobeam/flamingobeam/coord/structs"
+)
+
+// engineSelector returns a selector over the engines that can run a job's
+// items.
+func (s *service) engineSelector(j *job, now time.Time) *placement.EngineSelector {
+	servers := s.servers.Entries().Load().ByService[j.route.service]
+	engines := make([]placement.Engine, 0, len(servers))
+	homes := s.modelHomes(j.route.service)
+	for _, server := range servers {
+		state := s.engineStateOf(server)
+		pace, bestPace := s.paces.Estimate(server)
+		engines = append(engines, placement.Engine{
+			Server: server, Version: max(server.Versions[j.Model], state.versions[j.Model]),
+			LocalItems: state.localItems, OtherItems: s.sharedRuns.Others(server.ID, now), IsForeign: homes.isForeign(server, state, j.Model),
+			Pace: pace, BestPace: bestPace, RTT: s.roundTripTo(server.Zone),
+			Blocked: now.Before(state.blockedUntil[j.Model]) || now.Before(state.unreachableUntil) || !s.limits.HasRoom(server.ID),
+		})
+	}
+	return placement.NewEngineSelector(engines, j.MinVersion, s.selectionSalt)
+}
+
+func (s *service) roundTripTo(zone structs.ZoneName) time.Duration {
+	switch {
+	case zone == s.config.Place.Zone:
+		return 0
+	case s.config.Platform.Regions[zone] == s.config.Place.Region:
+		return zoneRTT
+	}
+	return regionRTT
+}
+
+// modelHomes knows which models the engines of a service take first.
+type modelHomes struct {
+	models  []structs.ServiceName
+	targets map[structs.ServiceName]structs.WeightVersion
+}
+
+func (s *service) modelHomes(name structs.ServiceName) modelHomes {
+	view := s.catalog.Current().Load()
+	if view.Catalog == nil {
+		return modelHomes{}
+	}
+	return modelHomes{models: view.Catalog.Models(name), targets: view.TargetVersions}
+}
+
+// isForeign reports whether an engine takes the items of another model before those of
+// the given one: it runs weights of both that their next steps accept.
+func (h modelHomes) isForeign(server catalog.Server, state *engineState, model structs.ServiceName) bool {
+	usable := make([]structs.ServiceName, 0, len(h.models))
+	for _, other := range h.models {
+		if max(server.Versions[other], state.versions[other])+1 >= h.targets[other] {
+			usable = append(usable, other)
+		}
+	}
+	home := placement.HomeModel(server.ID, usable)
+	return home != "" && home != model
+}
--- a/daemon/services/jobs/jobs.go
+++ b/daemon/services/jobs/jobs.go
@@ -18,6 +18,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/flamingobeam/flamingobeam/coord/batch"
+	"github.com/flamingobeam/flamingobeam/coord/placement"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/daemon/broadcast"
 	"github.com/flamingobeam/flamingobeam/daemon/config"
@@ -69,6 +70,7 @@
 	ownershipChecks    *kernel.Mailbox[ownershipCheck]
 	checkpointOutcomes *kernel.Mailbox[checkpointOutcome]
 	earlierTexts       *kernel.Mailbox[earlierTexts]
+	runReports         *kernel.Mailbox[RunsRPC]
 
 	// The following fields belong to the control goroutine.
 	ownedJobs            map[string]*job
@@ -76,6 +78,10 @@
 	isPlacementScheduled bool
 	isStopping           bool
 	takeover             takeoverMonitor
+	// sharedRuns holds the runs of other owners, and sharing what they know of the runs
+	// of this daemon.
+	sharedRuns placement.SharedRuns
+	sharing    runSharing
 	// earlyEnds holds the ownership records of jobs whose end was reported
 	// before they were adopted here.
 	earlyEnds map[string]ownershipRecord
@@ -135,6 +141,7 @@
 	s.ownershipChecks = kernel.NewMailbox(s.loop, mailboxCapacity, s.handleOwnershipCheck)
 	s.checkpointOutcomes = kernel.NewMailbox(s.loop, mailboxCapacity, s.handleCheckpoint)
 	s.earlierTexts = kernel.NewMailbox(s.loop, mailboxCapacity, s.applyEarlierTexts)
+	s.runReports = kernel.NewMailbox(s.loop, mailboxCapacity, s.handleRunsReport)
 	s.takeover.prepare(s)
 	if !s.config.Platform.FirstStart {
 		s.loop.AfterFunc(0, s.takeover.reclaimOwnJobs)
--- a/daemon/services/jobs/runs.go
+++ b/daemon/services/jobs/runs.go
@@ -36,6 +36,7 @@
 	it.phase, it.server, it.startedAt, it.cancel, it.isMoving = phaseRunning, server.ID, now, cancel, false
 	it.progress = &contract.Progress{}
 	s.engineStateOf(server).localItems++
+	s.runsChanged()
 	request := contract.RunRequest{
 		Job: &j.Job, Item: it.Item, Server: server, Urgency: placement.Urgency(eventsLeft, pace, j.deadline().Sub(now), j.route.priority), Text: it.text,
 		Start: it.nextStart(), Timeout: max(time.Second, j.submittedAt.Add(j.route.itemTTL).Sub(now)), SingleVersion: j.route.singleVersion,
@@ -139,6 +140,7 @@
 		return
 	}
 	state.localItems = max(0, state.localItems-1)
+	s.runsChanged()
 	if state.started != outcome.server.Started {
 		return
 	}
--- a/daemon/services/jobs/schedule.go
+++ b/daemon/services/jobs/schedule.go
@@ -197,6 +197,7 @@
 		s.removeExpired(j, now)
 	}
 	s.session.SetOwnsJobs(hasOpen)
+	s.refreshRuns(now)
 	s.placeWaitingItems()
 	s.takeover.tick(now)
 }
@@ -366,30 +367,3 @@
 	}
 	return estimate
 }
-
-// engineSelector returns a selector over the engines that can run a job's
-// items.
-func (s *service) engineSelector(j *job, now time.Time) *placement.EngineSelector {
-	servers := s.servers.Entries().Load().ByService[j.route.service]
-	engines := make([]placement.Engine, 0, len(servers))
-	for _, server := range servers {
-		state := s.engineStateOf(server)
-		pace, bestPace := s.paces.Estimate(server)
-		engines = append(engines, placement.Engine{
-			Server: server, Version: max(server.Versions[j.Model], state.versions[j.Model]),
-			LocalItems: state.localItems, Pace: pace, BestPace: bestPace, RTT: s.roundTripTo(server.Zone),
-			Blocked: now.Before(state.blockedUntil[j.Model]) || now.Before(state.unreachableUntil) || !s.limits.HasRoom(server.ID),
-		})
-	}
-	return placement.NewEngineSelector(engines, j.MinVersion, s.selectionSalt)
-}
-
-func (s *service) roundTripTo(zone structs.ZoneName) time.Duration {
-	switch {
-	case zone == s.config.Place.Zone:
-		return 0
-	case s.config.Platform.Regions[zone] == s.config.Place.Region:
-		return zoneRTT
-	}
-	return regionRTT
-}
--- a/daemon/services/session/session.go
+++ b/daemon/services/session/session.go
@@ -126,7 +126,7 @@
 	s.records, s.wantedTTL = make(map[string]outside.Record), longLeaseTTL
 	s.view = kernel.NewSnapshot(&contract.SessionView{Self: membership.Member{
 		Name:       fmt.Sprintf("%s.%x", daemon.Host, time.Now().UnixNano()),
-		RPCAddress: daemon.Listen.Peers, RelayAddress: daemon.Listen.Relay, RelaysOnce: daemon.Listen.Relay != "",
+		RPCAddress: daemon.Listen.Peers, RelayAddress: daemon.Listen.Relay, RelaysOnce: daemon.Listen.Relay != "", SharesRuns: true,
 		Zone:     daemon.Place.Zone,
 		Strength: daemon.Platform.Strength,
 	}})
