Hedge requests of accepted work only once they are late

Cause: reward calls were sent to a second server after 0.4 of their latency target. In a burst of finished texts the servers queue for as long, so up to 450 of 4,000 calls were doubled, each with a new connection and one that closes with the loser.

Change: a request of accepted work, which no caller waits for alone, is hedged at its latency target. Callers' requests are hedged as before.

--- a/daemon/services/dispatch/forward.go
+++ b/daemon/services/dispatch/forward.go
@@ -126,7 +126,12 @@
 	}
 }
 
+// hedgeDelay returns when the request is sent to a second server. Nobody waits for the
+// answer to a request of accepted work alone, so that it is sent again only once it is late.
 func (c *forwardCall) hedgeDelay() time.Duration {
+	if c.request.IsAccepted {
+		return max(minHedgeDelay, c.request.Route.LatencyTarget)
+	}
 	return max(minHedgeDelay, time.Duration(hedgeFraction*float64(c.request.Route.LatencyTarget)))
 }
 
