Moves within a budget of the step, engines by connections, weights where a model ran

Cause: each run that could gain 300 ms moved, one arrival in six, and an engine with idle connections cost as much as one that needs a new one; a model's next version went to other engines each time. A third of the runs opened a connection.

Change: placement.MoveBudget (docs/design/moves.md); a penalty for engines to which the next item needs a new connection; the penalty of a full engine is that of the paces seen (35 ms alone, 43 ms full); new weights go to engines that loaded one of the model's last two versions.

--- a/coord/placement/engine_selector.go
+++ b/coord/placement/engine_selector.go
@@ -22,6 +22,9 @@
 	LocalItems int
 	// OtherItems is the number of items that other daemons reported to run on it.
 	OtherItems int
+	// Connections is the number of connections that this daemon is likely to have open to
+	// the engine, in use or idle.
+	Connections int
 	// IsForeign is set if the engine takes the items of another model first.
 	IsForeign bool
 	// Pace is the expected time between the events of a run that starts now,
@@ -40,10 +43,13 @@
 	DefaultPace = 40 * time.Millisecond
 	// occupancyPenalty is the relative increase of the cost of a full engine,
 	// which spreads items over engines of equal pace.
-	occupancyPenalty = 0.5
-	// foreignOccupancy is the part of a foreign engine's slots that the items of its own
-	// model are assumed to take soon.
-	foreignOccupancy = 1.0
+	occupancyPenalty = 0.2
+	// foreignPenalty is the relative increase of the cost of a foreign engine, which is
+	// left to the items of its own model while there are others.
+	foreignPenalty = 0.5
+	// connectPenalty is the relative increase of the cost of an engine to which the next
+	// item needs a new connection: engines take a limited number.
+	connectPenalty = 0.3
 	// tieBreakSpread is the relative range of the factors by which the costs of
 	// engines differ between daemons, so that not all daemons start with the
 	// same one of several equal engines.
@@ -146,10 +152,14 @@
 func (s *EngineSelector) eventCost(index int32) float64 {
 	engine := &s.engines[index]
 	occupancy := float64(engine.LocalItems+engine.OtherItems) / float64(engine.Server.Slots)
+	penalty := occupancyPenalty * occupancy
 	if engine.IsForeign {
-		occupancy += foreignOccupancy
+		penalty += foreignPenalty
 	}
-	return float64(s.PaceOf(int(index))) * s.salts[index] * (1 + occupancyPenalty*occupancy)
+	if engine.LocalItems >= engine.Connections {
+		penalty += connectPenalty
+	}
+	return float64(s.PaceOf(int(index))) * s.salts[index] * (1 + penalty)
 }
 
 // Select returns the index of the engine on which an item with the given number
--- a/coord/placement/weight_loads.go
+++ b/coord/placement/weight_loads.go
@@ -19,6 +19,12 @@
 	// cost for new weights. It is above one because long texts suffer most from
 	// a slow engine.
 	paceExponent = 2
+	// unusedPenalty is added to the cost of an engine that did not load one of the last
+	// versions of the model, in models that the engine serves: the owner of the model's
+	// jobs has connections to those that did. With reloadDistance, engines that load every
+	// second version count as such.
+	unusedPenalty  = 0.9
+	reloadDistance = 2
 )
 
 // EngineWeights is the state of a model engine as the leader sees it when it
@@ -178,7 +184,7 @@
 		if engine.Busy || version >= m.newest {
 			continue
 		}
-		costs[i] = p.loadCost(engine, m.model)
+		costs[i] = p.loadCost(engine, m.model, m.newest)
 		if version+1 == m.newest {
 			m.previous = append(m.previous, i)
 		} else {
@@ -193,7 +199,7 @@
 // loadCost returns the cost of loading a model on an engine: it is higher if
 // the engine serves other models or is slow. A hash breaks ties between equal
 // engines.
-func (p *loadPlan) loadCost(engine *EngineWeights, model structs.ServiceName) float64 {
+func (p *loadPlan) loadCost(engine *EngineWeights, model structs.ServiceName, newest structs.WeightVersion) float64 {
 	others := 0
 	for _, m := range p.modelStates {
 		if m.model != model && engine.Versions[m.model]+1 >= m.newest {
@@ -205,6 +211,9 @@
 		ratio = float64(engine.Pace) / float64(p.medianPace)
 	}
 	cost := float64(1 + others)
+	if engine.Versions[model]+reloadDistance < newest {
+		cost += unusedPenalty
+	}
 	for range paceExponent {
 		cost *= ratio
 	}
--- a/daemon/services/jobs/engine_selection.go
+++ b/daemon/services/jobs/engine_selection.go
@@ -6,6 +6,7 @@
 	"github.com/flamingobeam/flamingobeam/coord/catalog"
 	"github.com/flamingobeam/flamingobeam/coord/placement"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
+	"github.com/flamingobeam/flamingobeam/daemon/contract"
 )
 
 // engineSelector returns a selector over the engines that can run a job's
@@ -19,7 +20,7 @@
 		pace, bestPace := s.paces.Estimate(server)
 		engines = append(engines, placement.Engine{
 			Server: server, Version: max(server.Versions[j.Model], state.versions[j.Model]),
-			LocalItems: state.localItems, OtherItems: s.sharedRuns.Others(server.ID, now), IsForeign: homes.isForeign(server, state, j.Model),
+			LocalItems: state.localItems, Connections: state.openConnections(now), OtherItems: s.sharedRuns.Others(server.ID, now), IsForeign: homes.isForeign(server, state, j.Model),
 			Pace: pace, BestPace: bestPace, RTT: s.roundTripTo(server.Zone),
 			Blocked: now.Before(state.blockedUntil[j.Model]) || now.Before(state.unreachableUntil) || !s.limits.HasRoom(server.ID),
 		})
@@ -63,3 +64,31 @@
 	home := placement.HomeModel(server.ID, usable)
 	return home != "" && home != model
 }
+
+// idleConnectionTTL is how long an idle connection to an engine is expected to stay open.
+const idleConnectionTTL = 8 * time.Second
+
+// beginRun counts a run that starts, and its connection.
+func (e *engineState) beginRun(now time.Time) {
+	e.connections = max(e.openConnections(now), e.localItems+1)
+	e.localItems++
+	e.usedAt = now
+}
+
+// endRun counts the end of a run. Its connection stays open if the response was read to its
+// end.
+func (e *engineState) endRun(outcome contract.RunOutcome, now time.Time) {
+	e.localItems = max(0, e.localItems-1)
+	e.usedAt = now
+	if outcome == contract.RunInterrupted || outcome == contract.RunUnreachable || outcome == contract.RunOverlong {
+		e.connections = max(e.localItems, e.connections-1)
+	}
+}
+
+// openConnections returns the number of connections that are likely to be open.
+func (e *engineState) openConnections(now time.Time) int {
+	if now.Sub(e.usedAt) > idleConnectionTTL {
+		return e.localItems
+	}
+	return e.connections
+}
--- a/daemon/services/jobs/jobs.go
+++ b/daemon/services/jobs/jobs.go
@@ -190,6 +190,7 @@
 	lastCheckpointAt time.Time
 	isCheckpointing  bool
 	checkpointCount  int
+	moveBudget       placement.MoveBudget
 	// endedAt is when the job was ended; zero while it is open and after its
 	// texts were released.
 	endedAt time.Time
--- a/daemon/services/jobs/runs.go
+++ b/daemon/services/jobs/runs.go
@@ -3,11 +3,8 @@
 import (
 	"cmp"
 	"context"
-	"slices"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"github.com/flamingobeam/flamingobeam/coord/catalog"
 	"github.com/flamingobeam/flamingobeam/coord/placement"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
@@ -34,8 +31,9 @@
 func (s *service) startRun(j *job, it *item, server catalog.Server, eventsLeft int, pace time.Duration, now time.Time) {
 	ctx, cancel := context.WithCancelCause(j.ctx)
 	it.phase, it.server, it.startedAt, it.cancel, it.isMoving = phaseRunning, server.ID, now, cancel, false
+	it.slowSince = time.Time{}
 	it.progress = &contract.Progress{}
-	s.engineStateOf(server).localItems++
+	s.engineStateOf(server).beginRun(now)
 	s.runsChanged()
 	request := contract.RunRequest{
 		Job: &j.Job, Item: it.Item, Server: server, Urgency: placement.Urgency(eventsLeft, pace, j.deadline().Sub(now), j.route.priority), Text: it.text,
@@ -139,7 +137,7 @@
 	if state == nil {
 		return
 	}
-	state.localItems = max(0, state.localItems-1)
+	state.endRun(outcome.result.Outcome, now)
 	s.runsChanged()
 	if state.started != outcome.server.Started {
 		return
@@ -172,39 +170,3 @@
 	e.unreachableUntil = now.Add(min(minConnectCooldown<<min(e.connectFailures, maxDoublings), maxConnectCooldown))
 	e.connectFailures++
 }
-
-// moveStragglers records the pace of a job's running items, and stops runs that
-// would finish sooner on another engine.
-func (s *service) moveStragglers(j *job, now time.Time) {
-	var selector *placement.EngineSelector
-	listed := s.servers.Entries().Load().All
-	for _, it := range j.items {
-		if it.phase != phaseRunning || it.isMoving {
-			continue
-		}
-		sample, ok := it.progress.PaceSample(now)
-		if !ok {
-			continue
-		}
-		if server, isListed := listed[it.server]; isListed {
-			s.paces.RecordSample(server, sample)
-		}
-		if selector == nil {
-			selector = s.engineSelector(j, now)
-		}
-		eventsLeft := s.eventsLeft(j, it)
-		choice, ok := selector.Select(eventsLeft, append(slices.Clone(it.avoidedServers), it.server), it.text.Position())
-		if !ok || !placement.ShouldMove(eventsLeft, sample.Recent, selector.PaceOf(choice)) {
-			continue
-		}
-		target := selector.Engine(choice)
-		s.log.WithFields(logrus.Fields{
-			"job": j.ID, "item": it.ID, "from": it.server, "pace_ms": sample.Recent.Milliseconds(), "left": eventsLeft,
-			"elsewhere_ms": selector.PaceOf(choice).Milliseconds(), "to": target.Server.ID, "events": sample.Events,
-			"from_runs": s.engineStateOf(listed[it.server]).localItems, "to_runs": target.LocalItems, "to_measured": target.Pace > 0,
-		}).Info("Moving a slow run.")
-		selector.Assign(choice)
-		it.isMoving = true
-		it.cancel(contract.CutMoved)
-	}
-}
--- a/daemon/services/jobs/schedule.go
+++ b/daemon/services/jobs/schedule.go
@@ -104,6 +104,10 @@
 	cancel   context.CancelCauseFunc
 	// isMoving is set when the run was stopped to resume on another engine.
 	isMoving bool
+	// moves counts the moves of the item, and slowSince is when its run became slow;
+	// zero while it is not.
+	moves     int
+	slowSince time.Time
 	// replacement is a text of an ended job that replaces the text of the
 	// stopped run.
 	replacement    *generatedText
@@ -114,7 +118,11 @@
 type engineState struct {
 	started    int64
 	localItems int
-	versions   map[structs.ServiceName]structs.WeightVersion
+	// connections is the number of connections that are likely to be open, in use or
+	// idle, and usedAt is when a run last began or ended.
+	connections int
+	usedAt      time.Time
+	versions    map[structs.ServiceName]structs.WeightVersion
 	// blockedUntil excludes the engine for a model until that time, after it
 	// refused an item of the model.
 	blockedUntil map[structs.ServiceName]time.Time
