--- a/daemon/contract/runs.go
+++ b/daemon/contract/runs.go
@@ -19,6 +19,8 @@
 	HasWorkspaces bool
 	Item          *batch.Item
 	Server        catalog.Server
+	// Start is why the run starts.
+	Start RunStart
 	// Urgency is the priority, from 0 (highest) to 9 (lowest).
 	Urgency int
 	// Text is the text of earlier runs, which this run continues.
--- a/daemon/services/dispatch/hedge.go
+++ b/daemon/services/dispatch/hedge.go
@@ -168,8 +168,12 @@
 }
 
 // defaultHedgeDelay is the delay before a hedge without a limit that operators set, or
-// while too few responses are known.
+// while too few responses are known. Nobody waits for the answer to a request of accepted
+// work alone, so that it is sent again only once it is late.
 func (c *forwardCall) defaultHedgeDelay() time.Duration {
+	if c.request.IsAccepted {
+		return max(minHedgeDelay, c.request.Route.LatencyTarget)
+	}
 	return max(minHedgeDelay, time.Duration(hedgeFraction*float64(c.request.Route.LatencyTarget)))
 }
 
--- a/daemon/services/jobs/jobs.go
+++ b/daemon/services/jobs/jobs.go
@@ -18,6 +18,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/flamingobeam/flamingobeam/coord/batch"
+	"github.com/flamingobeam/flamingobeam/coord/placement"
 	"github.com/flamingobeam/flamingobeam/coord/scaling"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/daemon/broadcast"
@@ -71,6 +72,7 @@
 	ownershipChecks    *kernel.Mailbox[ownershipCheck]
 	checkpointOutcomes *kernel.Mailbox[checkpointOutcome]
 	earlierTexts       *kernel.Mailbox[earlierTexts]
+	runReports         *kernel.Mailbox[RunsRPC]
 
 	// The following fields belong to the control goroutine.
 	ownedJobs            map[string]*job
@@ -80,6 +82,10 @@
 	takeover             takeoverMonitor
 	// departures holds the servers that said when they leave.
 	departures map[structs.HostName]scaling.Departure
+	// sharedRuns holds the runs of other owners, and sharing what they know of the runs
+	// of this daemon.
+	sharedRuns placement.SharedRuns
+	sharing    runSharing
 	// earlyEnds holds the ownership records of jobs whose end was reported
 	// before they were adopted here.
 	earlyEnds map[string]ownershipRecord
@@ -140,6 +146,7 @@
 	s.ownershipChecks = kernel.NewMailbox(s.loop, mailboxCapacity, s.handleOwnershipCheck)
 	s.checkpointOutcomes = kernel.NewMailbox(s.loop, mailboxCapacity, s.handleCheckpoint)
 	s.earlierTexts = kernel.NewMailbox(s.loop, mailboxCapacity, s.applyEarlierTexts)
+	s.runReports = kernel.NewMailbox(s.loop, mailboxCapacity, s.handleRunsReport)
 	s.takeover.prepare(s)
 	if !s.config.Platform.FirstStart {
 		s.loop.AfterFunc(0, s.takeover.reclaimOwnJobs)
@@ -189,12 +196,13 @@
 	lastCheckpointAt time.Time
 	isCheckpointing  bool
 	checkpointCount  int
+	moveBudget       placement.MoveBudget
 	// endedAt is when the job was ended; zero while it is open and after its
 	// texts were released.
 	endedAt time.Time
 	view    *kernel.Snapshot[jobView]
 	ctx     context.Context
-	cancel  context.CancelFunc
+	cancel  context.CancelCauseFunc
 }
 
 // jobView is an immutable snapshot of a job's log.
@@ -248,7 +256,7 @@
 		Job: *a.job, ownership: a.ownership, log: a.log,
 		submittedAt: time.UnixMilli(a.ownership.Submitted), verifiedAt: a.readAt, lastCheckpointAt: s.loop.Now(),
 	}
-	j.ctx, j.cancel = context.WithCancel(context.Background())
+	j.ctx, j.cancel = context.WithCancelCause(context.Background())
 	s.updateRoute(j)
 	listed := make(map[batch.ItemID]bool, len(a.results))
 	for _, result := range a.results {
@@ -291,7 +299,7 @@
 // dropJob removes a job that this daemon no longer owns or keeps.
 func (s *service) dropJob(j *job, why string) {
 	s.log.WithFields(logrus.Fields{"job": j.ID, "epoch": j.ownership.Epoch, "why": why}).Info("Batch job dropped.")
-	j.cancel()
+	j.cancel(contract.CutOwnerChanged)
 	delete(s.ownedJobs, j.ID)
 	s.jobViews.Delete(j.ID)
 	last := *j.view.Load()
@@ -303,7 +311,7 @@
 // later jobs.
 func (s *service) markEnded(j *job, ownership ownershipRecord) {
 	j.ownership, j.endedAt = ownership, s.loop.Now()
-	j.cancel()
+	j.cancel(contract.CutJobEnded)
 	j.pendingResults = nil
 	next := *j.view.Load()
 	next.isEnded = true
--- a/daemon/services/jobs/runs.go
+++ b/daemon/services/jobs/runs.go
@@ -3,11 +3,8 @@
 import (
 	"cmp"
 	"context"
-	"slices"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"github.com/flamingobeam/flamingobeam/coord/catalog"
 	"github.com/flamingobeam/flamingobeam/coord/placement"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
@@ -32,18 +29,21 @@
 
 // startRun runs an item on an engine.
 func (s *service) startRun(j *job, it *item, server catalog.Server, eventsLeft int, pace time.Duration, now time.Time) {
-	ctx, cancel := context.WithCancel(j.ctx)
+	ctx, cancel := context.WithCancelCause(j.ctx)
 	it.phase, it.server, it.startedAt, it.cancel, it.isMoving = phaseRunning, server.ID, now, cancel, false
+	it.slowSince = time.Time{}
 	it.progress = &contract.Progress{}
-	s.engineStateOf(server).localItems++
+	s.engineStateOf(server).beginRun(now)
+	s.runsChanged()
 	request := contract.RunRequest{
 		Job: &j.Job, HasWorkspaces: j.Workspace != "" || s.hasWorkspaces(), Item: it.Item, Server: server, Urgency: placement.Urgency(eventsLeft, pace, j.deadline().Sub(now), j.route.priority), Text: it.text,
-		Timeout: max(time.Second, j.submittedAt.Add(j.route.itemTTL).Sub(now)), SingleVersion: j.route.singleVersion,
+		Start: it.nextStart(), Timeout: max(time.Second, j.submittedAt.Add(j.route.itemTTL).Sub(now)), SingleVersion: j.route.singleVersion,
 	}
+	s.metrics.Count("jobs.runs_started."+request.Start.String(), 1)
 	progress := it.progress
 	id, epoch, model := j.ID, j.ownership.Epoch, j.Model
 	s.workers.Go(func(workersCtx context.Context) {
-		defer cancel()
+		defer cancel(nil)
 		// A run that panics is no failure of the engine and is made again.
 		result := contract.RunResult{Outcome: contract.RunInterrupted, Text: request.Text, Err: kernel.ErrPanicked}
 		defer func() {
@@ -64,6 +64,10 @@
 		return
 	}
 	it.phase, it.resumeOffset, it.waitingSince = phaseWaiting, len(result.Text.Events), now
+	it.start = contract.StartAfter(result.Outcome)
+	if it.isMoving && result.Outcome == contract.RunInterrupted {
+		it.start = contract.StartMoved
+	}
 	if replacement := it.replacement; replacement != nil {
 		it.replacement = nil
 		if replacement.Last > it.text.Last && result.Outcome != contract.RunCompleted {
@@ -112,6 +116,14 @@
 	return ok && listed.Started != chosen.Started && listed.Software != chosen.Software
 }
 
+// nextStart returns why the next run of the item starts.
+func (it *item) nextStart() contract.RunStart {
+	if it.start == contract.StartFirst && it.text.Last > 0 {
+		return contract.StartResumed
+	}
+	return it.start
+}
+
 func (it *item) avoidServer(server structs.HostName) {
 	it.avoidedServers = append(it.avoidedServers, server)
 	if len(it.avoidedServers) > maxAvoided {
@@ -125,7 +137,8 @@
 	if state == nil {
 		return
 	}
-	state.localItems = max(0, state.localItems-1)
+	state.endRun(outcome.result.Outcome, now)
+	s.runsChanged()
 	if state.started != outcome.server.Started {
 		return
 	}
@@ -157,37 +170,3 @@
 	e.unreachableUntil = now.Add(min(minConnectCooldown<<min(e.connectFailures, maxDoublings), maxConnectCooldown))
 	e.connectFailures++
 }
-
-// moveStragglers records the pace of a job's running items, and stops runs that
-// would finish sooner on another engine.
-func (s *service) moveStragglers(j *job, now time.Time) {
-	var selector *placement.EngineSelector
-	listed := s.servers.Entries().Load().All
-	for _, it := range j.items {
-		if it.phase != phaseRunning || it.isMoving {
-			continue
-		}
-		sample, ok := it.progress.PaceSample(now)
-		if !ok {
-			continue
-		}
-		if server, isListed := listed[it.server]; isListed {
-			s.paces.RecordSample(server, sample)
-		}
-		if selector == nil {
-			selector = s.engineSelector(j, now)
-		}
-		eventsLeft := s.eventsLeft(j, it)
-		choice, ok := selector.Select(eventsLeft, append(slices.Clone(it.avoidedServers), it.server), it.text.Position())
-		if !ok || !placement.ShouldMove(eventsLeft, sample.Recent, selector.PaceOf(choice)) {
-			continue
-		}
-		s.log.WithFields(logrus.Fields{
-			"job": j.ID, "item": it.ID, "from": it.server, "pace_ms": sample.Recent.Milliseconds(), "left": eventsLeft,
-			"elsewhere_ms": selector.PaceOf(choice).Milliseconds(),
-		}).Info("Moving a slow run.")
-		selector.Assign(choice)
-		it.isMoving = true
-		it.cancel()
-	}
-}
--- a/daemon/services/jobs/schedule.go
+++ b/daemon/services/jobs/schedule.go
@@ -98,10 +98,16 @@
 	waitingSince time.Time
 	server       structs.HostName
 	startedAt    time.Time
-	progress     *contract.Progress
-	cancel       context.CancelFunc
+	// start is why the next run starts.
+	start    contract.RunStart
+	progress *contract.Progress
+	cancel   context.CancelCauseFunc
 	// isMoving is set when the run was stopped to resume on another engine.
 	isMoving bool
+	// moves counts the moves of the item, and slowSince is when its run became slow;
+	// zero while it is not.
+	moves     int
+	slowSince time.Time
 	// replacement is a text of an ended job that replaces the text of the
 	// stopped run.
 	replacement    *generatedText
@@ -112,7 +118,11 @@
 type engineState struct {
 	started    int64
 	localItems int
-	versions   map[structs.ServiceName]structs.WeightVersion
+	// connections is the number of connections that are likely to be open, in use or
+	// idle, and usedAt is when a run last began or ended.
+	connections int
+	usedAt      time.Time
+	versions    map[structs.ServiceName]structs.WeightVersion
 	// blockedUntil excludes the engine for a model until that time, after it
 	// refused an item of the model.
 	blockedUntil map[structs.ServiceName]time.Time
@@ -197,6 +207,7 @@
 		s.removeExpired(j, now)
 	}
 	s.session.SetOwnsJobs(hasOpen)
+	s.refreshRuns(now)
 	s.placeWaitingItems()
 	s.takeover.tick(now)
 }
@@ -366,30 +377,3 @@
 	}
 	return estimate
 }
-
-// engineSelector returns a selector over the engines that can run a job's
-// items.
-func (s *service) engineSelector(j *job, now time.Time) *placement.EngineSelector {
-	servers := s.servers.Entries().Load().ByService[j.route.service]
-	engines := make([]placement.Engine, 0, len(servers))
-	for _, server := range servers {
-		state := s.engineStateOf(server)
-		pace, bestPace := s.paces.Estimate(server)
-		engines = append(engines, placement.Engine{
-			Server: server, Version: max(server.Versions[j.Model], state.versions[j.Model]),
-			LocalItems: state.localItems, Pace: pace, BestPace: bestPace, RTT: s.roundTripTo(server.Zone),
-			Blocked: now.Before(state.blockedUntil[j.Model]) || now.Before(state.unreachableUntil) || !s.limits.HasRoom(server.ID),
-		})
-	}
-	return placement.NewEngineSelector(engines, j.MinVersion, s.selectionSalt)
-}
-
-func (s *service) roundTripTo(zone structs.ZoneName) time.Duration {
-	switch {
-	case zone == s.config.Place.Zone:
-		return 0
-	case s.config.Platform.Regions[zone] == s.config.Place.Region:
-		return zoneRTT
-	}
-	return regionRTT
-}
