--- a/daemon/contract/run_reasons.go
+++ b/daemon/contract/run_reasons.go
@@ -16,7 +16,8 @@
 	// StartResumed continues a text of an earlier owner, of an ended job or of a
 	// checkpoint.
 	StartResumed
-	// StartMoved continues the text of a run that was stopped because it was slow.
+	// StartMoved continues the text of a run that was stopped because it was slow or its
+	// server leaves.
 	StartMoved
 	// StartContinued continues the text of a run that ended too early.
 	StartContinued
@@ -60,6 +61,8 @@
 	CutStopping
 	// CutStalled stops a run without an event for too long.
 	CutStalled
+	// CutLeaving stops a run that would not finish before its server leaves.
+	CutLeaving
 )
 
 // Error implements error.
@@ -67,7 +70,7 @@
 
 // String returns the name of the reason in logs and metrics.
 func (c RunCut) String() string {
-	return [...]string{"", "moved", "replaced", "job ended", "owner changed", "stopping", "stalled"}[c]
+	return [...]string{"", "moved", "replaced", "job ended", "owner changed", "stopping", "stalled", "leaving"}[c]
 }
 
 // EndReason returns the reason for the end of a run for logs and metrics: why the daemon
--- a/daemon/contract/run_reasons_test.go
+++ b/daemon/contract/run_reasons_test.go
@@ -23,7 +23,7 @@
 	for start := StartFirst; start <= StartRepeated; start++ {
 		must.NotEq(t, "", start.String())
 	}
-	for cut := CutMoved; cut <= CutStalled; cut++ {
+	for cut := CutMoved; cut <= CutLeaving; cut++ {
 		must.NotEq(t, "", cut.String())
 	}
 }
--- a/daemon/services/jobs/leaving.go
+++ b/daemon/services/jobs/leaving.go
@@ -77,6 +77,6 @@
 		s.metrics.Count("jobs.moved_from_leaving", 1)
 		selector.Assign(choice)
 		it.isMoving = true
-		it.cancel()
+		it.cancel(contract.CutLeaving)
 	}
 }
--- a/daemon/services/jobs/leaving_test.go
+++ b/daemon/services/jobs/leaving_test.go
@@ -50,7 +50,7 @@
 	j.Items = []batch.Item{{ID: "short", LengthHint: 10, MaxOutputTokens: 10}, {ID: "long", LengthHint: 100, MaxOutputTokens: 100}}
 	for i := range j.Items {
 		j.items = append(j.items, &item{
-			Item: &j.Items[i], text: &contract.Text{}, phase: phaseRunning, server: "old", progress: &contract.Progress{}, cancel: func() {},
+			Item: &j.Items[i], text: &contract.Text{}, phase: phaseRunning, server: "old", progress: &contract.Progress{}, cancel: func(error) {},
 		})
 	}
 	s.ownedJobs[j.ID] = j
