Divide full services among workspaces, across daemons, and order items by workspace

Cause: on the platform every caller had the same share and no request named its workspace, so that one workspace could press all others out of a full service, and batch items went by deadline and route only.

Change: coord/limit measures what each workspace asks, in work, and divides the places of a full service: a quarter by what is asked, the rest by priority and in equal parts. The admission queue orders by the workspace's priority, then by class, then by start tags whose weights are what workspaces are due; each fourth place goes to the one that has got least of what it is due. Daemons that meet a full service report what is asked there to the leader, once a second, and get their part back (traffic.shares). Reward calls use the share of their job's workspace; retry budgets are per workspace. A server that refuses as full is not ejected while it answers others, and a refused place is kept for 20 ms. Jobs rank by the workspace's priority before the route's, and work of which less than a quarter as much runs as of all comes first. Counters by workspace are bounded. None of it applies without workspaces.

Ruled out: strict priorities (they starve), equal parts alone (a large workspace is served less than a quarter as often as all beside many small ones), a part of the places for each daemon without regard to workspaces, and places for daemons in fractions, which a few slots are.

--- a/coord/access/access.go
+++ b/coord/access/access.go
@@ -38,19 +38,21 @@
 // has no workspaces and that requests need no key.
 type Table struct {
 	workspaces map[Digest]Workspace
+	byName     map[structs.WorkspaceName]Workspace
 	flaws      []Flaw
 }
 
 // NewTable returns the table of the entries of a configuration. A workspace that is named twice, and one
 // with a key that is named twice, are flawed as well; flawed workspaces have no keys.
 func NewTable(entries []Entry) *Table {
-	t := &Table{workspaces: make(map[Digest]Workspace)}
+	t := &Table{workspaces: make(map[Digest]Workspace), byName: make(map[structs.WorkspaceName]Workspace)}
 	reasons := flawsOf(entries)
 	for i, entry := range entries {
 		if reasons[i] != "" {
 			t.flaws = append(t.flaws, newFlaw(entry.Workspace.Name, reasons[i]))
 			continue
 		}
+		t.byName[entry.Workspace.Name] = entry.Workspace
 		for _, key := range entry.Keys {
 			t.workspaces[key] = entry.Workspace
 		}
@@ -101,7 +103,12 @@
 	if len(t.flaws) == 0 || earlier == nil {
 		return t
 	}
-	next := &Table{workspaces: make(map[Digest]Workspace, len(t.workspaces)), flaws: t.flaws}
+	next := &Table{workspaces: make(map[Digest]Workspace, len(t.workspaces)), byName: maps.Clone(t.byName), flaws: t.flaws}
+	for _, flaw := range t.flaws {
+		if workspace, ok := earlier.byName[flaw.Workspace]; ok {
+			next.byName[flaw.Workspace] = workspace
+		}
+	}
 	for key, workspace := range earlier.workspaces {
 		if slices.ContainsFunc(t.flaws, func(flaw Flaw) bool { return flaw.Workspace == workspace.Name }) {
 			next.workspaces[key] = workspace
@@ -114,6 +121,12 @@
 // Flaws returns the parts of the configuration that are not in force.
 func (t *Table) Flaws() []Flaw { return t.flaws }
 
+// Named returns the workspace of a name, and false if there is none.
+func (t *Table) Named(name structs.WorkspaceName) (Workspace, bool) {
+	workspace, ok := t.byName[name]
+	return workspace, ok
+}
+
 // Lookup returns the workspace of a key, and false for an unknown or malformed one.
 func (t *Table) Lookup(key Key) (Workspace, bool) {
 	if key.state != wellFormed {
@@ -122,3 +135,15 @@
 	workspace, ok := t.workspaces[key.digest]
 	return workspace, ok
 }
+
+// routePriorities is the number of priorities of routes that Rank tells apart.
+const routePriorities = 10
+
+// Rank combines the priorities of a workspace, which is nil if there is none, and of a
+// route. That of the workspace goes first; zero is the highest.
+func Rank(workspace *Workspace, routePriority int) int {
+	if workspace == nil {
+		return routePriority
+	}
+	return workspace.Priority*routePriorities + min(max(0, routePriority), routePriorities-1)
+}
--- a/coord/access/access_test.go
+++ b/coord/access/access_test.go
@@ -91,3 +91,9 @@
 		})
 	}
 }
+
+func TestRank_WorkspaceBeforeRoute(t *testing.T) {
+	must.Eq(t, 3, Rank(nil, 3))
+	must.Less(t, Rank(&Workspace{Priority: 1}, 0), Rank(&Workspace{Priority: 0}, 99))
+	must.Less(t, Rank(&Workspace{Priority: 1}, 2), Rank(&Workspace{Priority: 1}, 1))
+}
--- a/coord/limit/admission_controller.go
+++ b/coord/limit/admission_controller.go
@@ -13,6 +13,12 @@
 	Class     structs.Class
 	// Share is the weight of the workspace; zero counts as one.
 	Share float64
+	// ByDemand is set where the weight of a workspace follows from what all workspaces
+	// ask, in work, and not from Share.
+	ByDemand bool
+	// Priority is that of the workspace, which precedes the class; zero is the highest.
+	// It needs ByDemand.
+	Priority int
 	// Deadline is when the response must be complete; zero means none.
 	Deadline time.Time
 }
@@ -47,6 +53,7 @@
 	Value T
 
 	flow       *flow
+	account    *account
 	enqueuedAt time.Time
 	startTag   float64
 	sequence   uint64
@@ -55,6 +62,19 @@
 
 const notQueued = -1
 
+// priorityLevels is the number of priorities of workspaces that are told apart.
+const priorityLevels = 3
+
+// queueIndex returns the index of the queue of a request. The queues are in order of the
+// workspaces' priorities, and for each by class.
+func queueIndex(request Request) int {
+	level := 0
+	if request.ByDemand {
+		level = min(max(0, request.Priority), priorityLevels-1)
+	}
+	return level*structs.ClassCount + int(request.Class)
+}
+
 // classQueue is the queue of one class.
 type classQueue[T any] struct {
 	waiters waiterHeap[T]
@@ -100,7 +120,8 @@
 	capacity      int
 	localCapacity int
 	running       int
-	queues        [structs.ClassCount]classQueue[T]
+	queues        [priorityLevels * structs.ClassCount]classQueue[T]
+	accounts      accounts
 	flows         map[flowKey]*flow
 	sequence      uint64
 	lowClassPicks int
@@ -108,7 +129,7 @@
 
 // NewAdmissionController returns a controller with a number of slots.
 func NewAdmissionController[T any](capacity int) *AdmissionController[T] {
-	return &AdmissionController[T]{capacity: capacity, localCapacity: capacity, flows: make(map[flowKey]*flow)}
+	return &AdmissionController[T]{capacity: capacity, localCapacity: capacity, flows: make(map[flowKey]*flow), accounts: accounts{byName: make(map[structs.WorkspaceName]*account)}}
 }
 
 // SetCapacity changes the number of slots, and how many of them are in the
@@ -121,9 +142,13 @@
 // Running returns the number of slots in use.
 func (c *AdmissionController[T]) Running() int { return c.running }
 
-// QueueLength returns the length of the queue of a class.
+// QueueLength returns the number of queued requests of a class.
 func (c *AdmissionController[T]) QueueLength(class structs.Class) int {
-	return len(c.queues[class].waiters)
+	count := 0
+	for i := int(class); i < len(c.queues); i += structs.ClassCount {
+		count += len(c.queues[i].waiters)
+	}
+	return count
 }
 
 // Admit decides whether a request runs, is queued or is refused.
@@ -134,11 +159,16 @@
 	if request.Share <= 0 {
 		request.Share = 1
 	}
-	if c.running < c.capacityFor(request.Class) && c.queuedUpTo(request.Class) == 0 {
-		c.running++
+	var a *account
+	if request.ByDemand {
+		a = c.accounts.ask(now, request, c.capacity)
+		request.Share = c.accounts.weightOf(a)
+	}
+	if c.running < c.capacityFor(request.Class) && c.queuedUpTo(queueIndex(request)) == 0 {
+		c.run(a)
 		return Decision[T]{Action: ActionRun}
 	}
-	wait := c.expectedWait(request.Class)
+	wait := c.expectedWait(request, a)
 	if !request.Deadline.IsZero() && now.Add(wait).After(request.Deadline) {
 		return newRefusal[T](result.Overloaded, wait-request.Deadline.Sub(now))
 	}
@@ -146,7 +176,15 @@
 	if code := c.checkQueueBound(request, f); code != result.OK {
 		return newRefusal[T](code, wait)
 	}
-	return Decision[T]{Action: ActionQueue, Waiter: c.enqueue(now, request, f)}
+	return Decision[T]{Action: ActionQueue, Waiter: c.enqueue(now, request, f, a)}
+}
+
+// run takes a slot for a request with an account, which is nil if it has none.
+func (c *AdmissionController[T]) run(a *account) {
+	c.running++
+	if a != nil {
+		a.got += a.places()
+	}
 }
 
 func newRefusal[T any](code result.Code, retryAfter time.Duration) Decision[T] {
@@ -160,29 +198,35 @@
 	if class >= structs.ClassRollout {
 		slots = c.localCapacity
 	}
+	slots = c.accounts.bound(slots)
 	if slots == 0 {
 		return 0
 	}
 	return max(1, int(float64(slots)*capacityFraction[class]))
 }
 
-// queuedUpTo returns the number of queued requests of a class and of the
-// classes with a higher priority.
-func (c *AdmissionController[T]) queuedUpTo(class structs.Class) int {
+// queuedUpTo returns the number of requests in a queue and in those before it.
+func (c *AdmissionController[T]) queuedUpTo(index int) int {
 	count := 0
-	for i := range c.queues[:class+1] {
+	for i := range c.queues[:index+1] {
 		count += len(c.queues[i].waiters)
 	}
 	return count
 }
 
-// expectedWait estimates the time until a new request of a class would run.
-func (c *AdmissionController[T]) expectedWait(class structs.Class) time.Duration {
+// expectedWait estimates the time until a new request would run. That of a workspace
+// does not wait longer than its own requests before it take in the places that it is due.
+func (c *AdmissionController[T]) expectedWait(request Request, a *account) time.Duration {
 	var work time.Duration
-	for i := range c.queues[:class+1] {
+	for i := range c.queues[:queueIndex(request)+1] {
 		work += time.Duration(len(c.queues[i].waiters)) * c.queues[i].meanServiceTime
 	}
-	return work / time.Duration(max(1, c.capacityFor(class)))
+	wait := work / time.Duration(max(1, c.capacityFor(request.Class)))
+	if a == nil {
+		return wait
+	}
+	own := float64(a.queued) * float64(a.work()) / c.accounts.weightOf(a)
+	return time.Duration(min(float64(wait), own))
 }
 
 // Release frees a slot. The duration is how long the request ran; zero means
@@ -192,7 +236,13 @@
 	if duration <= 0 {
 		return
 	}
-	q := &c.queues[class]
+	c.recordServiceTime(&c.queues[class], duration)
+	for i := int(class) + structs.ClassCount; i < len(c.queues); i += structs.ClassCount {
+		c.recordServiceTime(&c.queues[i], duration)
+	}
+}
+
+func (c *AdmissionController[T]) recordServiceTime(q *classQueue[T], duration time.Duration) {
 	if q.meanServiceTime == 0 {
 		q.meanServiceTime = duration
 		return
@@ -214,7 +264,10 @@
 // or has passed its deadline. It returns nil when no request can run now. After
 // Release, Cancel and SetCapacity, call it until it returns nil.
 func (c *AdmissionController[T]) Dequeue(now time.Time) (w *Waiter[T], runs bool) {
-	w = c.nextWaiter()
+	if c.queuedUpTo(len(c.queues)-1) == 0 {
+		return nil, false
+	}
+	w = c.nextWaiter(now)
 	if w == nil {
 		return nil, false
 	}
@@ -222,23 +275,40 @@
 	if !w.Request.Deadline.IsZero() && !now.Before(w.Request.Deadline) {
 		return w, false
 	}
-	c.queues[w.Request.Class].virtualTime = w.startTag
-	c.running++
+	c.queues[queueIndex(w.Request)].virtualTime = w.startTag
+	c.run(w.account)
+	c.accounts.picks++
 	return w, true
 }
 
-// nextWaiter returns the next request of the first class that has one. Among
+// nextWaiter returns the next request of the highest priority of workspaces that has one,
+// or at times the one of the workspace that has got least, see guaranteeInterval.
+func (c *AdmissionController[T]) nextWaiter(now time.Time) *Waiter[T] {
+	if c.accounts.takesGuarantee() {
+		if w := c.leastServed(now); w != nil {
+			return w
+		}
+	}
+	for level := range priorityLevels {
+		if w := c.nextOfLevel(c.queues[level*structs.ClassCount:][:structs.ClassCount]); w != nil {
+			return w
+		}
+	}
+	return nil
+}
+
+// nextOfLevel returns the next request of the first class that has one. Among
 // the classes below submissions it returns at times the request that has waited
 // longest, see agingInterval.
-func (c *AdmissionController[T]) nextWaiter() *Waiter[T] {
+func (c *AdmissionController[T]) nextOfLevel(queues []classQueue[T]) *Waiter[T] {
 	for class := structs.ClassLookup; class <= structs.ClassSubmission; class++ {
-		if w := c.runnableHead(class); w != nil {
+		if w := c.runnableHead(queues, class); w != nil {
 			return w
 		}
 	}
 	var first, oldest *Waiter[T]
 	for class := structs.ClassDossier; int(class) < structs.ClassCount; class++ {
-		w := c.runnableHead(class)
+		w := c.runnableHead(queues, class)
 		if w == nil {
 			continue
 		}
@@ -260,8 +330,8 @@
 
 // runnableHead returns the next request of a class, or nil when none is queued
 // or the class has no slot left.
-func (c *AdmissionController[T]) runnableHead(class structs.Class) *Waiter[T] {
-	waiters := c.queues[class].waiters
+func (c *AdmissionController[T]) runnableHead(queues []classQueue[T], class structs.Class) *Waiter[T] {
+	waiters := queues[class].waiters
 	if len(waiters) == 0 || c.running >= c.capacityFor(class) {
 		return nil
 	}
@@ -270,8 +340,11 @@
 
 // removeWaiter removes a waiter from the queue of its class.
 func (c *AdmissionController[T]) removeWaiter(w *Waiter[T]) {
-	q := &c.queues[w.Request.Class]
+	q := &c.queues[queueIndex(w.Request)]
 	q.waiters.remove(w.index)
+	if w.account != nil {
+		w.account.queued--
+	}
 	w.flow.queued--
 	if w.flow.queued == 0 {
 		q.activeShares -= w.flow.share
--- a/daemon/agent/managed.go
+++ b/daemon/agent/managed.go
@@ -34,6 +34,7 @@
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/retire"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/servers"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/session"
+	_ "github.com/flamingobeam/flamingobeam/daemon/services/shares"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/shutdown"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/swaps"
 )
@@ -74,7 +75,7 @@
 	if role == RoleStorage {
 		return []kernel.Name{contract.NameShutdown, contract.NameRetire}
 	}
-	return []kernel.Name{contract.NameShutdown, contract.NameMetricsHTTP, contract.NameRPCServer, contract.NameWeightSwaps, contract.NameManagedFront}
+	return []kernel.Name{contract.NameShutdown, contract.NameMetricsHTTP, contract.NameRPCServer, contract.NameWeightSwaps, contract.NameShares, contract.NameManagedFront}
 }
 
 // ManagedReplacements maps services to those that replace them on a managed platform,
--- a/daemon/contract/managed.go
+++ b/daemon/contract/managed.go
@@ -194,6 +194,9 @@
 	ResumedAttempt string
 	// Workspace is the workspace of the caller's key; nil if the request needs none.
 	Workspace *access.Workspace
+	// OnBehalfOf is the workspace whose share the request uses, if servers do not learn
+	// of it; nil for none.
+	OnBehalfOf *access.Workspace
 	// IsAccepted is set for a call on behalf of accepted work. Such calls do not crash
 	// servers by themselves and are never quarantined: the work must be completed.
 	IsAccepted bool
--- a/daemon/contract/traffic.go
+++ b/daemon/contract/traffic.go
@@ -14,7 +14,11 @@
 type PickRequest struct {
 	Service   structs.ServiceName
 	Workspace structs.WorkspaceName
-	Class     structs.Class
+	// ByDemand is set where the share of the workspace follows from what all workspaces
+	// ask, and WorkspacePriority precedes the class; zero is the highest.
+	ByDemand          bool
+	WorkspacePriority int
+	Class             structs.Class
 	// Deadline is the time by which the caller must have the response.
 	Deadline time.Time
 	// Affinity is the hash of the prompt's prefix, or zero.
--- a/daemon/services/balance/admission.go
+++ b/daemon/services/balance/admission.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 
 	"github.com/flamingobeam/flamingobeam/coord/limit"
 	"github.com/flamingobeam/flamingobeam/coord/result"
-	"github.com/flamingobeam/flamingobeam/coord/structs"
 )
 
 // admissionQueue bounds the requests in flight of one service. Traffic
@@ -17,6 +17,10 @@
 type admissionQueue struct {
 	mu         sync.Mutex
 	controller *limit.AdmissionController[chan error]
+	// isPressed is set when a request cannot run at once.
+	isPressed atomic.Bool
+	// isDivided is set while more is asked of the service, at all daemons, than it can do.
+	isDivided atomic.Bool
 }
 
 func newAdmissionQueue() *admissionQueue {
@@ -33,9 +37,11 @@
 		decision.Waiter.Value = make(chan error, 1)
 	}
 	q.mu.Unlock()
-	switch decision.Action {
-	case limit.ActionRun:
+	if decision.Action == limit.ActionRun {
 		return nil
+	}
+	q.isPressed.Store(true)
+	switch decision.Action {
 	case limit.ActionRefuse:
 		return &result.Error{Code: decision.Code, RetryAfter: decision.RetryAfter}
 	}
@@ -68,17 +74,17 @@
 		if err := <-waiter.Value; err != nil {
 			return err
 		}
-		q.release(now, waiter.Request.Class, 0)
+		q.release(now, waiter.Request, 0)
 	}
 	return result.New(result.DueTimePassed, "no place came free in time")
 }
 
 // release frees a slot; duration is how long the request ran, or zero when it
 // did not run.
-func (q *admissionQueue) release(now time.Time, class structs.Class, duration time.Duration) {
+func (q *admissionQueue) release(now time.Time, request limit.Request, duration time.Duration) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.controller.Release(class, duration)
+	q.controller.Release(request.Class, duration)
 	q.dequeue(now)
 }
 
--- a/daemon/services/balance/balance.go
+++ b/daemon/services/balance/balance.go
@@ -99,8 +99,8 @@
 	if target == nil {
 		return contract.Ticket{}, result.New(result.NoBackend, "service %s", request.Service)
 	}
-	admissionRequest := limit.Request{Workspace: request.Workspace, Class: request.Class, Share: s.share(request.Workspace), Deadline: request.Deadline}
-	if err := target.admission.acquire(ctx, s.clock, admissionRequest); err != nil {
+	admission := s.admissionRequest(request)
+	if err := target.admission.acquire(ctx, s.clock, admission); err != nil {
 		s.metrics.Count("balance.refused."+codeName(err), 1)
 		return contract.Ticket{}, err
 	}
@@ -109,7 +109,7 @@
 	if newer := current.services[request.Service]; newer != nil {
 		target = newer
 	}
-	return s.chooseServer(target, &request, current.quarantine.Suspects[request.Fingerprint])
+	return s.chooseServer(target, &request, admission, current.quarantine.Suspects[request.Fingerprint])
 }
 
 // Loaded implements contract.ServerTable.
@@ -123,7 +123,7 @@
 
 // chooseServer chooses a server for an admitted request and counts the request
 // there.
-func (s *service) chooseServer(target *serviceView, request *contract.PickRequest, isSuspect bool) (contract.Ticket, error) {
+func (s *service) chooseServer(target *serviceView, request *contract.PickRequest, admission limit.Request, isSuspect bool) (contract.Ticket, error) {
 	routeRequest := route.Request{
 		Class:      request.Class,
 		Affinity:   request.Affinity,
@@ -138,7 +138,7 @@
 	}
 	choice, ok := target.table.Pick(&routeRequest, loads)
 	if !ok {
-		target.admission.release(s.clock.Now(), request.Class, 0)
+		target.admission.release(s.clock.Now(), admission, 0)
 		return contract.Ticket{}, result.New(result.NoBackend, "service %s", request.Service)
 	}
 	slot := &ticket{
@@ -146,7 +146,7 @@
 		view:        target,
 		counters:    target.counters[choice.Server],
 		tierIndex:   choice.Tier,
-		class:       request.Class,
+		admission:   admission,
 		fingerprint: request.Fingerprint,
 		isSuspect:   isSuspect,
 		isRetry:     len(request.Avoid) > 0,
--- a/daemon/services/balance/counters.go
+++ b/daemon/services/balance/counters.go
@@ -21,6 +21,8 @@
 	weightVersion atomic.Uint64
 	// isFailing is set by a failure and cleared by the next answer.
 	isFailing atomic.Bool
+	// answeredAt is when the server last answered a request, in Unix nanoseconds.
+	answeredAt atomic.Int64
 	// isRefusing is set when the server refuses new work. The control goroutine
 	// clears it after refusalHold.
 	isRefusing  atomic.Bool
--- a/daemon/services/balance/ticket.go
+++ b/daemon/services/balance/ticket.go
@@ -8,9 +8,9 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/flamingobeam/flamingobeam/coord/limit"
 	"github.com/flamingobeam/flamingobeam/coord/quarantine"
 	"github.com/flamingobeam/flamingobeam/coord/result"
-	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
 )
 
@@ -20,7 +20,7 @@
 	view        *serviceView
 	counters    *serverCounters
 	tierIndex   int
-	class       structs.Class
+	admission   limit.Request
 	fingerprint quarantine.Fingerprint
 	isSuspect   bool
 	isRetry     bool
@@ -48,7 +48,7 @@
 		t.counters.suspects.Add(-1)
 	}
 	now := t.service.clock.Now()
-	t.view.admission.release(now, t.class, now.Sub(t.started))
+	t.releasePlace(now, outcome.Err)
 	t.recordTransfer(outcome.Bytes)
 	t.recordOutcome(outcome)
 	t.service.signalTraffic()
@@ -72,8 +72,13 @@
 	if outcome.Version != 0 && t.counters.weightVersion.Swap(uint64(outcome.Version)) != uint64(outcome.Version) {
 		t.postEvent(eventVersionChanged)
 	}
+	if t.isFullServer(outcome.Err) {
+		t.counters.limitWindow.failedCount.Add(1)
+		return
+	}
 	switch kind := classify(outcome.Err); kind {
 	case eventAnswered:
+		t.counters.answeredAt.Store(t.service.clock.Now().UnixNano())
 		t.counters.limitWindow.finishedCount.Add(1)
 		t.counters.limitWindow.totalLatency.Add(int64(outcome.Latency) / int64(max(1, outcome.Units)))
 		if t.counters.isFailing.Swap(false) {
--- a/daemon/services/dispatch/dispatch.go
+++ b/daemon/services/dispatch/dispatch.go
@@ -101,16 +101,15 @@
 	if !request.IsAccepted {
 		fingerprint = quarantine.FingerprintOf(request.Method, request.Host, request.Target, string(request.Body))
 	}
-	call := &forwardCall{
-		service: s, request: request,
-		pick: contract.PickRequest{
-			Service: target, Class: classOf(request.Route), Deadline: request.Deadline,
-			Fingerprint: fingerprint, Resumes: position,
-		},
-		retrier: s.retries.Begin(contract.RetryRequest{
-			Class: classOf(request.Route), Deadline: request.Deadline, Idempotent: request.Route.Kind == catalog.KindIdempotent,
-		}),
+	pick := contract.PickRequest{
+		Service: target, Class: classOf(request.Route), Deadline: request.Deadline,
+		Fingerprint: fingerprint, Resumes: position,
 	}
+	retry := contract.RetryRequest{
+		Class: classOf(request.Route), Deadline: request.Deadline, Idempotent: request.Route.Kind == catalog.KindIdempotent,
+	}
+	chargeWorkspace(request, &pick, &retry)
+	call := &forwardCall{service: s, request: request, pick: pick, retrier: s.retries.Begin(retry)}
 	reply, err := call.run(ctx)
 	s.metrics.Time("dispatch.forwarded", time.Since(started))
 	if position.Last > 0 {
--- a/daemon/services/dispatch/workspace.go
+++ b/daemon/services/dispatch/workspace.go
@@ -1,7 +1,10 @@
 package dispatch
 
 import (
+	"cmp"
+
 	"github.com/flamingobeam/flamingobeam/coord/access"
+	"github.com/flamingobeam/flamingobeam/daemon/contract"
 	"github.com/flamingobeam/flamingobeam/platform"
 )
 
@@ -12,3 +15,13 @@
 	}
 	return platform.Identity{IsManaged: true, Workspace: workspace.Name}
 }
+
+// chargeWorkspace lets a request use the share and the retries of its workspace.
+func chargeWorkspace(request contract.ForwardRequest, pick *contract.PickRequest, retry *contract.RetryRequest) {
+	workspace := cmp.Or(request.Workspace, request.OnBehalfOf)
+	if workspace == nil {
+		return
+	}
+	pick.Workspace, pick.WorkspacePriority, pick.ByDemand = workspace.Name, workspace.Priority, true
+	retry.Workspace = workspace.Name
+}
--- a/daemon/services/gate/callers.go
+++ b/daemon/services/gate/callers.go
@@ -6,6 +6,7 @@
 	"github.com/flamingobeam/flamingobeam/coord/access"
 	"github.com/flamingobeam/flamingobeam/coord/catalog"
 	"github.com/flamingobeam/flamingobeam/coord/result"
+	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/platform"
 )
 
@@ -19,6 +20,14 @@
 	workspace *access.Workspace
 }
 
+// workspaceName returns the name of the workspace; empty for none.
+func (c routeCall) workspaceName() structs.WorkspaceName {
+	if c.workspace == nil {
+		return ""
+	}
+	return c.workspace.Name
+}
+
 // jobCall is a request on the batch job API.
 type jobCall struct {
 	id      string
--- a/daemon/services/gate/gate.go
+++ b/daemon/services/gate/gate.go
@@ -17,6 +17,7 @@
 	"github.com/flamingobeam/flamingobeam/coord/access"
 	"github.com/flamingobeam/flamingobeam/coord/catalog"
 	"github.com/flamingobeam/flamingobeam/coord/result"
+	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/daemon/config"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
 	"github.com/flamingobeam/flamingobeam/kernel"
@@ -56,6 +57,9 @@
 	loop      *kernel.Loop
 	workers   *kernel.Workers
 
+	// workspaces counts requests by workspace.
+	workspaces workspaceCounts
+
 	callerServer    *http.Server
 	readinessServer *http.Server
 	goroutines      conc.WaitGroup
@@ -73,7 +77,7 @@
 		return err
 	}
 	s.log, s.loop, s.workers, s.guard = ctx.Log(), ctx.Loop(), ctx.Workers(), ctx.Guard()
-	return kernel.FindAll(ctx,
+	err = kernel.FindAll(ctx,
 		kernel.Bind(&s.catalog, contract.NameCatalog),
 		kernel.Bind(&s.knowledge, contract.NameTransactionalStore),
 		kernel.Bind(&s.table, contract.NameBalance),
@@ -82,6 +86,8 @@
 		kernel.Bind(&s.shutdown, contract.NameShutdown),
 		kernel.Bind(&s.metrics, contract.NameMetrics),
 	)
+	s.workspaces = workspaceCounts{metrics: s.metrics, counted: make(map[structs.WorkspaceName]bool)}
+	return err
 }
 
 // Start implements kernel.Service.
@@ -215,6 +221,7 @@
 		s.writeError(w, r, headers, err)
 		return
 	}
+	s.workspaces.add(workspace, "asked")
 	call := routeCall{headers: headers, route: route, catalog: current, workspace: workspace}
 	if route.Kind == catalog.KindBatch && r.Method == http.MethodPost {
 		s.submitJob(w, r, call)
--- a/daemon/services/gate/handlers.go
+++ b/daemon/services/gate/handlers.go
@@ -172,8 +172,9 @@
 		return
 	}
 	s.metrics.Time("gate.answered", time.Since(started))
+	s.workspaces.add(call.workspace, "answered")
 	s.log.WithFields(logrus.Fields{
-		"request": headers.AttemptID, "route": route.Name, "configuration": current.Version, "server": reply.Server,
+		"request": headers.AttemptID, "route": route.Name, "configuration": current.Version, "workspace": call.workspaceName(), "server": reply.Server,
 		"servers_asked": reply.Attempts, "status": reply.Status, "ms": time.Since(started).Milliseconds(),
 	}).Info("A request was answered.")
 	platform.CopyResponseHeaders(w.Header(), reply.Header)
@@ -235,6 +236,7 @@
 		s.writeError(w, r, headers, err)
 		return
 	}
+	s.workspaces.add(call.workspace, "answered")
 	platform.SetResponseHeaders(w.Header(), headers.AttemptID, 0)
 	w.WriteHeader(http.StatusAccepted)
 }
--- a/daemon/services/jobs/jobs_test.go
+++ b/daemon/services/jobs/jobs_test.go
@@ -204,7 +204,7 @@
 	j := &job{Job: batch.Job{ID: "job"}, items: []*item{it}, ctx: t.Context()}
 	s.ownedJobs["job"] = j
 	for range 5 {
-		outcome := s.callReward(t.Context(), reward, time.Now().Add(time.Second))
+		outcome := s.callReward(t.Context(), reward, nil, time.Now().Add(time.Second))
 		must.ErrorIs(t, outcome.err, errNoConfiguration)
 		outcome.job, outcome.item = "job", it
 		s.handleRewardOutcome(outcome)
--- a/daemon/services/jobs/reward.go
+++ b/daemon/services/jobs/reward.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/flamingobeam/flamingobeam/coord/access"
 	"github.com/flamingobeam/flamingobeam/coord/batch"
 	"github.com/flamingobeam/flamingobeam/coord/result"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
@@ -43,7 +44,7 @@
 		return
 	}
 	it.phase = phaseJudging
-	id, epoch, ctx := j.ID, j.ownership.Epoch, j.ctx
+	id, epoch, ctx, workspace := j.ID, j.ownership.Epoch, j.ctx, s.accessOf(j)
 	deadline := s.loop.Now().Add(rewardTimeout)
 	s.workers.Go(func(workersCtx context.Context) {
 		// A call that panics is no failure of a server and is made again.
@@ -52,7 +53,7 @@
 			outcome.job, outcome.epoch, outcome.item = id, epoch, it
 			postOutcome(workersCtx, s, s.rewardOutcomes, outcome, id)
 		}()
-		outcome = s.callReward(ctx, it.Reward, deadline)
+		outcome = s.callReward(ctx, it.Reward, workspace, deadline)
 	})
 }
 
@@ -60,7 +61,7 @@
 // read the operator's configuration yet.
 var errNoConfiguration = errors.New("jobs: no configuration yet")
 
-func (s *service) callReward(ctx context.Context, reward *batch.RewardCall, deadline time.Time) rewardOutcome {
+func (s *service) callReward(ctx context.Context, reward *batch.RewardCall, workspace *access.Workspace, deadline time.Time) rewardOutcome {
 	catalog := s.catalog.Current().Load().Catalog
 	if catalog == nil {
 		return rewardOutcome{err: errNoConfiguration}
@@ -74,6 +75,7 @@
 	response, err := s.dispatch.Forward(ctx, contract.ForwardRequest{
 		Route: route, ID: reward.ID, Method: http.MethodPost, Host: reward.Host, Target: reward.Path,
 		Header: http.Header{}, Body: reward.Body, Deadline: deadline, IsAccepted: true, DiscardBody: true,
+		OnBehalfOf: workspace,
 	})
 	if err != nil {
 		return rewardOutcome{err: err, maxAttempts: route.MaxAttempts}
--- a/daemon/services/jobs/schedule.go
+++ b/daemon/services/jobs/schedule.go
@@ -5,11 +5,11 @@
 	"context"
 	"math"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/flamingobeam/flamingobeam/coord/access"
 	"github.com/flamingobeam/flamingobeam/coord/batch"
 	"github.com/flamingobeam/flamingobeam/coord/catalog"
 	"github.com/flamingobeam/flamingobeam/coord/placement"
@@ -71,7 +71,7 @@
 	j.routeRemovedAt = time.Time{}
 	j.route = routeSettings{
 		service: route.Targets[0].Service, maxAttempts: route.MaxAttempts, itemTTL: route.ItemTTL,
-		resultDeadline: route.ResultDeadline, priority: route.Priority, singleVersion: route.SingleVersion,
+		resultDeadline: route.ResultDeadline, priority: access.Rank(s.accessOf(j), route.Priority), singleVersion: route.SingleVersion,
 	}
 }
 
@@ -199,24 +199,15 @@
 	s.takeover.tick(now)
 }
 
-// placeWaitingItems places the waiting items: jobs by deadline, the longest
-// items first.
+// placeWaitingItems places the waiting items: jobs in the order of batch.Order, the
+// longest items first.
 func (s *service) placeWaitingItems() {
 	s.isPlacementScheduled = false
 	if s.isStopping {
 		return
 	}
-	jobs := make([]*job, 0, len(s.ownedJobs))
-	for _, j := range s.ownedJobs {
-		if j.isOpen() {
-			jobs = append(jobs, j)
-		}
-	}
-	slices.SortFunc(jobs, func(a, b *job) int {
-		return cmp.Or(a.deadline().Compare(b.deadline()), cmp.Compare(a.route.priority, b.route.priority), strings.Compare(a.ID, b.ID))
-	})
 	now := s.loop.Now()
-	for _, j := range jobs {
+	for _, j := range s.openJobsInOrder() {
 		if j.hasWaiting() && s.mayStartItems(j) {
 			s.placeItems(j, now)
 		}
--- a/daemon/services/jobs/scope.go
+++ b/daemon/services/jobs/scope.go
@@ -16,6 +16,19 @@
 	return current != nil && current.Access != nil
 }
 
+// accessOf returns the workspace of a job; nil if it has none or no configuration names it
+// any more.
+func (s *service) accessOf(j *job) *access.Workspace {
+	if j.Workspace == "" || !s.hasWorkspaces() {
+		return nil
+	}
+	workspace, ok := s.catalog.Current().Load().Catalog.Access.Named(j.Workspace)
+	if !ok {
+		return nil
+	}
+	return &workspace
+}
+
 // checkScope checks that a job exists for a caller. It fails with code NotFound if it does
 // not, and with code StoreUnavailable if that cannot be decided.
 func (s *service) checkScope(ctx context.Context, scope access.Scope, id string) error {
