--- a/daemon/agent/managed.go
+++ b/daemon/agent/managed.go
@@ -37,6 +37,7 @@
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/retire"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/servers"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/session"
+	_ "github.com/flamingobeam/flamingobeam/daemon/services/shares"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/shutdown"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/swaps"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/usage"
@@ -78,7 +79,10 @@
 	if role == RoleStorage {
 		return []kernel.Name{contract.NameShutdown, contract.NameRetire}
 	}
-	return []kernel.Name{contract.NameShutdown, contract.NameMetricsHTTP, contract.NameRPCServer, contract.NameWeightSwaps, contract.NameDuties, contract.NameUsage, contract.NameFleetSize, contract.NameManagedFront}
+	return []kernel.Name{
+		contract.NameShutdown, contract.NameMetricsHTTP, contract.NameRPCServer, contract.NameWeightSwaps, contract.NameShares,
+		contract.NameDuties, contract.NameUsage, contract.NameFleetSize, contract.NameManagedFront,
+	}
 }
 
 // ManagedReplacements maps services to those that replace them on a managed platform,
--- a/daemon/services/balance/balance.go
+++ b/daemon/services/balance/balance.go
@@ -99,12 +99,12 @@
 	if target == nil {
 		return contract.Ticket{}, result.New(result.NoBackend, "service %s", request.Service)
 	}
-	admissionRequest := limit.Request{Workspace: request.Workspace, Class: request.Class, Share: s.share(request.Workspace), Deadline: request.Deadline}
+	admission := s.admissionRequest(request)
 	acquire := target.admission.acquire
 	if request.NoWait {
 		acquire = target.admission.tryAcquire
 	}
-	if err := acquire(ctx, s.clock, admissionRequest); err != nil {
+	if err := acquire(ctx, s.clock, admission); err != nil {
 		s.metrics.Count("balance.refused."+codeName(err), 1)
 		return contract.Ticket{}, err
 	}
@@ -113,7 +113,7 @@
 	if newer := current.services[request.Service]; newer != nil {
 		target = newer
 	}
-	return s.chooseServer(target, &request, current.quarantine.Suspects[request.Fingerprint])
+	return s.chooseServer(target, &request, admission, current.quarantine.Suspects[request.Fingerprint])
 }
 
 // Loaded implements contract.ServerTable.
@@ -127,7 +127,7 @@
 
 // chooseServer chooses a server for an admitted request and counts the request
 // there.
-func (s *service) chooseServer(target *serviceView, request *contract.PickRequest, isSuspect bool) (contract.Ticket, error) {
+func (s *service) chooseServer(target *serviceView, request *contract.PickRequest, admission limit.Request, isSuspect bool) (contract.Ticket, error) {
 	routeRequest := route.Request{
 		Class:      request.Class,
 		Affinity:   request.Affinity,
@@ -142,11 +142,11 @@
 	}
 	choice, ok := target.table.Pick(&routeRequest, loads)
 	if !ok {
-		target.admission.release(s.clock.Now(), request.Class, 0)
+		target.admission.release(s.clock.Now(), admission, 0)
 		return contract.Ticket{}, result.New(result.NoBackend, "service %s", request.Service)
 	}
 	if request.NoWait && loads.Full(choice.Server) {
-		target.admission.release(s.clock.Now(), request.Class, 0)
+		target.admission.release(s.clock.Now(), admission, 0)
 		return contract.Ticket{}, result.New(result.Overloaded, "no server of service %s has a slot", request.Service)
 	}
 	slot := &ticket{
@@ -154,7 +154,7 @@
 		view:        target,
 		counters:    target.counters[choice.Server],
 		tierIndex:   choice.Tier,
-		class:       request.Class,
+		admission:   admission,
 		fingerprint: request.Fingerprint,
 		isSuspect:   isSuspect,
 		isRetry:     len(request.Avoid) > 0,
