Usage: clocks are judged by the time of their messages, windows in time go first

Change: readings of clocks carry their uncertainty, and the holder decides which clock is wrong; a suspect daemon is asked again. Windows in time are reported before overdue ones. A daemon that leads gathers and decides during the takeover delay.

Ruled out: windows cut by the daemon itself as the request tells it, as it cannot know how long the request was under way.

--- a/coord/usage/book.go
+++ b/coord/usage/book.go
@@ -73,14 +73,15 @@
 func (r Rules) NewBook() *Book { return &Book{rules: r, reported: make(map[Window]bool)} }
 
 // Next returns the next step at a time, which is the holder's estimate of the true time.
-func (b *Book) Next(now time.Time) Step {
+// Without mayReport, as before the first call of a new holder, windows are only decided.
+func (b *Book) Next(now time.Time, mayReport bool) Step {
 	step := b.nextDecision(now)
 	if step.Kind != Wait {
 		return step
 	}
-	window, ok := b.nextReport()
+	window, ok := b.nextReport(now)
 	switch {
-	case !ok:
+	case !ok || !mayReport:
 		return step
 	case now.Before(b.reportRetryAt):
 		step.Until = earlier(step.Until, b.reportRetryAt)
@@ -132,15 +133,23 @@
 	return Record{Last: b.open.to, Decided: decided}
 }
 
-// nextReport returns the oldest window after the one that was tried last, or else the
-// oldest one, that has not been reported.
-func (b *Book) nextReport() (Window, bool) {
-	var open []Window
+// nextReport returns the window to report next: one that is not overdue before others, and
+// after the one that was tried last, so that a report that fails does not hold up the rest.
+func (b *Book) nextReport(now time.Time) (Window, bool) {
+	var inTime, overdue []Window
 	for _, window := range slices.Sorted(maps.Keys(b.record.Decided)) {
-		if !b.reported[window] {
-			open = append(open, window)
+		switch {
+		case b.reported[window]:
+		case now.After(b.rules.EndOf(window).Add(b.rules.Due)):
+			overdue = append(overdue, window)
+		default:
+			inTime = append(inTime, window)
 		}
 	}
+	open := inTime
+	if len(open) == 0 {
+		open = overdue
+	}
 	if len(open) == 0 {
 		return 0, false
 	}
--- a/coord/usage/window.go
+++ b/coord/usage/window.go
@@ -47,11 +47,38 @@
 // EndOf returns the end of a window.
 func (r Rules) EndOf(window Window) time.Time { return r.StartOf(window + 1) }
 
-// clockTolerance is the difference between two clocks that is ascribed to the time of a
-// message. Beyond it a clock is considered wrong.
+// clockTolerance is the difference between two clocks that does not matter for a window.
 const clockTolerance = 250 * time.Millisecond
 
-// IsWrong reports whether a clock that is ahead of another one by an offset is wrong.
+// ClockReading is how far a clock is ahead of another one, as read by messages, in
+// nanoseconds. It crosses net/rpc. The type name is part of the gob encoding.
+type ClockReading struct {
+	Offset time.Duration
+	// Uncertainty is half of the time that the messages took.
+	Uncertainty time.Duration
+}
+
+// Delayed returns the reading of a clock that shows offset, by a request and a reply that
+// together took a time besides that of an earlier reading.
+func (r ClockReading) Delayed(took time.Duration) ClockReading {
+	return ClockReading{Offset: r.Offset - took/2, Uncertainty: r.Uncertainty + took/2}
+}
+
+// IsUseful reports whether a reading is exact enough to tell a wrong clock.
+func (r ClockReading) IsUseful() bool { return r.Uncertainty <= clockTolerance }
+
+// Differs reports whether a clock seems to be wrong by something else than a known error.
+func (r ClockReading) Differs(known time.Duration) bool { return IsWrong(r.Offset - known) }
+
+// Error returns by how much a clock is certainly wrong, and zero if it may be right.
+func (r ClockReading) Error() time.Duration {
+	if r.Offset.Abs() <= clockTolerance+r.Uncertainty {
+		return 0
+	}
+	return r.Offset
+}
+
+// IsWrong reports whether a clock that is ahead of the true time by an offset is wrong.
 func IsWrong(offset time.Duration) bool { return offset.Abs() > clockTolerance }
 
 // Median returns the median of the offsets of clocks, and zero without any. It is right as
--- a/daemon/services/usage/gather.go
+++ b/daemon/services/usage/gather.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/rpc"
 	"sync"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/flamingobeam/flamingobeam/coord/membership"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/coord/usage"
+	"github.com/flamingobeam/flamingobeam/daemon/boottime"
 )
 
 const (
@@ -30,6 +32,8 @@
 	asked []membership.Member
 	// offsets are how far the clocks of zones are ahead of the holder's time.
 	offsets []time.Duration
+	// suspects are the daemons whose clocks differ.
+	suspects map[string]usage.ClockReading
 }
 
 // gatherRequest returns the request for the windows of a step.
@@ -64,8 +68,8 @@
 // gather asks daemons, those of each zone through one of them, for their counts. A daemon
 // of a zone that could not be asked is asked by another one the next time, as the daemons
 // that have answered are not in the list any more.
-func (s *service) gather(ctx context.Context, request CountsRequest, asked []membership.Member) gatherResult {
-	result := gatherResult{counts: make(map[usage.Window]usage.Counts), asked: asked}
+func (s *service) gather(ctx context.Context, request CountsRequest, asked []membership.Member, clocks map[string]clockNote) gatherResult {
+	result := gatherResult{counts: make(map[usage.Window]usage.Counts), asked: asked, suspects: make(map[string]usage.ClockReading)}
 	byZone := make(map[structs.ZoneName][]membership.Member)
 	for _, member := range asked {
 		byZone[member.Zone] = append(byZone[member.Zone], member)
@@ -75,7 +79,7 @@
 	var group conc.WaitGroup
 	for zone, members := range byZone {
 		group.Go(func() {
-			reply, ok := s.askZone(ctx, self, zone, request, members)
+			reply, ok := s.askZone(ctx, self, zone, request, members, clocks)
 			mu.Lock()
 			defer mu.Unlock()
 			if ok {
@@ -88,10 +92,14 @@
 }
 
 // askZone asks the daemons of a zone through the first of them that responds.
-func (s *service) askZone(ctx context.Context, self membership.Member, zone structs.ZoneName, request CountsRequest, members []membership.Member) (CountsReply, bool) {
+func (s *service) askZone(ctx context.Context, self membership.Member, zone structs.ZoneName, request CountsRequest, members []membership.Member, clocks map[string]clockNote) (CountsReply, bool) {
 	for _, member := range members {
-		request.Members = append(request.Members, MemberAddress{Name: member.Name, Address: member.RPCAddress})
+		clock := clocks[member.Name]
+		request.Members = append(request.Members, MemberAddress{
+			Name: member.Name, Address: member.RPCAddress, ClockError: int64(clock.err), IsClockSettled: clock.isSettled,
+		})
 	}
+	requestedAt := boottime.Now()
 	if zone == self.Zone {
 		return s.askMembers(ctx, request), true
 	}
@@ -99,9 +107,13 @@
 	for _, gatherer := range membership.ByRank(members) {
 		callCtx, cancel := context.WithTimeout(ctx, zoneTimeout)
 		var reply CountsReply
-		err := s.peers.Call(callCtx, gatherer.RPCAddress, rpcName+".Gather", request, &reply)
+		started := boottime.Now()
+		zoneRequest := request
+		zoneRequest.Now += int64(started - requestedAt)
+		err := s.peers.Call(callCtx, gatherer.RPCAddress, rpcName+".Gather", zoneRequest, &reply)
 		cancel()
 		if err == nil {
+			reply.delay(boottime.Since(started) - time.Duration(reply.Took))
 			return reply, true
 		}
 		s.log.WithError(err).WithFields(logrus.Fields{"daemon": gatherer.Name, "zone": zone}).Info("A daemon did not gather the usage of its zone.")
@@ -135,35 +147,52 @@
 
 // askMembers asks the daemons of this one's zone for their counts.
 func (s *service) askMembers(ctx context.Context, request CountsRequest) CountsReply {
-	members := request.Members
+	members, begun := request.Members, boottime.Now()
 	request.Members = nil
 	selfName := s.session.View().Load().Self.Name
 	var mu sync.Mutex
-	sum := CountsReply{Counts: make([]map[structs.WorkspaceName]int64, len(request.Windows))}
+	sum := CountsReply{Counts: make([]map[structs.WorkspaceName]int64, len(request.Windows)), Suspects: make(map[string]usage.ClockReading)}
 	var offsets []time.Duration
 	var group conc.WaitGroup
 	for _, member := range members {
 		group.Go(func() {
 			var reply CountsReply
+			request, started := request, boottime.Now()
+			request.ClockError = member.ClockError
+			request.Now += int64(started - begun)
 			if member.Name == selfName {
 				reply = s.ownCounts(request)
 			} else if !s.askMember(ctx, member, request, &reply) {
 				return
 			}
+			reply.delay(boottime.Since(started))
 			mu.Lock()
 			defer mu.Unlock()
+			if reply.HasClock && reply.Clock.IsUseful() {
+				offsets = append(offsets, reply.Clock.Offset)
+			}
+			if reply.HasClock && !member.IsClockSettled && reply.Clock.Differs(time.Duration(member.ClockError)) {
+				sum.Suspects[member.Name] = reply.Clock
+				return
+			}
 			sum.add(reply)
 			sum.Answered = append(sum.Answered, member.Name)
-			if reply.HasClock {
-				offsets = append(offsets, time.Duration(reply.Offset))
-			}
 		})
 	}
 	group.Wait()
-	sum.Offset, sum.HasClock = int64(usage.Median(offsets)), len(offsets) > 0
+	sum.Clock, sum.HasClock = usage.ClockReading{Offset: usage.Median(offsets)}, len(offsets) > 0
+	sum.Took = int64(boottime.Since(begun))
 	return sum
 }
 
+// delay takes the time into account that the messages with the reply's clocks took.
+func (r *CountsReply) delay(took time.Duration) {
+	r.Clock = r.Clock.Delayed(took)
+	for name, reading := range r.Suspects {
+		r.Suspects[name] = reading.Delayed(took)
+	}
+}
+
 // askMember asks a daemon for its counts. It returns false if they are still to be asked
 // for.
 func (s *service) askMember(ctx context.Context, member MemberAddress, request CountsRequest, reply *CountsReply) bool {
@@ -179,24 +208,6 @@
 	return err == nil
 }
 
-// applyGathered takes the counts of daemons. If the holder's own clock turns out to be
-// wrong, the windows are cut anew.
-func (s *service) applyGathered(step usage.Step, gathered gatherResult) {
-	if offset := usage.Median(gathered.offsets); usage.IsWrong(offset) {
-		s.clockError -= offset
-		s.log.WithFields(logrus.Fields{"offset_ms": offset.Milliseconds(), "error_ms": s.clockError.Milliseconds()}).Warn("The clock of this host differs from those of most daemons; the windows of usage follow them.")
-		s.book.Regather()
-		return
-	}
-	isComplete := len(gathered.answered) >= len(gathered.asked)
-	now := s.trueNow()
-	s.book.Gathered(gathered.counts, gathered.answered, isComplete, now)
-	if !isComplete {
-		s.metrics.Count("usage.daemons_missing", int64(len(gathered.asked)-len(gathered.answered)))
-		s.log.WithFields(logrus.Fields{"from": step.From, "to": step.To, "asked": len(gathered.asked), "answered": len(gathered.answered)}).Info("Some daemons have not given their usage.")
-	}
-}
-
 // add adds the counts of a zone.
 func (r *gatherResult) add(reply CountsReply) {
 	for i, counts := range reply.Counts {
@@ -209,7 +220,8 @@
 		}
 	}
 	r.answered = append(r.answered, reply.Answered...)
-	if reply.HasClock {
-		r.offsets = append(r.offsets, time.Duration(reply.Offset))
+	maps.Copy(r.suspects, reply.Suspects)
+	if reply.HasClock && reply.Clock.IsUseful() {
+		r.offsets = append(r.offsets, reply.Clock.Offset)
 	}
 }
--- a/daemon/services/usage/receiver.go
+++ b/daemon/services/usage/receiver.go
@@ -17,6 +17,10 @@
 type MemberAddress struct {
 	Name    string
 	Address string
+	// ClockError is how far its clock is ahead, in nanoseconds, as far as the holder knows.
+	// IsClockSettled is set if the holder goes by that whatever the clock shows.
+	ClockError     int64
+	IsClockSettled bool
 }
 
 // WindowBounds are the bounds of a window in nanoseconds of true time since 1970.
@@ -32,6 +36,8 @@
 	Windows []WindowBounds
 	// Members are the daemons that Gather asks.
 	Members []MemberAddress
+	// ClockError is how far the clock of the daemon that Read asks is ahead, in nanoseconds.
+	ClockError int64
 }
 
 // CountsReply holds the counts of one daemon, or of several in a zone.
@@ -41,10 +47,15 @@
 	Counts  []map[structs.WorkspaceName]int64
 	// Answered are the names of the daemons whose counts are included.
 	Answered []string
-	// Offset is how far the daemon's clock, or the median of several, is ahead of the
-	// holder's time, in nanoseconds. HasClock is set if it is known.
-	Offset   int64
+	// Clock is how far the daemon's clock, or the median of several, is ahead of the
+	// holder's time. HasClock is set if it is known.
+	Clock    usage.ClockReading
 	HasClock bool
+	// Suspects holds the daemons whose clocks differ from the holder's time. Their counts
+	// are not included.
+	Suspects map[string]usage.ClockReading
+	// Took is how long Gather took, in nanoseconds.
+	Took int64
 }
 
 // add adds the counts of a daemon.
@@ -99,15 +110,11 @@
 	return nil
 }
 
-// ownCounts returns the counts of this daemon. The windows are cut by its own clock,
-// unless that differs from the holder's time by more than a message takes.
+// ownCounts returns the counts of this daemon, by its own clock less its error.
 func (s *service) ownCounts(request CountsRequest) CountsReply {
 	clock, now := time.Now().UnixNano(), boottime.Now()
-	offset := clock - request.Now
-	reply := CountsReply{Offset: offset, HasClock: true}
-	if usage.IsWrong(time.Duration(offset)) {
-		clock = request.Now
-	}
+	reply := CountsReply{Clock: usage.ClockReading{Offset: time.Duration(clock - request.Now)}, HasClock: true}
+	clock -= request.ClockError
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, window := range request.Windows {
--- a/daemon/services/usage/steps.go
+++ b/daemon/services/usage/steps.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"time"
 
 	"github.com/pkg/errors"
@@ -46,7 +47,7 @@
 	s.loop.CancelTimer(s.timer)
 	s.timer = nil
 	now := s.trueNow()
-	step := s.book.Next(now)
+	step := s.book.Next(now, s.duties.View().Load().IsSelf)
 	if step.Kind == usage.Wait {
 		s.timer = s.loop.AfterFunc(max(step.Until.Sub(now), time.Millisecond), s.advance)
 		return
@@ -68,9 +69,9 @@
 		return s.loadRecord
 	case usage.Gather:
 		request := s.gatherRequest(step, now)
-		asked := s.unanswered()
+		asked, clocks := s.unanswered(), maps.Clone(s.clocks)
 		return func(ctx context.Context) (stepResult, error) {
-			return stepResult{gathered: s.gather(ctx, request, asked)}, nil
+			return stepResult{gathered: s.gather(ctx, request, asked, clocks)}, nil
 		}
 	case usage.Decide:
 		revision := s.revision
@@ -146,6 +147,7 @@
 		}
 		s.revision = result.revision
 		s.book.Decided(*result.record)
+		s.unsettleClocks()
 		s.log.WithFields(logrus.Fields{"from": result.step.From, "to": result.step.To, "open": len(result.record.Decided), "revision": result.revision}).Info("Decided on the usage of windows.")
 	case usage.Report:
 		s.applyReported(result, err, now)
--- a/daemon/services/usage/usage.go
+++ b/daemon/services/usage/usage.go
@@ -26,6 +26,7 @@
 type service struct {
 	kernel.Base
 	isEnabled bool
+	host      string
 	rules     usage.Rules
 	duties    contract.Duties
 	session   contract.Session
@@ -49,6 +50,8 @@
 	timer  *kernel.Timer
 	// clockError is how far this host's clock is ahead of those of most daemons.
 	clockError time.Duration
+	// clocks holds the clocks of daemons that are or seemed wrong, by name.
+	clocks map[string]clockNote
 
 	mu sync.Mutex
 	// meter is protected by the lock.
@@ -68,8 +71,9 @@
 	if !s.isEnabled {
 		return nil
 	}
+	s.host = string(daemon.Host)
 	s.rules = usage.Rules{Length: duties.UsageWindow, Due: duties.UsageDue}
-	s.meter = usage.NewMeter(s.rules.KeepTime())
+	s.meter, s.clocks = usage.NewMeter(s.rules.KeepTime()), make(map[string]clockNote)
 	s.log, s.loop, s.workers = ctx.Log(), ctx.Loop(), ctx.Workers()
 	s.results = kernel.NewMailbox(s.loop, 1, s.handleResult)
 	var rpc contract.RPCServer
@@ -106,15 +110,18 @@
 	s.meter.Add(usage.Start{At: began, Workspace: workspace, Count: 1})
 }
 
-// follow begins and ends the work of the holder. It runs on the control goroutine.
+// follow begins and ends the work of the holder. A daemon that leads gathers and decides also
+// while it may not report yet. It runs on the control goroutine.
 func (s *service) follow(view *contract.DutiesView) {
+	token, leads := s.session.Leadership()
+	leads = leads && token == view.FencingToken && view.Holder == s.host
 	switch {
-	case !view.IsSelf && s.book != nil:
+	case !leads && s.book != nil:
 		s.log.WithField("token", s.token).Info("Reporting of usage ends on this daemon.")
 		s.book = nil
-	case view.IsSelf && (s.book == nil || s.token != view.FencingToken):
-		s.log.WithField("token", view.FencingToken).Info("Reporting of usage begins on this daemon.")
-		s.book, s.token, s.revision = s.rules.NewBook(), view.FencingToken, 0
+	case leads && (s.book == nil || s.token != token):
+		s.log.WithField("token", token).Info("Reporting of usage begins on this daemon.")
+		s.book, s.token, s.revision = s.rules.NewBook(), token, 0
 	}
 	s.advance()
 }
