Duties: a refusal of reclaimable servers does not pause other orders of the zone

Cause: the platform refuses an order of reclaimable servers while there are none; the pause of the holder lease then held up the order of other servers instead.

Change: pauses are kept apart by the kind of servers; the calls of a service in a zone still go one at a time.

--- a/daemon/services/duties/calls.go
+++ b/daemon/services/duties/calls.go
@@ -18,7 +18,7 @@
 
 // ReportUsage implements contract.Duties.
 func (s *service) ReportUsage(ctx context.Context, report outside.UsageReport) (outside.DutyOutcome, error) {
-	outcome, err := s.call(ctx, usageSubject, func(ctx context.Context, holder outside.DutyHolder) (outside.DutyOutcome, error) {
+	outcome, err := s.call(ctx, matter{subject: usageSubject}, func(ctx context.Context, holder outside.DutyHolder) (outside.DutyOutcome, error) {
 		return s.calls.ReportUsage(ctx, holder, report)
 	})
 	if err == nil && outcome == outside.DutyConflict {
@@ -32,33 +32,48 @@
 // OrderServers implements contract.Duties.
 func (s *service) OrderServers(ctx context.Context, order outside.ServerOrder) (outside.DutyOutcome, error) {
 	subject := duty.Subject(string(order.Service) + " " + string(order.Zone))
-	return s.call(ctx, subject, func(ctx context.Context, holder outside.DutyHolder) (outside.DutyOutcome, error) {
+	return s.call(ctx, matter{subject: subject, reclaimable: order.Reclaimable}, func(ctx context.Context, holder outside.DutyHolder) (outside.DutyOutcome, error) {
 		return s.calls.OrderServers(ctx, holder, order)
 	})
 }
 
+// matter is what a call is about. Orders of reclaimable servers share their subject with
+// those of others, but not the pauses after a call that failed.
+type matter struct {
+	subject     duty.Subject
+	reclaimable bool
+}
+
+// paused returns the subject whose calls are paused after one that failed.
+func (m matter) paused() duty.Subject {
+	if m.reclaimable {
+		return m.subject + " reclaimable"
+	}
+	return m.subject
+}
+
 type sendFunc func(ctx context.Context, holder outside.DutyHolder) (outside.DutyOutcome, error)
 
 // call makes one call of a subject: after the subject's last one has ended, when the
 // tenure and the rate allow it, and only if this daemon holds the duties when the first
 // byte leaves. A call that could not be made before ctx ends counts as rate limited.
-func (s *service) call(ctx context.Context, subject duty.Subject, send sendFunc) (outside.DutyOutcome, error) {
-	tenure, err := s.begin(ctx, subject)
+func (s *service) call(ctx context.Context, about matter, send sendFunc) (outside.DutyOutcome, error) {
+	tenure, err := s.begin(ctx, about)
 	if err != nil {
 		return outside.DutyRateLimited, err
 	}
 	if tenure == nil {
 		return outside.DutyRateLimited, nil
 	}
-	defer s.end(subject)
+	defer s.end(about.subject)
 	guard := &sendGuard{mayWrite: func() bool { return s.isCurrent(tenure) }}
 	callCtx, cancel := context.WithTimeout(withSendGuard(ctx, guard), callTimeout)
 	defer cancel()
 	started := boottime.Now()
 	outcome, err := send(callCtx, outside.DutyHolder{Name: s.host, FencingToken: tenure.Token})
-	s.record(tenure, subject, outcome, err)
+	s.record(tenure, about, outcome, err)
 	s.metrics.Time("duties.call", boottime.Since(started))
-	entry := s.log.WithFields(logrus.Fields{"subject": subject, "token": tenure.Token, "ms": boottime.Since(started).Milliseconds()})
+	entry := s.log.WithFields(logrus.Fields{"subject": about.paused(), "token": tenure.Token, "ms": boottime.Since(started).Milliseconds()})
 	switch {
 	case err == nil:
 		s.reach.succeeded()
@@ -88,13 +103,13 @@
 // begin waits until a call of a subject may be made, and marks it as in flight. It
 // returns no tenure if ctx ends before, and fails with code NotHolder if this daemon does
 // not hold the duties.
-func (s *service) begin(ctx context.Context, subject duty.Subject) (*duty.Tenure, error) {
+func (s *service) begin(ctx context.Context, about matter) (*duty.Tenure, error) {
 	for {
 		tenure := s.currentTenure()
 		if tenure == nil || !tenure.MayCall(boottime.Now()) {
 			return nil, notHolder()
 		}
-		ended, wait := s.tryBegin(tenure, subject)
+		ended, wait := s.tryBegin(tenure, about)
 		if ended == nil && wait == 0 {
 			return tenure, nil
 		}
@@ -106,19 +121,19 @@
 
 // tryBegin marks a call of a subject as in flight. If that has to wait, it returns the
 // end of the subject's call in flight, or how long.
-func (s *service) tryBegin(tenure *duty.Tenure, subject duty.Subject) (ended chan struct{}, wait time.Duration) {
+func (s *service) tryBegin(tenure *duty.Tenure, about matter) (ended chan struct{}, wait time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if ended := s.inFlight[subject]; ended != nil {
+	if ended := s.inFlight[about.subject]; ended != nil {
 		return ended, 0
 	}
-	if wait := tenure.Wait(subject, boottime.Now()); wait > 0 {
+	if wait := tenure.Wait(about.paused(), boottime.Now()); wait > 0 {
 		return nil, wait
 	}
 	if wait, ok := s.bucket.Take(time.Now(), 0); !ok {
 		return nil, wait
 	}
-	s.inFlight[subject] = make(chan struct{})
+	s.inFlight[about.subject] = make(chan struct{})
 	return nil, 0
 }
 
@@ -151,15 +166,16 @@
 	delete(s.inFlight, subject)
 }
 
-// record records the outcome of a call in its tenure.
-func (s *service) record(tenure *duty.Tenure, subject duty.Subject, outcome outside.DutyOutcome, err error) {
+// record records the outcome of a call in its tenure. That there are no reclaimable servers
+// at present is no conflict between holders.
+func (s *service) record(tenure *duty.Tenure, about matter, outcome outside.DutyOutcome, err error) {
 	recorded := duty.NotExecuted
 	switch {
 	case err != nil:
 		s.metrics.Count("duties.failed", 1)
 	case outcome == outside.DutyDone:
 		recorded = duty.Executed
-	case outcome == outside.DutyConflict:
+	case outcome == outside.DutyConflict && !about.reclaimable:
 		recorded = duty.Conflict
 		s.metrics.Count("duties.conflicts", 1)
 	default:
@@ -167,5 +183,5 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	tenure.Record(subject, recorded, boottime.Now())
+	tenure.Record(about.paused(), recorded, boottime.Now())
 }
--- a/daemon/services/duties/duties_test.go
+++ b/daemon/services/duties/duties_test.go
@@ -21,6 +21,10 @@
 	"github.com/flamingobeam/flamingobeam/platform"
 )
 
+// minPause is shorter than the pause after a call that was not executed, and longer than the
+// wait for the platform's rate.
+const minPause = 150 * time.Millisecond
+
 type fakeSession struct {
 	contract.Session
 	token atomic.Uint64
@@ -79,7 +83,7 @@
 func TestCall_LostBeforeSend(t *testing.T) {
 	var calls atomic.Int32
 	s, session := newHolder(t, func(http.ResponseWriter, *http.Request) { calls.Add(1) })
-	_, err := s.call(t.Context(), usageSubject, func(ctx context.Context, holder outside.DutyHolder) (outside.DutyOutcome, error) {
+	_, err := s.call(t.Context(), matter{subject: usageSubject}, func(ctx context.Context, holder outside.DutyHolder) (outside.DutyOutcome, error) {
 		session.token.Store(8)
 		return s.calls.ReportUsage(ctx, holder, outside.UsageReport{Window: 1})
 	})
@@ -125,6 +129,26 @@
 	must.Eq(t, 1, calls.Load())
 }
 
+// TestCall_NoReclaimableServers refuses an order of reclaimable servers. One of others in the
+// same zone must go out at once.
+func TestCall_NoReclaimableServers(t *testing.T) {
+	s, _ := newHolder(t, func(w http.ResponseWriter, r *http.Request) {
+		if body, _ := io.ReadAll(r.Body); strings.Contains(string(body), "spot") {
+			w.WriteHeader(http.StatusConflict)
+		}
+	})
+	order := outside.ServerOrder{Service: "models", Zone: "a", Count: 3, Reclaimable: true}
+	outcome, err := s.OrderServers(t.Context(), order)
+	must.NoError(t, err)
+	must.Eq(t, outside.DutyConflict, outcome)
+	order.Reclaimable = false
+	ctx, cancel := context.WithTimeout(t.Context(), minPause)
+	defer cancel()
+	outcome, err = s.OrderServers(ctx, order)
+	must.NoError(t, err)
+	must.Eq(t, outside.DutyDone, outcome)
+}
+
 // TestCall_UnknownOutcome closes the connection without a response.
 func TestCall_UnknownOutcome(t *testing.T) {
 	var calls atomic.Int32
