Fleet size: memory of steps follows their due time

Cause: 30 s span several steps of seconds, but none of steps that come every 17 minutes; the fleet would have shrunk between two of them.

Change: a step and a need count for four due times, 30 s at least. Owners report only steps that still count, and estimate the events of a job once.

--- a/coord/scaling/demand.go
+++ b/coord/scaling/demand.go
@@ -52,9 +52,11 @@
 }
 
 const (
-	// stepMemory is how long a step counts for the demand. It spans several steps of a
-	// trainer, also while weights or results are late.
-	stepMemory = 30 * time.Second
+	// memoryDues is how long a step counts for the demand, in times of its due time, and
+	// minMemory the shortest such time. It spans several steps of a trainer, also while
+	// weights or results are late.
+	memoryDues = 4
+	minMemory  = 30 * time.Second
 	// maxSteps bounds the steps that are kept for each model.
 	maxSteps = 16
 	// silentOwnerTimeout is how long the open work of an owner counts that no longer
@@ -62,6 +64,9 @@
 	silentOwnerTimeout = 10 * time.Second
 )
 
+// MemoryOf returns how long a step counts whose results are due after a time.
+func MemoryOf(due time.Duration) time.Duration { return max(minMemory, memoryDues*due) }
+
 // Observer combines the reports of the owners of jobs.
 type Observer struct {
 	owners map[string]ownerLoad
@@ -128,7 +133,7 @@
 		demand.Running += owner.load.Running
 	}
 	for model, steps := range o.steps {
-		steps = slices.DeleteFunc(steps, func(step Step) bool { return now.Sub(step.SubmittedAt) > stepMemory })
+		steps = slices.DeleteFunc(steps, func(step Step) bool { return now.Sub(step.SubmittedAt) > MemoryOf(step.Due) })
 		if len(steps) == 0 {
 			delete(o.steps, model)
 			continue
--- a/coord/scaling/need.go
+++ b/coord/scaling/need.go
@@ -46,12 +46,11 @@
 	return int(math.Ceil(busySlots / float64(max(1, slots))))
 }
 
-// needMemory is how long a need counts, so that a lull between steps takes no server
-// away.
-const needMemory = stepMemory
-
-// needHistory returns the highest need of the last time.
+// needHistory returns the highest need of the last time, so that a lull between steps takes
+// no server away.
 type needHistory struct {
+	// memory is how long a need counts.
+	memory time.Duration
 	// falling holds needs in the order of their times, each higher than all later ones.
 	falling []timedNeed
 }
@@ -61,13 +60,17 @@
 	at   time.Time
 }
 
-// add adds the need at a time and returns the highest one.
-func (h *needHistory) add(need Need, now time.Time) Need {
+// add adds the need at a time and returns the highest one. The memory follows the due
+// time, if that is known.
+func (h *needHistory) add(need Need, due time.Duration, now time.Time) Need {
+	if due > 0 || h.memory == 0 {
+		h.memory = MemoryOf(due)
+	}
 	for len(h.falling) > 0 && h.falling[len(h.falling)-1].need.Servers <= need.Servers {
 		h.falling = h.falling[:len(h.falling)-1]
 	}
 	h.falling = append(h.falling, timedNeed{need, now})
-	for now.Sub(h.falling[0].at) > needMemory {
+	for now.Sub(h.falling[0].at) > h.memory {
 		h.falling = h.falling[1:]
 	}
 	return h.falling[0].need
--- a/coord/scaling/plan.go
+++ b/coord/scaling/plan.go
@@ -64,7 +64,7 @@
 // arrives at once and must be whole when it is due; steps grow, shrink or cease; servers
 // take seconds to start; reclaimable ones leave all at once in a zone, which may then have
 // none for a while. Growing is immediate and shrinking slow: the servers that the largest
-// step of the last half minute needs are kept, a quarter of the rest leaves in each period
+// of the last steps needs are kept, a quarter of the rest leaves in each period
 // of the steps, and reclaimable servers are spread so that the others carry the steps when
 // a zone's leave. Prices choose among what serves the steps equally well.
 type Planner struct {
@@ -108,7 +108,7 @@
 			serving += pool.serving(in.Now)
 		}
 	}
-	d.need = p.history.add(needOf(in.Demand, in.Bounds.Slots, serving, in.Bounds.BootTime), in.Now)
+	d.need = p.history.add(needOf(in.Demand, in.Bounds.Slots, serving, in.Bounds.BootTime), in.Demand.Due, in.Now)
 	d.fillMinimum()
 	p.hadDemand = p.hadDemand || in.Demand.Due > 0
 	if p.hadDemand {
--- a/coord/scaling/scaling_test.go
+++ b/coord/scaling/scaling_test.go
@@ -39,7 +39,7 @@
 	later := start.Add(silentOwnerTimeout)
 	must.Zero(t, o.Demand(later).Open)
 	must.False(t, o.HasSilentOwner(later, 3*time.Second))
-	must.Zero(t, o.Demand(start.Add(stepMemory+1)).StepWork)
+	must.Zero(t, o.Demand(start.Add(MemoryOf(playedDue)+1)).StepWork)
 }
 
 // TestPool_Reclaimed tells servers that an order took away from reclaimed ones.
--- a/coord/scaling/shrink.go
+++ b/coord/scaling/shrink.go
@@ -19,7 +19,7 @@
 // shrink takes away servers that no step needs: plain ones first, in the dearest zones,
 // and then reclaimable ones where most are.
 func (d *draft) shrink() {
-	pause := cmp.Or(d.Demand.Period, stepMemory)
+	pause := cmp.Or(d.Demand.Period, d.planner.history.memory)
 	if !d.IsComplete || d.Now.Sub(d.planner.shrunkAt) < pause || len(d.why) > 0 || d.hasUnavailable() {
 		return
 	}
--- a/daemon/services/jobs/jobs.go
+++ b/daemon/services/jobs/jobs.go
@@ -174,6 +174,8 @@
 	ownership      ownershipRecord
 	log            logRecord
 	items          []*item
+	// stepEvents estimates the events of all items; zero until it is needed.
+	stepEvents float64
 	// pendingResults are finished and not yet in the log.
 	pendingResults []batch.Result
 	pendingSince   time.Time
--- a/daemon/services/jobs/load.go
+++ b/daemon/services/jobs/load.go
@@ -5,6 +5,7 @@
 
 	"github.com/flamingobeam/flamingobeam/coord/catalog"
 	"github.com/flamingobeam/flamingobeam/coord/placement"
+	"github.com/flamingobeam/flamingobeam/coord/scaling"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
 )
@@ -26,7 +27,7 @@
 		if configured.Scaling == nil {
 			continue
 		}
-		if load := s.loadOf(name, configured); len(load.Steps) > 0 {
+		if load := s.loadOf(name, configured); len(load.Steps) > 0 || load.Open > 0 {
 			loads = append(loads, load)
 		}
 	}
@@ -41,9 +42,11 @@
 		if j.route.service != name {
 			continue
 		}
-		load.Steps = append(load.Steps, contract.StepLoad{
-			Model: j.Model, Number: j.Step, Work: time.Duration(s.eventsOf(j, configured)) * pace, Age: now.Sub(j.submittedAt), Due: j.route.resultDeadline,
-		})
+		if age := now.Sub(j.submittedAt); age <= scaling.MemoryOf(j.route.resultDeadline) {
+			load.Steps = append(load.Steps, contract.StepLoad{
+				Model: j.Model, Number: j.Step, Work: time.Duration(s.eventsOf(j, configured)) * pace, Age: age, Due: j.route.resultDeadline,
+			})
+		}
 		if !j.isOpen() {
 			continue
 		}
@@ -60,17 +63,19 @@
 	return load
 }
 
-// eventsOf estimates the events of a whole step.
+// eventsOf estimates the events of a whole step, once for each job.
 func (s *service) eventsOf(j *job, configured catalog.Service) float64 {
+	if j.stepEvents > 0 {
+		return j.stepEvents
+	}
 	tokensPerEvent := float64(defaultTokensPerEvent)
 	if configured.Engine != nil && configured.Engine.TokensPerEvent > 0 {
 		tokensPerEvent = float64(configured.Engine.TokensPerEvent)
 	}
-	sum := 0.0
 	for i := range j.Items {
-		sum += placement.EstimateRemainingEvents(float64(j.Items[i].LengthHint)/tokensPerEvent, 0)
+		j.stepEvents += placement.EstimateRemainingEvents(float64(j.Items[i].LengthHint)/tokensPerEvent, 0)
 	}
-	return sum
+	return j.stepEvents
 }
 
 // meanPace returns the mean best pace of a service's servers.
