--- a/histories/managed/daemon_test.go
+++ b/histories/managed/daemon_test.go
@@ -203,6 +203,11 @@
 
 // putRoutes writes a configuration with exactly these routes.
 func (h *harness) putRoutes(version int, routes []map[string]any) {
+	h.putRoutesWithin(version, 1<<20, routes)
+}
+
+// putRoutesWithin is putRoutes with another limit of a request's body, in bytes.
+func (h *harness) putRoutesWithin(version, maxBody int, routes []map[string]any) {
 	h.store.put("op/config", map[string]any{
 		"version": version, "routes": routes,
 		"services": []map[string]any{
@@ -210,7 +215,7 @@
 				"engine": map[string]any{"slots": 8, "stride": 64, "models": []map[string]any{{"name": modelName}}}},
 			{"name": plainService, "healthPath": "/healthz", "maxConnections": 100},
 		},
-		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": maxBody, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 	})
 }
 
--- a/histories/managed/process_test.go
+++ b/histories/managed/process_test.go
@@ -18,6 +18,9 @@
 type process struct {
 	daemon
 	command *exec.Cmd
+	// metricsAddress, peersAddress and relayAddress are those of the metrics, of net/rpc and
+	// of requests that other daemons pass on.
+	metricsAddress, peersAddress, relayAddress string
 }
 
 // daemonBinary is the path of flamingobeamd, built once for all tests of the
@@ -60,7 +63,10 @@
 	}}
 	folder := h.t.TempDir()
 	configPath := filepath.Join(folder, "local.conf")
-	lines := append([]string{p.hostConfig(name, freePortRange(h.t))}, settings...)
+	peersPort := freePortRange(h.t)
+	p.metricsAddress = fmt.Sprintf("127.0.0.1:%d", ports[2])
+	p.peersAddress, p.relayAddress = fmt.Sprintf("127.0.0.1:%d", peersPort), fmt.Sprintf("127.0.0.1:%d", peersPort+1)
+	lines := append([]string{p.hostConfig(name, peersPort)}, settings...)
 	must.NoError(h.t, os.WriteFile(configPath, []byte(strings.Join(lines, "\n")), 0o600))
 	p.command = exec.Command(binary, "entry", fmt.Sprintf("--metrics-port=%d", ports[2]))
 	p.command.Env = append(os.Environ(), "FLAMINGOBEAM_NODE_FILE="+configPath)
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -54,18 +54,29 @@
 fi
 
 known=$(sed -n 's/^test: *//p' KNOWN-RED.txt 2>/dev/null | paste -sd'|' -)
-go test -json ${known:+-skip "^($known)\$"} work >"$out/go-test.json" 2>"$out/go-test.err"
-status=$?
-tests_passed=$(grep -c '"Action":"pass".*"Test":' "$out/go-test.json")
-tests_failed=$(grep -c '"Action":"fail".*"Test":' "$out/go-test.json")
-passed=$((passed + tests_passed))
-failed=$((failed + tests_failed))
-if [ "$status" -ne 0 ]; then
-  [ "$tests_failed" -gt 0 ] || failed=$((failed + 1))
-  sed -n 's/.*"Action":"output".*"Output":"\(.*\)"}$/\1/p' "$out/go-test.json" |
-    sed 's/\\n$//; s/\\t/\t/g; s/\\"/"/g' | grep -v -e '^=== ' -e '^--- PASS' -e '^ok ' -e '^PASS' -e 'no test files' | tail -n 80
-  cat "$out/go-test.err"
-fi
+# Tests of crowds measure the memory of a process, so they run alone, after all others.
+crowds='^TestCrowd_'
+
+# go_test NAME SKIPPED ARGUMENTS... runs tests, except those whose names match SKIPPED, and
+# counts those that passed and failed.
+go_test() {
+  local name=$1 skipped=$2 status tests_failed
+  shift 2
+  go test -json ${skipped:+-skip "$skipped"} "$@" >"$out/$name.json" 2>"$out/$name.err"
+  status=$?
+  tests_failed=$(grep -c '"Action":"fail".*"Test":' "$out/$name.json")
+  passed=$((passed + $(grep -c '"Action":"pass".*"Test":' "$out/$name.json")))
+  failed=$((failed + tests_failed))
+  if [ "$status" -ne 0 ]; then
+    [ "$tests_failed" -gt 0 ] || failed=$((failed + 1))
+    sed -n 's/.*"Action":"output".*"Output":"\(.*\)"}$/\1/p' "$out/$name.json" |
+      sed 's/\\n$//; s/\\t/\t/g; s/\\"/"/g' | grep -v -e '^=== ' -e '^--- PASS' -e '^ok ' -e '^PASS' -e 'no test files' | tail -n 80
+    cat "$out/$name.err"
+  fi
+}
+
+go_test go-test "$crowds${known:+|^($known)\$}" work
+go_test crowds "${known:+^($known)\$}" -count=1 -p 1 -run "$crowds" ./histories/managed
 if [ -s KNOWN-RED.txt ]; then
   echo "Known to fail:"
   cat KNOWN-RED.txt
