One account for all that a daemon holds for its clients

Cause: bodies were read whole with io.ReadAll, of which nothing counted the sum, and connections were accepted without a limit.

Change: the service traffic.intake accounts for heads, bodies, decoded jobs, buffered answers and requests in progress, and for the connections of each door (callers, relay, net/rpc, probes, metrics, the project's own front). Bytes are claimed piece by piece before they are read and given back on every path. A request that is arriving is refused as not run (429, Retry-After); a body that has not arrived by its deadline is refused (503). The fingerprint no longer copies the body.

Ruled out: anonymous mappings for bodies (a transport may still read a body after its exchange has ended), pooled pieces (the same), streaming bodies on (a request could not be repeated or hedged).

--- a/coord/quarantine/tracker.go
+++ b/coord/quarantine/tracker.go
@@ -33,6 +33,21 @@
 	return Fingerprint(max(1, digest.Sum64()))
 }
 
+// FingerprintOfRequest is FingerprintOf for a request whose body is in pieces.
+func FingerprintOfRequest(method, host, target string, body structs.Payload) Fingerprint {
+	var digest xxhash.Digest
+	digest.Reset()
+	for _, part := range []string{method, host, target} {
+		_, _ = digest.WriteString(part)
+		_, _ = digest.Write([]byte{0})
+	}
+	for _, piece := range body {
+		_, _ = digest.Write(piece)
+	}
+	_, _ = digest.Write([]byte{0})
+	return Fingerprint(max(1, digest.Sum64()))
+}
+
 // Crash is a crash of a server with the requests that were in flight on it.
 type Crash struct {
 	Server structs.HostName
--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -17,6 +17,7 @@
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/clients"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/front"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/hosts"
+	_ "github.com/flamingobeam/flamingobeam/daemon/services/intake"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/journal"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/metrics"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/peers"
--- a/daemon/config/entry.go
+++ b/daemon/config/entry.go
@@ -4,6 +4,7 @@
 	"os"
 
 	"github.com/flamingobeam/flamingobeam/coord/result"
+	"github.com/flamingobeam/flamingobeam/coord/settings"
 )
 
 // Entry holds the project's own settings of a daemon on a managed platform, which
@@ -15,8 +16,19 @@
 	Hedging Hedging `yaml:"hedging"`
 }
 
-// Clients bounds what clients may hold of a daemon.
-type Clients struct{}
+// Clients bounds what clients may hold of a daemon. Each field that is zero follows from
+// the limits of the host.
+type Clients struct {
+	// Bytes is what may be held for all clients together.
+	Bytes int64 `yaml:"bytes" validate:"min=0"`
+	// Connections is the number of connections of callers, and Requests that of requests
+	// in progress.
+	Connections int `yaml:"connections" validate:"min=0"`
+	Requests    int `yaml:"requests" validate:"min=0"`
+	// StalledAfter is how long a client that holds much may stand still when others need
+	// the room.
+	StalledAfter settings.Duration `yaml:"stalled_after" validate:"min=0,max=3600000000000"`
+}
 
 // Hedging limits the extra work of hedged requests.
 type Hedging struct{}
--- a/daemon/contract/managed.go
+++ b/daemon/contract/managed.go
@@ -177,7 +177,7 @@
 	// Target is the path and query, byte for byte as received.
 	Target string
 	Header http.Header
-	Body   []byte
+	Body   structs.Payload
 	// Deadline is the time at which the caller or the route gives up on a response.
 	Deadline time.Time
 	// ResumeAfter is the ID of the last event that the caller has of the stream which
@@ -285,6 +285,10 @@
 	Estimate(server catalog.Server) (pace, best time.Duration)
 }
 
+// MaxJobBytes bounds the body of a submission. The store holds values of up to 1 MiB of
+// JSON, in which bytes take a third more.
+const MaxJobBytes = 700 << 10
+
 // Jobs runs batch jobs. Errors are of package result; code NotFound means that the
 // job certainly does not exist.
 type Jobs interface {
--- a/daemon/services/dispatch/dispatch.go
+++ b/daemon/services/dispatch/dispatch.go
@@ -99,7 +99,7 @@
 	}
 	var fingerprint quarantine.Fingerprint
 	if !request.IsAccepted {
-		fingerprint = quarantine.FingerprintOf(request.Method, request.Host, request.Target, string(request.Body))
+		fingerprint = quarantine.FingerprintOfRequest(request.Method, request.Host, request.Target, request.Body)
 	}
 	call := &forwardCall{
 		service: s, request: request,
--- a/daemon/services/dispatch/send.go
+++ b/daemon/services/dispatch/send.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/flamingobeam/flamingobeam/coord/catalog"
@@ -41,7 +42,7 @@
 		attempt.failure.Server = ticket.Server.Name
 	}
 	outcome := contract.TicketOutcome{
-		Err: attempt.err, Latency: latency, Bytes: int64(len(request.Body) + len(attempt.reply.Body)),
+		Err: attempt.err, Latency: latency, Bytes: int64(request.Body.Len() + len(attempt.reply.Body)),
 	}
 	if ctx.Err() != nil && attempt.err != nil {
 		outcome.Err = ctx.Err()
@@ -125,8 +126,8 @@
 		reply.Stream = response
 		return attemptResult{reply: reply}
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes+1))
-	if err == nil && len(body) > maxBufferedBytes {
+	body, isWhole, err := readBuffered(ctx, response)
+	if err == nil && !isWhole {
 		return s.longResponse(reply, response, body, serverFailed)
 	}
 	_ = response.Body.Close()
@@ -140,8 +141,29 @@
 	return attemptResult{reply: reply}
 }
 
-// longResponse streams a response whose length was not announced and which turns
-// out to be longer than what is buffered. The report of a failure is not that long;
+// readBuffered reads a response that is short enough, as long as there is room for it. If
+// it is not whole, it returns its start.
+func readBuffered(ctx context.Context, response *http.Response) (start []byte, isWhole bool, err error) {
+	holding := contract.HoldingOf(ctx)
+	claim := func(bytes int64) error {
+		if !holding.TryClaim(bytes) {
+			return errNoRoom
+		}
+		return nil
+	}
+	limited := io.LimitReader(response.Body, maxBufferedBytes+1)
+	payload, err := transport.ReadPayload(limited, response.ContentLength, claim)
+	if errors.Is(err, errNoRoom) {
+		return payload.Bytes(), false, nil
+	}
+	return payload.Bytes(), err == nil && payload.Len() <= maxBufferedBytes, err
+}
+
+// errNoRoom means that the rest of a response has to be streamed.
+var errNoRoom = errors.New("dispatch: no room for a response")
+
+// longResponse streams a response for which there is no room, or whose length was not
+// announced and which turns out to be longer than what is buffered. The report of a failure is not that long;
 // such a body may have no end.
 func (s *service) longResponse(reply contract.ForwardReply, response *http.Response, start []byte, serverFailed bool) attemptResult {
 	if serverFailed {
--- a/daemon/services/engines/engines.go
+++ b/daemon/services/engines/engines.go
@@ -143,7 +143,7 @@
 	outgoing := platform.BackendRequest{
 		Server: request.Server.ID, Address: request.Server.Address,
 		Method: http.MethodPost, Host: request.Job.Host, Target: request.Item.Path,
-		Header: header, Body: request.Item.Body, AttemptID: string(request.Item.ID),
+		Header: header, Body: structs.PayloadOf(request.Item.Body), AttemptID: string(request.Item.ID),
 		Timeout: request.Timeout, Priority: request.Urgency,
 		Resume: permit,
 	}
--- a/daemon/services/expose/expose.go
+++ b/daemon/services/expose/expose.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 
+	"github.com/flamingobeam/flamingobeam/coord/intake"
 	"github.com/flamingobeam/flamingobeam/coord/result"
 	"github.com/flamingobeam/flamingobeam/daemon/config"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
@@ -30,6 +31,8 @@
 	metricsPath = "/metrics"
 	// readHeaderTimeout bounds the time to read the headers of a request.
 	readHeaderTimeout = 5 * time.Second
+	// idleTimeout is how long an idle connection is kept.
+	idleTimeout = time.Minute
 )
 
 type service struct {
@@ -37,6 +40,7 @@
 	address string
 	metrics contract.MetricsReader
 	log     *logrus.Entry
+	intake  contract.Intake
 	server  *http.Server
 	serving conc.WaitGroup
 }
@@ -48,7 +52,10 @@
 		return err
 	}
 	s.address, s.log = daemon.Platform.Metrics, ctx.Log()
-	s.metrics, err = kernel.Find[contract.MetricsReader](ctx, contract.NameMetrics)
+	if s.metrics, err = kernel.Find[contract.MetricsReader](ctx, contract.NameMetrics); err != nil {
+		return err
+	}
+	s.intake, err = kernel.Find[contract.Intake](ctx, contract.NameIntake)
 	return err
 }
 
@@ -56,11 +63,13 @@
 func (s *service) Start() error {
 	router := httprouter.New()
 	router.GET(metricsPath, s.serveMetrics)
-	s.server = &http.Server{Handler: router, ReadHeaderTimeout: readHeaderTimeout}
+	s.server = &http.Server{Handler: router, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	s.intake.Track(s.server)
 	listener, err := net.Listen("tcp", s.address)
 	if err != nil {
 		return result.Wrap(result.AddressTaken, err)
 	}
+	listener = s.intake.Guard(intake.DoorMetrics, listener)
 	s.serving.Go(func() {
 		if err := s.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			s.log.WithError(err).Error("Metrics server failed.")
--- a/daemon/services/front/front.go
+++ b/daemon/services/front/front.go
@@ -16,6 +16,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 
+	"github.com/flamingobeam/flamingobeam/coord/intake"
 	"github.com/flamingobeam/flamingobeam/coord/result"
 	"github.com/flamingobeam/flamingobeam/daemon/config"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
@@ -45,6 +46,7 @@
 	log          *logrus.Entry
 	clock        clockwork.Clock
 	trust        contract.Trust
+	intake       contract.Intake
 	routeGroups  []routeGroup
 	server       *http.Server
 	goroutines   conc.WaitGroup
@@ -61,6 +63,9 @@
 	if s.trust, err = kernel.Find[contract.Trust](ctx, contract.NameTrust); err != nil {
 		return err
 	}
+	if s.intake, err = kernel.Find[contract.Intake](ctx, contract.NameIntake); err != nil {
+		return err
+	}
 	s.log, s.clock = ctx.Log(), ctx.Clock()
 	s.longRequests = newLongRequests()
 	s.routeGroups = []routeGroup{
@@ -85,14 +90,16 @@
 	if err != nil {
 		return result.Wrap(result.AddressTaken, err)
 	}
+	listener = s.intake.Guard(intake.DoorCallers, listener)
 	if settings := s.trust.CallerServerTLS(); settings != nil {
 		listener = tls.NewListener(listener, settings)
 	}
 	s.server = &http.Server{
-		Handler:           s.newHandler(),
+		Handler:           boundHandler(s.newHandler()),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 	}
+	s.intake.Track(s.server)
 	s.log.Infof("Listening for callers on %s.", listener.Addr())
 	s.goroutines.Go(func() { _ = s.server.Serve(listener) })
 	return nil
--- a/daemon/services/gate/gate.go
+++ b/daemon/services/gate/gate.go
@@ -15,6 +15,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/flamingobeam/flamingobeam/coord/catalog"
+	"github.com/flamingobeam/flamingobeam/coord/intake"
 	"github.com/flamingobeam/flamingobeam/coord/result"
 	"github.com/flamingobeam/flamingobeam/daemon/config"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
@@ -49,6 +50,7 @@
 	jobs     contract.Jobs
 	shutdown contract.Shutdown
 	metrics  contract.Metrics
+	intake   contract.Intake
 	log      *logrus.Entry
 	loop     *kernel.Loop
 	workers  *kernel.Workers
@@ -77,6 +79,7 @@
 		kernel.Bind(&s.jobs, contract.NameJobs),
 		kernel.Bind(&s.shutdown, contract.NameShutdown),
 		kernel.Bind(&s.metrics, contract.NameMetrics),
+		kernel.Bind(&s.intake, contract.NameIntake),
 	)
 }
 
@@ -93,15 +96,15 @@
 	router.GET(platform.ItemPath, s.jobHandler(s.serveItemBody))
 	router.NotFound = http.HandlerFunc(s.serveRoute)
 	s.callerServer = &http.Server{
-		Handler: s.guardHandler(router), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: s.guardHandler(s.boundHandler(router)), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
 	probes := httprouter.New()
 	probes.GET(platform.ReadinessPath, s.serveReadiness)
 	s.readinessServer = &http.Server{Handler: probes, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-	if err := s.serve(s.callerServer, s.config.Listen.Callers); err != nil {
+	if err := s.serve(s.callerServer, intake.DoorCallers, s.config.Listen.Callers); err != nil {
 		return err
 	}
-	return s.serve(s.readinessServer, s.config.Platform.Readiness)
+	return s.serve(s.readinessServer, intake.DoorProbes, s.config.Platform.Readiness)
 }
 
 // guardHandler ends a panic of a handler, which costs its request alone: the
@@ -128,11 +131,13 @@
 	})
 }
 
-func (s *service) serve(server *http.Server, address string) error {
+func (s *service) serve(server *http.Server, door intake.Door, address string) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return result.Wrap(result.AddressTaken, err)
 	}
+	listener = s.intake.Guard(door, listener)
+	s.intake.Track(server)
 	s.log.WithField("address", address).Info("Listening.")
 	s.goroutines.Go(func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
--- a/daemon/services/gate/handlers.go
+++ b/daemon/services/gate/handlers.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -78,30 +79,6 @@
 	return ctx, func() { stop(); cancel() }
 }
 
-// readBody reads the body of a request. It fails with code BodyTooLarge if the body
-// exceeds the operator's limit, and with code Stopping if it has not arrived when requests
-// in flight are ended at a planned stop.
-func (s *service) readBody(w http.ResponseWriter, r *http.Request, limits catalog.Limits) ([]byte, error) {
-	maxBytes := limits.BodyBytes
-	if maxBytes <= 0 {
-		maxBytes = defaultMaxBodyBytes
-	}
-	control := http.NewResponseController(w)
-	defer context.AfterFunc(s.drainCtx, func() { _ = control.SetReadDeadline(time.Now()) })()
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBytes))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, result.New(result.BodyTooLarge, "over %d bytes", maxBytes)
-	}
-	if err != nil && s.drainCtx.Err() != nil {
-		return nil, result.New(result.Stopping, "its body has not arrived: %v", err)
-	}
-	if err != nil {
-		return nil, result.Wrap(result.BadRequest, err)
-	}
-	return body, nil
-}
-
 // requestDeadline returns the deadline of a request that arrived at started. It
 // applies the shorter of the caller's and the route's timeouts.
 func requestDeadline(started time.Time, headers platform.RequestHeaders, route *catalog.Route) time.Time {
@@ -141,15 +118,16 @@
 // forward sends a request to a backend server and relays the response.
 func (s *service) forward(w http.ResponseWriter, r *http.Request, headers platform.RequestHeaders, route *catalog.Route, current *catalog.Catalog) {
 	started := time.Now()
-	body, err := s.readBody(w, r, current.Limits)
-	if err == nil && headers.InvalidPosition {
-		err = result.New(result.BadRequest, "the ID of the last event is not a number")
-	}
+	deadline := requestDeadline(started, headers, route)
+	body, err := s.readBody(w, r, maxBodyBytes(current.Limits), deadline)
 	if err != nil {
-		s.writeError(w, r, headers, err)
+		s.refuseUnread(w, r, headers, err)
+		return
+	}
+	if headers.InvalidPosition {
+		s.writeError(w, r, headers, result.New(result.BadRequest, "the ID of the last event is not a number"))
 		return
 	}
-	deadline := requestDeadline(started, headers, route)
 	if err := s.checkDrain(route, deadline); err != nil {
 		s.writeError(w, r, headers, err)
 		return
@@ -159,6 +137,7 @@
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	defer s.limitWrites(w, deadline.Add(writeGrace))()
+	contract.HoldingOf(ctx).Pass()
 	reply, err := s.dispatch.Forward(ctx, contract.ForwardRequest{
 		Route: route, ID: headers.AttemptID, Method: r.Method, Host: r.Host, Target: r.RequestURI,
 		Header: r.Header, Body: body, Deadline: deadline,
@@ -206,8 +185,13 @@
 // submitJob accepts a batch job.
 func (s *service) submitJob(w http.ResponseWriter, r *http.Request, headers platform.RequestHeaders, route *catalog.Route, current *catalog.Catalog) {
 	started := time.Now()
-	body, err := s.readBody(w, r, current.Limits)
+	payload, err := s.readBody(w, r, min(maxBodyBytes(current.Limits), contract.MaxJobBytes), started.Add(cmp.Or(headers.Timeout, defaultTimeout)))
 	if err != nil {
+		s.refuseUnread(w, r, headers, err)
+		return
+	}
+	body := payload.Bytes()
+	if err := contract.HoldingOf(r.Context()).Claim(jobBytes(body)); err != nil {
 		s.writeError(w, r, headers, err)
 		return
 	}
@@ -226,6 +210,7 @@
 	defer release()
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	contract.HoldingOf(ctx).Pass()
 	err = s.jobs.Submit(ctx, job, body)
 	s.metrics.Time("gate.submit", time.Since(started))
 	if err != nil {
@@ -251,6 +236,10 @@
 		s.writeError(w, r, headers, err)
 		return
 	}
+	if err := contract.HoldingOf(ctx).Claim(resultsBytes(reply.Results)); err != nil {
+		s.writeError(w, r, headers, err)
+		return
+	}
 	encoded, err := platform.EncodeResults(reply.Total, after, reply.Results)
 	if err != nil {
 		s.writeError(w, r, headers, result.Wrap(result.StoreUnavailable, err))
@@ -277,6 +266,10 @@
 		s.writeError(w, r, platform.DecodeRequestHeaders(r), err)
 		return
 	}
+	if err := contract.HoldingOf(ctx).Claim(int64(len(body))); err != nil {
+		s.writeError(w, r, platform.DecodeRequestHeaders(r), err)
+		return
+	}
 	s.writeBody(w, "application/octet-stream", body)
 }
 
--- a/daemon/services/jobs/reward.go
+++ b/daemon/services/jobs/reward.go
@@ -11,6 +11,7 @@
 
 	"github.com/flamingobeam/flamingobeam/coord/batch"
 	"github.com/flamingobeam/flamingobeam/coord/result"
+	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
 	"github.com/flamingobeam/flamingobeam/kernel"
 )
@@ -73,7 +74,7 @@
 	defer cancel()
 	response, err := s.dispatch.Forward(ctx, contract.ForwardRequest{
 		Route: route, ID: reward.ID, Method: http.MethodPost, Host: reward.Host, Target: reward.Path,
-		Header: http.Header{}, Body: reward.Body, Deadline: deadline, IsAccepted: true, DiscardBody: true,
+		Header: http.Header{}, Body: structs.PayloadOf(reward.Body), Deadline: deadline, IsAccepted: true, DiscardBody: true,
 	})
 	if err != nil {
 		return rewardOutcome{err: err, maxAttempts: route.MaxAttempts}
--- a/daemon/services/jobs/store.go
+++ b/daemon/services/jobs/store.go
@@ -30,9 +30,6 @@
 )
 
 const (
-	// maxSourceBytes bounds a submitted body. The store holds values of up to 1
-	// MiB.
-	maxSourceBytes = 700 << 10
 	// maxChunkBytes bounds the results in one write.
 	maxChunkBytes = 500 << 10
 	// maxCachedBytes bounds the cached chunks, which serve reads of other
--- a/daemon/services/jobs/submit.go
+++ b/daemon/services/jobs/submit.go
@@ -10,6 +10,7 @@
 
 	"github.com/flamingobeam/flamingobeam/coord/batch"
 	"github.com/flamingobeam/flamingobeam/coord/result"
+	"github.com/flamingobeam/flamingobeam/daemon/contract"
 	"github.com/flamingobeam/flamingobeam/outside"
 )
 
@@ -32,7 +33,7 @@
 
 // Submit implements contract.Jobs.
 func (s *service) Submit(ctx context.Context, job *batch.Job, source []byte) error {
-	if len(source) > maxSourceBytes {
+	if len(source) > contract.MaxJobBytes {
 		return result.New(result.BodyTooLarge, "a batch job of %d bytes", len(source))
 	}
 	accepted, isOutcomeUnknown := s.submitToModelOwner(ctx, job, source)
--- a/daemon/services/links/relay_server.go
+++ b/daemon/services/links/relay_server.go
@@ -1,7 +1,6 @@
 package links
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net"
@@ -14,6 +13,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/flamingobeam/flamingobeam/coord/intake"
 	"github.com/flamingobeam/flamingobeam/coord/reach"
 	"github.com/flamingobeam/flamingobeam/coord/result"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
@@ -41,10 +41,12 @@
 	if err != nil {
 		return result.Wrap(result.AddressTaken, err)
 	}
+	listener = s.intake.Guard(intake.DoorRelay, listener)
 	router := httprouter.New()
 	router.HandleMethodNotAllowed, router.HandleOPTIONS = false, false
 	router.NotFound = http.HandlerFunc(s.serveRelayed)
 	s.relayServer = &http.Server{Handler: router, ReadHeaderTimeout: relayHeaderTimeout, IdleTimeout: 2 * helperIdleTimeout}
+	s.intake.Track(s.relayServer)
 	s.log.WithField("address", s.config.Listen.Relay).Info("Listening for requests of other daemons.")
 	s.goroutines.Go(func() {
 		if err := s.relayServer.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
@@ -96,12 +98,25 @@
 			return
 		}
 	}
+	holding := contract.HoldingOf(r.Context())
+	defer holding.End()
+	if err := holding.Begin(); err != nil {
+		s.log.WithError(err).Info("A relayed request is refused.")
+		refuseRelayed(w, refusalBusy)
+		return
+	}
 	request, err := s.decodeRelayed(r)
+	if result.CodeOf(err) == result.Overloaded || holding.Err() != nil {
+		s.log.WithError(err).Info("A relayed request is refused.")
+		refuseRelayed(w, refusalBusy)
+		return
+	}
 	if err != nil {
 		s.log.WithError(err).Info("A relayed request is refused.")
 		refuseRelayed(w, refusalUnknown)
 		return
 	}
+	holding.Pass()
 	e, response, err := s.exchangeDirectly(r.Context(), request)
 	if err != nil {
 		s.refuseFailed(w, r, e, err)
@@ -146,11 +161,11 @@
 	if !ok || listed.Address != address {
 		return contract.Exchange{}, errors.Wrapf(errUnknownServer, "%s at %q", server, address)
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxRelayedBody+1))
+	body, err := transport.ReadPayload(io.LimitReader(r.Body, maxRelayedBody+1), r.ContentLength, contract.HoldingOf(r.Context()).Claim)
 	if err != nil {
 		return contract.Exchange{}, errors.WithStack(err)
 	}
-	if len(body) > maxRelayedBody {
+	if body.Len() > maxRelayedBody {
 		return contract.Exchange{}, errBodyTooLong
 	}
 	repeatable := r.Header.Get(headerRepeatable) != ""
@@ -166,13 +181,13 @@
 }
 
 // buildRelayed returns the request that another daemon has built, for its server.
-func buildRelayed(ctx context.Context, r *http.Request, address, target string, body []byte) *http.Request {
+func buildRelayed(ctx context.Context, r *http.Request, address, target string, body structs.Payload) *http.Request {
 	outgoing := &http.Request{
 		Method: r.Method, URL: &url.URL{Scheme: "http", Host: address, Opaque: target}, Host: r.Host,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: r.Header.Clone(),
 	}
-	if len(body) > 0 {
-		outgoing.Body, outgoing.ContentLength = io.NopCloser(bytes.NewReader(body)), int64(len(body))
+	if length := body.Len(); length > 0 {
+		outgoing.Body, outgoing.ContentLength = platform.NewBody(body), int64(length)
 	}
 	// A nil value prevents net/http from adding its default User-Agent.
 	if _, ok := outgoing.Header["User-Agent"]; !ok {
--- a/daemon/services/links/service.go
+++ b/daemon/services/links/service.go
@@ -49,6 +49,7 @@
 	config       config.Daemon
 	servers      contract.Servers
 	session      contract.Session
+	intake       contract.Intake
 	linkFailures contract.LinkFailures
 	shutdown     contract.Shutdown
 	metrics      contract.Metrics
@@ -120,6 +121,7 @@
 		kernel.Bind(&s.linkFailures, contract.NameBalance),
 		kernel.Bind(&s.shutdown, contract.NameShutdown),
 		kernel.Bind(&s.metrics, contract.NameMetrics),
+		kernel.Bind(&s.intake, contract.NameIntake),
 	)
 }
 
--- a/daemon/services/plain/quarantine_test.go
+++ b/daemon/services/plain/quarantine_test.go
@@ -17,6 +17,7 @@
 	"github.com/flamingobeam/flamingobeam/daemon/config"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/balance"
+	_ "github.com/flamingobeam/flamingobeam/daemon/services/intake"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/metrics"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/peers"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/rpcserver"
--- a/daemon/services/rpcserver/codec.go
+++ b/daemon/services/rpcserver/codec.go
@@ -11,12 +11,24 @@
 
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
+
+	"github.com/flamingobeam/flamingobeam/daemon/contract"
 )
 
 // maxMessageBytes bounds one request. The largest is a batch job that is handed
 // over with its texts.
 const maxMessageBytes = 32 << 20
 
+const (
+	// freeMessageBytes is the length of a message for which nothing is claimed: most are
+	// shorter, and it is part of the cost of a connection.
+	freeMessageBytes = 4 << 10
+	// messagePiece is how much of a longer one is read between two claims, and messageCost
+	// how much memory a byte takes, encoded and decoded.
+	messagePiece = 64 << 10
+	messageCost  = 2
+)
+
 // errMessageTooLong means that a request exceeds maxMessageBytes.
 var errMessageTooLong = errors.New("rpcserver: request too long")
 
@@ -24,6 +36,17 @@
 type messageReader struct {
 	reader    io.Reader
 	remaining int
+	// holding accounts for the message, of which claimed bytes may still be read.
+	holding contract.Holding
+	claimed int
+	// sum is what has been claimed for the message.
+	sum int64
+}
+
+// begin prepares for the next message. What was claimed for the last one belongs to its
+// call.
+func (m *messageReader) begin() {
+	m.remaining, m.claimed, m.sum = maxMessageBytes, freeMessageBytes, 0
 }
 
 // Read implements io.Reader.
@@ -31,8 +54,16 @@
 	if m.remaining <= 0 {
 		return 0, errMessageTooLong
 	}
-	n, err := m.reader.Read(p[:min(len(p), m.remaining)])
+	if m.claimed <= 0 {
+		if err := m.holding.Claim(messageCost * messagePiece); err != nil {
+			return 0, err
+		}
+		m.claimed += messagePiece
+		m.sum += messageCost * messagePiece
+	}
+	n, err := m.reader.Read(p[:min(len(p), m.remaining, m.claimed)])
 	m.remaining -= n
+	m.claimed -= n
 	return n, err
 }
 
@@ -48,8 +79,8 @@
 	encoder *gob.Encoder
 }
 
-func newConnCodec(conn net.Conn) *connCodec {
-	c := &connCodec{conn: conn, message: &messageReader{reader: conn}, writer: bufio.NewWriter(conn)}
+func newConnCodec(conn net.Conn, holding contract.Holding) *connCodec {
+	c := &connCodec{conn: conn, message: &messageReader{reader: conn, holding: holding}, writer: bufio.NewWriter(conn)}
 	c.decoder, c.encoder = gob.NewDecoder(bufio.NewReader(c.message)), gob.NewEncoder(c.writer)
 	return c
 }
@@ -81,11 +112,13 @@
 	// readDone is called when the request has been read, or cannot be.
 	readDone func(err error)
 	answered bool
+	// held is what is claimed for the request until the call ends.
+	held int64
 }
 
 // ReadRequestHeader implements rpc.ServerCodec.
 func (c *callCodec) ReadRequestHeader(request *rpc.Request) error {
-	c.message.remaining = maxMessageBytes
+	c.message.begin()
 	err := c.decoder.Decode(request)
 	c.request = *request
 	if err != nil {
@@ -97,6 +130,7 @@
 // ReadRequestBody implements rpc.ServerCodec.
 func (c *callCodec) ReadRequestBody(body any) error {
 	err := c.decoder.Decode(body)
+	c.held = c.message.sum
 	c.readDone(err)
 	return err
 }
@@ -117,7 +151,7 @@
 	defer conn.Close()
 	var calls conc.WaitGroup
 	defer calls.Wait()
-	codec := newConnCodec(conn)
+	codec := newConnCodec(conn, s.intake.OfConn(conn))
 	for {
 		read := make(chan error, 1)
 		calls.Go(func() { s.serveCall(codec, func(err error) { read <- err }) })
@@ -136,6 +170,7 @@
 	call := &callCodec{connCodec: conn, readDone: func(err error) { once.Do(func() { readDone(err) }) }}
 	// A call that ends without having been read must not block the connection.
 	defer call.readDone(errors.WithStack(io.ErrUnexpectedEOF))
+	defer func() { conn.message.holding.Release(call.held) }()
 	returned := s.guard.Run("a call of another daemon", func() {
 		// Errors were answered, or the connection is closed.
 		_ = s.server.ServeRequest(call)
--- a/daemon/services/rpcserver/codec_test.go
+++ b/daemon/services/rpcserver/codec_test.go
@@ -13,9 +13,15 @@
 	"github.com/shoenig/test/must"
 	"github.com/sirupsen/logrus"
 
+	"github.com/flamingobeam/flamingobeam/daemon/contract"
 	"github.com/flamingobeam/flamingobeam/kernel"
 )
 
+// noIntake bounds nothing.
+type noIntake struct{ contract.Intake }
+
+func (noIntake) OfConn(net.Conn) contract.Holding { return contract.HoldingOf(context.Background()) }
+
 // Echo is a receiver for tests.
 type Echo struct{ release chan struct{} }
 
@@ -51,7 +57,7 @@
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	s := &service{server: rpc.NewServer(), log: logrus.NewEntry(log), guard: kernel.NewGuard(log)}
+	s := &service{server: rpc.NewServer(), intake: noIntake{}, log: logrus.NewEntry(log), guard: kernel.NewGuard(log)}
 	must.NoError(t, s.Register("Echo", echo))
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
@@ -162,7 +168,7 @@
 	f.Add([]byte("\xff\xff\xff\xff"))
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	s := &service{server: rpc.NewServer(), log: logrus.NewEntry(log), guard: kernel.NewGuard(log)}
+	s := &service{server: rpc.NewServer(), intake: noIntake{}, log: logrus.NewEntry(log), guard: kernel.NewGuard(log)}
 	must.NoError(f, s.Register("Echo", &Echo{}))
 	f.Fuzz(func(t *testing.T, input []byte) {
 		ours, theirs := net.Pipe()
--- a/daemon/services/rpcserver/rpcserver.go
+++ b/daemon/services/rpcserver/rpcserver.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 
+	"github.com/flamingobeam/flamingobeam/coord/intake"
 	"github.com/flamingobeam/flamingobeam/coord/result"
 	"github.com/flamingobeam/flamingobeam/daemon/config"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
@@ -31,6 +32,7 @@
 	server   *rpc.Server
 	address  string
 	trust    contract.Trust
+	intake   contract.Intake
 	listener net.Listener
 	log      *logrus.Entry
 	guard    *kernel.Guard
@@ -53,6 +55,9 @@
 	if s.trust, err = kernel.Find[contract.Trust](ctx, contract.NameTrust); err != nil {
 		return err
 	}
+	if s.intake, err = kernel.Find[contract.Intake](ctx, contract.NameIntake); err != nil {
+		return err
+	}
 	s.address = daemon.Listen.Peers
 	s.log, s.guard = ctx.Log(), ctx.Guard()
 	return nil
@@ -69,6 +74,7 @@
 	if err != nil {
 		return result.Wrap(result.AddressTaken, err)
 	}
+	listener = s.intake.Guard(intake.DoorCalls, listener)
 	if settings := s.trust.PeerServerTLS(); settings != nil {
 		listener = tls.NewListener(listener, settings)
 	}
