Bound the memory of accepted batch jobs

Cause: each accepted job stays in memory until it has ended, and nothing counted them. Change: a daemon accepts no further job beyond 0.15 of its host's memory (refused as not run, unless it owns the job already); jobs that it takes over count but are held nevertheless. A submission is also counted with the copies that its encodings take. Also: the test of quarantine through a whole kernel lists the new service.

--- a/coord/intake/host.go
+++ b/coord/intake/host.go
@@ -6,6 +6,8 @@
 	// bytesPart is the part of a host's memory that may be held for clients. The garbage
 	// collector keeps the process to twice that, with the daemon's own work in it.
 	bytesPart = 0.3
+	// workPart is the part for accepted batch jobs.
+	workPart = 0.15
 	// connectionBytes is the memory of a connection without a request, and
 	// connectionsPart the part of a host's memory for all of them.
 	connectionBytes = 12 << 10
@@ -50,6 +52,7 @@
 		Bytes:        int64(bytesPart * float64(memory)),
 		Connections:  max(minPeers, min(int(callersPart*float64(sockets)), int(connectionsPart*float64(memory)/connectionBytes))),
 		Requests:     max(minPeers, int(requestsPart*float64(sockets))),
+		Work:         int64(workPart * float64(memory)),
 		StalledAfter: DefaultStalledAfter,
 	}
 }
--- a/coord/intake/intake.go
+++ b/coord/intake/intake.go
@@ -48,6 +48,9 @@
 	Bytes       int64
 	Connections int
 	Requests    int
+	// Work is the memory of accepted batch jobs, in bytes. No more are accepted beyond it;
+	// those that are taken over from other daemons are held nevertheless.
+	Work int64
 	// StalledAfter is how long a client that holds much may not move when others need
 	// the room.
 	StalledAfter time.Duration
@@ -71,6 +74,10 @@
 	return sum+more <= limit
 }
 
+// AdmitsWork reports whether further work may be accepted, where held is that of the jobs
+// accepted before.
+func (b Budget) AdmitsWork(held, more int64) bool { return held+more <= b.Work }
+
 // BytesFrom returns the indices of the holders to end, so that claimer can hold more
 // bytes. It ends stalled ones until they free enough, those that hold most and have moved
 // least before others. If none has stalled, the claimer itself is refused when it holds
--- a/daemon/config/entry.go
+++ b/daemon/config/entry.go
@@ -25,6 +25,8 @@
 	// in progress.
 	Connections int `yaml:"connections" validate:"min=0"`
 	Requests    int `yaml:"requests" validate:"min=0"`
+	// Work is the memory of accepted batch jobs beyond which no more are accepted.
+	Work int64 `yaml:"work" validate:"min=0"`
 	// StalledAfter is how long a client that holds much may stand still when others need
 	// the room.
 	StalledAfter settings.Duration `yaml:"stalled_after" validate:"min=0,max=3600000000000"`
--- a/daemon/contract/intake.go
+++ b/daemon/contract/intake.go
@@ -23,6 +23,12 @@
 	Track(server *http.Server)
 	// OfConn returns the holding of a connection that a listener of Guard accepted.
 	OfConn(conn net.Conn) Holding
+	// AdmitsWork reports whether batch jobs that take further bytes of memory may be
+	// accepted.
+	AdmitsWork(bytes int64) bool
+	// HoldWork accounts for accepted work, also beyond what is admitted. A negative number
+	// gives bytes back.
+	HoldWork(bytes int64)
 }
 
 // Holding is what is held for one connection. Its methods may be called from any
--- a/daemon/services/gate/bounds.go
+++ b/daemon/services/gate/bounds.go
@@ -90,14 +90,18 @@
 	// itemBytes is the memory of a decoded item of a batch job besides its text, of its
 	// headers and of its reward call, each of which is an object of the job's JSON.
 	itemBytes = 512
-	// textCopies is how often the text of a job is held while it is submitted.
-	textCopies = 3
+	// jobCopies is how often the text of a job is held while it is submitted: decoded, and
+	// encoded for another daemon and for the store, which takes a third more.
+	jobCopies = 6
+	// resultCopies is how often the text of results is held: read, encoded by itself and
+	// in its page.
+	resultCopies = 3
 )
 
 // jobBytes returns the memory that it takes to decode and submit a job, in bytes. A brace
 // in a text counts as an object too.
 func jobBytes(source []byte) int64 {
-	return int64(textCopies*len(source) + itemBytes*bytes.Count(source, []byte{'{'}))
+	return int64(jobCopies*len(source) + itemBytes*bytes.Count(source, []byte{'{'}))
 }
 
 // resultsBytes returns the memory of a page of results while it is encoded and written.
@@ -106,5 +110,5 @@
 	for _, r := range results {
 		length += len(r.Output)
 	}
-	return int64(textCopies * length)
+	return int64(resultCopies * length)
 }
--- a/daemon/services/intake/service.go
+++ b/daemon/services/intake/service.go
@@ -36,6 +36,8 @@
 	// have been ended, and requests the number of requests in progress.
 	held, ending int64
 	requests     int
+	// work is what accepted batch jobs hold.
+	work int64
 	// changed is closed when bytes are given back; nil if nobody waits.
 	changed chan struct{}
 	// nextChoice is when the holders may be looked through again.
@@ -62,7 +64,7 @@
 	}
 	s.budget, s.descriptors = budgetOf(daemon.Platform.Entry.Clients, memory, descriptors), descriptors
 	s.log.WithFields(logrus.Fields{
-		"memory": memory, "descriptors": descriptors, "bytes": s.budget.Bytes, "connections": s.budget.Connections, "requests": s.budget.Requests,
+		"memory": memory, "descriptors": descriptors, "bytes": s.budget.Bytes, "connections": s.budget.Connections, "requests": s.budget.Requests, "work": s.budget.Work,
 	}).Info("Clients are bounded.")
 	return kernel.FindAll(ctx, kernel.Bind(&s.metrics, contract.NameMetrics))
 }
@@ -79,6 +81,9 @@
 	if settings.Requests > 0 {
 		budget.Requests = settings.Requests
 	}
+	if settings.Work > 0 {
+		budget.Work = settings.Work
+	}
 	if settings.StalledAfter > 0 {
 		budget.StalledAfter = time.Duration(settings.StalledAfter)
 	}
@@ -91,6 +96,26 @@
 	server.ConnState = trackState
 }
 
+// AdmitsWork implements contract.Intake.
+func (s *service) AdmitsWork(bytes int64) bool {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	admits := s.budget.AdmitsWork(s.work, bytes)
+	if !admits {
+		s.recordChoice(now, "work_refused", 1)
+	}
+	return admits
+}
+
+// HoldWork implements contract.Intake.
+func (s *service) HoldWork(bytes int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.work += bytes
+	s.metrics.Gauge("intake.work_bytes", s.work)
+}
+
 // snapshot returns the connections that a choice is made from and how they are described
 // to it. The caller must hold s.mu.
 func (s *service) snapshot(now time.Time, include func(*conn) bool) ([]*conn, []intake.Holder) {
--- a/daemon/services/jobs/jobs.go
+++ b/daemon/services/jobs/jobs.go
@@ -52,6 +52,7 @@
 	limits       contract.ServerLimits
 	shutdown     contract.Shutdown
 	metrics      contract.Metrics
+	intake       contract.Intake
 	log          *logrus.Entry
 	loop         *kernel.Loop
 	workers      *kernel.Workers
@@ -115,6 +116,7 @@
 		kernel.Bind(&s.limits, contract.NameServerLimits),
 		kernel.Bind(&s.shutdown, contract.NameShutdown),
 		kernel.Bind(&s.metrics, contract.NameMetrics),
+		kernel.Bind(&s.intake, contract.NameIntake),
 	)
 	if err != nil {
 		return err
@@ -260,6 +262,7 @@
 	j.view = kernel.NewSnapshot(&jobView{itemCount: len(j.items), results: a.results, isEnded: a.ownership.Ended, verifiedAt: j.verifiedAt})
 	s.swaps.RecordDemand(contract.ModelDemand{Model: j.Model, Size: estimatedTokens(&j.Job)})
 	s.ownedJobs[j.ID] = j
+	s.intake.HoldWork(workBytes(&j.Job))
 	if a.texts == nil && len(a.results) == 0 {
 		s.requestEarlierTexts(j)
 	}
@@ -286,6 +289,7 @@
 	s.log.WithFields(logrus.Fields{"job": j.ID, "epoch": j.ownership.Epoch, "why": why}).Info("Batch job dropped.")
 	j.cancel()
 	delete(s.ownedJobs, j.ID)
+	s.intake.HoldWork(-workBytes(&j.Job))
 	s.jobViews.Delete(j.ID)
 	last := *j.view.Load()
 	last.isLost = true
--- a/daemon/services/jobs/jobs_test.go
+++ b/daemon/services/jobs/jobs_test.go
@@ -20,6 +20,13 @@
 	"github.com/flamingobeam/flamingobeam/kernel"
 )
 
+// noIntake bounds nothing.
+type noIntake struct{ contract.Intake }
+
+func (noIntake) AdmitsWork(int64) bool { return true }
+
+func (noIntake) HoldWork(int64) {}
+
 // TestReadOwnResults_StaleVerification gives an owner a log of two results that
 // was last verified too long ago. The owner may return these results, but may
 // not report the end of the log without asking the store.
@@ -84,8 +91,8 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	s := &service{
-		ownerCache: make(map[string]ownerEntry),
-		store:      f, swaps: f, session: f, catalog: f, log: logrus.NewEntry(log), loop: kernel.NewLoop(clockwork.NewFakeClock()),
+		ownerCache: make(map[string]ownerEntry), intake: noIntake{},
+		store: f, swaps: f, session: f, catalog: f, log: logrus.NewEntry(log), loop: kernel.NewLoop(clockwork.NewFakeClock()),
 		workers: kernel.NewWorkers(1), engines: make(map[structs.HostName]*engineState), ownedJobs: make(map[string]*job), earlyEnds: make(map[string]ownershipRecord),
 	}
 	s.broadcaster = broadcast.Broadcaster{Session: f, Workers: s.workers, Log: s.log}
--- a/daemon/services/jobs/submit.go
+++ b/daemon/services/jobs/submit.go
@@ -47,6 +47,11 @@
 // another daemon may have written the job already: the outcome is then unknown
 // until the store confirms it.
 func (s *service) accept(ctx context.Context, job *batch.Job, source []byte, isOutcomeUnknown bool) error {
+	if !isOutcomeUnknown {
+		if err := s.checkRoom(job); err != nil {
+			return err
+		}
+	}
 	ownership := batch.Ownership{Owner: s.session.View().Load().Self.Name, Epoch: 1, Submitted: time.Now().UnixMilli()}
 	log := s.log.WithFields(logrus.Fields{"job": job.ID, "items": len(job.Items), "model": job.Model, "step": job.Step})
 	retryBackoff := newRetryBackoff()
--- a/daemon/services/plain/quarantine_test.go
+++ b/daemon/services/plain/quarantine_test.go
@@ -86,7 +86,7 @@
 	}
 	view := &contract.HostView{Loaded: true, Services: map[structs.ServiceName][]structs.BackendServer{"portal": servers}}
 	registry := kernel.NewRegistry()
-	for _, name := range []kernel.Name{contract.NameBalance, contract.NameRetries, contract.NameMetrics, contract.NamePeers, contract.NameRPCServer, contract.NameTrust} {
+	for _, name := range []kernel.Name{contract.NameBalance, contract.NameRetries, contract.NameMetrics, contract.NamePeers, contract.NameRPCServer, contract.NameTrust, contract.NameIntake} {
 		registry.Register(name, func() kernel.Service {
 			loaded, err := kernel.DefaultRegistry().New(name)
 			must.NoError(t, err)
--- a/histories/managed/crowd_kinds_test.go
+++ b/histories/managed/crowd_kinds_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/base64"
 	"fmt"
 	"io"
 	"net"
@@ -190,6 +191,29 @@
 	})
 }
 
+// TestCrowd_AcceptedJobs has callers submit sound batch jobs again and again while no engine
+// runs any, together more than the host's memory.
+func TestCrowd_AcceptedJobs(t *testing.T) {
+	const callers, jobsPerCaller, itemsPerJob, itemBytes, tries = 8, 50, 60, 8 << 10, 3
+	h, p := startCrowdHost(t)
+	body := base64.StdEncoding.EncodeToString(make([]byte, itemBytes))
+	playCrowd(h, p, callers, p.address, func(caller int, _ net.Conn) {
+		for i := range jobsPerCaller {
+			id := fmt.Sprintf("job-%d-%d", caller, i)
+			items := make([]string, itemsPerJob)
+			for item := range items {
+				items[item] = fmt.Sprintf(`{"id":"%s-%d","path":"/train/item","body":"%s","tokens":500}`, id, item, body)
+			}
+			job := `{"model":"model-a","items":[` + strings.Join(items, ",") + "]}"
+			for range tries {
+				if p.call(http.MethodPost, "/train/"+id, id, nil, job).status == http.StatusAccepted {
+					break
+				}
+			}
+		}
+	})
+}
+
 // TestCrowd_RelayedBodiesStoppingShort sends bodies to the address for requests that other
 // daemons pass on.
 func TestCrowd_RelayedBodiesStoppingShort(t *testing.T) {
