--- a/daemon/services/dispatch/dispatch.go
+++ b/daemon/services/dispatch/dispatch.go
@@ -108,7 +108,7 @@
 	}
 	var fingerprint quarantine.Fingerprint
 	if !request.IsAccepted {
-		fingerprint = quarantine.FingerprintOf(request.Method, request.Host, request.Target, string(request.Body))
+		fingerprint = quarantine.FingerprintOfRequest(request.Method, request.Host, request.Target, request.Body)
 	}
 	pick := contract.PickRequest{
 		Service: target, Class: classOf(request.Route), Deadline: request.Deadline,
--- a/daemon/services/jobs/reward.go
+++ b/daemon/services/jobs/reward.go
@@ -12,6 +12,7 @@
 	"github.com/flamingobeam/flamingobeam/coord/access"
 	"github.com/flamingobeam/flamingobeam/coord/batch"
 	"github.com/flamingobeam/flamingobeam/coord/result"
+	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
 	"github.com/flamingobeam/flamingobeam/kernel"
 )
@@ -74,7 +75,7 @@
 	defer cancel()
 	response, err := s.dispatch.Forward(ctx, contract.ForwardRequest{
 		Route: route, ID: reward.ID, Method: http.MethodPost, Host: reward.Host, Target: reward.Path,
-		Header: http.Header{}, Body: reward.Body, Deadline: deadline, IsAccepted: true, DiscardBody: true,
+		Header: http.Header{}, Body: structs.PayloadOf(reward.Body), Deadline: deadline, IsAccepted: true, DiscardBody: true,
 		OnBehalfOf: workspace,
 	})
 	if err != nil {
--- a/daemon/services/jobs/submit.go
+++ b/daemon/services/jobs/submit.go
@@ -10,6 +10,7 @@
 
 	"github.com/flamingobeam/flamingobeam/coord/batch"
 	"github.com/flamingobeam/flamingobeam/coord/result"
+	"github.com/flamingobeam/flamingobeam/daemon/contract"
 	"github.com/flamingobeam/flamingobeam/outside"
 )
 
@@ -32,7 +33,7 @@
 
 // Submit implements contract.Jobs.
 func (s *service) Submit(ctx context.Context, job *batch.Job, source []byte) error {
-	if len(source) > maxSourceBytes {
+	if len(source) > contract.MaxJobBytes {
 		return result.New(result.BodyTooLarge, "a batch job of %d bytes", len(source))
 	}
 	accepted, isOutcomeUnknown := s.submitToModelOwner(ctx, job, source)
@@ -46,6 +47,11 @@
 // another daemon may have written the job already: the outcome is then unknown
 // until the store confirms it.
 func (s *service) accept(ctx context.Context, job *batch.Job, source []byte, isOutcomeUnknown bool) error {
+	if !isOutcomeUnknown {
+		if err := s.checkRoom(job); err != nil {
+			return err
+		}
+	}
 	ownership := batch.Ownership{Owner: s.session.View().Load().Self.Name, Epoch: 1, Submitted: time.Now().UnixMilli(), Workspace: job.Workspace}
 	log := s.log.WithFields(logrus.Fields{"job": job.ID, "items": len(job.Items), "model": job.Model, "step": job.Step})
 	retryBackoff := newRetryBackoff()
--- a/daemon/services/plain/quarantine_test.go
+++ b/daemon/services/plain/quarantine_test.go
@@ -17,6 +17,7 @@
 	"github.com/flamingobeam/flamingobeam/daemon/config"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/balance"
+	_ "github.com/flamingobeam/flamingobeam/daemon/services/intake"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/metrics"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/peers"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/rpcserver"
@@ -85,7 +86,7 @@
 	}
 	view := &contract.HostView{Loaded: true, Services: map[structs.ServiceName][]structs.BackendServer{"portal": servers}}
 	registry := kernel.NewRegistry()
-	for _, name := range []kernel.Name{contract.NameBalance, contract.NameRetries, contract.NameMetrics, contract.NamePeers, contract.NameRPCServer, contract.NameTrust} {
+	for _, name := range []kernel.Name{contract.NameBalance, contract.NameRetries, contract.NameMetrics, contract.NamePeers, contract.NameRPCServer, contract.NameTrust, contract.NameIntake} {
 		registry.Register(name, func() kernel.Service {
 			loaded, err := kernel.DefaultRegistry().New(name)
 			must.NoError(t, err)
