--- a/daemon/services/jobs/engine_selection.go
+++ b/daemon/services/jobs/engine_selection.go
@@ -44,13 +44,17 @@
 	for _, server := range servers {
 		state := s.engineStateOf(server)
 		pace, bestPace := s.paces.Estimate(server)
-		connections := state.openConnections(now)
+		localItems, connections := state.localItems, state.openConnections(now)
+		if state.connectFailures > 0 {
+			// One item at a time finds out whether the engine is back.
+			localItems = max(localItems, server.Slots-1)
+		}
 		if isPressing {
 			connections = server.Slots
 		}
 		engines = append(engines, placement.Engine{
 			Server: server, Version: max(server.Versions[j.Model], state.versions[j.Model]),
-			LocalItems: state.localItems, Connections: connections, OtherItems: s.sharedRuns.Others(server.ID, now), IsForeign: !isPressing && homes.isForeign(server, state, j.Model),
+			LocalItems: localItems, Connections: connections, OtherItems: s.sharedRuns.Others(server.ID, now), IsForeign: !isPressing && homes.isForeign(server, state, j.Model),
 			Pace: pace, BestPace: bestPace, RTT: s.roundTripTo(server.Zone),
 			Blocked: now.Before(state.blockedUntil[j.Model]) || now.Before(state.unreachableUntil) || !s.limits.HasRoom(server.ID),
 		})
