--- a/daemon/services/duties/duties_test.go
+++ b/daemon/services/duties/duties_test.go
@@ -96,7 +96,7 @@
 	var inFlight, most atomic.Int32
 	s, _ := newHolder(t, func(http.ResponseWriter, *http.Request) {
 		most.Store(max(most.Load(), inFlight.Add(1)))
-		time.Sleep(5 * time.Millisecond)
+		time.Sleep(60 * time.Millisecond)
 		inFlight.Add(-1)
 	})
 	var group sync.WaitGroup
