Send short bodies in one piece; counters of what clients hold

Bodies of a declared length up to 64 KiB are one piece again. A relayed body has a deadline; an attempt that outlasts its request claims nothing; gauges of what is held.

--- a/daemon/services/intake/holding.go
+++ b/daemon/services/intake/holding.go
@@ -94,7 +94,8 @@
 func (c *conn) TryClaim(bytes int64) bool {
 	c.service.mu.Lock()
 	defer c.service.mu.Unlock()
-	return c.take(time.Now(), bytes)
+	// An attempt at a server may outlast its request.
+	return c.inRequest && c.take(time.Now(), bytes)
 }
 
 // take claims bytes if there is room. The caller must hold service.mu.
--- a/daemon/services/intake/intake_test.go
+++ b/daemon/services/intake/intake_test.go
@@ -20,6 +20,7 @@
 type noMetrics struct{ contract.Metrics }
 
 func (noMetrics) Count(string, int64) {}
+func (noMetrics) Gauge(string, int64) {}
 
 func newService(budget intake.Budget) *service {
 	log := logrus.New()
--- a/daemon/services/intake/service.go
+++ b/daemon/services/intake/service.go
@@ -134,6 +134,9 @@
 // recordChoice counts a choice and logs it now and then. The caller must hold s.mu.
 func (s *service) recordChoice(now time.Time, what string, count int) {
 	s.metrics.Count("intake."+what, int64(count))
+	s.metrics.Gauge("intake.held_bytes", s.held)
+	s.metrics.Gauge("intake.connections", int64(len(s.conns)))
+	s.metrics.Gauge("intake.requests", int64(s.requests))
 	if now.Before(s.nextLog) {
 		return
 	}
--- a/daemon/services/links/relay_server.go
+++ b/daemon/services/links/relay_server.go
@@ -1,6 +1,7 @@
 package links
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net"
@@ -30,6 +31,9 @@
 	maxRelayedBody = 32 << 20
 	// relayHeaderTimeout bounds the time to read the headers of a relayed request.
 	relayHeaderTimeout = 5 * time.Second
+	// relayBodyTimeout bounds the time in which the body of a request arrives that has no
+	// timeout of its own, as the item of a batch job.
+	relayBodyTimeout = 30 * time.Second
 )
 
 // startRelayServer listens for requests of other daemons.
@@ -105,6 +109,8 @@
 		refuseRelayed(w, refusalBusy)
 		return
 	}
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(cmp.Or(platform.DecodeRequestHeaders(r).Timeout, relayBodyTimeout)))
 	request, err := s.decodeRelayed(r)
 	if result.CodeOf(err) == result.Overloaded || holding.Err() != nil {
 		s.log.WithError(err).Info("A relayed request is refused.")
@@ -116,6 +122,7 @@
 		refuseRelayed(w, refusalUnknown)
 		return
 	}
+	_ = control.SetReadDeadline(time.Time{})
 	holding.Pass()
 	e, response, err := s.exchangeDirectly(r.Context(), request)
 	if err != nil {
--- a/daemon/transport/payload.go
+++ b/daemon/transport/payload.go
@@ -8,7 +8,7 @@
 
 const (
 	// firstPieceBytes is the size of the first piece of a body. Each further one is twice
-	// as long, up to maxPieceBytes.
+	// as long, up to maxPieceBytes. A shorter body of a declared length is one piece.
 	firstPieceBytes = 4 << 10
 	maxPieceBytes   = 64 << 10
 )
@@ -20,6 +20,9 @@
 func ReadPayload(body io.Reader, declared int64, claim func(bytes int64) error) (structs.Payload, error) {
 	var payload structs.Payload
 	total, size := int64(0), int64(firstPieceBytes)
+	if declared <= maxPieceBytes {
+		size = max(size, declared)
+	}
 	for {
 		capacity := size
 		if declared >= 0 {
