--- a/coord/intake/host.go
+++ b/coord/intake/host.go
@@ -7,7 +7,7 @@
 	// collector keeps the process to twice that, with the daemon's own work in it.
 	bytesPart = 0.3
 	// workPart is the part for accepted batch jobs.
-	workPart = 0.15
+	workPart = 0.1
 	// connectionBytes is the memory of a connection without a request, and
 	// connectionsPart the part of a host's memory for all of them.
 	connectionBytes = 12 << 10
