Let a client that is refused read the response

Refusals closed the connection while the client still sent, so that it was reset and a 413 could be lost; a client that gets no response may try again, and after 413 it does not. TestManaged_InvalidRequests showed it once beside load. The rest of an unused body may now arrive for 500 ms, and a body whose declared length is over the limit is read up to the limit without being held, as before.

--- a/daemon/services/gate/bounds.go
+++ b/daemon/services/gate/bounds.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"net/http"
 	"os"
 	"time"
@@ -31,12 +32,16 @@
 	})
 }
 
-// refuseUnread refuses a request whose body has not been read to its end. Nothing further
-// is read, as the client may never send the rest.
+// unreadTimeout is how long the rest of a body that is not used may still arrive. A
+// connection that is closed while the client sends is reset, and the response may be lost.
+const unreadTimeout = 500 * time.Millisecond
+
+// refuseUnread refuses a request whose body has not been read to its end, and closes its
+// connection, as the client may never send the rest.
 func (s *service) refuseUnread(w http.ResponseWriter, r *http.Request, headers platform.RequestHeaders, err error) {
 	if r.Body != http.NoBody {
 		w.Header().Set("Connection", "close")
-		_ = http.NewResponseController(w).SetReadDeadline(time.Now())
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadTimeout))
 	}
 	s.writeError(w, r, headers, err)
 }
@@ -50,14 +55,19 @@
 	if r.Body == http.NoBody {
 		return nil, nil
 	}
-	if r.ContentLength > maxBytes {
-		return nil, result.New(result.BodyTooLarge, "over %d bytes", maxBytes)
-	}
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(deadline)
 	defer context.AfterFunc(s.drainCtx, func() { _ = control.SetReadDeadline(time.Now()) })()
 	holding := contract.HoldingOf(r.Context())
-	body, err := transport.ReadPayload(http.MaxBytesReader(w, r.Body, maxBytes), r.ContentLength, holding.Claim)
+	limited := http.MaxBytesReader(w, r.Body, maxBytes)
+	var body structs.Payload
+	var err error
+	if r.ContentLength > maxBytes {
+		// The client has to get the response, after which it does not try again.
+		_, err = io.Copy(io.Discard, limited)
+	} else {
+		body, err = transport.ReadPayload(limited, r.ContentLength, holding.Claim)
+	}
 	if err == nil {
 		_ = control.SetReadDeadline(time.Time{})
 		return body, nil
--- a/histories/managed/clients_test.go
+++ b/histories/managed/clients_test.go
@@ -73,12 +73,12 @@
 	must.Error(t, err)
 }
 
-// TestClients_BodyOverLimit checks that a body over the operator's limit is refused by its
-// declared length, and one of an unknown length once it is over the limit.
+// TestClients_BodyOverLimit checks that a body over the operator's limit is refused, with
+// a declared length and in chunks, and that the client gets the response.
 func TestClients_BodyOverLimit(t *testing.T) {
 	t.Parallel()
 	_, p, conn := startClientHost(t)
-	_, err := io.WriteString(conn, crowdHead(http.MethodPost, "/status/long", 1, fmt.Sprintf("Content-Length: %d", crowdBodyBytes+1))+"\r\n")
+	_, err := io.WriteString(conn, crowdHead(http.MethodPost, "/status/long", 1, fmt.Sprintf("Content-Length: %d", crowdBodyBytes+1))+"\r\n"+strings.Repeat("b", crowdBodyBytes+1))
 	must.NoError(t, err)
 	must.Eq(t, http.StatusRequestEntityTooLarge, readStatus(t, bufio.NewReader(conn)).StatusCode)
 	chunked, err := net.Dial("tcp", p.address)
