--- a/daemon/services/jobs/leaving.go
+++ b/daemon/services/jobs/leaving.go
@@ -57,7 +57,7 @@
 			continue
 		}
 		if selector == nil {
-			selector = s.engineSelector(j, now)
+			selector = s.engineSelector(j, now, false)
 		}
 		eventsLeft, pace := s.eventsLeft(j, it), selector.FallbackPace()
 		if sample, ok := it.progress.PaceSample(now); ok {
