--- a/daemon/services/session/session_test.go
+++ b/daemon/services/session/session_test.go
@@ -6,11 +6,13 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/shoenig/test/must"
 	"github.com/sirupsen/logrus"
 
 	"github.com/flamingobeam/flamingobeam/coord/membership"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
+	"github.com/flamingobeam/flamingobeam/kernel"
 	"github.com/flamingobeam/flamingobeam/outside"
 )
 
@@ -57,6 +59,10 @@
 	return f.revision, f.commitErr
 }
 
+func (f *fakeStore) ReachedSince() (time.Time, bool) { return time.Time{}, true }
+func (f *fakeStore) SetRelays([]string)              {}
+func (f *fakeStore) SetWatchUpstreams([]string)      {}
+
 func newSession(store *fakeStore) *service {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -129,3 +135,21 @@
 	_, holds := s.Leadership()
 	must.False(t, holds)
 }
+
+// TestYieldLeadership_RenewalInProgress resigns while a renewal is in progress. Its reply
+// must not restore the leadership: the key is gone, and another daemon may have it.
+func TestYieldLeadership_RenewalInProgress(t *testing.T) {
+	s := newSession(&fakeStore{revision: 40})
+	s.loop, s.workers = kernel.NewLoop(clockwork.NewFakeClock()), kernel.NewWorkers(1)
+	s.view = kernel.NewSnapshot(&contract.SessionView{Self: self})
+	led := lead(t, s)
+	s.leadership.Store(&led.led)
+	renewal, err := s.renewLease(t.Context(), renewalRequest{lease: led.lease, self: self, ttl: shortLeaseTTL, led: led.led})
+	must.NoError(t, err)
+	s.YieldLeadership(time.Minute)
+	s.workers.Stop()
+	s.handleRenewal(kernel.AsyncResult[renewalResult]{Value: renewal})
+	_, holds := s.Leadership()
+	must.False(t, holds)
+	must.False(t, s.isCandidate())
+}
