--- a/daemon/services/engines/engines.go
+++ b/daemon/services/engines/engines.go
@@ -10,6 +10,7 @@
 	"math"
 	"net/http"
 	"net/http/httptrace"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -119,7 +120,7 @@
 	}
 	reason := contract.EndReason(ctx, result)
 	s.metrics.Time("engines.run", time.Since(started))
-	s.metrics.Count("engines.runs_ended."+reason, 1)
+	s.metrics.Count("engines.runs_ended."+strings.ReplaceAll(reason, " ", "_"), 1)
 	entry := s.log.WithFields(logrus.Fields{
 		"job": request.Job.ID, "item": request.Item.ID, "server": request.Server.ID, "software": request.Server.Software, "model": request.Job.Model,
 		"version": result.Version, "after": resumed.Last, "text_software": resumed.Origin.Software, "last": result.Text.Last, "end": result.Outcome.String(), "status": result.Status,
