--- a/coord/placement/move_budget.go
+++ b/coord/placement/move_budget.go
@@ -11,7 +11,7 @@
 	minMoves      = 1
 	// slowConfirmTime is how long a run must be slow before it moves: it exceeds the time
 	// for which a prompt or a load of weights holds up the runs beside it.
-	slowConfirmTime = 500 * time.Millisecond
+	slowConfirmTime = 250 * time.Millisecond
 )
 
 // SlowRun is a run that would end sooner on another engine.
