Try engines of unknown pace although they need a new connection

Cause: TestManaged_LeavingEngine ran for over nine minutes, until the limit of the whole package, on a busy machine: small jobs always went to engines with idle connections, and an engine that had not been used, or was restarted, got none. Alone the test passed.

Change: the penalty for a new connection is lower where the pace is unknown.

Ruled out: no penalty there, as an engine of known pace must be chosen before an unknown one of a fourth slower pace (TestEngineSelector_UnknownPace).

Measured: TestManaged_LeavingEngine three times, beside load.

--- a/coord/placement/engine_selector.go
+++ b/coord/placement/engine_selector.go
@@ -53,6 +53,9 @@
 	// connectPenalty is the relative increase of the cost of an engine to which the next
 	// item needs a new connection: engines take a limited number.
 	connectPenalty = 0.3
+	// unknownPenalty takes the place of connectPenalty at an engine of unknown pace. It is
+	// lower, as one that has just started would otherwise stay without items.
+	unknownPenalty = 0.1
 	// tieBreakSpread is the relative range of the factors by which the costs of
 	// engines differ between daemons, so that not all daemons start with the
 	// same one of several equal engines.
@@ -172,8 +175,12 @@
 	if engine.isCrowded() {
 		penalty += crowdedPenalty
 	}
-	if engine.LocalItems >= engine.Connections {
+	switch {
+	case engine.LocalItems < engine.Connections:
+	case engine.Pace > 0:
 		penalty += connectPenalty
+	default:
+		penalty += unknownPenalty
 	}
 	return float64(s.PaceOf(int(index))) * s.salts[index] * (1 + penalty)
 }
--- a/coord/placement/shared_runs_test.go
+++ b/coord/placement/shared_runs_test.go
@@ -129,3 +129,16 @@
 	crowded.OtherItems--
 	must.True(t, crowded.TakesNow())
 }
+
+// TestSelect_RestartedEngine offers an engine that was just restarted beside one with idle
+// connections. It must get items.
+func TestSelect_RestartedEngine(t *testing.T) {
+	servers := newServers(2)
+	engines := []Engine{
+		{Server: servers[0], Pace: fastPace + time.Millisecond, BestPace: fastPace, Connections: servers[0].Slots, LocalItems: 2},
+		{Server: servers[1]},
+	}
+	choice, ok := NewEngineSelector(engines, 0, 1).Select(18, nil, resume.Position{})
+	must.True(t, ok)
+	must.Eq(t, 1, choice)
+}
