Usage: windows stay open for two minutes, whatever their length

Cause: a window was left out once 24 later ones had ended.

Change: the bound is a time, two minutes, which is the same 24 windows at five seconds.

Ruled out: a check that accepts missing windows, and a faster platform in the test.

--- a/coord/usage/book.go
+++ b/coord/usage/book.go
@@ -104,7 +104,7 @@
 			return Step{Kind: Wait, Until: due}
 		}
 		last := max(next, b.rules.WindowAt(now.Add(-settleTime))-1)
-		b.open = &gathering{from: max(next, last-maxOpenWindows+1), to: last, counts: make(map[Window]Counts), answered: make(map[string]bool)}
+		b.open = &gathering{from: max(next, last-b.rules.OpenWindows()+1), to: last, counts: make(map[Window]Counts), answered: make(map[string]bool)}
 	}
 	giveUpAt := b.rules.EndOf(b.open.to).Add(time.Duration(gatherFraction * float64(b.rules.Due)))
 	switch {
@@ -121,7 +121,7 @@
 func (b *Book) decision() Record {
 	decided := make(map[Window]Counts)
 	for window, counts := range b.record.Decided {
-		if !b.reported[window] && window > b.open.to-maxOpenWindows {
+		if !b.reported[window] && window > b.open.to-b.rules.OpenWindows() {
 			decided[window] = counts
 		}
 	}
--- a/coord/usage/window.go
+++ b/coord/usage/window.go
@@ -28,15 +28,18 @@
 	gatherRetryDelay = 600 * time.Millisecond
 	// stepRetryDelay is the pause after the store or the platform failed a step.
 	stepRetryDelay = 300 * time.Millisecond
-	// maxOpenWindows bounds the windows that are gathered, decided or reported late.
-	maxOpenWindows = 24
+	// openTime is how late windows are still gathered, decided and reported.
+	openTime = 2 * time.Minute
 	// gatherFraction is the part of Due after which a window is decided without the
 	// daemons that have not answered.
 	gatherFraction = 0.45
 )
 
+// OpenWindows returns the number of windows that are open at the most.
+func (r Rules) OpenWindows() Window { return max(1, Window(openTime/r.Length)) }
+
 // KeepTime returns how long daemons must keep their counts.
-func (r Rules) KeepTime() time.Duration { return (maxOpenWindows + 1) * r.Length }
+func (r Rules) KeepTime() time.Duration { return time.Duration(r.OpenWindows()+1) * r.Length }
 
 // WindowAt returns the window that a time belongs to.
 func (r Rules) WindowAt(at time.Time) Window { return Window(at.UnixNano() / int64(r.Length)) }
