Leave the leadership to daemons that are not stopping

In a rolling restart the leader stopped, a daemon that was stopping itself became the leader and gave two orders, and 1.7 s later the restarted host of the first leader had the leadership again: holders in turns.

Change: membership.Candidates leaves stopping daemons out while there are others, for the preferred candidate and for the one after a delay.

Ruled out: a pause before the first order of each new leader, as weights would be late after each loss of a leader; the duties have that pause.

Result: TestCandidates and TestIsCandidate_Stopping pass, the second fails without the change.

--- a/coord/membership/membership.go
+++ b/coord/membership/membership.go
@@ -175,3 +175,19 @@
 	}
 	return hosts
 }
+
+// Candidates returns the names of the daemons that may become the leader: those that may
+// own batch jobs. A daemon that is stopping is one only if all are, since it would soon
+// hand the leadership on to a daemon that may just have had it.
+func Candidates(live map[string]Member) []string {
+	staying := make(map[string]Member, len(live))
+	for name, member := range live {
+		if !member.IsStopping {
+			staying[name] = member
+		}
+	}
+	if len(staying) == 0 {
+		staying = live
+	}
+	return slices.Sorted(maps.Keys(JobHosts(staying)))
+}
--- a/coord/membership/membership_test.go
+++ b/coord/membership/membership_test.go
@@ -115,3 +115,12 @@
 	equal := map[string]Member{"host-1.1a": {Name: "host-1.1a"}, "host-2.1a": {Name: "host-2.1a"}}
 	must.MapLen(t, 2, JobHosts(equal))
 }
+
+// TestCandidates checks that a stopping daemon is a candidate only if all are stopping.
+func TestCandidates(t *testing.T) {
+	live := map[string]Member{"a.1": {Name: "a.1", IsStopping: true}, "b.1": {Name: "b.1"}}
+	must.Eq(t, []string{"b.1"}, Candidates(live))
+	live["b.1"] = Member{Name: "b.1", IsStopping: true}
+	must.Eq(t, []string{"a.1", "b.1"}, Candidates(live))
+	must.SliceEmpty(t, Candidates(nil))
+}
--- a/daemon/services/session/leadership.go
+++ b/daemon/services/session/leadership.go
@@ -38,13 +38,22 @@
 
 // isCandidate reports whether this daemon should try to become the leader: at
 // once if it is the preferred candidate, which all daemons compute the same way, and
-// after candidateDelay otherwise.
+// after candidateDelay otherwise. A daemon that is stopping leaves it to others.
 func (s *service) isCandidate() bool {
 	if s.mayNotLead || s.loop.Now().Before(s.yieldsUntil) {
 		return false
 	}
 	view := s.view.Load()
-	if batch.RendezvousPick(candidateElection, slices.Collect(maps.Keys(membership.JobHosts(view.Live)))) == view.Self.Name {
+	live := maps.Clone(view.Live)
+	if _, isLive := live[view.Self.Name]; isLive {
+		// The record in the store may be older than the begin of a stop.
+		live[view.Self.Name] = view.Self
+	}
+	candidates := membership.Candidates(live)
+	if view.Self.IsStopping && !slices.Contains(candidates, view.Self.Name) {
+		return false
+	}
+	if batch.RendezvousPick(candidateElection, candidates) == view.Self.Name {
 		return true
 	}
 	return !s.leaderlessSince.IsZero() && s.loop.Now().Sub(s.leaderlessSince) > candidateDelay
--- a/daemon/services/session/session_test.go
+++ b/daemon/services/session/session_test.go
@@ -153,3 +153,21 @@
 	must.False(t, holds)
 	must.False(t, s.isCandidate())
 }
+
+// TestIsCandidate_Stopping checks that a daemon that is stopping leaves the leadership to
+// others, however long there is no leader: it would hold it for a moment only, after which
+// the daemon that had it before may take it again.
+func TestIsCandidate_Stopping(t *testing.T) {
+	s := newSession(&fakeStore{})
+	s.loop = kernel.NewLoop(clockwork.NewFakeClock())
+	stopping := self
+	stopping.IsStopping = true
+	live := map[string]membership.Member{self.Name: self, "other.1": {Name: "other.1", Strength: self.Strength}}
+	s.view = kernel.NewSnapshot(&contract.SessionView{Self: stopping, Live: live})
+	s.leaderlessSince = s.loop.Now().Add(-time.Minute)
+	must.False(t, s.isCandidate())
+	s.view.Publish(&contract.SessionView{Self: self, Live: live})
+	must.True(t, s.isCandidate())
+	s.view.Publish(&contract.SessionView{Self: stopping, Live: map[string]membership.Member{self.Name: self}})
+	must.True(t, s.isCandidate())
+}
