--- a/coord/placement/move_budget.go
+++ b/coord/placement/move_budget.go
@@ -34,8 +34,8 @@
 
 func (r SlowRun) saving() time.Duration { return time.Duration(r.Remaining) * (r.Pace - r.OtherPace) }
 
-// NeededBy returns the time after its submission at which a step should be whole: half of
-// its time is left for generating again what a failure has cost.
+// NeededBy returns the time after its submission at which a step should be whole. The rest
+// of its time is left for generating again what a failure has cost.
 func NeededBy(resultDeadline time.Duration) time.Duration { return resultDeadline / 3 }
 
 // MoveBudget bounds the runs of a step that are stopped to continue on another engine. A
