Hand the leadership on at the begin of a planned stop

Change: the leadership ends for the leader itself when it resigns, at the begin of a planned stop and before its lease is revoked; its key is deleted a second later, when its orders have arrived or timed out.

Ruled out: ending the orders at the revocation alone, as one that is on the way may arrive after the first order of the successor.

--- a/daemon/services/session/leadership.go
+++ b/daemon/services/session/leadership.go
@@ -73,22 +73,34 @@
 	s.resign()
 }
 
-// resign deletes the leader's key if this daemon holds it.
+// resignDelay is the time from a leader's last order until its key is deleted. Orders to
+// servers are on the way no longer: they have a timeout of a second.
+const resignDelay = time.Second
+
+// resign ends the leadership of this daemon at once, and deletes the leader's key once its
+// orders have arrived: one that is on the way must not follow an order of the next leader.
 func (s *service) resign() {
 	held := *s.leadership.Load()
 	if held.token == 0 {
 		return
 	}
 	s.leadership.Store(&leadership{})
-	s.resignedToken = held.token
+	s.resignedToken, s.resignedAt = held.token, s.loop.Now()
 	s.log.WithField("token", held.token).Info("Resigning as the leader.")
-	s.workers.Go(func(ctx context.Context) {
-		if err := s.deleteLeader(ctx, held.revision); err != nil {
-			s.log.WithError(err).Info("Could not resign as the leader; its key is found to be stray later.")
-		}
+	s.loop.AfterFunc(resignDelay, func() {
+		s.workers.Go(func(ctx context.Context) {
+			if err := s.deleteLeader(ctx, held.revision); err != nil {
+				s.log.WithError(err).Info("Could not resign as the leader; its key is found to be stray later.")
+			}
+		})
 	})
 }
 
+// mayHaveOrders reports whether orders of an ended leadership may be on the way.
+func (s *service) mayHaveOrders() bool {
+	return s.resignedToken != 0 && s.loop.Now().Sub(s.resignedAt) < resignDelay
+}
+
 // writeLeader makes this daemon the leader if there is none. A conflict is not an
 // error: the watch reports the leader.
 func (s *service) writeLeader(ctx context.Context, request renewalRequest, result *renewalResult) error {
--- a/daemon/services/session/renewal.go
+++ b/daemon/services/session/renewal.go
@@ -70,7 +70,7 @@
 	}
 	request.writesMember = request.needsNewLease || !s.hasOwnKey(self)
 	request.writesLeader = s.lease != 0 && !request.writesMember && s.lacksKey(leaderKey) && s.isCandidate()
-	if key, ok := s.records[leaderKey]; ok && s.view.Load().Leader == self.Name && request.led.token == 0 {
+	if key, ok := s.records[leaderKey]; ok && s.view.Load().Leader == self.Name && request.led.token == 0 && !s.mayHaveOrders() {
 		request.strayLeader = key.Revision
 	}
 	for key := range s.records {
--- a/daemon/services/session/session.go
+++ b/daemon/services/session/session.go
@@ -100,6 +100,8 @@
 	// resignedToken is the token with which this daemon resigned last. A renewal that
 	// began before does not bring it back.
 	resignedToken uint64
+	// resignedAt is when it was given up.
+	resignedAt time.Time
 	// leaderlessSince is when the leader's key was found missing; zero while
 	// there is a leader.
 	leaderlessSince time.Time
@@ -281,12 +283,13 @@
 }
 
 // Drain implements kernel.Drainer. It lets the other daemons know that this one is about
-// to stop, so that they hand no work over to it.
+// to stop, so that they hand no work over to it, and hands the leadership on.
 func (s *service) Drain(ctx context.Context) error {
 	return s.loopExecutor.Do(ctx, func() {
 		next := *s.view.Load()
 		next.Self.IsStopping = true
 		s.view.Publish(&next)
+		s.resign()
 		s.scheduleRenewal(0)
 	})
 }
@@ -297,6 +300,7 @@
 	var lease outside.LeaseID
 	err := s.loopExecutor.Do(ctx, func() {
 		s.isStopping = true
+		s.leadership.Store(&leadership{})
 		lease = s.lease
 	})
 	if err != nil || lease == 0 {
--- a/daemon/services/session/session_test.go
+++ b/daemon/services/session/session_test.go
@@ -171,3 +171,21 @@
 	s.view.Publish(&contract.SessionView{Self: stopping, Live: map[string]membership.Member{self.Name: self}})
 	must.True(t, s.isCandidate())
 }
+
+// TestResign_OrdersOnTheWay checks that a leader that resigns gives no further orders, and
+// keeps its key until those that it gave have arrived.
+func TestResign_OrdersOnTheWay(t *testing.T) {
+	clock, store := clockwork.NewFakeClock(), &fakeStore{revision: 40}
+	s := newSession(store)
+	s.loop, s.workers = kernel.NewLoop(clock), kernel.NewWorkers(1)
+	s.view = kernel.NewSnapshot(&contract.SessionView{Self: self})
+	led := lead(t, s)
+	s.leadership.Store(&led.led)
+	s.resign()
+	_, holds := s.Leadership()
+	must.False(t, holds)
+	must.NotEq(t, 0, store.leader)
+	must.True(t, s.mayHaveOrders())
+	clock.Advance(2 * resignDelay)
+	must.False(t, s.mayHaveOrders())
+}
