--- a/coord/scaling/pool.go
+++ b/coord/scaling/pool.go
@@ -78,15 +78,18 @@
 
 // serving returns the number of servers that go on serving.
 func (p *Pool) serving(now time.Time) int {
-	if p.inFlight || now.Before(p.settlesAt) {
+	if !p.isSettled(now) {
 		return min(p.Present, p.ordered)
 	}
 	return p.Present
 }
 
+// isSettled reports whether the server list shows the effect of the last order.
+func (p *Pool) isSettled(now time.Time) bool { return !p.inFlight && !now.Before(p.settlesAt) }
+
 // expected returns the number of servers once the last order has taken effect.
 func (p *Pool) expected(now time.Time) int {
-	if p.inFlight || now.Before(p.settlesAt) {
+	if !p.isSettled(now) {
 		return p.ordered
 	}
 	return p.Present
