--- a/coord/scaling/need.go
+++ b/coord/scaling/need.go
@@ -27,23 +27,8 @@
 }
 
 // needOf returns the servers that a demand needs, with a number of slots each. Serving
-// is how many serve now: they work off the open items until further ones have started. If
-// they are more than needed, the need is the number that would do without the others, so
-// that it stays the same when those are taken away.
+// is how many serve now: they work off the open items until further ones have started.
 func needOf(demand Demand, slots, serving int, bootTime time.Duration) Need {
-	need := needBeside(demand, slots, serving, bootTime)
-	for need.Servers < serving {
-		next := needBeside(demand, slots, need.Servers, bootTime)
-		if next.Servers <= need.Servers {
-			break
-		}
-		need.Servers++
-	}
-	return need
-}
-
-// needBeside returns the servers that a demand needs while a number of them serve.
-func needBeside(demand Demand, slots, serving int, bootTime time.Duration) Need {
 	if demand.Due <= 0 {
 		return Need{}
 	}
--- a/coord/scaling/plan.go
+++ b/coord/scaling/plan.go
@@ -236,24 +236,12 @@
 func (d *draft) replaceMinimum() {
 	for _, zone := range d.Bounds.Zones {
 		key := PoolKey{Zone: zone.Name, Reclaimable: true}
-		if d.counts[key] == 0 && d.counts[PoolKey{Zone: zone.Name}] > 0 && d.canGrow(key) && d.isSettled(zone.Name) {
+		if d.counts[key] == 0 && d.counts[PoolKey{Zone: zone.Name}] > 0 && d.canGrow(key) {
 			d.add(key, lowerPrice)
 		}
 	}
 }
 
-// isSettled reports whether no order for servers in a zone is being executed. Orders that
-// only lower the price wait for that: the room that an order for fewer servers makes in a
-// full zone is there once they have left.
-func (d *draft) isSettled(zone structs.ZoneName) bool {
-	for _, key := range keysOf(zone) {
-		if !d.planner.Pool(key).isSettled(d.Now) {
-			return false
-		}
-	}
-	return true
-}
-
 // isShort reports whether the steps need more servers.
 func (d *draft) isShort() bool {
 	return d.total(false)+d.total(true) < d.need.Servers || d.survivors() < d.need.Floor
@@ -274,10 +262,7 @@
 // fewer servers go first, so that the loss of one costs least, and then cheaper ones.
 func (d *draft) smallestPool(reclaimable bool) (PoolKey, bool) {
 	zones := slices.Clone(d.Bounds.Zones)
-	isShort := d.isShort()
-	zones = slices.DeleteFunc(zones, func(zone Zone) bool {
-		return !d.canGrow(PoolKey{zone.Name, reclaimable}) || !isShort && !d.isSettled(zone.Name)
-	})
+	zones = slices.DeleteFunc(zones, func(zone Zone) bool { return !d.canGrow(PoolKey{zone.Name, reclaimable}) })
 	if len(zones) == 0 {
 		return PoolKey{}, false
 	}
--- a/coord/scaling/pool.go
+++ b/coord/scaling/pool.go
@@ -78,18 +78,15 @@
 
 // serving returns the number of servers that go on serving.
 func (p *Pool) serving(now time.Time) int {
-	if !p.isSettled(now) {
+	if p.inFlight || now.Before(p.settlesAt) {
 		return min(p.Present, p.ordered)
 	}
 	return p.Present
 }
 
-// isSettled reports whether the server list shows the effect of the last order.
-func (p *Pool) isSettled(now time.Time) bool { return !p.inFlight && !now.Before(p.settlesAt) }
-
 // expected returns the number of servers once the last order has taken effect.
 func (p *Pool) expected(now time.Time) int {
-	if !p.isSettled(now) {
+	if p.inFlight || now.Before(p.settlesAt) {
 		return p.ordered
 	}
 	return p.Present
--- a/coord/scaling/shrink.go
+++ b/coord/scaling/shrink.go
@@ -65,12 +65,11 @@
 // removable returns the pool that loses a server next, if one may.
 func (d *draft) removable(left int) (PoolKey, bool) {
 	surplus := float64(left+1) - float64(d.need.Servers)
-	wanted := d.wantedReclaimable()
 	mayRemove := func(key PoolKey) bool {
 		if d.counts[key] == 0 || d.zoneTotal(key.Zone) <= d.Bounds.Min || !d.planner.Pool(key).mayShrink(d.Now) {
 			return false
 		}
-		if key.Reclaimable && (surplus <= math.Ceil(surplusTolerance*float64(d.need.Servers)) || d.total(true) <= wanted) {
+		if key.Reclaimable && surplus <= math.Ceil(surplusTolerance*float64(d.need.Servers)) {
 			return false
 		}
 		d.counts[key]--
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -9,7 +9,6 @@
 mkdir -p "$out"
 passed=0
 failed=0
-failed_names=()
 
 # check NAME COMMAND... runs a check, with its output in $out/NAME.log, and counts
 # whether it passed.
@@ -21,7 +20,6 @@
     echo "ok      $name"
   else
     failed=$((failed + 1))
-    failed_names+=("$name")
     echo "FAILED  $name"
     tail -n 60 "$out/$name.log"
   fi
@@ -71,8 +69,6 @@
   failed=$((failed + tests_failed))
   if [ "$status" -ne 0 ]; then
     [ "$tests_failed" -gt 0 ] || failed=$((failed + 1))
-    mapfile -t -O "${#failed_names[@]}" failed_names < <(
-      grep '"Action":"fail"' "$out/$name.json" | sed 's/.*"Package":"\([^"]*\)"/\1/; s/,"Test":"\([^"]*\)"/ \1/; s/,"Elapsed.*//; s/,"FailedBuild.*//; s/}$//')
     sed -n 's/.*"Action":"output".*"Output":"\(.*\)"}$/\1/p' "$out/$name.json" |
       sed 's/\\n$//; s/\\t/\t/g; s/\\"/"/g' | grep -v -e '^=== ' -e '^--- PASS' -e '^ok ' -e '^PASS' -e 'no test files' | tail -n 80
     cat "$out/$name.err"
@@ -85,8 +81,5 @@
   echo "Known to fail:"
   cat KNOWN-RED.txt
 fi
-if [ "${#failed_names[@]}" -gt 0 ]; then
-  printf 'Failed: %s\n' "${failed_names[@]}"
-fi
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ]
