Fleet size: no order that the next plan takes back

Five kinds of orders were followed by others at once: plain servers where reclaimable ones were unevenly spread, of which the next plan replaced one; servers taken away while what is open needs them; reclaimable servers taken away below the wanted number; and, in a zone at its limit, a reclaimable server ordered into the room that a leaving one had not left yet. Change: uneven zones get further reclaimable servers; nothing is taken away that raises the need; reclaimable servers stay up to the wanted number; lower prices wait until a zone has no server leaving, a lack of servers does not. Ruled out: a test that is too strict. Each kind cost orders or boot times for nothing, and two of them would have repeated in every period of the steps.

--- a/coord/scaling/plan.go
+++ b/coord/scaling/plan.go
@@ -92,8 +92,10 @@
 	Input
 	planner *Planner
 	need    Need
-	counts  map[PoolKey]int
-	why     map[PoolKey]string
+	// wanted is the number of reclaimable servers that carry the steps at least cost.
+	wanted int
+	counts map[PoolKey]int
+	why    map[PoolKey]string
 }
 
 // Plan returns the orders that are due. The caller records them with Pool.Sent and
@@ -109,6 +111,7 @@
 		}
 	}
 	d.need = p.history.add(needOf(in.Demand, in.Bounds.Slots, serving, in.Bounds.BootTime), in.Demand.Due, in.Now)
+	d.wanted = d.wantedReclaimable()
 	d.fillMinimum()
 	p.hadDemand = p.hadDemand || in.Demand.Due > 0
 	if p.hadDemand {
@@ -164,6 +167,12 @@
 	return d.planner.Pool(key).mayGrow(d.Now) && d.zoneTotal(key.Zone) < d.Bounds.Max
 }
 
+// isLowered reports whether servers of a zone are being taken away. Only steps that lack
+// servers get others there in the meantime, not lower prices.
+func (d *draft) isLowered(zone structs.ZoneName) bool {
+	return d.planner.Pool(PoolKey{Zone: zone}).isLowered || d.planner.Pool(PoolKey{Zone: zone, Reclaimable: true}).isLowered
+}
+
 func (d *draft) add(key PoolKey, why string) {
 	d.counts[key]++
 	d.why[key] = why
@@ -211,15 +220,14 @@
 // grow adds the servers that the steps lack. Plain servers are replaced by reclaimable
 // ones only while the demand is known.
 func (d *draft) grow() {
-	wanted := d.wantedReclaimable()
-	for d.total(true) < wanted && (d.IsComplete || d.isShort()) {
+	for {
 		key, ok := d.smallestPool(true)
-		if !ok {
+		if !ok || !d.lacksReclaimable(key) {
 			break
 		}
 		d.add(key, d.reason(lowerPrice))
 	}
-	if wanted > 0 && d.IsComplete {
+	if d.wanted > 0 && d.IsComplete {
 		d.replaceMinimum()
 	}
 	for d.isShort() {
@@ -231,12 +239,22 @@
 	}
 }
 
+// lacksReclaimable reports whether the smallest reclaimable pool gets another server: up
+// to the wanted number, and beyond it while one zone has so many that the others could not
+// take over. Plain servers in their place would be replaced by reclaimable ones at once.
+func (d *draft) lacksReclaimable(smallest PoolKey) bool {
+	if d.total(true) < d.wanted {
+		return d.IsComplete || d.isShort()
+	}
+	return d.wanted > 0 && d.survivors() < d.need.Floor && d.counts[smallest] < d.largestLoss()
+}
+
 // replaceMinimum adds a reclaimable server to each zone whose only servers are plain ones,
 // which can then be taken away.
 func (d *draft) replaceMinimum() {
 	for _, zone := range d.Bounds.Zones {
 		key := PoolKey{Zone: zone.Name, Reclaimable: true}
-		if d.counts[key] == 0 && d.counts[PoolKey{Zone: zone.Name}] > 0 && d.canGrow(key) {
+		if d.counts[key] == 0 && d.counts[PoolKey{Zone: zone.Name}] > 0 && d.canGrow(key) && !d.isLowered(zone.Name) {
 			d.add(key, lowerPrice)
 		}
 	}
@@ -261,8 +279,10 @@
 // smallestPool returns the pool of a kind to which a server is added next. Zones with
 // fewer servers go first, so that the loss of one costs least, and then cheaper ones.
 func (d *draft) smallestPool(reclaimable bool) (PoolKey, bool) {
-	zones := slices.Clone(d.Bounds.Zones)
-	zones = slices.DeleteFunc(zones, func(zone Zone) bool { return !d.canGrow(PoolKey{zone.Name, reclaimable}) })
+	zones, isShort := slices.Clone(d.Bounds.Zones), d.isShort()
+	zones = slices.DeleteFunc(zones, func(zone Zone) bool {
+		return !d.canGrow(PoolKey{zone.Name, reclaimable}) || !isShort && d.isLowered(zone.Name)
+	})
 	if len(zones) == 0 {
 		return PoolKey{}, false
 	}
--- a/coord/scaling/scaling_test.go
+++ b/coord/scaling/scaling_test.go
@@ -159,3 +159,40 @@
 		}
 	})
 }
+
+// TestPlan_TakesNothingBack guards against orders that the next plan takes back or
+// replaces: the other zones lack reclaimable servers, a smaller service works off less of
+// what is open, and a zone at its limit gets room for reclaimable servers.
+func TestPlan_TakesNothingBack(t *testing.T) {
+	for name, c := range map[string]struct {
+		price              float64
+		most, slots        int
+		work, open         time.Duration
+		plain, reclaimable []int
+	}{
+		"uneven zones":           {0.2, 2, 1, time.Second, 0, []int{0, 0}, []int{0, 2}},
+		"open work, plain":       {0, 15, 8, 0, 769 * time.Second, []int{0, 0}, []int{0, 15}},
+		"open work, reclaimable": {0.9, 13, 6, 18 * time.Second, 350 * time.Second, []int{13}, []int{0}},
+		"plain at the limit":     {0.2, 1, 1, time.Second, 0, []int{1, 1}, []int{0, 0}},
+		"few reclaimable":        {0.2, 3, 2, 16 * time.Second, 0, []int{2, 0}, []int{1, 3}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			planner := NewPlanner()
+			in := Input{Now: start, IsComplete: true, Bounds: Bounds{Max: c.most, Slots: c.slots, BootTime: 4 * time.Second, ReclaimablePrice: c.price}}
+			in.Demand = Demand{Due: playedDue, Period: playedPeriod, StepWork: c.work, Open: c.open, Rate: float64(c.work) / float64(playedPeriod)}
+			for i := range c.plain {
+				zone := Zone{Name: structs.ZoneName(rune('a' + i)), Price: 1}
+				in.Bounds.Zones = append(in.Bounds.Zones, zone)
+				planner.Pool(PoolKey{Zone: zone.Name}).List(c.plain[i], 0, start)
+				planner.Pool(PoolKey{Zone: zone.Name, Reclaimable: true}).List(c.reclaimable[i], 0, start)
+			}
+			for _, order := range planner.Plan(in).Orders {
+				planner.Pool(order.PoolKey).Sent(order.Count)
+				planner.Pool(order.PoolKey).Answered(OrderAccepted, in.Bounds.BootTime, in.Now)
+			}
+			for _, order := range planner.Plan(in).Orders {
+				must.Less(t, planner.Pool(order.PoolKey).Present, order.Count)
+			}
+		})
+	}
+}
--- a/coord/scaling/shrink.go
+++ b/coord/scaling/shrink.go
@@ -32,7 +32,7 @@
 	defer d.restore(expected)
 	for removed := 0; removed < max(1, int(shrinkShare*float64(serving))); removed++ {
 		left := serving - removed - 1
-		if left < d.need.Servers || left*d.Bounds.Slots < d.Demand.Running {
+		if left < d.need.Servers || d.needsMoreAfter(left) || left*d.Bounds.Slots < d.Demand.Running {
 			return
 		}
 		key, ok := d.removable(left)
@@ -45,6 +45,12 @@
 	}
 }
 
+// needsMoreAfter reports whether more servers are needed once only some go on serving,
+// because these work off less of what is open. Others would then be ordered at once.
+func (d *draft) needsMoreAfter(serving int) bool {
+	return needOf(d.Demand, d.Bounds.Slots, serving, d.Bounds.BootTime).Servers > d.need.Servers
+}
+
 // restore sets the counts of the pools for which no order is planned.
 func (d *draft) restore(expected map[PoolKey]int) {
 	for key, count := range expected {
@@ -69,7 +75,7 @@
 		if d.counts[key] == 0 || d.zoneTotal(key.Zone) <= d.Bounds.Min || !d.planner.Pool(key).mayShrink(d.Now) {
 			return false
 		}
-		if key.Reclaimable && surplus <= math.Ceil(surplusTolerance*float64(d.need.Servers)) {
+		if key.Reclaimable && (d.total(true) <= d.wanted || surplus <= math.Ceil(surplusTolerance*float64(d.need.Servers))) {
 			return false
 		}
 		d.counts[key]--
