--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -57,6 +57,21 @@
 # Tests of crowds measure the memory of a process, so they run alone, after all others.
 crowds='^TestCrowd_'
 
+# show_failures FILE prints the ends of the outputs of the builds, tests and packages that
+# failed in a run of go test -json, and then the names of the tests.
+show_failures() {
+  local failures package test key
+  failures=$(sed -n 's/.*"Action":"fail","Package":"\([^"]*\)"\(,"Test":"\([^"]*\)"\)\{0,1\}.*/\1 \3/p' "$1")
+  sed -n 's/.*"Action":"build-output","Output":"\(.*\)"}$/\1/p' "$1" | sed 's/\\n$//; s/\\t/\t/g; s/\\"/"/g' | tail -n 80
+  [ -n "$failures" ] || return 0
+  while read -r package test; do
+    key="\"Action\":\"output\",\"Package\":\"$package\"${test:+,\"Test\":\"$test\"},\"Output\""
+    echo "--- output of $package $test"
+    grep -F "$key" "$1" | sed -n 's/.*"Output":"\(.*\)"}$/\1/p' | sed 's/\\n$//; s/\\t/\t/g; s/\\"/"/g' | tail -n 80
+  done <<<"$failures"
+  sed 's/^/FAILED  /' <<<"$failures"
+}
+
 # go_test NAME SKIPPED ARGUMENTS... runs tests, except those whose names match SKIPPED, and
 # counts those that passed and failed.
 go_test() {
@@ -69,8 +84,7 @@
   failed=$((failed + tests_failed))
   if [ "$status" -ne 0 ]; then
     [ "$tests_failed" -gt 0 ] || failed=$((failed + 1))
-    sed -n 's/.*"Action":"output".*"Output":"\(.*\)"}$/\1/p' "$out/$name.json" |
-      sed 's/\\n$//; s/\\t/\t/g; s/\\"/"/g' | grep -v -e '^=== ' -e '^--- PASS' -e '^ok ' -e '^PASS' -e 'no test files' | tail -n 80
+    show_failures "$out/$name.json"
     cat "$out/$name.err"
   fi
 }
