Read the store soon when no upstream answers at the start

Change: a daemon that knows nothing of a prefix waits 60 to 120 ms for its upstreams and then lists the prefix in the store.

--- a/daemon/services/ledger/fleet_test.go
+++ b/daemon/services/ledger/fleet_test.go
@@ -213,15 +213,16 @@
 	config map[string]*atomic.Value
 }
 
-// startFollowers starts the ledgers of all daemons of some zones at once. Their
-// members are written to the store as their sessions would.
-func startFollowers(t *testing.T, zones, perZone int) *followers {
+// startFollowers starts the ledgers of all daemons of some zones at once, of which some
+// answer no calls. Their members are written to the store as their sessions would.
+func startFollowers(t *testing.T, zones, perZone int, hung ...string) *followers {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	fleet := &followers{store: newCountingStore(), config: make(map[string]*atomic.Value)}
 	fleet.store.put(fleetConfig+"config", "1")
 	peers := &fleetPeers{services: make(map[string]*service)}
 	fleet.peers = peers
+	peers.hang(hung)
 	ctx, cancel := context.WithCancel(context.Background())
 	workers := kernel.NewWorkers(1 << 16)
 	var loops sync.WaitGroup
@@ -320,6 +321,22 @@
 	t.Logf("start %s, calm %s, outage %s", count(atStart), count(calm), count(outage))
 }
 
+// TestFleet_StartWhileUpstreamsHang starts daemons that find no other one answering, as
+// after a loss of power of all hosts. They must not wait for the timeouts of the calls
+// before they read the configuration themselves, and must not read it again and again.
+func TestFleet_StartWhileUpstreamsHang(t *testing.T) {
+	const zones, perZone = 3, 4
+	var all []string
+	for i := range zones * perZone {
+		all = append(all, fmt.Sprintf("host-%03d.1a", i))
+	}
+	fleet := startFollowers(t, zones, perZone, all...)
+	must.Less(t, upstreamPollTimeout, fleet.awaitConfig(t, "1"))
+	for _, calls := range fleet.store.resetCalls()["list-stale"] {
+		must.LessEq(t, 8, calls)
+	}
+}
+
 // TestFleet_ChangeWhileUpstreamsHang changes the configuration while the first daemons
 // of each zone, which serve changes to all others, stop answering, and again while they
 // are cut off from the store alone. The change must be in force on the other daemons
--- a/daemon/services/ledger/watch.go
+++ b/daemon/services/ledger/watch.go
@@ -41,6 +41,11 @@
 	// staleDetectionTime is how long it takes a daemon to find that none of its
 	// upstreams gets changes, and then to get a change from the store.
 	staleDetectionTime = 2600 * time.Millisecond
+	// A daemon that knows nothing of a prefix yet waits for its upstreams for a random
+	// time between minFirstDelay and maxFirstDelay, then it lists the prefix in the store:
+	// hosts that start together find each other down or without changes for longer.
+	minFirstDelay = 60 * time.Millisecond
+	maxFirstDelay = 120 * time.Millisecond
 	// upstreamGrace is how long an upstream without changes keeps the first poll of
 	// a daemon waiting.
 	upstreamGrace = 200 * time.Millisecond
@@ -79,7 +84,7 @@
 	// needsCurrent is set when the next listing must not lag.
 	needsCurrent bool
 	// source is where the last reply came from: the address of an upstream, or
-	// sourceStore. It is logged.
+	// sourceStore; empty before the first one. It is logged.
 	source string
 }
 
@@ -304,11 +309,17 @@
 	w.startPoll(first, after, wait, replies)
 	hedge := time.NewTimer(wait + upstreamHedgeDelay)
 	defer hedge.Stop()
+	var firstDelay <-chan time.Time
+	if w.source == "" {
+		firstDelay = time.After(minFirstDelay + rand.N(maxFirstDelay-minFirstDelay))
+	}
 	isStale := false
 	for pending := 1; pending > 0; {
 		select {
 		case <-ctx.Done():
 			return changeSet{}, ctx.Err()
+		case <-firstDelay:
+			return changeSet{}, errChangesUnavailable
 		case reply := <-replies:
 			pending--
 			if reply.err == nil && reply.Heard {
