--- a/daemon/services/ledger/watch.go
+++ b/daemon/services/ledger/watch.go
@@ -310,7 +310,7 @@
 	hedge := time.NewTimer(wait + upstreamHedgeDelay)
 	defer hedge.Stop()
 	var firstDelay <-chan time.Time
-	if w.source == "" {
+	if after == zeroRevision && w.source == "" {
 		firstDelay = time.After(minFirstDelay + rand.N(maxFirstDelay-minFirstDelay))
 	}
 	isStale := false
