Drop the empty events at the end of an unfinished text

Cause: events without data count as events of a text. A faulty engine that sends them without end is noticed at the bound of events; a run of it that is cut earlier, by a move or a stall, was continued by another engine after them, and the text was listed as completed with nothing in their place. Change: before an unfinished text is placed, its last events without data are dropped, so that it is continued after the last event with data. Where the weight versions of what is left are unknown the text is generated anew. Events without data in the middle or in a whole text are kept: engines may send them. Ruled out: a lower bound of empty events, since sound engines may send many, and a cut can come before any bound.

--- a/daemon/contract/runs.go
+++ b/daemon/contract/runs.go
@@ -105,6 +105,28 @@
 	return slices.Clone(t.Events[from:]), slices.Clone(t.Versions), t.Whole
 }
 
+// HasEmptyTail reports whether the last event holds no data. It may be called from any
+// goroutine.
+func (t *Text) HasEmptyTail() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.Events) > 0 && t.Events[len(t.Events)-1] == ""
+}
+
+// WithoutEmptyTail returns a copy that ends with the last event that holds data. It is
+// empty where the weight versions of that part are unknown.
+func (t *Text) WithoutEmptyTail() *Text {
+	text := t.Clone()
+	for len(text.Events) > 0 && text.Events[len(text.Events)-1] == "" {
+		text.Events = text.Events[:len(text.Events)-1]
+		text.Last--
+	}
+	if len(text.Events) == 0 || len(text.Versions) > 1 {
+		return &Text{}
+	}
+	return text
+}
+
 // RunOutcome is the outcome of a run.
 type RunOutcome uint8
 
--- a/daemon/services/jobs/jobs_test.go
+++ b/daemon/services/jobs/jobs_test.go
@@ -243,3 +243,35 @@
 	must.Eq(t, phaseWaiting, it.phase)
 	must.Eq(t, 0, it.text.Last)
 }
+
+// TestPlaceItems_EmptyTail guards against unfinished texts that are continued after events
+// without data, which a faulty engine may have sent. Events before them are kept.
+func TestPlaceItems_EmptyTail(t *testing.T) {
+	const version = structs.WeightVersion(1)
+	for name, c := range map[string]struct {
+		text *contract.Text
+		kept []string
+	}{
+		"only empty events": {&contract.Text{Events: []string{"", ""}, Last: 2, Versions: []structs.WeightVersion{version}}, nil},
+		"after others":      {&contract.Text{Events: []string{"1", "", "3", "", ""}, Last: 5, Versions: []structs.WeightVersion{version}}, []string{"1", "", "3"}},
+		"of two versions":   {&contract.Text{Events: []string{"1", ""}, Last: 2, Versions: []structs.WeightVersion{version, 2}}, nil},
+		"whole":             {&contract.Text{Events: []string{"1", ""}, Last: 2, Versions: []structs.WeightVersion{version}, Whole: true}, []string{"1", ""}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newService()
+			now := time.Now()
+			it := &item{Item: &batch.Item{ID: "a"}, text: c.text, resumeOffset: len(c.text.Events), checkpointOffset: len(c.text.Events)}
+			// No item is placed while the route is missing.
+			j := &job{Job: batch.Job{ID: "job"}, items: []*item{it}, submittedAt: now, routeRemovedAt: now}
+			j.route = routeSettings{itemTTL: time.Minute}
+			s.placeItems(j, now)
+			must.Eq(t, c.kept, it.text.Events)
+			must.Eq(t, uint64(len(c.kept)), it.text.Last)
+			must.Eq(t, len(c.kept), it.resumeOffset)
+			if !c.text.Whole {
+				// The next checkpoint replaces the dropped events.
+				must.Eq(t, 0, it.checkpointOffset)
+			}
+		})
+	}
+}
--- a/daemon/services/jobs/schedule.go
+++ b/daemon/services/jobs/schedule.go
@@ -253,6 +253,7 @@
 			s.judgeItem(j, it)
 			continue
 		}
+		s.dropEmptyTail(j, it)
 		if !j.routeRemovedAt.IsZero() {
 			if now.Sub(j.routeRemovedAt) >= routeRemovalGrace {
 				s.giveUpItem(j, it, "its route was removed")
@@ -311,6 +312,19 @@
 	it.text, it.resumeOffset, it.checkpointOffset = &generatedText{}, 0, 0
 }
 
+// dropEmptyTail drops the last events of an unfinished text that hold no data. A faulty
+// engine may have sent them until its run was cut, and another engine would continue after
+// them.
+func (s *service) dropEmptyTail(j *job, it *item) {
+	if !it.text.HasEmptyTail() {
+		return
+	}
+	text := it.text.WithoutEmptyTail()
+	s.log.WithFields(logrus.Fields{"job": j.ID, "item": it.ID, "events": it.text.Last, "kept": text.Last}).
+		Info("Dropped the empty events at the end of an unfinished text.")
+	it.text, it.resumeOffset, it.checkpointOffset = text, len(text.Events), 0
+}
+
 // waitingItem is an item without an engine.
 type waitingItem struct {
 	item       *item
