--- a/histories/managed/daemon_test.go
+++ b/histories/managed/daemon_test.go
@@ -13,7 +13,6 @@
 	"slices"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -95,45 +94,6 @@
 	storeProxy   *storeProxy
 }
 
-// Port range of this package, below the system's ephemeral ports. Each port is
-// used once.
-const (
-	firstPort = 24000
-	lastPort  = 29999
-)
-
-var portOffset atomic.Int64
-
-// freePorts returns ports of the range that no process listens on.
-func freePorts(t *testing.T, count int) []int {
-	var ports []int
-	for len(ports) < count {
-		port := firstPort + int(portOffset.Add(1))
-		must.LessEq(t, lastPort, port)
-		if isFree(port) {
-			ports = append(ports, port)
-		}
-	}
-	return ports
-}
-
-// freePortRange returns the first of two adjacent free ports.
-func freePortRange(t *testing.T) int {
-	for {
-		second := firstPort + int(portOffset.Add(2))
-		must.LessEq(t, lastPort, second)
-		if isFree(second-1) && isFree(second) {
-			return second - 1
-		}
-	}
-}
-
-// isFree reports whether no process listens on a port.
-func isFree(port int) bool {
-	listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
-	return err == nil && listener.Close() == nil
-}
-
 // startDaemon starts a daemon in this process and waits until it is ready.
 func (h *harness) startDaemon(name string) *daemon { return h.startDaemonWith(name, nil) }
 
@@ -147,10 +107,16 @@
 	settings, err := platform.ParseHostConfig([]byte(d.hostConfig(name, freePortRange(h.t))))
 	must.NoError(h.t, err)
 	log := logrus.New()
-	log.SetOutput(io.Discard)
+	var last lastLines
+	log.SetOutput(&last)
 	if h.logs != nil {
-		log.SetOutput(h.logs)
+		log.SetOutput(io.MultiWriter(h.logs, &last))
 	}
+	h.t.Cleanup(func() {
+		if h.t.Failed() {
+			h.t.Logf("log of %s:\n%s", name, last.String())
+		}
+	})
 	daemonConfig := agent.ManagedConfig(settings, ports[2])
 	daemonConfig.Platform.DialServer = dial
 	d.kernel = agent.NewManaged(agent.RoleEntry, daemonConfig, log)
--- a/histories/managed/servers_test.go
+++ b/histories/managed/servers_test.go
@@ -120,7 +120,7 @@
 	daemons []*daemon
 	// workspaces is the list of workspaces in the configurations; nil leaves it out.
 	workspaces []map[string]any
-	// logs receives the logs of the daemons that start in this process; nil discards them.
+	// logs receives the logs of the daemons that start in this process, unless it is nil.
 	logs io.Writer
 }
 
