History of empty events before a cut

Cause: the failure of TestManaged_EndlessEngineStreams/empty_events needs a run that is cut before its bound of events, which only a busy machine does in that test. Change: an engine that sends ten events without data and breaks off.

--- a/histories/managed/endless_engine_test.go
+++ b/histories/managed/endless_engine_test.go
@@ -89,3 +89,23 @@
 		})
 	}
 }
+
+// TestManaged_EmptyEventsBeforeCut guards against texts that are listed without their
+// beginning: one of two engines sends events without data and breaks off before there are
+// too many of them. The other engine must not continue after these.
+func TestManaged_EmptyEventsBeforeCut(t *testing.T) {
+	h := newHarness(t)
+	h.putConfiguration(1)
+	h.addPlain("plain-1")
+	h.addEngine("engine-1", 20, 20*time.Millisecond)
+	h.addFaultyEngine("engine-2", func(w http.ResponseWriter, r *http.Request) {
+		for number := 1; number <= 10; number++ {
+			_, _ = fmt.Fprintf(w, "id: %d\n\n", number)
+		}
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	})
+	d := h.startDaemon("daemon-1")
+	submitJob(h, d, "job-1", jobBody("job-1", 0, 1, 8, 1))
+	h.checkResults("job-1", h.fetchAllResults(d, "job-1", 8), 20, 1)
+}
