TestManaged_JobOutlivesItsRoute: wait for the configuration that it means

Cause: where the new configuration has an ordinary route for all paths, the probes got 200 under the first configuration too, so the test did not wait for the second one at the other daemon, which then rightly answered 404 for a path without a route. The logs show the answer about 20 ms before 'A configuration is in force.' version=2. Scaffold only. Change: a third probe, on a path that the first configuration answers with 404. All checks stay as they are, and the wait is stricter. Ruled out: a fault in reading jobs whose route is gone; no check of them failed.

--- a/histories/managed/routes_test.go
+++ b/histories/managed/routes_test.go
@@ -69,9 +69,12 @@
 				if routes[0]["pathPrefix"] == "/" {
 					want = http.StatusOK
 				}
+				// The first configuration answers the last of these in another way than the
+				// others.
 				h.waitFor("the configuration is in force", func() bool {
 					return d.call(http.MethodPost, "/claims/1", "probe", nil, "").status == want &&
-						d.call(http.MethodPost, "/status/1", "probe", nil, "").status == want
+						d.call(http.MethodPost, "/status/1", "probe", nil, "").status == want &&
+						d.call(http.MethodPost, "/elsewhere/1", "probe", nil, "").status == want
 				})
 				page, status := d.fetchResults("job-1", 0)
 				must.Eq(t, http.StatusOK, status)
