Believe that servers have left while the store fails this daemon alone

Change: StoreKnowledge.ServedSince counts replies of the store to watches, whoever made them, as long as they follow each other and are later than the daemon's last failed call.

--- a/daemon/contract/managed.go
+++ b/daemon/contract/managed.go
@@ -98,6 +98,10 @@
 	// Staleness returns the time since the store last replied to a watch of a prefix,
 	// directly or through other daemons. It may be called from any goroutine.
 	Staleness(prefix string) time.Duration
+	// ServedSince returns the time since which the store has replied to this daemon's calls
+	// or, if that is longer, to watches of a prefix, directly or through other daemons. It
+	// returns false while it does neither. It may be called from any goroutine.
+	ServedSince(prefix string) (time.Time, bool)
 }
 
 // SessionView is an immutable snapshot of the live daemons.
--- a/daemon/services/ledger/ledger.go
+++ b/daemon/services/ledger/ledger.go
@@ -143,6 +143,21 @@
 	return boottime.Now()
 }
 
+// ServedSince implements contract.StoreKnowledge.
+func (s *service) ServedSince(prefix string) (time.Time, bool) {
+	reachedSince, isReached := s.ReachedSince()
+	for _, w := range s.watches {
+		served := w.cache.servedSince.Load()
+		if w.prefix != prefix || served == 0 || !w.cache.isFresh() {
+			continue
+		}
+		if since := time.Now().Add(-boottime.Since(time.Duration(served))); !isReached || since.Before(reachedSince) {
+			return since, true
+		}
+	}
+	return reachedSince, isReached
+}
+
 // recordCall records the latency of a call and whether the store was reachable.
 func (s *service) recordCall(call string, started time.Time, err error) {
 	s.metrics.Time("store."+call, time.Since(started))
@@ -162,6 +177,9 @@
 		s.log.WithError(err).WithField("call", call).Warn("The store is unreachable.")
 		s.connectivity.Publish(&connectivity{})
 		previous.cancelWatches()
+		for _, w := range s.watches {
+			w.cache.interrupt()
+		}
 	default:
 		s.log.WithField("call", call).Info("The store is reachable.")
 		next := &connectivity{reachableSince: time.Now()}
--- a/daemon/services/ledger/watchcache.go
+++ b/daemon/services/ledger/watchcache.go
@@ -44,6 +44,10 @@
 	// any daemon, on the clock of package boottime, which includes the time of
 	// a suspension.
 	lastStoreReply atomic.Int64
+	// servedSince is when the first of the present replies came that follow each other
+	// within maxStaleness, and interruptedAt when a call of this daemon to the store last
+	// failed after others had succeeded; both on the same clock, zero for never.
+	servedSince, interruptedAt atomic.Int64
 }
 
 func newWatchCache(maxStaleness time.Duration) *watchCache {
@@ -152,9 +156,20 @@
 // isFresh reports whether this daemon may report that nothing changed.
 func (c *watchCache) isFresh() bool { return c.staleness() < c.maxStaleness }
 
+// interrupt begins a new series of replies: the store has failed this daemon. Replies that
+// it gave before, which other daemons pass on, do not count.
+func (c *watchCache) interrupt() {
+	c.interruptedAt.Store(int64(boottime.Now()))
+	c.servedSince.Store(0)
+}
+
 // recordStoreReply records a reply that the store gave the given time ago.
 func (c *watchCache) recordStoreReply(age time.Duration) {
 	replyTime := int64(boottime.Now() - age)
+	isNewSeries := c.servedSince.Load() == 0 || replyTime-c.lastStoreReply.Load() > int64(c.maxStaleness)
+	if isNewSeries && replyTime > c.interruptedAt.Load() {
+		c.servedSince.Store(int64(boottime.Now()))
+	}
 	for last := c.lastStoreReply.Load(); last < replyTime; last = c.lastStoreReply.Load() {
 		if c.lastStoreReply.CompareAndSwap(last, replyTime) {
 			return
--- a/daemon/services/ledger/watchcache_test.go
+++ b/daemon/services/ledger/watchcache_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"fmt"
+	"io"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/shoenig/test/must"
+	"github.com/sirupsen/logrus"
 
+	"github.com/flamingobeam/flamingobeam/kernel"
 	"github.com/flamingobeam/flamingobeam/outside"
 )
 
@@ -124,3 +128,33 @@
 	}
 	must.Eq(t, len(wireErrors)-1, errorNumber(fmt.Errorf("other")))
 }
+
+// TestServedSince guards against a daemon that takes the store to be away because its own
+// calls fail, while other daemons pass fresh changes on to it.
+func TestServedSince(t *testing.T) {
+	s := &service{connectivity: kernel.NewSnapshot(&connectivity{reachableSince: time.Now(), cancelWatches: func() {}}), metrics: noMetrics{}, log: logrus.NewEntry(logrus.New())}
+	s.log.Logger.SetOutput(io.Discard)
+	w := &prefixWatch{service: s, prefix: "servers/", cache: newWatchCache(time.Minute)}
+	s.watches = []*prefixWatch{w}
+	w.cache.recordStoreReply(0)
+	s.recordCall("keep-alive", time.Now(), errors.WithStack(outside.ErrUnavailable))
+	_, isServed := s.ServedSince("servers/")
+	must.False(t, isServed)
+
+	w.cache.recordStoreReply(time.Second) // From before the failure.
+	_, isServed = s.ServedSince("servers/")
+	must.False(t, isServed)
+
+	w.cache.recordStoreReply(0)
+	since, isServed := s.ServedSince("servers/")
+	must.True(t, isServed)
+	w.cache.recordStoreReply(0)
+	again, _ := s.ServedSince("servers/")
+	must.Less(t, time.Second, again.Sub(since).Abs())
+	_, isServed = s.ServedSince("other/")
+	must.False(t, isServed)
+
+	w.cache.maxStaleness = 0
+	_, isServed = s.ServedSince("servers/")
+	must.False(t, isServed)
+}
--- a/daemon/services/servers/servers.go
+++ b/daemon/services/servers/servers.go
@@ -43,15 +43,15 @@
 
 type service struct {
 	kernel.Base
-	store   contract.TransactionalStore
-	session contract.Session
-	workers *kernel.Workers
-	loop    *kernel.Loop
-	log     *logrus.Entry
-	regions map[structs.ZoneName]structs.RegionName
-	view    *kernel.Snapshot[contract.ServersView]
-	hosts   *kernel.Snapshot[contract.HostView]
-	entries map[structs.HostName]catalog.Server
+	knowledge contract.StoreKnowledge
+	session   contract.Session
+	workers   *kernel.Workers
+	loop      *kernel.Loop
+	log       *logrus.Entry
+	regions   map[structs.ZoneName]structs.RegionName
+	view      *kernel.Snapshot[contract.ServersView]
+	hosts     *kernel.Snapshot[contract.HostView]
+	entries   map[structs.HostName]catalog.Server
 	// lapsed holds the servers whose entries disappeared while the store was
 	// unreachable.
 	lapsed map[structs.HostName]bool
@@ -76,17 +76,20 @@
 		return err
 	}
 	s.regions = daemon.Platform.Regions
-	if s.store, err = kernel.Find[contract.TransactionalStore](ctx, contract.NameTransactionalStore); err != nil {
-		return err
-	}
-	if s.session, err = kernel.Find[contract.Session](ctx, contract.NameSession); err != nil {
+	var store contract.TransactionalStore
+	err = kernel.FindAll(ctx,
+		kernel.Bind(&store, contract.NameTransactionalStore),
+		kernel.Bind(&s.knowledge, contract.NameTransactionalStore),
+		kernel.Bind(&s.session, contract.NameSession),
+	)
+	if err != nil {
 		return err
 	}
 	s.loop, s.workers, s.log = ctx.Loop(), ctx.Workers(), ctx.Log()
 	s.notices = kernel.NewMailbox(s.loop, noticeCapacity, s.markLeaving)
 	s.view = kernel.NewSnapshot(&contract.ServersView{})
 	s.hosts = kernel.NewSnapshot(&contract.HostView{})
-	s.store.WatchPrefix(platform.ServerPrefix, watchOptions, s.applyChanges)
+	store.WatchPrefix(platform.ServerPrefix, watchOptions, s.applyChanges)
 	return nil
 }
 
@@ -138,17 +141,17 @@
 	}
 }
 
-// removeEntry removes an entry. If the store is or was just now unreachable it
-// keeps the entry until expireLapsed runs, because the server itself may be
-// healthy.
+// removeEntry removes an entry. If the store is or was just now away it keeps the entry
+// until expireLapsed runs, because the server itself may be healthy. A store that only fails
+// this daemon is not away: changes come through other daemons.
 func (s *service) removeEntry(id structs.HostName) {
 	server, known := s.entries[id]
 	if !known || s.lapsed[id] {
 		return
 	}
-	reachableSince, reachable := s.store.ReachedSince()
-	remaining := reregistrationTimeout - time.Since(reachableSince)
-	if !server.Draining && s.loaded && (!reachable || remaining > 0) {
+	servedSince, isServed := s.knowledge.ServedSince(platform.ServerPrefix)
+	remaining := reregistrationTimeout - time.Since(servedSince)
+	if !server.Draining && s.loaded && (!isServed || remaining > 0) {
 		s.lapsed[id] = true
 		s.log.WithField("server", id).Info("A server's entry disappeared while the store was unreachable.")
 		if s.expiryTimer == nil {
@@ -160,12 +163,12 @@
 	s.log.WithField("server", id).Info("A server is no longer listed.")
 }
 
-// expireLapsed removes the lapsed entries once the store has been reachable
-// for reregistrationTimeout.
+// expireLapsed removes the lapsed entries once the store has replied for
+// reregistrationTimeout.
 func (s *service) expireLapsed() {
 	s.expiryTimer = nil
-	reachableSince, reachable := s.store.ReachedSince()
-	if remaining := reregistrationTimeout - time.Since(reachableSince); !reachable || remaining > 0 {
+	servedSince, isServed := s.knowledge.ServedSince(platform.ServerPrefix)
+	if remaining := reregistrationTimeout - time.Since(servedSince); !isServed || remaining > 0 {
 		s.expiryTimer = s.loop.AfterFunc(max(remaining, reregistrationTimeout/4), s.expireLapsed)
 		return
 	}
--- a/daemon/services/servers/servers_test.go
+++ b/daemon/services/servers/servers_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/shoenig/test/must"
 	"github.com/sirupsen/logrus"
 
@@ -17,10 +18,15 @@
 	"github.com/flamingobeam/flamingobeam/platform"
 )
 
-// reachableStore has been reachable for long.
-type reachableStore struct{ contract.TransactionalStore }
+// fakeKnowledge has been served for a time; zero if it is not served.
+type fakeKnowledge struct {
+	contract.StoreKnowledge
+	servedFor time.Duration
+}
 
-func (reachableStore) ReachedSince() (time.Time, bool) { return time.Now().Add(-time.Hour), true }
+func (f fakeKnowledge) ServedSince(string) (time.Time, bool) {
+	return time.Now().Add(-f.servedFor), f.servedFor > 0
+}
 
 type emptySession struct{ contract.Session }
 
@@ -33,7 +39,7 @@
 	log.SetOutput(io.Discard)
 	return &service{
 		entries: make(map[structs.HostName]catalog.Server), lapsed: make(map[structs.HostName]bool), leaving: make(map[structs.HostName]int64),
-		store: reachableStore{}, session: emptySession{}, log: logrus.NewEntry(log),
+		knowledge: fakeKnowledge{servedFor: time.Hour}, session: emptySession{}, log: logrus.NewEntry(log),
 		view: kernel.NewSnapshot(&contract.ServersView{}), hosts: kernel.NewSnapshot(&contract.HostView{}),
 	}
 }
@@ -68,3 +74,16 @@
 	s.put("a", 2)
 	must.True(t, s.isOffered("a"))
 }
+
+// TestRemoveEntry_StoreAway removes the entry of a server that was listed before. It must
+// stay offered only while the store is away or has just returned.
+func TestRemoveEntry_StoreAway(t *testing.T) {
+	for servedFor, isKept := range map[time.Duration]bool{0: true, reregistrationTimeout / 2: true, 2 * reregistrationTimeout: false} {
+		s := newTestService()
+		s.loop = kernel.NewLoop(clockwork.NewFakeClock())
+		s.put("a", 1)
+		s.loaded, s.knowledge = true, fakeKnowledge{servedFor: servedFor}
+		s.applyChanges(contract.News{Records: []outside.Record{{Key: platform.ServerPrefix + "a", Removed: true}}})
+		must.Eq(t, isKept, s.isOffered("a"), must.Sprint(servedFor))
+	}
+}
