Decisions that can be asked without effect: admission, routing, hedges

Cause: operators ask where a request would go now and who waits. The decisions of admission, of the choice of a server and of hedges changed their state while they decided, so that only a copy of them could have been asked.

Book.Unreported lists windows that are decided and not confirmed.

Ruled out: a second implementation for questions, which drifts; cloning the whole controller, which copies every waiting request; undoing a decision after it was made.

--- a/coord/hedge/account.go
+++ b/coord/hedge/account.go
@@ -91,21 +91,43 @@
 // allows it. Calls for accepted work may use only a part of the limit.
 func (a *Account) Take(now time.Time, service structs.ServiceName, workspace structs.WorkspaceName, isAccepted bool) Refusal {
 	s := a.service(now, service)
-	limit := a.share * s.total.Requests
+	if refusal := a.check(s.total, s.workspaces[workspace], isAccepted); refusal != Allowed {
+		return refusal
+	}
+	a.Add(now, service, Tallies{workspace: {Hedges: 1}})
+	return Allowed
+}
+
+// check decides whether the limits allow a hedge, from the counts of a service and of a
+// workspace.
+func (a *Account) check(total, workspace Tally, isAccepted bool) Refusal {
+	limit := a.share * total.Requests
 	if isAccepted {
 		limit *= acceptedPart
 	}
-	if s.total.Hedges+1 > limit {
+	switch {
+	case total.Hedges+1 > limit:
 		return RefusedByService
-	}
-	tally := s.workspaces[workspace]
-	if tally.Hedges+1 > max(1, a.share*tally.Requests) {
+	case workspace.Hedges+1 > max(1, a.share*workspace.Requests):
 		return RefusedByWorkspace
 	}
-	a.Add(now, service, Tallies{workspace: {Hedges: 1}})
 	return Allowed
 }
 
+// Forecast returns what Take would decide for a request that is counted before it, and the
+// counts of the service with that request. It changes nothing.
+func (a *Account) Forecast(now time.Time, service structs.ServiceName, workspace structs.WorkspaceName, isAccepted bool) (Refusal, Tally) {
+	total, own := Tally{Requests: 1}, Tally{Requests: 1}
+	if s := a.services[service]; s != nil {
+		decay := s.decay(now)
+		total = total.plus(s.total.scaled(decay))
+		if tally := s.workspaces[workspace].scaled(decay); decay == 1 || !tally.isForgotten() {
+			own = own.plus(tally)
+		}
+	}
+	return a.check(total, own, isAccepted), total
+}
+
 // Split removes and returns a part of what is counted for a service, from 0 to 1. Another
 // account takes it over.
 func (a *Account) Split(now time.Time, service structs.ServiceName, part float64) Tallies {
@@ -140,19 +162,33 @@
 		s = &serviceAccount{workspaces: make(Tallies), at: now}
 		a.services[name] = s
 	}
-	elapsed := now.Sub(s.at)
-	if elapsed < window/64 {
+	decay := s.decay(now)
+	if decay == 1 {
 		return s
 	}
-	decay := math.Exp(-elapsed.Seconds() / window.Seconds())
 	s.at, s.total = now, s.total.scaled(decay)
 	for workspace, tally := range s.workspaces {
 		s.workspaces[workspace] = tally.scaled(decay)
 	}
-	maps.DeleteFunc(s.workspaces, func(_ structs.WorkspaceName, t Tally) bool { return t.Requests+t.Hedges < forgetBelow })
+	maps.DeleteFunc(s.workspaces, func(_ structs.WorkspaceName, t Tally) bool { return t.isForgotten() })
 	return s
 }
 
+// decay returns the factor by which the counts have decayed until now.
+func (s *serviceAccount) decay(now time.Time) float64 {
+	elapsed := now.Sub(s.at)
+	if elapsed < window/64 {
+		return 1
+	}
+	return math.Exp(-elapsed.Seconds() / window.Seconds())
+}
+
+func (t Tally) isForgotten() bool { return t.Requests+t.Hedges < forgetBelow }
+
+func (t Tally) plus(other Tally) Tally {
+	return Tally{Requests: t.Requests + other.Requests, Hedges: t.Hedges + other.Hedges}
+}
+
 func (t Tally) scaled(factor float64) Tally {
 	return Tally{Requests: t.Requests * factor, Hedges: t.Hedges * factor}
 }
--- a/coord/hedge/delay.go
+++ b/coord/hedge/delay.go
@@ -142,6 +142,15 @@
 	return t.delay, t.delay > 0
 }
 
+// Forecast returns what Delay would return. It changes nothing.
+func (d *Delays) Forecast(key Key) (time.Duration, bool) {
+	t := d.times[key]
+	if t == nil {
+		return 0, false
+	}
+	return t.delay, t.delay > 0
+}
+
 // compute computes the delay from the times of both periods.
 func (t *times) compute(share float64, isAccepted bool) {
 	factor := float64(tailFactor)
--- a/coord/hedge/hedge_test.go
+++ b/coord/hedge/hedge_test.go
@@ -114,3 +114,27 @@
 	late.Remaining = 10 * time.Millisecond
 	must.Eq(t, hedge.RefusedByDeadline, hedge.Check(late))
 }
+
+// TestForecast_IsWhatTakeDecides asks before each hedge, and checks that asking is free.
+func TestForecast_IsWhatTakeDecides(t *testing.T) {
+	asked, plain := hedge.NewAccount(0.1), hedge.NewAccount(0.1)
+	now := time.Unix(1000, 0)
+	allowed := 0
+	for i := range 200 {
+		now = now.Add(300 * time.Millisecond)
+		for range 3 {
+			_, _ = asked.Forecast(now, "judge", "north", i%2 == 0)
+		}
+		forecast, _ := asked.Forecast(now, "judge", "north", i%2 == 0)
+		for _, account := range []*hedge.Account{asked, plain} {
+			account.Add(now, "judge", hedge.Tallies{"north": {Requests: 1}})
+		}
+		must.Eq(t, plain.Take(now, "judge", "north", i%2 == 0), forecast)
+		must.Eq(t, forecast, asked.Take(now, "judge", "north", i%2 == 0))
+		if forecast == hedge.Allowed {
+			allowed++
+		}
+	}
+	must.Positive(t, allowed)
+	must.Eq(t, plain.Share(now, "judge"), asked.Share(now, "judge"))
+}
--- a/coord/limit/admission_controller.go
+++ b/coord/limit/admission_controller.go
@@ -153,30 +153,18 @@
 
 // Admit decides whether a request runs, is queued or is refused.
 func (c *AdmissionController[T]) Admit(now time.Time, request Request) Decision[T] {
-	if !request.Deadline.IsZero() && !now.Before(request.Deadline) {
-		return Decision[T]{Action: ActionRefuse, Code: result.DueTimePassed}
+	v := c.judge(now, request, &c.accounts)
+	if v.usesFlow {
+		c.applyFlow(v.request, v.flow)
 	}
-	if request.Share <= 0 {
-		request.Share = 1
-	}
-	var a *account
-	if request.ByDemand {
-		a = c.accounts.ask(now, request, c.capacity)
-		request.Share = c.accounts.weightOf(a)
-	}
-	if c.running < c.capacityFor(request.Class) && c.queuedUpTo(queueIndex(request)) == 0 {
-		c.run(a)
+	switch v.action {
+	case ActionRun:
+		c.run(v.account)
 		return Decision[T]{Action: ActionRun}
+	case ActionRefuse:
+		return Decision[T]{Action: ActionRefuse, Code: v.code, RetryAfter: v.retryAfter}
 	}
-	wait := c.expectedWait(request, a)
-	if !request.Deadline.IsZero() && now.Add(wait).After(request.Deadline) {
-		return newRefusal[T](result.Overloaded, wait-request.Deadline.Sub(now))
-	}
-	f := c.flow(request)
-	if code := c.checkQueueBound(request, f); code != result.OK {
-		return newRefusal[T](code, wait)
-	}
-	return Decision[T]{Action: ActionQueue, Waiter: c.enqueue(now, request, f, a)}
+	return Decision[T]{Action: ActionQueue, Waiter: c.enqueue(now, v.request, v.account)}
 }
 
 // run takes a slot for a request with an account, which is nil if it has none.
@@ -187,10 +175,6 @@
 	}
 }
 
-func newRefusal[T any](code result.Code, retryAfter time.Duration) Decision[T] {
-	return Decision[T]{Action: ActionRefuse, Code: code, RetryAfter: max(retryAfter, minRetryAfter)}
-}
-
 // capacityFor returns the number of slots in use below which a class may take
 // another one.
 func (c *AdmissionController[T]) capacityFor(class structs.Class) int {
@@ -216,7 +200,7 @@
 
 // expectedWait estimates the time until a new request would run. That of a workspace
 // does not wait longer than its own requests before it take in the places that it is due.
-func (c *AdmissionController[T]) expectedWait(request Request, a *account) time.Duration {
+func (c *AdmissionController[T]) expectedWait(request Request, a *account, as *accounts) time.Duration {
 	var work time.Duration
 	for i := range c.queues[:queueIndex(request)+1] {
 		work += time.Duration(len(c.queues[i].waiters)) * c.queues[i].meanServiceTime
@@ -225,7 +209,7 @@
 	if a == nil {
 		return wait
 	}
-	own := float64(a.queued) * float64(a.work()) / c.accounts.weightOf(a)
+	own := float64(a.queued) * float64(a.work()) / as.weightOf(a)
 	return time.Duration(min(float64(wait), own))
 }
 
--- a/coord/limit/fair_queue.go
+++ b/coord/limit/fair_queue.go
@@ -26,31 +26,44 @@
 	queue     int
 }
 
-func (c *AdmissionController[T]) flow(request Request) *flow {
-	key := flowKey{workspace: request.Workspace, queue: queueIndex(request)}
-	f, ok := c.flows[key]
-	if !ok {
+func keyOfFlow(request Request) flowKey {
+	return flowKey{workspace: request.Workspace, queue: queueIndex(request)}
+}
+
+// flowOf returns the flow of a request with the share that it has from now on.
+func (c *AdmissionController[T]) flowOf(request Request) flow {
+	var next flow
+	if f := c.flows[keyOfFlow(request)]; f != nil {
+		next = *f
+	}
+	// What a workspace is due changes while its requests wait; a fixed share does not.
+	if next.queued == 0 || request.ByDemand {
+		next.share = request.Share
+	}
+	return next
+}
+
+// applyFlow stores the flow that flowOf returned for a request.
+func (c *AdmissionController[T]) applyFlow(request Request, next flow) {
+	key := keyOfFlow(request)
+	f := c.flows[key]
+	if f == nil {
 		f = &flow{}
 		c.flows[key] = f
 	}
-	switch {
-	case f.queued == 0:
-		f.share = request.Share
-	case request.ByDemand:
-		// What a workspace is due changes while its requests wait.
-		c.queues[key.queue].activeShares += request.Share - f.share
-		f.share = request.Share
+	if f.queued > 0 {
+		c.queues[key.queue].activeShares += next.share - f.share
 	}
-	return f
+	*f = next
 }
 
 // checkQueueBound refuses a request whose workspace uses up its part of the
 // queue.
-func (c *AdmissionController[T]) checkQueueBound(request Request, f *flow) result.Code {
+func (c *AdmissionController[T]) checkQueueBound(request Request, f flow) result.Code {
 	q := &c.queues[queueIndex(request)]
 	others := q.activeShares
-	if f.queued > 0 {
-		others -= f.share
+	if stored := c.flows[keyOfFlow(request)]; stored != nil && stored.queued > 0 {
+		others -= stored.share
 	}
 	limit := float64(max(minQueueBound, c.capacity*queuedPerSlot))
 	workspaceBound := max(1, math.Ceil(limit*f.share/(f.share+others)))
@@ -66,14 +79,14 @@
 	return result.Overloaded
 }
 
-func (c *AdmissionController[T]) enqueue(now time.Time, request Request, f *flow, a *account) *Waiter[T] {
-	q := &c.queues[queueIndex(request)]
+func (c *AdmissionController[T]) enqueue(now time.Time, request Request, a *account) *Waiter[T] {
+	q, f := &c.queues[queueIndex(request)], c.flows[keyOfFlow(request)]
 	if f.queued == 0 {
 		q.activeShares += f.share
 	}
 	f.queued++
 	c.sequence++
-	w := &Waiter[T]{Request: request, flow: f, account: a, enqueuedAt: now, sequence: c.sequence, startTag: max(q.virtualTime, f.finishTag)}
+	w := &Waiter[T]{Request: request, flow: f, account: a, enqueuedAt: now, sequence: c.sequence, startTag: q.startTagOf(*f)}
 	cost := 1.0
 	if a != nil {
 		cost = a.places()
--- a/coord/route/pick.go
+++ b/coord/route/pick.go
@@ -172,23 +172,29 @@
 	return 0, false
 }
 
-// isEligible reports whether a server may get the request. A server with a
-// reduced share is eligible for that fraction of the requests.
-func (p *picker) isEligible(server int) bool {
+// isEligible reports whether a server may get the request.
+func (p *picker) isEligible(server int) bool { return p.objection(server) == NoObjection }
+
+// objection returns why a server may not get the request. A server with a reduced share is
+// eligible for that fraction of the requests.
+func (p *picker) objection(server int) Objection {
 	s := &p.table.servers[server]
 	if s.Version != 0 && s.Version < p.request.MinVersion {
-		return false
+		return OldWeights
 	}
 	if p.request.Resumes.Last > 0 && !p.request.Resumes.Origin.FitsWith(s.Origin) {
-		return false
+		return OtherSoftware
 	}
 	if s.Share < FullShare && mix(p.request.Random^uint64(server))%FullShare >= uint64(s.Share) {
-		return false
+		return Ejected
 	}
 	if !p.ignoreLimits && p.loads.Full(server) {
-		return false
+		return AtLimit
+	}
+	if len(p.request.Avoid) > 0 && slices.Contains(p.request.Avoid, s.Name) {
+		return AlreadyTried
 	}
-	return len(p.request.Avoid) == 0 || !slices.Contains(p.request.Avoid, s.Name)
+	return NoObjection
 }
 
 // reduce maps the high 32 bits of a random number to the range [0, n).
--- a/coord/usage/book.go
+++ b/coord/usage/book.go
@@ -161,6 +161,11 @@
 	return open[0], true
 }
 
+// Unreported returns the windows that are decided and not confirmed, the oldest first.
+func (b *Book) Unreported() []Window {
+	return slices.DeleteFunc(slices.Sorted(maps.Keys(b.record.Decided)), func(window Window) bool { return b.reported[window] })
+}
+
 // Loaded takes the record that the store holds, and none if it holds none: then the first
 // window is the one that is due next.
 func (b *Book) Loaded(record *Record, now time.Time) {
