Status of managed daemons at the operators' address

Change: the service ops.explain asks each service for its part of a status and serves it at the metrics address, through the same guarded listener; `flamingobeam status` shows it as text or JSON. Services report on themselves (contract.StatusReporter): the control state of usage, fleets and jobs is read on the control goroutine, queues under the lock of one decision. All lists are bounded. Without duties their parts are left out.

No key, refused key or prompt is in the answer. The host of the metrics address answers only GET; nothing is read from a body.

--- a/cmd/flamingobeam/operate.go
+++ b/cmd/flamingobeam/operate.go
@@ -148,6 +148,9 @@
 			if err := callDaemon(ctx, command, http.MethodGet, contract.PathStatus, nil, &status); err != nil {
 				return err
 			}
+			if status.Managed != nil {
+				return printOutput(command, status.Managed, managedStatusText(*status.Managed))
+			}
 			return printOutput(command, status, statusText(status))
 		},
 	}
--- a/daemon/agent/managed.go
+++ b/daemon/agent/managed.go
@@ -24,6 +24,7 @@
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/dispatch"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/duties"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/engines"
+	_ "github.com/flamingobeam/flamingobeam/daemon/services/explain"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/expose"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/fleetsize"
 	_ "github.com/flamingobeam/flamingobeam/daemon/services/gate"
@@ -81,7 +82,7 @@
 	}
 	return []kernel.Name{
 		contract.NameShutdown, contract.NameMetricsHTTP, contract.NameRPCServer, contract.NameWeightSwaps, contract.NameShares,
-		contract.NameDuties, contract.NameUsage, contract.NameFleetSize, contract.NameManagedFront,
+		contract.NameDuties, contract.NameUsage, contract.NameFleetSize, contract.NameManagedFront, contract.NameExplain,
 	}
 }
 
--- a/daemon/contract/http.go
+++ b/daemon/contract/http.go
@@ -48,6 +48,8 @@
 	InDoubt     []string           `json:"in_doubt,omitempty"`
 	Roster      []structs.HostName `json:"roster,omitempty"`
 	Document    *settings.Document `json:"document,omitempty"`
+	// Managed is set instead of the fields after Place by daemons on a managed platform.
+	Managed *ManagedStatus `json:"managed,omitempty"`
 }
 
 // ZoneSuspension is the body of a request to PathZones. It declares that the hosts
--- a/daemon/services/expose/expose.go
+++ b/daemon/services/expose/expose.go
@@ -1,5 +1,6 @@
-// Package expose implements the service "http.metrics", which serves the metrics as
-// text, one value per line.
+// Package expose implements the service "http.metrics", the operators' HTTP interface on a
+// managed platform. It serves the metrics as text, one value per line, and what other
+// services add.
 package expose
 
 import (
@@ -41,17 +42,20 @@
 	metrics contract.MetricsReader
 	log     *logrus.Entry
 	intake  contract.Intake
+	router  *httprouter.Router
 	server  *http.Server
 	serving conc.WaitGroup
 }
 
+var _ contract.OperatorHTTP = (*service)(nil)
+
 // Provision implements kernel.Service.
 func (s *service) Provision(ctx *kernel.Context) error {
 	daemon, err := kernel.ConfigOf[config.Daemon](ctx)
 	if err != nil {
 		return err
 	}
-	s.address, s.log = daemon.Platform.Metrics, ctx.Log()
+	s.address, s.log, s.router = daemon.Platform.Metrics, ctx.Log(), httprouter.New()
 	if s.metrics, err = kernel.Find[contract.MetricsReader](ctx, contract.NameMetrics); err != nil {
 		return err
 	}
@@ -59,11 +63,15 @@
 	return err
 }
 
+// HandleGet implements contract.OperatorHTTP.
+func (s *service) HandleGet(path string, handle http.HandlerFunc) {
+	s.router.HandlerFunc(http.MethodGet, path, handle)
+}
+
 // Start implements kernel.Service.
 func (s *service) Start() error {
-	router := httprouter.New()
-	router.GET(metricsPath, s.serveMetrics)
-	s.server = &http.Server{Handler: router, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	s.router.GET(metricsPath, s.serveMetrics)
+	s.server = &http.Server{Handler: s.router, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
 	s.intake.Track(s.server)
 	listener, err := net.Listen("tcp", s.address)
 	if err != nil {
--- a/daemon/services/fleetsize/fleetsize.go
+++ b/daemon/services/fleetsize/fleetsize.go
@@ -60,6 +60,8 @@
 	workers *kernel.Workers
 	loads   *kernel.Mailbox[contract.FleetLoad]
 	answers *kernel.Mailbox[answer]
+	// executor runs questions of operators on the control goroutine.
+	executor *kernel.LoopExecutor
 	// isConfigured is set if the deployment has the duty.
 	isConfigured bool
 
@@ -76,6 +78,8 @@
 type fleet struct {
 	planner  *scaling.Planner
 	observer scaling.Observer
+	// last is the last decision; nil before the first one.
+	last *decision
 }
 
 var _ contract.FleetSize = (*service)(nil)
@@ -113,6 +117,7 @@
 	s.fleets = make(map[structs.ServiceName]*fleet)
 	s.loads = kernel.NewMailbox(s.loop, mailboxCapacity, s.handleLoad)
 	s.answers = kernel.NewMailbox(s.loop, mailboxCapacity, s.handleAnswer)
+	s.executor = kernel.NewLoopExecutor(s.loop)
 }
 
 // Start implements kernel.Service.
@@ -171,6 +176,10 @@
 	}
 	plan := f.planner.Plan(in)
 	s.record(name, f, in, plan)
+	if f.last == nil {
+		f.last = &decision{}
+	}
+	f.last.note(in, plan)
 	for _, order := range plan.Orders[:min(len(plan.Orders), maxOrders)] {
 		s.send(name, f, order, in.Bounds.BootTime)
 	}
--- a/daemon/services/fleetsize/messages.go
+++ b/daemon/services/fleetsize/messages.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -127,16 +126,8 @@
 	if len(plan.Orders) == 0 {
 		return
 	}
-	orders := make([]string, len(plan.Orders))
-	for i, order := range plan.Orders {
-		kind := "plain"
-		if order.Reclaimable {
-			kind = "reclaimable"
-		}
-		orders[i] = fmt.Sprintf("%s %s %d (%s)", order.Zone, kind, order.Count, order.Why)
-	}
 	s.log.WithFields(logrus.Fields{
-		"service": name, "orders": strings.Join(orders, ", "), "needed": plan.Need.Servers, "floor": plan.Need.Floor,
+		"service": name, "orders": strings.Join(describeOrders(plan.Orders), ", "), "needed": plan.Need.Servers, "floor": plan.Need.Floor,
 		"plain": plain, "reclaimable": reclaimable, "open_ms": in.Demand.Open.Milliseconds(), "step_ms": in.Demand.StepWork.Milliseconds(),
 		"period_ms": in.Demand.Period.Milliseconds(), "due_ms": in.Demand.Due / time.Millisecond, "running": in.Demand.Running, "complete": in.IsComplete,
 	}).Info("The size of a fleet changes.")
--- a/daemon/services/usage/steps.go
+++ b/daemon/services/usage/steps.go
@@ -165,6 +165,7 @@
 		return
 	}
 	entry.Info("Reported the usage of a window.")
+	s.noteReported(window, result.step.Counts, late)
 	s.metrics.Gauge("usage.last_window", int64(window))
 	s.metrics.Count("usage.reported", 1)
 	if late > s.rules.Due {
--- a/daemon/services/usage/usage.go
+++ b/daemon/services/usage/usage.go
@@ -37,6 +37,7 @@
 	loop      *kernel.Loop
 	workers   *kernel.Workers
 	results   *kernel.Mailbox[kernel.AsyncResult[stepResult]]
+	executor  *kernel.LoopExecutor
 
 	// The following fields belong to the control goroutine.
 	//
@@ -48,6 +49,8 @@
 	// isBusy is set while a step is in progress.
 	isBusy bool
 	timer  *kernel.Timer
+	// reported are the last windows that the platform has confirmed in this tenure.
+	reported []contract.UsageWindow
 	// clockError is how far this host's clock is ahead of those of most daemons.
 	clockError time.Duration
 	// clocks holds the clocks of daemons that are or seemed wrong, by name.
@@ -76,6 +79,7 @@
 	s.meter, s.clocks = usage.NewMeter(s.rules.KeepTime()), make(map[string]clockNote)
 	s.log, s.loop, s.workers = ctx.Log(), ctx.Loop(), ctx.Workers()
 	s.results = kernel.NewMailbox(s.loop, 1, s.handleResult)
+	s.executor = kernel.NewLoopExecutor(s.loop)
 	var rpc contract.RPCServer
 	err = kernel.FindAll(ctx,
 		kernel.Bind(&s.duties, contract.NameDuties),
@@ -121,7 +125,7 @@
 		s.book = nil
 	case leads && (s.book == nil || s.token != token):
 		s.log.WithField("token", token).Info("Reporting of usage begins on this daemon.")
-		s.book, s.token, s.revision = s.rules.NewBook(), token, 0
+		s.book, s.token, s.revision, s.reported = s.rules.NewBook(), token, 0, nil
 	}
 	s.advance()
 }
--- a/histories/managed/daemon_test.go
+++ b/histories/managed/daemon_test.go
@@ -92,7 +92,9 @@
 	kernel       *kernel.Kernel
 	address      string
 	readyAddress string
-	storeProxy   *storeProxy
+	// metricsAddress is the operators' address.
+	metricsAddress string
+	storeProxy     *storeProxy
 }
 
 // Port range of this package, below the system's ephemeral ports. Each port is
@@ -143,6 +145,7 @@
 	d := &daemon{
 		storeProxy: newStoreProxy(h.t, h.store.address()),
 		address:    fmt.Sprintf("127.0.0.1:%d", ports[0]), readyAddress: fmt.Sprintf("127.0.0.1:%d", ports[1]),
+		metricsAddress: fmt.Sprintf("127.0.0.1:%d", ports[2]),
 	}
 	settings, err := platform.ParseHostConfig([]byte(d.hostConfig(name, freePortRange(h.t))))
 	must.NoError(h.t, err)
--- a/histories/managed/process_test.go
+++ b/histories/managed/process_test.go
@@ -18,9 +18,9 @@
 type process struct {
 	daemon
 	command *exec.Cmd
-	// metricsAddress, peersAddress and relayAddress are those of the metrics, of net/rpc and
-	// of requests that other daemons pass on.
-	metricsAddress, peersAddress, relayAddress string
+	// peersAddress and relayAddress are those of net/rpc and of requests that other daemons
+	// pass on.
+	peersAddress, relayAddress string
 }
 
 // daemonBinary is the path of flamingobeamd, built once for all tests of the
