flamingobeam route: where a request or a batch job would go now, and why

Change: GET /v1/operator/route at the operators' address, and the command `route`. For a job it names the owner's host, the due time and how the selector judges the engines. Exit status 4 says that the request would be refused. The workspace is named, a key never asked for.

Ruled out: asking the leader or a pool for a place or a hedge, which takes it from them; a body in the question, which had to be counted as held for a client; a draw of one random server as the answer: chances are given instead.

--- a/cmd/flamingobeam/main.go
+++ b/cmd/flamingobeam/main.go
@@ -8,6 +8,7 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 
 	"github.com/flamingobeam/flamingobeam/coord/result"
@@ -19,6 +20,8 @@
 	exitFailure = 1
 	exitRefused = 2
 	exitUnknown = 3
+	// exitWouldBeRefused is that of a question about a request that would be refused.
+	exitWouldBeRefused = 4
 )
 
 func main() {
@@ -31,6 +34,10 @@
 }
 
 func exitStatus(err error) int {
+	var refused wouldBeRefused
+	if errors.As(err, &refused) {
+		return exitWouldBeRefused
+	}
 	if result.CodeOf(err) == result.OutcomeUnknown {
 		return exitFailure
 	}
@@ -50,6 +57,7 @@
 			createCommand(),
 			applyCommand(),
 			statusCommand(),
+			routeCommand(),
 			suspendCommand(),
 			reportCommand(),
 			experimentCommand(),
--- a/daemon/services/balance/balance.go
+++ b/daemon/services/balance/balance.go
@@ -125,21 +125,22 @@
 	return err
 }
 
-// chooseServer chooses a server for an admitted request and counts the request
-// there.
-func (s *service) chooseServer(target *serviceView, request *contract.PickRequest, admission limit.Request, isSuspect bool) (contract.Ticket, error) {
-	routeRequest := route.Request{
+// routeRequestOf returns what routing depends on, without a random number.
+func routeRequestOf(request contract.PickRequest) route.Request {
+	return route.Request{
 		Class:      request.Class,
 		Affinity:   request.Affinity,
 		MinVersion: request.MinVersion,
 		Resumes:    request.Resumes,
 		Avoid:      request.Avoid,
-		Random:     rand.Uint64(),
-	}
-	var loads route.Loads = target
-	if isSuspect {
-		loads = suspectView{target}
 	}
+}
+
+// chooseServer chooses a server for an admitted request and counts the request
+// there.
+func (s *service) chooseServer(target *serviceView, request *contract.PickRequest, admission limit.Request, isSuspect bool) (contract.Ticket, error) {
+	routeRequest, loads := routeRequestOf(*request), target.loadsFor(isSuspect)
+	routeRequest.Random = rand.Uint64()
 	choice, ok := target.table.Pick(&routeRequest, loads)
 	if !ok {
 		target.admission.release(s.clock.Now(), admission, 0)
--- a/daemon/services/balance/counters.go
+++ b/daemon/services/balance/counters.go
@@ -84,6 +84,14 @@
 	return float64(t.own.Load()+t.other.Load()) / float64(len(v.table.Tiers()[tier].Members))
 }
 
+// loadsFor returns the loads that routing goes by for a request.
+func (v *serviceView) loadsFor(isSuspect bool) route.Loads {
+	if isSuspect {
+		return suspectView{v}
+	}
+	return v
+}
+
 // suspectView reports a server that runs a suspect as full to other suspects,
 // so that the next crash shows which of them caused it.
 type suspectView struct{ *serviceView }
--- a/daemon/services/dispatch/dispatch.go
+++ b/daemon/services/dispatch/dispatch.go
@@ -11,6 +11,7 @@
 
 	"github.com/flamingobeam/flamingobeam/coord/catalog"
 	"github.com/flamingobeam/flamingobeam/coord/quarantine"
+	"github.com/flamingobeam/flamingobeam/coord/resume"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/daemon/config"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
@@ -48,6 +49,8 @@
 	origins  contract.StreamOrigins
 	usage    contract.Usage
 	hedging  contract.Hedging
+	// forecasts are the forecasts of the services above, for operators.
+	forecasts forecasters
 	// place is where this daemon is.
 	place     structs.Place
 	metrics   contract.Metrics
@@ -69,6 +72,9 @@
 	s.transport = transport.New(transport.Options{DialTimeout: dialTimeout, IdleTimeout: idleTimeout, MaxIdlePerHost: maxIdlePerServer, Dial: daemon.Platform.DialServer, OnDial: s.countDial})
 	s.freshTransport = transport.New(transport.Options{DialTimeout: dialTimeout, SingleUse: true, Dial: daemon.Platform.DialServer, OnDial: s.countDial})
 	return kernel.FindAll(ctx,
+		kernel.Bind(&s.forecasts.balancer, contract.NameBalance),
+		kernel.Bind(&s.forecasts.limits, contract.NameServerLimits),
+		kernel.Bind(&s.forecasts.hedging, contract.NameHedging),
 		kernel.Bind(&s.balancer, contract.NameBalance),
 		kernel.Bind(&s.hosts, contract.NameHosts),
 		kernel.Bind(&s.links, contract.NameServerLinks),
@@ -95,6 +101,18 @@
 	return structs.Class(min(max(0, route.Priority), structs.ClassCount-1))
 }
 
+// pickRequest returns the request for a server of a service.
+func pickRequest(request contract.ForwardRequest, target structs.ServiceName, position resume.Position) contract.PickRequest {
+	pick := contract.PickRequest{
+		Service: target, Class: classOf(request.Route), Deadline: request.Deadline, Resumes: position,
+	}
+	if !request.IsAccepted {
+		pick.Fingerprint = quarantine.FingerprintOfRequest(request.Method, request.Host, request.Target, request.Body)
+	}
+	chargeWorkspace(request, &pick)
+	return pick
+}
+
 // Forward implements contract.Dispatch.
 func (s *service) Forward(ctx context.Context, request contract.ForwardRequest) (contract.ForwardReply, error) {
 	started := time.Now()
@@ -106,18 +124,10 @@
 	if err != nil {
 		return contract.ForwardReply{}, err
 	}
-	var fingerprint quarantine.Fingerprint
-	if !request.IsAccepted {
-		fingerprint = quarantine.FingerprintOfRequest(request.Method, request.Host, request.Target, request.Body)
-	}
-	pick := contract.PickRequest{
-		Service: target, Class: classOf(request.Route), Deadline: request.Deadline,
-		Fingerprint: fingerprint, Resumes: position,
-	}
+	pick := pickRequest(request, target, position)
 	retry := contract.RetryRequest{
-		Class: classOf(request.Route), Deadline: request.Deadline, Idempotent: request.Route.Kind == catalog.KindIdempotent,
+		Workspace: pick.Workspace, Class: pick.Class, Deadline: request.Deadline, Idempotent: request.Route.Kind == catalog.KindIdempotent,
 	}
-	chargeWorkspace(request, &pick, &retry)
 	call := &forwardCall{service: s, request: request, pick: pick, retrier: s.retries.Begin(retry)}
 	reply, err := call.run(ctx)
 	s.metrics.Time("dispatch.forwarded", time.Since(started))
--- a/daemon/services/dispatch/forward.go
+++ b/daemon/services/dispatch/forward.go
@@ -75,10 +75,7 @@
 // pickServer picks a server that takes a request now or, where the limits of all are
 // used up, within patience.
 func (c *forwardCall) pickServer(ctx context.Context, patience time.Duration) (contract.Ticket, error) {
-	ticket, refusal, err := c.pickWithin(ctx, c.pick, 0)
-	if refusal != nil && patience > 0 {
-		ticket, refusal, err = c.pickWithin(ctx, c.pick, patience)
-	}
+	ticket, refusal, err := c.pickPatiently(ctx, patience)
 	if refusal == nil {
 		return ticket, err
 	}
@@ -89,6 +86,15 @@
 	return contract.Ticket{}, refusal
 }
 
+// pickPatiently is pickServer with the refusal of the server that takes a request first.
+func (c *forwardCall) pickPatiently(ctx context.Context, patience time.Duration) (contract.Ticket, *result.Error, error) {
+	ticket, refusal, err := c.pickWithin(ctx, c.pick, 0)
+	if refusal != nil && patience > 0 {
+		ticket, refusal, err = c.pickWithin(ctx, c.pick, patience)
+	}
+	return ticket, refusal, err
+}
+
 // maxLimitedPicks bounds the servers with a limit that are tried for one request.
 const maxLimitedPicks = 8
 
--- a/daemon/services/dispatch/hedge.go
+++ b/daemon/services/dispatch/hedge.go
@@ -197,16 +197,22 @@
 	}
 }
 
-// pickHedge picks a second server if the limits allow it, and nil otherwise.
-func (c *forwardCall) pickHedge(ctx context.Context) *contract.Ticket {
+// hedgeQuestion returns the question whether a request whose caller still waits for a time
+// may be hedged at all.
+func (c *forwardCall) hedgeQuestion(remaining time.Duration) hedge.Request {
 	question := hedge.Request{
 		Repeatable: c.request.Route.Kind == catalog.KindIdempotent, Attempts: c.sentCount, MaxAttempts: c.request.Route.MaxAttempts,
-		Remaining: time.Until(c.request.Deadline),
+		Remaining: remaining,
 	}
 	if c.service.hedging.IsLimited() {
 		question.Usual = c.hedges.delay
 	}
-	refusal := hedge.Check(question)
+	return question
+}
+
+// pickHedge picks a second server if the limits allow it, and nil otherwise.
+func (c *forwardCall) pickHedge(ctx context.Context) *contract.Ticket {
+	refusal := hedge.Check(c.hedgeQuestion(time.Until(c.request.Deadline)))
 	pick := c.pick
 	pick.Avoid = slices.Clone(pick.Avoid)
 	switch {
--- a/daemon/services/dispatch/workspace.go
+++ b/daemon/services/dispatch/workspace.go
@@ -16,12 +16,11 @@
 	return platform.Identity{IsManaged: true, Workspace: workspace.Name}
 }
 
-// chargeWorkspace lets a request use the share and the retries of its workspace.
-func chargeWorkspace(request contract.ForwardRequest, pick *contract.PickRequest, retry *contract.RetryRequest) {
+// chargeWorkspace lets a request use the share of its workspace.
+func chargeWorkspace(request contract.ForwardRequest, pick *contract.PickRequest) {
 	workspace := cmp.Or(request.Workspace, request.OnBehalfOf)
 	if workspace == nil {
 		return
 	}
 	pick.Workspace, pick.WorkspacePriority, pick.ByDemand = workspace.Name, workspace.Priority, true
-	retry.Workspace = workspace.Name
 }
--- a/daemon/services/explain/explain.go
+++ b/daemon/services/explain/explain.go
@@ -25,6 +25,7 @@
 	catalog   contract.Catalog
 	session   contract.Session
 	metrics   contract.MetricsReader
+	requests  contract.RequestForecaster
 	reporters []reporter
 	log       *logrus.Entry
 	loop      *kernel.Loop
@@ -59,6 +60,7 @@
 		kernel.Bind(&s.catalog, contract.NameCatalog),
 		kernel.Bind(&s.session, contract.NameSession),
 		kernel.Bind(&s.metrics, contract.NameMetrics),
+		kernel.Bind(&s.requests, contract.NameManagedFront),
 	)
 	if err != nil {
 		return err
@@ -71,6 +73,7 @@
 		s.reporters = append(s.reporters, reporter{name, found})
 	}
 	operators.HandleGet(contract.PathStatus, s.serveStatus)
+	operators.HandleGet(contract.PathRoute, s.serveRoute)
 	return nil
 }
 
--- a/daemon/services/gate/callers.go
+++ b/daemon/services/gate/callers.go
@@ -43,7 +43,7 @@
 		return nil, nil
 	}
 	platform.RemoveIdentity(header)
-	if route.Public {
+	if !needsKey(route, current) {
 		return nil, nil
 	}
 	workspace, err := s.lookUpKey(key, current)
@@ -53,6 +53,11 @@
 	return &workspace, nil
 }
 
+// needsKey reports whether requests on a route need a key.
+func needsKey(route *catalog.Route, current *catalog.Catalog) bool {
+	return current.Access != nil && !route.Public
+}
+
 // jobScope returns which batch jobs a caller may see. It fails with the codes of lookUpKey,
 // and with code NoGrant if no configuration is known, which may name workspaces.
 func (s *service) jobScope(host string, key access.Key, current *catalog.Catalog) (access.Scope, error) {
@@ -77,11 +82,20 @@
 	if !ok {
 		return workspace, unknownKey(key, current)
 	}
+	if err := s.checkRevocation(); err != nil {
+		return access.Workspace{}, err
+	}
+	return workspace, nil
+}
+
+// checkRevocation fails with code NoGrant if a key may have been taken away and revocation
+// is strict.
+func (s *service) checkRevocation() error {
 	revocation := access.Revocation{Within: s.config.Platform.KeyRevocation, Strict: s.config.Platform.StrictRevocation}
 	if age := s.knowledge.Staleness(platform.OperatorPrefix); !revocation.Allows(age) {
-		return access.Workspace{}, result.New(result.NoGrant, "the keys are %v old", age)
+		return result.New(result.NoGrant, "the keys are %v old", age)
 	}
-	return workspace, nil
+	return nil
 }
 
 func unknownKey(key access.Key, current *catalog.Catalog) error {
--- a/daemon/services/gate/gate.go
+++ b/daemon/services/gate/gate.go
@@ -52,6 +52,7 @@
 	table     contract.ServerTable
 	dispatch  contract.Dispatch
 	jobs      contract.Jobs
+	forecasts forecasters
 	shutdown  contract.Shutdown
 	metrics   contract.Metrics
 	intake    contract.Intake
@@ -84,6 +85,8 @@
 		kernel.Bind(&s.knowledge, contract.NameTransactionalStore),
 		kernel.Bind(&s.table, contract.NameBalance),
 		kernel.Bind(&s.dispatch, contract.NameDispatch),
+		kernel.Bind(&s.forecasts.dispatch, contract.NameDispatch),
+		kernel.Bind(&s.forecasts.jobs, contract.NameJobs),
 		kernel.Bind(&s.jobs, contract.NameJobs),
 		kernel.Bind(&s.shutdown, contract.NameShutdown),
 		kernel.Bind(&s.metrics, contract.NameMetrics),
--- a/daemon/services/gate/handlers.go
+++ b/daemon/services/gate/handlers.go
@@ -41,13 +41,28 @@
 // writeError responds with an error of the daemon, as opposed to an error response of
 // a backend server.
 func (s *service) writeError(w http.ResponseWriter, r *http.Request, headers platform.RequestHeaders, err error) {
-	var coded *result.Error
+	coded, status, retryAfter := responseTo(err)
+	entry := coded.Entry()
+	s.metrics.Count("gate.refused."+entry.Name, 1)
+	s.log.WithFields(logrus.Fields{
+		"request": headers.AttemptID, "host": r.Host, "path": r.URL.Path, "code": int(coded.Code), "status": status,
+		"outcome": entry.Outcome, "why": coded.Detail,
+	}).Info("A request was not answered by a server.")
+	platform.SetResponseHeaders(w.Header(), headers.AttemptID, retryAfter)
+	w.Header().Set("Content-Type", contentTypeJSON)
+	w.WriteHeader(status)
+	if _, err := io.WriteString(w, `{"code":`+strconv.Itoa(int(coded.Code))+`}`); err != nil {
+		s.log.WithError(err).WithField("request", headers.AttemptID).Debug("Writing an error response failed.")
+	}
+}
+
+// responseTo returns the status and the Retry-After of the response to an error.
+func responseTo(err error) (coded *result.Error, status int, retryAfter time.Duration) {
 	if !errors.As(err, &coded) {
 		coded = result.Wrap(result.OutcomeUnknown, err)
 	}
 	entry := coded.Entry()
-	status := entry.Status
-	retryAfter := coded.RetryAfter
+	status, retryAfter = entry.Status, coded.RetryAfter
 	if entry.Outcome == result.NotRun && status >= http.StatusInternalServerError {
 		status = http.StatusServiceUnavailable
 	}
@@ -57,17 +72,7 @@
 	if retryAfter == 0 && status == http.StatusServiceUnavailable {
 		retryAfter = defaultRetryAfter
 	}
-	s.metrics.Count("gate.refused."+entry.Name, 1)
-	s.log.WithFields(logrus.Fields{
-		"request": headers.AttemptID, "host": r.Host, "path": r.URL.Path, "code": int(coded.Code), "status": status,
-		"outcome": entry.Outcome, "why": coded.Detail,
-	}).Info("A request was not answered by a server.")
-	platform.SetResponseHeaders(w.Header(), headers.AttemptID, retryAfter)
-	w.Header().Set("Content-Type", contentTypeJSON)
-	w.WriteHeader(status)
-	if _, err := io.WriteString(w, `{"code":`+strconv.Itoa(int(coded.Code))+`}`); err != nil {
-		s.log.WithError(err).WithField("request", headers.AttemptID).Debug("Writing an error response failed.")
-	}
+	return coded, status, retryAfter
 }
 
 // withDrain returns a context that also ends when requests in flight are ended at a
--- a/daemon/services/hedging/hedging.go
+++ b/daemon/services/hedging/hedging.go
@@ -153,6 +153,11 @@
 	if delay, isKnown := s.delays.Delay(now, key); isKnown {
 		return delay, true
 	}
+	return s.pooledDelay(now, key)
+}
+
+// pooledDelay returns the delay that a pool knows. The lock must be held.
+func (s *service) pooledDelay(now time.Time, key hedge.Key) (time.Duration, bool) {
 	pooled, ok := s.pooled[key]
 	return pooled.delay, ok && now.Sub(pooled.at) < pooledDelayAge
 }
--- a/daemon/services/jobs/model_owner.go
+++ b/daemon/services/jobs/model_owner.go
@@ -146,10 +146,7 @@
 	}
 	ends := time.Now().Add(timeout)
 	view := s.session.View().Load()
-	var avoided avoidedHosts
-	if s.isQuiesced.Load() {
-		avoided.add(view.Self.Name, true)
-	}
+	avoided := s.avoidedAtStart(view)
 	for range maxModelOwners {
 		owner := modelOwnerOf(string(job.Model), view, avoided)
 		remaining := time.Until(ends)
@@ -172,6 +169,16 @@
 	return false, false
 }
 
+// avoidedAtStart returns the hosts that a submission avoids before any has refused it: this
+// one if it stops.
+func (s *service) avoidedAtStart(view *contract.SessionView) avoidedHosts {
+	var avoided avoidedHosts
+	if s.isQuiesced.Load() {
+		avoided.add(view.Self.Name, true)
+	}
+	return avoided
+}
+
 // submitTo submits a job to another daemon, which gets the given time to accept
 // it.
 func (s *service) submitTo(ctx context.Context, owner membership.Member, job *batch.Job, source []byte, within time.Duration) error {
