Admission: a smaller verdict

Change: the verdict holds the flow's place and its new share, the request keeps the share that it is judged by.

Ruled out: judging in place, which a question could not share.

--- a/coord/limit/admission_controller.go
+++ b/coord/limit/admission_controller.go
@@ -153,9 +153,9 @@
 
 // Admit decides whether a request runs, is queued or is refused.
 func (c *AdmissionController[T]) Admit(now time.Time, request Request) Decision[T] {
-	v := c.judge(now, request, &c.accounts)
+	v := c.judge(now, &request, &c.accounts)
 	if v.usesFlow {
-		c.applyFlow(v.request, v.flow)
+		v.flow = c.applyShare(request, v.flow, v.flowShare)
 	}
 	switch v.action {
 	case ActionRun:
@@ -164,7 +164,7 @@
 	case ActionRefuse:
 		return Decision[T]{Action: ActionRefuse, Code: v.code, RetryAfter: v.retryAfter}
 	}
-	return Decision[T]{Action: ActionQueue, Waiter: c.enqueue(now, v.request, v.account)}
+	return Decision[T]{Action: ActionQueue, Waiter: c.enqueue(now, request, v.flow, v.account)}
 }
 
 // run takes a slot for a request with an account, which is nil if it has none.
--- a/coord/limit/fair_queue.go
+++ b/coord/limit/fair_queue.go
@@ -30,63 +30,60 @@
 	return flowKey{workspace: request.Workspace, queue: queueIndex(request)}
 }
 
-// flowOf returns the flow of a request with the share that it has from now on.
-func (c *AdmissionController[T]) flowOf(request Request) flow {
-	var next flow
-	if f := c.flows[keyOfFlow(request)]; f != nil {
-		next = *f
+// shareFor returns the share of a flow, which may be nil, from a request on. What a
+// workspace is due changes while its requests wait; a fixed share does not.
+func (f *flow) shareFor(request *Request) float64 {
+	if f == nil || f.queued == 0 || request.ByDemand {
+		return request.Share
 	}
-	// What a workspace is due changes while its requests wait; a fixed share does not.
-	if next.queued == 0 || request.ByDemand {
-		next.share = request.Share
-	}
-	return next
+	return f.share
 }
 
-// applyFlow stores the flow that flowOf returned for a request.
-func (c *AdmissionController[T]) applyFlow(request Request, next flow) {
+// applyShare gives a flow, which is created if it is nil, its share from a request on.
+func (c *AdmissionController[T]) applyShare(request Request, f *flow, share float64) *flow {
 	key := keyOfFlow(request)
-	f := c.flows[key]
 	if f == nil {
 		f = &flow{}
 		c.flows[key] = f
 	}
 	if f.queued > 0 {
-		c.queues[key.queue].activeShares += next.share - f.share
+		c.queues[key.queue].activeShares += share - f.share
 	}
-	*f = next
+	f.share = share
+	return f
 }
 
 // checkQueueBound refuses a request whose workspace uses up its part of the
-// queue.
-func (c *AdmissionController[T]) checkQueueBound(request Request, f flow) result.Code {
-	q := &c.queues[queueIndex(request)]
-	others := q.activeShares
-	if stored := c.flows[keyOfFlow(request)]; stored != nil && stored.queued > 0 {
-		others -= stored.share
+// queue. Its flow is nil if it has none yet.
+func (c *AdmissionController[T]) checkQueueBound(request *Request, f *flow, share float64) result.Code {
+	q := &c.queues[queueIndex(*request)]
+	others, queued := q.activeShares, 0
+	if f != nil && f.queued > 0 {
+		others -= f.share
+		queued = f.queued
 	}
 	limit := float64(max(minQueueBound, c.capacity*queuedPerSlot))
-	workspaceBound := max(1, math.Ceil(limit*f.share/(f.share+others)))
+	workspaceBound := max(1, math.Ceil(limit*share/(share+others)))
 	if request.ByDemand {
 		workspaceBound = max(minWorkspaceQueue, workspaceBound)
 	}
-	if float64(f.queued) < workspaceBound {
+	if float64(queued) < workspaceBound {
 		return result.OK
 	}
-	if len(q.waiters) > f.queued {
+	if len(q.waiters) > queued {
 		return result.FairShareExceeded
 	}
 	return result.Overloaded
 }
 
-func (c *AdmissionController[T]) enqueue(now time.Time, request Request, a *account) *Waiter[T] {
-	q, f := &c.queues[queueIndex(request)], c.flows[keyOfFlow(request)]
+func (c *AdmissionController[T]) enqueue(now time.Time, request Request, f *flow, a *account) *Waiter[T] {
+	q := &c.queues[queueIndex(request)]
 	if f.queued == 0 {
 		q.activeShares += f.share
 	}
 	f.queued++
 	c.sequence++
-	w := &Waiter[T]{Request: request, flow: f, account: a, enqueuedAt: now, sequence: c.sequence, startTag: q.startTagOf(*f)}
+	w := &Waiter[T]{Request: request, flow: f, account: a, enqueuedAt: now, sequence: c.sequence, startTag: q.startTagOf(f)}
 	cost := 1.0
 	if a != nil {
 		cost = a.places()
--- a/coord/limit/verdict.go
+++ b/coord/limit/verdict.go
@@ -10,45 +10,44 @@
 // verdict is the decision on a request before it has taken effect.
 type verdict struct {
 	action Action
-	// request has the share that it is judged by, and account is that of its workspace; nil
-	// if it has none.
-	request Request
+	code   result.Code
+	// usesFlow is set if the request asks for a place in the queue. Its workspace then has
+	// flowShare, and flow is its flow; nil if it has none yet.
+	usesFlow  bool
+	flow      *flow
+	flowShare float64
+	// account is that of the workspace; nil if it has none.
 	account *account
-	// flow is that of the workspace after the request, if usesFlow is set.
-	flow     flow
-	usesFlow bool
 	// wait is the estimated time until the request would run.
 	wait       time.Duration
-	code       result.Code
 	retryAfter time.Duration
 }
 
-// judge decides on a request. It changes the given accounts, to which the request is added,
-// and nothing else.
-func (c *AdmissionController[T]) judge(now time.Time, request Request, as *accounts) verdict {
-	v := verdict{request: request}
+// judge decides on a request, and sets the share that it is judged by. It changes the given
+// accounts, to which the request is added, and nothing else.
+func (c *AdmissionController[T]) judge(now time.Time, request *Request, as *accounts) (v verdict) {
 	if !request.Deadline.IsZero() && !now.Before(request.Deadline) {
 		v.action, v.code = ActionRefuse, result.DueTimePassed
 		return v
 	}
 	if request.Share <= 0 {
-		v.request.Share = 1
+		request.Share = 1
 	}
 	if request.ByDemand {
-		v.account = as.ask(now, request, c.capacity)
-		v.request.Share = as.weightOf(v.account)
+		v.account = as.ask(now, *request, c.capacity)
+		request.Share = as.weightOf(v.account)
 	}
-	if c.running < c.capacityFor(request.Class) && c.queuedUpTo(queueIndex(request)) == 0 {
-		v.action = ActionRun
+	if c.running < c.capacityFor(request.Class) && c.queuedUpTo(queueIndex(*request)) == 0 {
 		return v
 	}
-	v.wait = c.expectedWait(v.request, v.account, as)
+	v.wait = c.expectedWait(*request, v.account, as)
 	if !request.Deadline.IsZero() && now.Add(v.wait).After(request.Deadline) {
 		v.refuse(result.Overloaded, v.wait-request.Deadline.Sub(now))
 		return v
 	}
-	v.flow, v.usesFlow = c.flowOf(v.request), true
-	if code := c.checkQueueBound(v.request, v.flow); code != result.OK {
+	v.usesFlow, v.flow = true, c.flows[keyOfFlow(*request)]
+	v.flowShare = v.flow.shareFor(request)
+	if code := c.checkQueueBound(request, v.flow, v.flowShare); code != result.OK {
 		v.refuse(code, v.wait)
 		return v
 	}
@@ -80,7 +79,7 @@
 // Forecast returns what Admit would decide now. It changes nothing.
 func (c *AdmissionController[T]) Forecast(now time.Time, request Request) Forecast {
 	as := c.accounts.clone()
-	v := c.judge(now, request, &as)
+	v := c.judge(now, &request, &as)
 	forecast := Forecast{
 		Action: v.action, Code: v.code, RetryAfter: v.retryAfter, Running: c.running, Places: c.capacityFor(request.Class),
 	}
@@ -102,7 +101,12 @@
 }
 
 // startTagOf returns the start tag of the next request of a flow.
-func (q *classQueue[T]) startTagOf(f flow) float64 { return max(q.virtualTime, f.finishTag) }
+func (q *classQueue[T]) startTagOf(f *flow) float64 {
+	if f == nil {
+		return q.virtualTime
+	}
+	return max(q.virtualTime, f.finishTag)
+}
 
 func (as *accounts) clone() accounts {
 	copied := *as
