flamingobeam route: the owner of a job is asked for its view

Cause: only the daemon that would own a batch job knows its runs on the engines and what waits; any other one showed servers as it sees them. A read on the paths of the batch job API was shown as 404.

Change: a question for a job goes on to its owner (Jobs.Forecast); while that one does not answer, or is of an earlier release, the answer has this daemon's view and says so. The paths of the batch job API are told apart from routes.

Ruled out: sending each owner's state to all daemons for a question that is seldom asked.

--- a/cmd/flamingobeam/route.go
+++ b/cmd/flamingobeam/route.go
@@ -99,7 +99,7 @@
 	if job := explanation.Job; job != nil {
 		t.add("owner", "%s", job.Owner)
 		t.add("due", "%.1f s after the submission", job.DueSeconds)
-		t.add("jobs", "%d open, %d items waiting at this daemon", job.OpenJobs, job.WaitingItems)
+		t.add("jobs", "%d open, %d items waiting there", job.OpenJobs, job.WaitingItems)
 	}
 	if explanation.Chosen != "" {
 		t.add("first", "%s", explanation.Chosen)
--- a/daemon/contract/explain.go
+++ b/daemon/contract/explain.go
@@ -131,7 +131,7 @@
 	Owner string `json:"owner"`
 	// DueSeconds is the time from the submission until the results are due.
 	DueSeconds float64 `json:"due_seconds"`
-	// OpenJobs and WaitingItems are those of this daemon.
+	// OpenJobs and WaitingItems are those of the daemon whose view the answer has.
 	OpenJobs     int `json:"open_jobs"`
 	WaitingItems int `json:"waiting_items"`
 }
@@ -193,7 +193,7 @@
 
 // JobForecaster is offered under NameJobs.
 type JobForecaster interface {
-	// ForecastJob adds what would become of a batch job, and how this daemon judges the
+	// ForecastJob adds what would become of a batch job, and how its owner judges the
 	// servers of its model. It fails with the error of ctx.
 	ForecastJob(ctx context.Context, job *batch.Job, explanation *RouteExplanation) error
 }
--- a/daemon/services/gate/forecast.go
+++ b/daemon/services/gate/forecast.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/url"
+	"strings"
 	"time"
 
 	"github.com/flamingobeam/flamingobeam/coord/access"
@@ -55,6 +56,12 @@
 	}
 	explanation.ConfigurationVersion = uint64(current.Version)
 	route := current.Match(question.Host, target.EscapedPath())
+	if isJobPath(target.EscapedPath()) && question.Method != http.MethodPost {
+		explanation.Notes = append(explanation.Notes, "if there is a batch job of this ID, its owner answers; that is not looked up")
+		if route == nil {
+			return nil
+		}
+	}
 	if route == nil {
 		return result.New(result.NotFound, "version %d has no route", current.Version)
 	}
@@ -81,6 +88,17 @@
 	}, explanation)
 }
 
+// isJobPath reports whether a path has the form of the batch job API.
+func isJobPath(path string) bool {
+	for _, pattern := range []string{platform.JobPath, platform.ItemPath} {
+		id, ok := strings.CutPrefix(path, strings.TrimSuffix(pattern, ":"+platform.ParamID))
+		if ok && id != "" && !strings.Contains(id, "/") {
+			return true
+		}
+	}
+	return false
+}
+
 // namedWorkspace returns what identifyCaller returns for a key of a workspace.
 func (s *service) namedWorkspace(name structs.WorkspaceName, route *catalog.Route, current *catalog.Catalog) (*access.Workspace, error) {
 	if !needsKey(route, current) {
--- a/daemon/services/jobs/forecast.go
+++ b/daemon/services/jobs/forecast.go
@@ -3,50 +3,107 @@
 import (
 	"context"
 	"maps"
+	"time"
 
 	"github.com/flamingobeam/flamingobeam/coord/batch"
 	"github.com/flamingobeam/flamingobeam/coord/membership"
 	"github.com/flamingobeam/flamingobeam/coord/placement"
+	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
 )
 
 var _ contract.JobForecaster = (*service)(nil)
 
-// forecastEvents is the length of the item for which engines are judged, in events.
-const forecastEvents = 16
+const (
+	// forecastEvents is the length of the item for which engines are judged, in events.
+	forecastEvents = 16
+	// forecastTimeout bounds a question to the owner.
+	forecastTimeout = 700 * time.Millisecond
+)
+
+// ForecastRPC asks the owner of a model's jobs what would become of a job. Earlier releases
+// refuse the call.
+type ForecastRPC struct {
+	Host, Path string
+	Model      structs.ServiceName
+	MinVersion structs.WeightVersion
+	Workspace  structs.WorkspaceName
+}
 
-// ForecastJob implements contract.JobForecaster.
+// ForecastReply is the reply to ForecastRPC. Job.Owner is not set.
+type ForecastReply struct {
+	Service    structs.ServiceName
+	Job        contract.JobForecast
+	Candidates []contract.CandidateAssessment
+	Omitted    int
+}
+
+// Forecast answers a question of another daemon. It changes nothing.
+func (r *Receiver) Forecast(request ForecastRPC, reply *ForecastReply) error {
+	ctx, cancel := context.WithTimeout(context.Background(), forecastTimeout)
+	defer cancel()
+	var err error
+	*reply, err = r.service.forecastAsOwner(ctx, request)
+	return err
+}
+
+// ForecastJob implements contract.JobForecaster. The daemon that would own the job is asked,
+// as it places the items; while it does not answer, this one's view has to do.
 func (s *service) ForecastJob(ctx context.Context, submitted *batch.Job, explanation *contract.RouteExplanation) error {
 	view := s.session.View().Load()
 	owner := modelOwnerOf(string(submitted.Model), view, s.avoidedAtStart(view))
-	forecast := &contract.JobForecast{Owner: membership.HostOf(owner.Name)}
-	var candidates []contract.CandidateAssessment
-	j := &job{Job: *submitted}
+	request := ForecastRPC{
+		Host: submitted.Host, Path: submitted.Path, Model: submitted.Model, MinVersion: submitted.MinVersion, Workspace: submitted.Workspace,
+	}
+	var reply ForecastReply
+	var err error
+	isAnswered := false
+	if owner.Name != view.Self.Name {
+		callCtx, cancel := context.WithTimeout(ctx, forecastTimeout)
+		err = s.peers.Call(callCtx, owner.RPCAddress, rpcName+".Forecast", request, &reply)
+		cancel()
+		isAnswered = err == nil
+		if !isAnswered {
+			explanation.Notes = append(explanation.Notes, "the owner did not answer; the servers and jobs are as this daemon sees them")
+			s.log.WithError(err).WithField("daemon", owner.Name).Info("The owner of a model's jobs answered no question of an operator.")
+		}
+	}
+	if !isAnswered {
+		if reply, err = s.forecastAsOwner(ctx, request); err != nil {
+			return err
+		}
+	}
+	reply.Job.Owner = membership.HostOf(owner.Name)
+	explanation.Service, explanation.Job = reply.Service, &reply.Job
+	explanation.Candidates, explanation.Omitted = reply.Candidates, reply.Omitted
+	if len(reply.Candidates) > 0 && reply.Candidates[0].PassedOver == "" {
+		explanation.Chosen = reply.Candidates[0].Server
+	}
+	return nil
+}
+
+// forecastAsOwner returns what would become of a job at this daemon.
+func (s *service) forecastAsOwner(ctx context.Context, request ForecastRPC) (ForecastReply, error) {
+	j := &job{Job: batch.Job{Host: request.Host, Path: request.Path, Model: request.Model, MinVersion: request.MinVersion, Workspace: request.Workspace}}
+	var reply ForecastReply
 	err := s.loopExecutor.Do(ctx, func() {
 		j.submittedAt = s.loop.Now()
 		s.updateRoute(j)
-		candidates = s.assessEngines(j)
+		reply.Candidates = s.assessEngines(j)
 		for _, open := range s.ownedJobs {
 			if open.isOpen() {
-				forecast.OpenJobs++
-				forecast.WaitingItems += open.waitingCount()
+				reply.Job.OpenJobs++
+				reply.Job.WaitingItems += open.waitingCount()
 			}
 		}
 	})
 	if err != nil {
-		return err
-	}
-	forecast.DueSeconds = j.route.resultDeadline.Seconds()
-	explanation.Service, explanation.Job = j.route.service, forecast
-	if len(candidates) > 0 && candidates[0].PassedOver == "" {
-		explanation.Chosen = candidates[0].Server
+		return ForecastReply{}, err
 	}
-	shown := min(len(candidates), contract.MaxShownCandidates)
-	explanation.Candidates, explanation.Omitted = candidates[:shown], len(candidates)-shown
-	if owner.Name != view.Self.Name {
-		explanation.Notes = append(explanation.Notes, "another daemon would own the job and place its items; the servers are as this daemon sees them")
-	}
-	return nil
+	reply.Service, reply.Job.DueSeconds = j.route.service, j.route.resultDeadline.Seconds()
+	shown := min(len(reply.Candidates), contract.MaxShownCandidates)
+	reply.Candidates, reply.Omitted = reply.Candidates[:shown], len(reply.Candidates)-shown
+	return reply, nil
 }
 
 func (j *job) waitingCount() int {
--- a/histories/managed/forecast_test.go
+++ b/histories/managed/forecast_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
 )
 
@@ -179,6 +180,9 @@
 	owner := first.route(t, question).Job.Owner
 	must.Eq(t, owner, second.route(t, question).Job.Owner)
 	explanation := owners[owner].route(t, question)
+	must.Eq(t, explanation.Chosen, first.route(t, question).Chosen)
+	must.Eq(t, explanation.Chosen, second.route(t, question).Chosen)
+	must.SliceEmpty(t, second.route(t, contract.RouteQuestion{Method: http.MethodGet, Path: "/api/lots/job-1"}).Candidates)
 	must.Eq(t, 20.0, explanation.Job.DueSeconds)
 	must.Len(t, 2, explanation.Candidates)
 	submitted := first.call(http.MethodPost, "/train/job-1", "job-1", withKey(northKey), jobBody("job-1", 1, 1, 1, 1))
@@ -192,3 +196,23 @@
 	}
 	must.NotEq(t, "", whyNot(owners[owner].route(t, contract.RouteQuestion{Path: "/train/job-2", Workspace: "north", Model: modelName, MinVersion: 9}), "engine-1"))
 }
+
+// TestRoute_OwnerOfEarlierRelease asks for the owner of jobs whose daemon does not know the
+// question. The answer must name it and say that its view is missing.
+func TestRoute_OwnerOfEarlierRelease(t *testing.T) {
+	h := newStandardHarness(t, 1, time.Millisecond)
+	daemons := h.startReleases([2]string{daemonBinary, earlierRelease(t, "9634fe6")})
+	var explanation contract.RouteExplanation
+	h.waitFor("the earlier release owns a model", func() bool {
+		for i := range 50 {
+			question := contract.RouteQuestion{Path: "/train/job", Model: structs.ServiceName(fmt.Sprint("model-", i))}
+			explanation = daemons[0].route(t, question)
+			if explanation.Job.Owner == "daemon-2" {
+				return true
+			}
+		}
+		return false
+	})
+	must.StrContains(t, strings.Join(explanation.Notes, "; "), "the owner did not answer")
+	must.Len(t, 2, explanation.Candidates)
+}
