flamingobeam route: which workspace is charged, and jobs that would wait

Cause: on a public route the answer repeated the workspace of the question, although the request has none; for a job of which no engine takes an item, the text had no line for that.

Change: the workspace is shown once it counts, and the text says that items would wait.

Ruled out: refusing a workspace on public routes; callers send keys there as well.

--- a/cmd/flamingobeam/route.go
+++ b/cmd/flamingobeam/route.go
@@ -101,8 +101,11 @@
 		t.add("due", "%.1f s after the submission", job.DueSeconds)
 		t.add("jobs", "%d open, %d items waiting there", job.OpenJobs, job.WaitingItems)
 	}
-	if explanation.Chosen != "" {
+	switch {
+	case explanation.Chosen != "":
 		t.add("first", "%s", explanation.Chosen)
+	case explanation.Job != nil:
+		t.add("first", "none: its items would wait at the owner")
 	}
 	for _, candidate := range explanation.Candidates {
 		label, why := "candidate", ""
--- a/daemon/contract/explain.go
+++ b/daemon/contract/explain.go
@@ -34,10 +34,11 @@
 // was made from.
 type RouteExplanation struct {
 	// Host is that of the daemon that answers.
-	Host                 structs.HostName      `json:"host"`
-	ConfigurationVersion uint64                `json:"configuration_version"`
-	Route                string                `json:"route,omitempty"`
-	Workspace            structs.WorkspaceName `json:"workspace,omitempty"`
+	Host                 structs.HostName `json:"host"`
+	ConfigurationVersion uint64           `json:"configuration_version"`
+	Route                string           `json:"route,omitempty"`
+	// Workspace is the one that the request would be charged to; empty for none.
+	Workspace structs.WorkspaceName `json:"workspace,omitempty"`
 	// Targets are the services of the route, and Service the one that was looked at: the
 	// one with the largest share.
 	Targets []RouteTarget       `json:"targets,omitempty"`
@@ -45,8 +46,8 @@
 	// Refusal is set if the request would be refused.
 	Refusal   *RefusalForecast `json:"refusal,omitempty"`
 	Admission *AdmissionStatus `json:"admission,omitempty"`
-	// Chosen is the server that would most likely be asked first, out of Candidates; Omitted
-	// is the number of further ones.
+	// Chosen is the server that would most likely be asked first, out of Candidates; empty
+	// for a job of which no server takes an item now. Omitted is the number of further ones.
 	Chosen     structs.HostName      `json:"chosen,omitempty"`
 	Candidates []CandidateAssessment `json:"candidates,omitempty"`
 	Omitted    int                   `json:"omitted,omitempty"`
--- a/daemon/services/gate/forecast.go
+++ b/daemon/services/gate/forecast.go
@@ -26,7 +26,7 @@
 
 // Forecast implements contract.RequestForecaster. It takes the steps of serveRoute.
 func (s *service) Forecast(ctx context.Context, question contract.RouteQuestion) (contract.RouteExplanation, error) {
-	explanation := contract.RouteExplanation{Host: s.config.Host, Workspace: question.Workspace}
+	explanation := contract.RouteExplanation{Host: s.config.Host}
 	err := s.forecast(ctx, question, &explanation)
 	if ctx.Err() != nil {
 		return explanation, ctx.Err()
@@ -70,11 +70,11 @@
 	if err != nil {
 		return err
 	}
+	if workspace != nil {
+		explanation.Workspace = workspace.Name
+	}
 	if route.Kind == catalog.KindBatch && question.Method == http.MethodPost {
-		job := &batch.Job{Host: question.Host, Path: target.EscapedPath(), Model: question.Model, MinVersion: question.MinVersion}
-		if workspace != nil {
-			job.Workspace = workspace.Name
-		}
+		job := &batch.Job{Host: question.Host, Path: target.EscapedPath(), Model: question.Model, MinVersion: question.MinVersion, Workspace: explanation.Workspace}
 		explanation.Notes = append(explanation.Notes, "the bytes of the job are not known: whether there is room for them is not judged")
 		return s.forecasts.jobs.ForecastJob(ctx, job, explanation)
 	}
