--- a/coord/limit/queue_report.go
+++ b/coord/limit/queue_report.go
@@ -49,12 +49,15 @@
 	workspaces map[string]Waiting
 }
 
-// Add counts one that has waited for some time. An empty class or workspace is not told
-// apart.
-func (t *WaitTally) Add(class string, workspace structs.WorkspaceName, waited time.Duration) {
-	one := Waiting{Waiting: 1, OldestSeconds: max(0, waited.Seconds())}
-	t.classes = addTo(t.classes, class, one)
-	t.addWorkspace(workspace, one)
+// Add counts some of a class and a workspace, the oldest of which has waited for a time. An
+// empty class or workspace is not told apart.
+func (t *WaitTally) Add(class string, workspace structs.WorkspaceName, count int, oldest time.Duration) {
+	if count == 0 {
+		return
+	}
+	some := Waiting{Waiting: count, OldestSeconds: max(0, oldest.Seconds())}
+	t.classes = addTo(t.classes, class, some)
+	t.addWorkspace(workspace, some)
 }
 
 func (t *WaitTally) addWorkspace(name structs.WorkspaceName, some Waiting) {
@@ -107,7 +110,7 @@
 	var tally WaitTally
 	for i := range c.queues {
 		for _, w := range c.queues[i].waiters {
-			tally.Add(w.Request.Class.String(), w.Request.Workspace, now.Sub(w.enqueuedAt))
+			tally.Add(w.Request.Class.String(), w.Request.Workspace, 1, now.Sub(w.enqueuedAt))
 		}
 	}
 	for name, stored := range c.accounts.byName {
--- a/coord/placement/assess.go
+++ b/coord/placement/assess.go
@@ -1,8 +1,6 @@
 package placement
 
 import (
-	"slices"
-
 	"github.com/flamingobeam/flamingobeam/coord/resume"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 )
@@ -27,9 +25,10 @@
 	Objection Objection
 }
 
-// Assess returns how the selector judges the engines for an item with a number of events,
-// of which the first is the one that it gets, if any has no objection. At most the given
-// number of engines that could take the item are put in order. It changes nothing.
+// Assess returns how the selector judges the engines for an item with a number of events.
+// The first gets it unless there is an objection: then the item waits, as the others would
+// end it later. At most the given number of engines are put in order; the rest, and those
+// that cannot take an item, follow. It changes nothing.
 func (s *EngineSelector) Assess(events int, oldestVersion structs.WeightVersion, most int) []Assessment {
 	var assessed []Assessment
 	var avoid []structs.HostName
@@ -60,15 +59,6 @@
 			assessed = append(assessed, Assessment{Index: index, Objection: s.objection(index, selectable[index], oldestVersion)})
 		}
 	}
-	slices.SortStableFunc(assessed, func(a, b Assessment) int {
-		switch {
-		case a.Objection == NoObjection && b.Objection != NoObjection:
-			return -1
-		case b.Objection == NoObjection && a.Objection != NoObjection:
-			return 1
-		}
-		return 0
-	})
 	return assessed
 }
 
--- a/coord/route/assess.go
+++ b/coord/route/assess.go
@@ -78,12 +78,12 @@
 	return assessed
 }
 
-// whyNot returns why no choice fell on a server, while the nearest was in a tier. The random
-// number is one with which a server that is not ejected has its share, if there is one.
+// whyNot returns why no choice fell on a server, while the nearest was in a tier. For a server
+// with a reduced share it looks for a random number with which it would have a request.
 func (t *Table) whyNot(request Request, loads Loads, a Assessment, nearest int) Objection {
 	p := picker{table: t, request: &request, loads: loads}
-	objection := Ejected
-	for draw := uint64(0); draw < assessmentDraws && objection == Ejected; draw++ {
+	objection := p.objection(a.Server)
+	for draw := uint64(0); draw < assessmentDraws && objection == Ejected && t.servers[a.Server].Share > 0; draw++ {
 		request.Random = mix(draw)
 		objection = p.objection(a.Server)
 	}
--- a/daemon/services/balance/forecast.go
+++ b/daemon/services/balance/forecast.go
@@ -46,20 +46,22 @@
 	return q.controller.Forecast(s.clock.Now(), admission)
 }
 
-// assess returns how the servers of a service are judged for a request.
+// assess returns how the servers of a service are judged for a request. Only those that are
+// shown have values.
 func assess(target *serviceView, request contract.PickRequest, isSuspect bool) []contract.PickCandidate {
 	routeRequest, loads := routeRequestOf(request), target.loadsFor(isSuspect)
 	assessed := target.table.Assess(routeRequest, loads)
 	candidates := make([]contract.PickCandidate, len(assessed))
 	for i, a := range assessed {
+		candidates[i] = contract.PickCandidate{Server: target.servers[a.Server], PassedOver: a.Objection.String()}
+		if i >= contract.MaxShownCandidates {
+			continue
+		}
 		counters := target.counters[a.Server]
-		candidates[i] = contract.PickCandidate{
-			Server: target.servers[a.Server], PassedOver: a.Objection.String(),
-			Judged: map[string]float64{
-				"chance": a.Chance, "load": float64(a.Load), "distance": float64(a.Tier),
-				"in_flight": float64(counters.inFlight.Load()), "limit": float64(counters.limit.Load()),
-				"share": float64(target.table.Servers()[a.Server].Share) / route.FullShare,
-			},
+		candidates[i].Judged = map[string]float64{
+			"chance": a.Chance, "load": float64(a.Load), "distance": float64(a.Tier),
+			"in_flight": float64(counters.inFlight.Load()), "limit": float64(counters.limit.Load()),
+			"share": float64(target.table.Servers()[a.Server].Share) / route.FullShare,
 		}
 	}
 	return candidates
--- a/daemon/services/jobs/forecast.go
+++ b/daemon/services/jobs/forecast.go
@@ -89,11 +89,12 @@
 	err := s.loopExecutor.Do(ctx, func() {
 		j.submittedAt = s.loop.Now()
 		s.updateRoute(j)
-		reply.Candidates = s.assessEngines(j)
+		reply.Candidates, reply.Omitted = s.assessEngines(j)
 		for _, open := range s.ownedJobs {
 			if open.isOpen() {
+				waiting, _, _ := open.itemCounts(j.submittedAt)
 				reply.Job.OpenJobs++
-				reply.Job.WaitingItems += open.waitingCount()
+				reply.Job.WaitingItems += waiting
 			}
 		}
 	})
@@ -101,37 +102,27 @@
 		return ForecastReply{}, err
 	}
 	reply.Service, reply.Job.DueSeconds = j.route.service, j.route.resultDeadline.Seconds()
-	shown := min(len(reply.Candidates), contract.MaxShownCandidates)
-	reply.Candidates, reply.Omitted = reply.Candidates[:shown], len(reply.Candidates)-shown
 	return reply, nil
 }
 
-func (j *job) waitingCount() int {
-	count := 0
-	for _, it := range j.items {
-		if it.phase == phaseWaiting {
-			count++
-		}
-	}
-	return count
-}
-
-// assessEngines returns how the engines are judged for an item of a job that is not
-// pressing. It runs on the control goroutine.
-func (s *service) assessEngines(j *job) []contract.CandidateAssessment {
+// assessEngines returns how the first engines are judged for an item of a job that is not
+// pressing, and the number of the others. It runs on the control goroutine.
+func (s *service) assessEngines(j *job) ([]contract.CandidateAssessment, int) {
 	// The selector looks at servers that this daemon has not used, too.
 	before := s.engines
 	s.engines = maps.Clone(before)
 	defer func() { s.engines = before }()
 	selector := s.engineSelector(j, s.loop.Now(), false)
+	assessed := selector.Assess(forecastEvents, j.MinVersion, contract.MaxShownCandidates)
+	shown := min(len(assessed), contract.MaxShownCandidates)
 	var candidates []contract.CandidateAssessment
-	for _, a := range selector.Assess(forecastEvents, j.MinVersion, contract.MaxShownCandidates) {
+	for _, a := range assessed[:shown] {
 		engine := selector.Engine(a.Index)
 		candidates = append(candidates, contract.CandidateAssessment{
 			Server: engine.Server.ID, Zone: engine.Server.Zone, PassedOver: string(a.Objection), Judged: judgedEngine(selector, a.Index, engine),
 		})
 	}
-	return candidates
+	return candidates, len(assessed) - shown
 }
 
 func judgedEngine(selector *placement.EngineSelector, index int, engine *placement.Engine) map[string]float64 {
--- a/daemon/services/jobs/status.go
+++ b/daemon/services/jobs/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/flamingobeam/flamingobeam/coord/limit"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
@@ -26,7 +27,7 @@
 // itemQueues returns the items that run on and wait for the engines of each service.
 func (s *service) itemQueues() []contract.QueueStatus {
 	now := s.loop.Now()
-	tallies, running := make(map[structs.ServiceName]*limit.WaitTally), make(map[structs.ServiceName]int)
+	tallies, runningAt := make(map[structs.ServiceName]*limit.WaitTally), make(map[structs.ServiceName]int)
 	for _, j := range s.ownedJobs {
 		if !j.isOpen() {
 			continue
@@ -36,20 +37,29 @@
 			tally = &limit.WaitTally{}
 			tallies[j.route.service] = tally
 		}
-		for _, it := range j.items {
-			switch it.phase {
-			case phaseRunning:
-				running[j.route.service]++
-			case phaseWaiting:
-				tally.Add("", j.Workspace, now.Sub(it.waitingSince))
-			}
-		}
+		waiting, running, oldest := j.itemCounts(now)
+		tally.Add("", j.Workspace, waiting, oldest)
+		runningAt[j.route.service] += running
 	}
 	var queues []contract.QueueStatus
 	for name, tally := range tallies {
 		report := tally.Report(maxShownWorkspaces)
-		report.Running = running[name]
+		report.Running = runningAt[name]
 		queues = append(queues, contract.QueueStatus{Service: name, Kind: contract.QueueItems, QueueReport: report})
 	}
 	return queues
 }
+
+// itemCounts returns how many items wait and run, and for how long the oldest has waited.
+func (j *job) itemCounts(now time.Time) (waiting, running int, oldest time.Duration) {
+	for _, it := range j.items {
+		switch it.phase {
+		case phaseRunning:
+			running++
+		case phaseWaiting:
+			waiting++
+			oldest = max(oldest, now.Sub(it.waitingSince))
+		}
+	}
+	return waiting, running, oldest
+}
