--- a/coord/placement/assess_test.go
+++ b/coord/placement/assess_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -40,3 +41,14 @@
 		must.Eq(t, selected, assessed[0].Index)
 	}
 }
+
+func BenchmarkAssess(b *testing.B) {
+	engines := make([]Engine, 10000)
+	for i := range engines {
+		engines[i] = Engine{Server: catalog.Server{ID: structs.HostName(fmt.Sprint("engine-", i)), Slots: 8, Software: "s1"}, Version: 7, LocalItems: i % 8, Pace: time.Duration(10+i%7) * time.Millisecond}
+	}
+	selector := NewEngineSelector(engines, 7, 1)
+	for b.Loop() {
+		selector.Assess(16, 7, 32)
+	}
+}
--- a/coord/route/assess_test.go
+++ b/coord/route/assess_test.go
@@ -51,3 +51,11 @@
 	}
 	must.Between(t, assessed[0].Chance-0.1, float64(count)/10000, assessed[0].Chance+0.1)
 }
+
+func BenchmarkAssess(b *testing.B) {
+	table, loads := newTestTable(newServers(homePlace, 10000))
+	benchmarkLoads := &constantMean{fixedLoads: loads}
+	for b.Loop() {
+		table.Assess(Request{}, benchmarkLoads)
+	}
+}
