Forecasts of dispatch copy no locks

Cause: the service was copied to put forecasts in place of its balancer and limits; with a field that holds a lock, as other work adds one, that is an error.

Change: a service with only what the choice of a server needs.

Ruled out: interfaces for the loop over servers, which the hot path would go through.

--- a/daemon/services/dispatch/forecast.go
+++ b/daemon/services/dispatch/forecast.go
@@ -35,9 +35,9 @@
 		explanation.Notes = append(explanation.Notes, "requests are divided among the targets by their shares; this answer is for the largest")
 	}
 	preview := &preview{forecasts: s.forecasts, limited: make(map[structs.HostName]string)}
-	shadow := *s
-	shadow.balancer, shadow.limits = preview, preview
-	call := &forwardCall{service: &shadow, request: request, pick: pickRequest(request, target, resume.Position{})}
+	// A choice of a server needs no other services than these.
+	shadow := &service{balancer: preview, limits: preview, hedging: s.hedging, place: s.place}
+	call := &forwardCall{service: shadow, request: request, pick: pickRequest(request, target, resume.Position{})}
 	ticket, refusal, err := call.pickPatiently(ctx, limitPatience(request.Route))
 	preview.explain(explanation)
 	switch {
