--- a/coord/limit/fair_queue.go
+++ b/coord/limit/fair_queue.go
@@ -26,41 +26,51 @@
 	queue     int
 }
 
-func (c *AdmissionController[T]) flow(request Request) *flow {
-	key := flowKey{workspace: request.Workspace, queue: queueIndex(request)}
-	f, ok := c.flows[key]
-	if !ok {
+func keyOfFlow(request Request) flowKey {
+	return flowKey{workspace: request.Workspace, queue: queueIndex(request)}
+}
+
+// shareFor returns the share of a flow, which may be nil, from a request on. What a
+// workspace is due changes while its requests wait; a fixed share does not.
+func (f *flow) shareFor(request *Request) float64 {
+	if f == nil || f.queued == 0 || request.ByDemand {
+		return request.Share
+	}
+	return f.share
+}
+
+// applyShare gives a flow, which is created if it is nil, its share from a request on.
+func (c *AdmissionController[T]) applyShare(request Request, f *flow, share float64) *flow {
+	key := keyOfFlow(request)
+	if f == nil {
 		f = &flow{}
 		c.flows[key] = f
 	}
-	switch {
-	case f.queued == 0:
-		f.share = request.Share
-	case request.ByDemand:
-		// What a workspace is due changes while its requests wait.
-		c.queues[key.queue].activeShares += request.Share - f.share
-		f.share = request.Share
+	if f.queued > 0 {
+		c.queues[key.queue].activeShares += share - f.share
 	}
+	f.share = share
 	return f
 }
 
 // checkQueueBound refuses a request whose workspace uses up its part of the
-// queue.
-func (c *AdmissionController[T]) checkQueueBound(request Request, f *flow) result.Code {
-	q := &c.queues[queueIndex(request)]
-	others := q.activeShares
-	if f.queued > 0 {
+// queue. Its flow is nil if it has none yet.
+func (c *AdmissionController[T]) checkQueueBound(request *Request, f *flow, share float64) result.Code {
+	q := &c.queues[queueIndex(*request)]
+	others, queued := q.activeShares, 0
+	if f != nil && f.queued > 0 {
 		others -= f.share
+		queued = f.queued
 	}
 	limit := float64(max(minQueueBound, c.capacity*queuedPerSlot))
-	workspaceBound := max(1, math.Ceil(limit*f.share/(f.share+others)))
+	workspaceBound := max(1, math.Ceil(limit*share/(share+others)))
 	if request.ByDemand {
 		workspaceBound = max(minWorkspaceQueue, workspaceBound)
 	}
-	if float64(f.queued) < workspaceBound {
+	if float64(queued) < workspaceBound {
 		return result.OK
 	}
-	if len(q.waiters) > f.queued {
+	if len(q.waiters) > queued {
 		return result.FairShareExceeded
 	}
 	return result.Overloaded
@@ -73,7 +83,7 @@
 	}
 	f.queued++
 	c.sequence++
-	w := &Waiter[T]{Request: request, flow: f, account: a, enqueuedAt: now, sequence: c.sequence, startTag: max(q.virtualTime, f.finishTag)}
+	w := &Waiter[T]{Request: request, flow: f, account: a, enqueuedAt: now, sequence: c.sequence, startTag: q.startTagOf(f)}
 	cost := 1.0
 	if a != nil {
 		cost = a.places()
