Strict revocation counts the changes in force

Cause: the age of a daemon's knowledge fell as soon as a reply of the store arrived, before the control loop had applied the changes in it. For about a millisecond after a cut a daemon accepted keys by the old configuration, among them one that had been taken away long ago. Change: the age counts from the last reply whose changes have all been handled. Where revocation is strict, the key is looked up in the newest configuration after the age has been read, so that the age is not that of a newer one. Ruled out: a delay after a cut; it would refuse sound requests and be wrong under load.

--- a/daemon/contract/managed.go
+++ b/daemon/contract/managed.go
@@ -95,8 +95,9 @@
 // StoreKnowledge tells how old a daemon's knowledge of the store is. The service
 // NameTransactionalStore offers it.
 type StoreKnowledge interface {
-	// Staleness returns the time since the store last replied to a watch of a prefix,
-	// directly or through other daemons. It may be called from any goroutine.
+	// Staleness returns the time since the last reply of the store to a watch of a prefix,
+	// directly or through other daemons, whose changes have all been handled. It may be
+	// called from any goroutine.
 	Staleness(prefix string) time.Duration
 }
 
--- a/daemon/services/gate/callers.go
+++ b/daemon/services/gate/callers.go
@@ -73,12 +73,19 @@
 // lookUpKey returns the workspace of a key. It fails with code Unauthorized, and with code
 // NoGrant if the key may have been taken away and revocation is strict.
 func (s *service) lookUpKey(key access.Key, current *catalog.Catalog) (access.Workspace, error) {
+	revocation := access.Revocation{Within: s.config.Platform.KeyRevocation, Strict: s.config.Platform.StrictRevocation}
+	age := s.knowledge.Staleness(platform.OperatorPrefix)
+	if revocation.Strict {
+		// The age is that of the newest configuration, not of one that was read before.
+		if newest := s.catalog.Current().Load().Catalog; newest != nil && newest.Access != nil {
+			current = newest
+		}
+	}
 	workspace, ok := current.Access.Lookup(key)
 	if !ok {
 		return workspace, unknownKey(key, current)
 	}
-	revocation := access.Revocation{Within: s.config.Platform.KeyRevocation, Strict: s.config.Platform.StrictRevocation}
-	if age := s.knowledge.Staleness(platform.OperatorPrefix); !revocation.Allows(age) {
+	if !revocation.Allows(age) {
 		return access.Workspace{}, result.New(result.NoGrant, "the keys are %v old", age)
 	}
 	return workspace, nil
--- a/daemon/services/ledger/ledger.go
+++ b/daemon/services/ledger/ledger.go
@@ -137,7 +137,7 @@
 func (s *service) Staleness(prefix string) time.Duration {
 	for _, w := range s.watches {
 		if w.prefix == prefix {
-			return w.cache.staleness()
+			return w.handled.age()
 		}
 	}
 	return boottime.Now()
--- a/daemon/services/ledger/watch.go
+++ b/daemon/services/ledger/watch.go
@@ -66,7 +66,8 @@
 	prefix  string
 	options contract.WatchOptions
 	cache   *watchCache
-	mailbox *kernel.Mailbox[contract.News]
+	mailbox *kernel.Mailbox[delivery]
+	handled handledReplies
 	// failures holds the upstreams that do not answer.
 	failures upstreamFailures
 
@@ -88,10 +89,12 @@
 
 // WatchPrefix implements contract.TransactionalStore.
 func (s *service) WatchPrefix(prefix string, options contract.WatchOptions, handle func(contract.News)) {
-	s.watches = append(s.watches, &prefixWatch{
-		service: s, prefix: prefix, options: options, cache: newWatchCache(options.PollTimeout + stalenessMargin),
-		mailbox: kernel.NewMailbox(s.loop, mailboxCapacity, handle),
+	w := &prefixWatch{service: s, prefix: prefix, options: options, cache: newWatchCache(options.PollTimeout + stalenessMargin)}
+	w.mailbox = kernel.NewMailbox(s.loop, mailboxCapacity, func(changes delivery) {
+		handle(changes.News)
+		w.handled.end(changes.repliedAt)
 	})
+	s.watches = append(s.watches, w)
 }
 
 // run lists the prefix and then delivers its changes until ctx ends.
@@ -235,6 +238,7 @@
 		w.cache.apply(changes.Records, changes.throughRevision)
 	}
 	if !changes.Full && len(changes.Records) == 0 {
+		w.handled.confirm(w.cache.lastStoreReply.Load())
 		return changes.throughRevision, nil
 	}
 	if err := w.deliver(changes); err != nil {
@@ -370,7 +374,9 @@
 // are lost and the prefix must be listed again.
 func (w *prefixWatch) deliver(changes changeSet) error {
 	changes.Source, changes.Age = w.source, w.cache.staleness()
-	if err := w.mailbox.Post(changes.News); err != nil {
+	w.handled.begin()
+	if err := w.mailbox.Post(delivery{News: changes.News, repliedAt: w.cache.lastStoreReply.Load()}); err != nil {
+		w.handled.end(0)
 		return errors.Wrap(outside.ErrCompacted, err.Error())
 	}
 	return nil
--- a/histories/managed/keys_test.go
+++ b/histories/managed/keys_test.go
@@ -219,3 +219,52 @@
 	})
 	must.False(t, h.hasResumedRun())
 }
+
+// TestKeys_StrictRevocation cuts the only daemon off from the store, takes a key away and
+// restores the link. Where revocation is strict, requests with keys must be refused as not
+// run once the key must be refused, and served again after the cut, but not with that key.
+func TestKeys_StrictRevocation(t *testing.T) {
+	t.Parallel()
+	const within = 2 * time.Second
+	h, _ := newKeysHarness(t, 1, time.Millisecond)
+	server := h.addPlain("plain-2")
+	h.store.removeKey("servers/plain-1")
+	p := h.startProcessOf(daemonBinary, "daemon-1", "bounds.strictRevoke=true", fmt.Sprintf("bounds.revokeMs=%d", within.Milliseconds()))
+	h.waitFor("both keys are served", func() bool {
+		return p.look("before-1", northKey).status == http.StatusOK && p.look("before-2", southKey).status == http.StatusOK
+	})
+	p.storeProxy.setCut(true)
+	h.putWorkspaces(3, workspace("north", secondNorthKey), workspace("south", southKey))
+	revoked := time.Now()
+	statuses := make(map[string]int)
+	look := func(key string) int {
+		id := fmt.Sprint("look-", len(statuses))
+		statuses[id] = p.look(id, key).status
+		return statuses[id]
+	}
+	for since := time.Duration(0); since < 2*within; since = time.Since(revoked) {
+		north, south := look(northKey), look(southKey)
+		if since >= within {
+			must.Eq(t, http.StatusServiceUnavailable, north)
+			must.Eq(t, http.StatusServiceUnavailable, south)
+		}
+		must.Eq(t, http.StatusOK, p.call(http.MethodPost, "/judge/1", "public", nil, "").status)
+		time.Sleep(20 * time.Millisecond)
+	}
+	p.storeProxy.setCut(false)
+	h.waitFor("the other workspace is served again", func() bool {
+		// Many, as a key might be accepted for a moment only.
+		for range 50 {
+			must.SliceContains(t, []int{http.StatusServiceUnavailable, http.StatusUnauthorized}, look(northKey))
+		}
+		return look(southKey) == http.StatusOK
+	})
+	for range 50 {
+		must.Eq(t, http.StatusUnauthorized, look(northKey))
+		must.Eq(t, http.StatusOK, look(secondNorthKey))
+	}
+	for _, id := range server.requests() {
+		status, known := statuses[id]
+		must.True(t, !known || status == http.StatusOK, must.Sprintf("%s was answered %d and ran", id, status))
+	}
+}
