Pass submissions of workspaces to no release before keys

A submission is passed to the daemon that owns the jobs of its model. One of a release before keys drops the workspace: it accepts a new job that then names none and is shown to nobody, and it answers 202 to another workspace that submits a job which exists. Change: for jobs of workspaces only daemons are asked whose records show a later release (the optional field shares_runs, which came together with keys). Without workspaces all is as before. Ruled out: a new field in the records of daemons; that one tells the same.

--- a/daemon/services/jobs/model_owner.go
+++ b/daemon/services/jobs/model_owner.go
@@ -44,6 +44,16 @@
 	}
 }
 
+// addReleasesBeforeWorkspaces adds the hosts of releases that would accept a job without its
+// workspace, and whoever submits one that exists. They take no reports on runs either.
+func (a *avoidedHosts) addReleasesBeforeWorkspaces(view *contract.SessionView) {
+	for _, member := range view.Live {
+		if !member.SharesRuns && member.Name != view.Self.Name {
+			a.add(member.Name, false)
+		}
+	}
+}
+
 // modelOwnerOf returns the daemon of this zone that owns the jobs of a model,
 // chosen by rendezvous hashing among the strongest hosts. With a single owner,
 // one daemon has the connections to the model's engines, tracks their load and
@@ -150,6 +160,9 @@
 	if s.isQuiesced.Load() {
 		avoided.add(view.Self.Name, true)
 	}
+	if job.Workspace != "" {
+		avoided.addReleasesBeforeWorkspaces(view)
+	}
 	for range maxModelOwners {
 		owner := modelOwnerOf(string(job.Model), view, avoided)
 		remaining := time.Until(ends)
