--- a/daemon/services/gate/callers.go
+++ b/daemon/services/gate/callers.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/flamingobeam/flamingobeam/coord/access"
 	"github.com/flamingobeam/flamingobeam/coord/catalog"
@@ -78,21 +79,28 @@
 // lookUpKey returns the workspace of a key. It fails with code Unauthorized, and with code
 // NoGrant if the key may have been taken away and revocation is strict.
 func (s *service) lookUpKey(key access.Key, current *catalog.Catalog) (access.Workspace, error) {
+	age := s.knowledge.Staleness(platform.OperatorPrefix)
+	if s.config.Platform.StrictRevocation {
+		// The age is that of the newest configuration, not of one that was read before.
+		if newest := s.catalog.Current().Load().Catalog; newest != nil && newest.Access != nil {
+			current = newest
+		}
+	}
 	workspace, ok := current.Access.Lookup(key)
 	if !ok {
 		return workspace, unknownKey(key, current)
 	}
-	if err := s.checkRevocation(); err != nil {
+	if err := s.checkRevocation(age); err != nil {
 		return access.Workspace{}, err
 	}
 	return workspace, nil
 }
 
-// checkRevocation fails with code NoGrant if a key may have been taken away and revocation
-// is strict.
-func (s *service) checkRevocation() error {
+// checkRevocation fails with code NoGrant if a key may have been taken away, given the age
+// of the configuration, and revocation is strict.
+func (s *service) checkRevocation(age time.Duration) error {
 	revocation := access.Revocation{Within: s.config.Platform.KeyRevocation, Strict: s.config.Platform.StrictRevocation}
-	if age := s.knowledge.Staleness(platform.OperatorPrefix); !revocation.Allows(age) {
+	if !revocation.Allows(age) {
 		return result.New(result.NoGrant, "the keys are %v old", age)
 	}
 	return nil
--- a/daemon/services/gate/forecast.go
+++ b/daemon/services/gate/forecast.go
@@ -108,7 +108,7 @@
 	if !ok {
 		return nil, result.New(result.Unauthorized, "version %d has no workspace %q", current.Version, name)
 	}
-	if err := s.checkRevocation(); err != nil {
+	if err := s.checkRevocation(s.knowledge.Staleness(platform.OperatorPrefix)); err != nil {
 		return nil, err
 	}
 	return &workspace, nil
--- a/daemon/services/jobs/forecast.go
+++ b/daemon/services/jobs/forecast.go
@@ -51,7 +51,7 @@
 // as it places the items; while it does not answer, this one's view has to do.
 func (s *service) ForecastJob(ctx context.Context, submitted *batch.Job, explanation *contract.RouteExplanation) error {
 	view := s.session.View().Load()
-	owner := modelOwnerOf(string(submitted.Model), view, s.avoidedAtStart(view))
+	owner := modelOwnerOf(string(submitted.Model), view, s.avoidedAtStart(view, submitted.Workspace))
 	request := ForecastRPC{
 		Host: submitted.Host, Path: submitted.Path, Model: submitted.Model, MinVersion: submitted.MinVersion, Workspace: submitted.Workspace,
 	}
--- a/daemon/services/jobs/model_owner.go
+++ b/daemon/services/jobs/model_owner.go
@@ -44,6 +44,16 @@
 	}
 }
 
+// addReleasesBeforeWorkspaces adds the hosts of releases that would accept a job without its
+// workspace, and whoever submits one that exists. They take no reports on runs either.
+func (a *avoidedHosts) addReleasesBeforeWorkspaces(view *contract.SessionView) {
+	for _, member := range view.Live {
+		if !member.SharesRuns && member.Name != view.Self.Name {
+			a.add(member.Name, false)
+		}
+	}
+}
+
 // modelOwnerOf returns the daemon of this zone that owns the jobs of a model,
 // chosen by rendezvous hashing among the strongest hosts. With a single owner,
 // one daemon has the connections to the model's engines, tracks their load and
@@ -146,7 +156,7 @@
 	}
 	ends := time.Now().Add(timeout)
 	view := s.session.View().Load()
-	avoided := s.avoidedAtStart(view)
+	avoided := s.avoidedAtStart(view, job.Workspace)
 	for range maxModelOwners {
 		owner := modelOwnerOf(string(job.Model), view, avoided)
 		remaining := time.Until(ends)
@@ -170,12 +180,15 @@
 }
 
 // avoidedAtStart returns the hosts that a submission avoids before any has refused it: this
-// one if it stops.
-func (s *service) avoidedAtStart(view *contract.SessionView) avoidedHosts {
+// one if it stops, and for a job of a workspace those of releases that do not know any.
+func (s *service) avoidedAtStart(view *contract.SessionView, workspace structs.WorkspaceName) avoidedHosts {
 	var avoided avoidedHosts
 	if s.isQuiesced.Load() {
 		avoided.add(view.Self.Name, true)
 	}
+	if workspace != "" {
+		avoided.addReleasesBeforeWorkspaces(view)
+	}
 	return avoided
 }
 
