Write the last results of a late step together

Results were then written one by one, and a write just before the last one answered the trainer's read: the trainer saw the last results only a pause of 0.6 s later.

Change: the results of a step that has missed its deadline are held like those of one in time, while enough groups will be complete within a pause. A step whose deadline is near but not over writes at once, as before.

Ruled out: holding over the deadline: a group that is complete in time would be listed late.

--- a/coord/batch/writedelay.go
+++ b/coord/batch/writedelay.go
@@ -27,12 +27,13 @@
 // It answers steps whose last texts end within a second of each other and close to
 // the deadline: results written just before the last of them would answer the
 // trainer's read, and the trainer would see the last ones only with its next read.
-// Results are not held for a group that may miss the deadline.
+// Results are not held for a group that may miss the deadline. Those of a step that has
+// missed it are: the next step waits for its end.
 func WriteDelay(waited, untilDue, untilWanted time.Duration) time.Duration {
 	if untilWanted <= 0 {
 		return 0
 	}
-	if untilWanted <= min(readPause, untilDue) {
+	if untilWanted <= readPause && (untilWanted <= untilDue || untilDue <= 0) {
 		return max(0, min(untilWanted, maxWriteDelay+readPause-waited))
 	}
 	return max(0, min(maxWriteDelay-waited, untilDue-writeMargin))
--- a/coord/batch/writedelay_test.go
+++ b/coord/batch/writedelay_test.go
@@ -66,10 +66,10 @@
 }
 
 // TestWriteDelay_EndOfStep plays steps whose last texts reach their longest length
-// within 0.3 s of each other, after others that end at any time. The trainer must have
-// all results earlier than without holding, on average, never later than its pause and
-// two writes after the last text, and no result waits for its write longer than the
-// ordinary delay and a pause.
+// within 0.3 s of each other, after others that end at any time, before the deadline and
+// two seconds after it. The trainer must have all results earlier than without holding, on
+// average, never later than its pause and two writes after the last text, and no result
+// waits for its write longer than the ordinary delay and a pause.
 func TestWriteDelay_EndOfStep(t *testing.T) {
 	const items, bounded, steps = 60, 3, 50
 	plain := func(waited, untilDue, untilWanted time.Duration) time.Duration {
@@ -78,29 +78,31 @@
 		}
 		return max(0, min(maxWriteDelay-waited, untilDue-writeMargin))
 	}
-	var delayPlain, delayHeld time.Duration
-	random := rand.New(rand.NewPCG(1, 2))
-	for range steps {
-		end := 7*time.Second + time.Duration(random.Int64N(int64(time.Second)))
-		finishedAt := make([]time.Duration, 0, items)
-		for i := range items - bounded {
-			finishedAt = append(finishedAt, end*time.Duration(i+1)/items-time.Second/2)
-		}
-		for range bounded - 1 {
-			finishedAt = append(finishedAt, end-time.Duration(random.Int64N(int64(300*time.Millisecond))))
+	for _, untilDue := range []time.Duration{300 * time.Millisecond, -2 * time.Second} {
+		var delayPlain, delayHeld time.Duration
+		random := rand.New(rand.NewPCG(1, 2))
+		for range steps {
+			end := 7*time.Second + time.Duration(random.Int64N(int64(time.Second)))
+			finishedAt := make([]time.Duration, 0, items)
+			for i := range items - bounded {
+				finishedAt = append(finishedAt, end*time.Duration(i+1)/items-time.Second/2)
+			}
+			for range bounded - 1 {
+				finishedAt = append(finishedAt, end-time.Duration(random.Int64N(int64(300*time.Millisecond))))
+			}
+			finishedAt = append(finishedAt, end)
+			step := stepEnd{finishedAt: finishedAt, isBounded: func(item int) bool { return item >= items-bounded }, due: end + untilDue, delay: plain}
+			readAt, _ := step.run()
+			delayPlain += readAt - end
+			step.delay = WriteDelay
+			readAt, longestWait := step.run()
+			delayHeld += readAt - end
+			must.LessEq(t, end+readPause+2*writeTime+2*tick, readAt)
+			must.LessEq(t, maxWriteDelay+readPause+writeTime, longestWait)
 		}
-		finishedAt = append(finishedAt, end)
-		step := stepEnd{finishedAt: finishedAt, isBounded: func(item int) bool { return item >= items-bounded }, due: end + 300*time.Millisecond, delay: plain}
-		readAt, _ := step.run()
-		delayPlain += readAt - end
-		step.delay = WriteDelay
-		readAt, longestWait := step.run()
-		delayHeld += readAt - end
-		must.LessEq(t, end+readPause+2*writeTime+2*tick, readAt)
-		must.LessEq(t, maxWriteDelay+readPause+writeTime, longestWait)
+		t.Logf("mean delay of the trainer's last read: %v, and %v without holding", delayHeld/steps, delayPlain/steps)
+		must.Less(t, delayPlain, delayHeld)
 	}
-	t.Logf("mean delay of the trainer's last read: %v, and %v without holding", delayHeld/steps, delayPlain/steps)
-	must.Less(t, delayPlain, delayHeld)
 }
 
 func TestWriteDelay_Bounds(t *testing.T) {
@@ -117,6 +119,10 @@
 	must.Zero(t, WriteDelay(0, writeMargin, UnknownTime))
 	must.Eq(t, 300*time.Millisecond, WriteDelay(0, 400*time.Millisecond, 300*time.Millisecond))
 	must.Zero(t, WriteDelay(0, 200*time.Millisecond, 300*time.Millisecond))
+	// The deadline has passed.
+	must.Eq(t, 300*time.Millisecond, WriteDelay(0, -time.Second, 300*time.Millisecond))
+	must.Zero(t, WriteDelay(maxWriteDelay+readPause, -time.Second, 300*time.Millisecond))
+	must.Zero(t, WriteDelay(0, -time.Second, UnknownTime))
 }
 
 func TestUntilWanted_Groups(t *testing.T) {
