Check the order of a step's items, and its guarantee for workspaces

Cause: the plays of Admit check what a trainer gets, but neither the guarantee that a starved workspace goes first nor when groups go last.

Change: TestAdmit_Order. It passes on the code of the commit before.

--- a/coord/batch/admission_test.go
+++ b/coord/batch/admission_test.go
@@ -113,6 +113,26 @@
 	return portions
 }
 
+// TestAdmit_Order checks that the long text of a later step goes before a short one of an
+// earlier step, groups that the trainer does not need last, and a starved workspace first.
+func TestAdmit_Order(t *testing.T) {
+	due := func(seconds int) time.Time { return time.Unix(int64(seconds), 0) }
+	text := func(group string, needed time.Duration) WaitingItem { return WaitingItem{Group: group, Needed: needed} }
+	steps := []Step{
+		{Standing: Standing{ID: "later", Workspace: "large", Deadline: due(10), Running: 40, Waiting: 60}, Slots: 1, Period: 8 * time.Second, Waiting: []WaitingItem{text("a", 6*time.Second)}},
+		{Standing: Standing{ID: "earlier", Workspace: "large", Deadline: due(8), Running: 40, Waiting: 60}, Slots: 1, Period: 8 * time.Second, SpareGroups: 1, Waiting: []WaitingItem{text("b", time.Second), text("c", 5*time.Second)}},
+	}
+	must.Eq(t, []Portion{{Step: 0, Items: []int{0}}, {Step: 1, Items: []int{0}}, {Step: 1, Items: []int{1}, IsSpare: true}}, Admit(steps))
+	// No group goes last if engines have room, nor one that has begun.
+	noneSpare := []Portion{{Step: 1, Items: []int{1}}, {Step: 0, Items: []int{0}}, {Step: 1, Items: []int{0}}}
+	steps[1].Slots = 100
+	must.Eq(t, noneSpare, Admit(steps))
+	steps[1].Slots, steps[1].Waiting[0].HasBegun, steps[1].Waiting[1].HasBegun = 1, true, true
+	must.Eq(t, noneSpare, Admit(steps))
+	steps = append(steps, Step{Standing: Standing{ID: "small", Workspace: "small", Deadline: due(99), Waiting: 9}, Slots: 1, Period: 8 * time.Second, Waiting: []WaitingItem{text("d", time.Second)}})
+	must.Eq(t, 2, Admit(steps)[0].Step)
+}
+
 // TestAdmit_TrainerBehind plays a trainer that is behind on engines without room for all:
 // more groups are whole in time than by deadline, and the trainer falls less far behind.
 func TestAdmit_TrainerBehind(t *testing.T) {
