One transport to all servers, with an account of its connections

Cause: each kind of request opened connections of its own, and only their number was counted, so nobody could see why a new one was needed.

Change: traffic.links owns the transport and counts exchanges by kind and new connections by kind and reason (links.exchanges, links.opened), from the traces of net/http. Requests that may not be repeated and hedges keep connections for one request. The counters engines.connections_opened and dispatch.connections_opened are replaced.

Ruled out: sharing with orders of weights, whose responses do not name their request.

--- a/daemon/contract/links.go
+++ b/daemon/contract/links.go
@@ -16,15 +16,34 @@
 type Exchange struct {
 	Server  structs.HostName
 	Address string
-	// Transport opens the connections for direct exchanges. A request without a body
-	// that is not Repeatable gets a connection of its own instead.
-	Transport http.RoundTripper
+	// Kind is what the request is for.
+	Kind ExchangeKind
+	// Fresh asks for a connection of its own. A request without a body that is not
+	// Repeatable gets one in any case.
+	Fresh bool
 	// Repeatable is set if the server may get the request a second time.
 	Repeatable bool
 	// Build returns a new copy of the request.
 	Build func(ctx context.Context) (*http.Request, error)
 }
 
+// ExchangeKind is what a request to a server is for. It ends the name of a counter.
+type ExchangeKind string
+
+// The kinds of exchanges.
+const (
+	// ExchangeRequest is a caller's request, and ExchangeCall one on behalf of accepted
+	// work.
+	ExchangeRequest ExchangeKind = "request"
+	ExchangeCall    ExchangeKind = "call"
+	// ExchangeItem is the run of an item on an engine.
+	ExchangeItem ExchangeKind = "item"
+	// ExchangeRelayed is a request of another daemon.
+	ExchangeRelayed ExchangeKind = "relayed"
+	// ExchangeOrder is an order to load weights, or the report that follows it.
+	ExchangeOrder ExchangeKind = "order"
+)
+
 // ServerLinksView is an immutable snapshot of a daemon's links to the backend servers.
 type ServerLinksView struct {
 	State reach.State
--- a/daemon/services/dispatch/dispatch.go
+++ b/daemon/services/dispatch/dispatch.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -14,7 +13,6 @@
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/daemon/config"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
-	"github.com/flamingobeam/flamingobeam/daemon/transport"
 	"github.com/flamingobeam/flamingobeam/kernel"
 )
 
@@ -23,14 +21,6 @@
 }
 
 const (
-	// dialTimeout bounds a new connection: a round trip between regions takes
-	// 60 ms, and a lost packet costs a second.
-	dialTimeout = 700 * time.Millisecond
-	// idleTimeout is how long an idle connection is kept. If the server has
-	// closed it meanwhile, that is noticed before a request is written.
-	idleTimeout = 30 * time.Second
-	// maxIdlePerServer bounds the idle connections to one server.
-	maxIdlePerServer = 16
 	// hedgeFraction is the part of the latency target after which an idempotent
 	// request without an answer is hedged.
 	hedgeFraction = 0.4
@@ -49,12 +39,9 @@
 	usage    contract.Usage
 	hedging  contract.Hedging
 	// place is where this daemon is.
-	place     structs.Place
-	metrics   contract.Metrics
-	log       *logrus.Entry
-	transport *http.Transport
-	// freshTransport opens a connection for each request.
-	freshTransport *http.Transport
+	place   structs.Place
+	metrics contract.Metrics
+	log     *logrus.Entry
 }
 
 var _ contract.Dispatch = (*service)(nil)
@@ -66,8 +53,6 @@
 		return err
 	}
 	s.log, s.place = ctx.Log(), daemon.Place
-	s.transport = transport.New(transport.Options{DialTimeout: dialTimeout, IdleTimeout: idleTimeout, MaxIdlePerHost: maxIdlePerServer, Dial: daemon.Platform.DialServer, OnDial: s.countDial})
-	s.freshTransport = transport.New(transport.Options{DialTimeout: dialTimeout, SingleUse: true, Dial: daemon.Platform.DialServer, OnDial: s.countDial})
 	return kernel.FindAll(ctx,
 		kernel.Bind(&s.balancer, contract.NameBalance),
 		kernel.Bind(&s.hosts, contract.NameHosts),
@@ -81,15 +66,6 @@
 	)
 }
 
-// countDial counts an established connection to a server.
-func (s *service) countDial() { s.metrics.Count("dispatch.connections_opened", 1) }
-
-// Stop implements kernel.Service.
-func (s *service) Stop(context.Context) error {
-	s.transport.CloseIdleConnections()
-	return nil
-}
-
 // classOf returns the class of a route's requests, from the route's priority.
 func classOf(route *catalog.Route) structs.Class {
 	return structs.Class(min(max(0, route.Priority), structs.ClassCount-1))
--- a/daemon/services/dispatch/send.go
+++ b/daemon/services/dispatch/send.go
@@ -73,13 +73,13 @@
 		Timeout: remaining, Priority: platform.NoPriority,
 		Resume: permit, Identity: identityOf(request.Workspace),
 	}
-	roundTripper := s.transport
-	if fresh {
-		roundTripper = s.freshTransport
+	kind := contract.ExchangeRequest
+	if request.IsAccepted {
+		kind = contract.ExchangeCall
 	}
 	sentAt := time.Now()
 	response, err := s.links.Do(ctx, contract.Exchange{
-		Server: ticket.Server.Name, Address: ticket.Server.Address, Transport: roundTripper,
+		Server: ticket.Server.Name, Address: ticket.Server.Address, Kind: kind, Fresh: fresh,
 		Repeatable: request.Route.Kind == catalog.KindIdempotent, Build: outgoing.NewRequest,
 	})
 	if err != nil {
--- a/daemon/services/engines/engines.go
+++ b/daemon/services/engines/engines.go
@@ -19,7 +19,6 @@
 	"github.com/flamingobeam/flamingobeam/coord/result"
 	"github.com/flamingobeam/flamingobeam/coord/resume"
 	"github.com/flamingobeam/flamingobeam/coord/structs"
-	"github.com/flamingobeam/flamingobeam/daemon/config"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
 	"github.com/flamingobeam/flamingobeam/daemon/transport"
 	"github.com/flamingobeam/flamingobeam/kernel"
@@ -31,14 +30,6 @@
 }
 
 const (
-	// dialTimeout bounds a new connection to an engine.
-	dialTimeout = 700 * time.Millisecond
-	// idleTimeout is how long an idle connection is kept for the next item. If
-	// the engine has closed it meanwhile, another attempt is made and no result
-	// is lost.
-	idleTimeout = 60 * time.Second
-	// maxIdlePerServer is the number of requests that an engine runs at once.
-	maxIdlePerServer = 16
 	// firstEventTimeout bounds the wait for the first event: an engine that
 	// loads weights refuses at once, and another engine is better than one that
 	// queues the request for longer.
@@ -68,24 +59,18 @@
 
 type service struct {
 	kernel.Base
-	metrics   contract.Metrics
-	links     contract.ServerLinks
-	hosts     contract.Hosts
-	limits    contract.ServerLimits
-	log       *logrus.Entry
-	transport *http.Transport
+	metrics contract.Metrics
+	links   contract.ServerLinks
+	hosts   contract.Hosts
+	limits  contract.ServerLimits
+	log     *logrus.Entry
 }
 
 var _ contract.Engines = (*service)(nil)
 
 // Provision implements kernel.Service.
 func (s *service) Provision(ctx *kernel.Context) error {
-	daemon, err := kernel.ConfigOf[config.Daemon](ctx)
-	if err != nil {
-		return err
-	}
 	s.log = ctx.Log()
-	s.transport = transport.New(transport.Options{DialTimeout: dialTimeout, IdleTimeout: idleTimeout, MaxIdlePerHost: maxIdlePerServer, Dial: daemon.Platform.DialServer, OnDial: s.countDial})
 	return kernel.FindAll(ctx,
 		kernel.Bind(&s.metrics, contract.NameMetrics),
 		kernel.Bind(&s.links, contract.NameServerLinks),
@@ -94,15 +79,6 @@
 	)
 }
 
-// countDial counts an established connection to an engine.
-func (s *service) countDial() { s.metrics.Count("engines.connections_opened", 1) }
-
-// Stop implements kernel.Service.
-func (s *service) Stop(context.Context) error {
-	s.transport.CloseIdleConnections()
-	return nil
-}
-
 // Run implements contract.Engines.
 func (s *service) Run(ctx context.Context, request contract.RunRequest, progress *contract.Progress) contract.RunResult {
 	started := time.Now()
@@ -158,7 +134,7 @@
 	}
 	sentAt := time.Now()
 	response, err := s.links.Do(ctx, contract.Exchange{
-		Server: request.Server.ID, Address: request.Server.Address, Transport: s.transport, Repeatable: true, Build: outgoing.NewRequest,
+		Server: request.Server.ID, Address: request.Server.Address, Kind: contract.ExchangeItem, Repeatable: true, Build: outgoing.NewRequest,
 	})
 	if transport.IsDialFailure(err) {
 		return contract.RunResult{Outcome: contract.RunUnreachable, Err: err}
--- a/daemon/services/links/exchange.go
+++ b/daemon/services/links/exchange.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
 	"github.com/flamingobeam/flamingobeam/daemon/transport"
 )
@@ -29,10 +31,10 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	e := &exchange{Exchange: request, service: s, cancel: cancel}
 	e.lastReceived.Store(time.Now().UnixNano())
-	isNew := false
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+	use := &transport.Use{}
+	trace := &httptrace.ClientTrace{PutIdleConn: use.PutIdle, GotConn: func(info httptrace.GotConnInfo) {
 		e.isConnected.Store(true)
-		isNew = !info.Reused
+		use.GotConn(info)
 	}}
 	outgoing, err := request.Build(httptrace.WithClientTrace(ctx, trace))
 	if err != nil {
@@ -40,11 +42,12 @@
 		return e, nil, err
 	}
 	s.register(e)
-	roundTripper := request.Transport
-	if !request.Repeatable && transport.MayReplay(outgoing) {
+	roundTripper, isSingleUse := s.serverTransport, request.Fresh || !request.Repeatable && transport.MayReplay(outgoing)
+	if isSingleUse {
 		roundTripper = s.singleUseTransport
 	}
 	response, err := roundTripper.RoundTrip(outgoing)
+	s.countConnection(e, use, isSingleUse)
 	if err != nil {
 		if cause := context.Cause(ctx); cause != nil {
 			err = cause
@@ -53,13 +56,30 @@
 		return e, nil, err
 	}
 	e.recordReceived()
-	if isNew {
+	if use.IsNew {
 		s.reportReached()
 	}
+	if response.Close {
+		use.AnnouncedClose()
+	}
 	response.Body = &watchedBody{body: response.Body, exchange: e}
 	return e, response, nil
 }
 
+// countConnection counts and logs the connection that was opened for an exchange.
+func (s *service) countConnection(e *exchange, use *transport.Use, isSingleUse bool) {
+	s.metrics.Count("links.exchanges."+string(e.Kind), 1)
+	if !use.IsNew {
+		return
+	}
+	reason := use.Reason
+	if isSingleUse {
+		reason = transport.OpenedSingleUse
+	}
+	s.metrics.Count("links.opened."+string(e.Kind)+"."+string(reason), 1)
+	s.log.WithFields(logrus.Fields{"server": e.Server, "kind": e.Kind, "reason": reason, "last_idle_ms": use.LastIdle.Milliseconds(), "connections": s.connections.Total()}).Info("A connection to a server was opened.")
+}
+
 func (s *service) register(e *exchange) {
 	s.mu.Lock()
 	s.open[e] = true
--- a/daemon/services/links/relay_server.go
+++ b/daemon/services/links/relay_server.go
@@ -180,7 +180,7 @@
 		r.Header.Del(name)
 	}
 	return contract.Exchange{
-		Server: server, Address: address, Transport: s.helpTransport, Repeatable: repeatable,
+		Server: server, Address: address, Kind: contract.ExchangeRelayed, Repeatable: repeatable,
 		Build: func(ctx context.Context) (*http.Request, error) {
 			return buildRelayed(ctx, r, address, target, body), nil
 		},
--- a/daemon/services/links/service.go
+++ b/daemon/services/links/service.go
@@ -42,6 +42,11 @@
 	// serverDialTimeout bounds a connection to a server: a round trip between regions
 	// takes 60 ms, and a lost packet costs a second.
 	serverDialTimeout = 700 * time.Millisecond
+	// serverIdleTimeout is how long an idle connection is kept, unless the server closes
+	// it before.
+	serverIdleTimeout = 60 * time.Second
+	// maxIdlePerServer is the number of requests that an engine runs at once.
+	maxIdlePerServer = 16
 )
 
 type service struct {
@@ -79,7 +84,10 @@
 	avoidedHelpers map[string]time.Time
 
 	relayTransport *http.Transport
-	helpTransport  *http.Transport
+	// serverTransport keeps the connections to the servers, and connections the account of
+	// them.
+	serverTransport *http.Transport
+	connections     *transport.Connections
 	// singleUseTransport and singleUseRelayTransport send the requests that net/http
 	// might otherwise repeat by itself.
 	singleUseTransport      *http.Transport
@@ -108,11 +116,12 @@
 	s.failures = kernel.NewMailbox(s.loop, mailboxCapacity, s.recordFailure)
 	s.reached = kernel.NewCoalescingMailbox(s.loop, 1, func(struct{}, struct{}) { s.detector.RecordReached() })
 	s.relayTransport = transport.New(transport.Options{DialTimeout: helperDialTimeout, IdleTimeout: helperIdleTimeout, MaxIdlePerHost: maxIdlePerHelper})
-	s.helpTransport = transport.New(transport.Options{
-		DialTimeout: helperDialTimeout, IdleTimeout: helperIdleTimeout, MaxIdlePerHost: maxIdlePerHelper, Dial: s.config.Platform.DialServer,
+	s.connections = transport.NewConnections()
+	s.serverTransport = transport.New(transport.Options{
+		DialTimeout: serverDialTimeout, IdleTimeout: serverIdleTimeout, MaxIdlePerHost: maxIdlePerServer, Dial: s.config.Platform.DialServer, Account: s.connections,
 	})
 	s.singleUseTransport = transport.New(transport.Options{
-		DialTimeout: serverDialTimeout, SingleUse: true, Dial: s.config.Platform.DialServer,
+		DialTimeout: serverDialTimeout, SingleUse: true, Dial: s.config.Platform.DialServer, Account: s.connections,
 	})
 	s.singleUseRelayTransport = transport.New(transport.Options{DialTimeout: helperDialTimeout, SingleUse: true})
 	return kernel.FindAll(ctx,
@@ -144,7 +153,7 @@
 func (s *service) Stop(ctx context.Context) error {
 	err := s.stopRelayServer(ctx)
 	s.relayTransport.CloseIdleConnections()
-	s.helpTransport.CloseIdleConnections()
+	s.serverTransport.CloseIdleConnections()
 	s.goroutines.Wait()
 	return err
 }
--- a/daemon/transport/transport.go
+++ b/daemon/transport/transport.go
@@ -35,8 +35,8 @@
 	SingleUse bool
 	// Dial opens connections; nil stands for TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
-	// OnDial is called after each established connection; nil stands for no call.
-	OnDial func()
+	// Account counts the connections; nil stands for none.
+	Account *Connections
 }
 
 // New returns a transport that does not request compression, so that bodies can be
@@ -53,8 +53,8 @@
 			return options.Dial(ctx, network, address)
 		}
 	}
-	if options.OnDial != nil {
-		dial = notifying(dial, options.OnDial)
+	if options.Account != nil {
+		dial = options.Account.Watch(dial)
 	}
 	return &http.Transport{
 		DialContext: dial, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
@@ -65,17 +65,6 @@
 
 type dialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
 
-// notifying returns a dial function that calls onDial after each established connection.
-func notifying(dial dialFunc, onDial func()) dialFunc {
-	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := dial(ctx, network, address)
-		if err == nil {
-			onDial()
-		}
-		return conn, err
-	}
-}
-
 // IsDialFailure reports whether a request failed because no connection could be
 // established, so that no byte of it was sent.
 func IsDialFailure(err error) bool {
