The leader keeps its connections to engines between loads

Change: one transport for each engine, which carries orders and reports only. Its connection outlasts a load that ended with a report: the body tells a late report from a response to an order (ErrOtherResponse), and a late report is at worst an earlier state. After an error, a refusal or a response that is final by itself it is closed.

Tests: TestOrders_DuplicateResponses orders three versions instead of two over the kept connection; new TestOrders_KeepConnection.

--- a/daemon/contract/links.go
+++ b/daemon/contract/links.go
@@ -40,8 +40,6 @@
 	ExchangeItem ExchangeKind = "item"
 	// ExchangeRelayed is a request of another daemon.
 	ExchangeRelayed ExchangeKind = "relayed"
-	// ExchangeOrder is an order to load weights, or the report that follows it.
-	ExchangeOrder ExchangeKind = "order"
 )
 
 // ServerLinksView is an immutable snapshot of a daemon's links to the backend servers.
--- a/daemon/services/swaps/swaps.go
+++ b/daemon/services/swaps/swaps.go
@@ -16,7 +16,6 @@
 	"github.com/flamingobeam/flamingobeam/coord/structs"
 	"github.com/flamingobeam/flamingobeam/daemon/broadcast"
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
-	"github.com/flamingobeam/flamingobeam/daemon/transport"
 	"github.com/flamingobeam/flamingobeam/kernel"
 	"github.com/flamingobeam/flamingobeam/platform"
 )
@@ -42,9 +41,6 @@
 	firstReportDelay = 1100 * time.Millisecond
 	// reportInterval is the pause before an engine's report is read again.
 	reportInterval = 250 * time.Millisecond
-	// loadConnTimeout is how long the connection of a load is kept idle. It
-	// exceeds firstReportDelay.
-	loadConnTimeout = 3 * time.Second
 	// fencedPause is how long a daemon sends no orders after an engine has
 	// rejected its fencing token.
 	fencedPause = 4 * time.Second
@@ -99,7 +95,7 @@
 	// reads from the weight store for it.
 	currentLoad placement.WeightLoad
 	isFetching  bool
-	// transport has the connection of the load in progress.
+	// transport has the connection for orders and reports.
 	transport *http.Transport
 	// retryAt is the earliest time of the next order after a failed one.
 	retryAt time.Time
@@ -137,15 +133,6 @@
 	s.weightUpdates = kernel.NewMailbox(s.loop, mailboxCapacity, s.notifyListeners)
 }
 
-// newTransport returns the transport for one load of weights: its order and the
-// reports that follow share a connection, which is closed with the load. Responses
-// of engines carry no id, so a late copy of a report must not be read as the
-// response to an order; a late copy within a load is at worst an earlier state of
-// that load. The leader, which orders all engines, keeps no idle connections to them.
-func newTransport() *http.Transport {
-	return transport.New(transport.Options{DialTimeout: orderTimeout, IdleTimeout: loadConnTimeout, MaxIdlePerHost: 1})
-}
-
 // Start implements kernel.Service.
 func (s *service) Start() error {
 	kernel.Subscribe(s.loop, s.workers, s.catalog.Current(), func(*contract.CatalogView) { s.plan() })
@@ -220,13 +207,6 @@
 // reserve marks the engine as busy with a load.
 func (e *engine) reserve(load placement.WeightLoad) {
 	e.busy, e.isFetching, e.currentLoad = true, true, load
-	e.transport = newTransport()
-}
-
-// release marks an engine as free for its next order.
-func (e *engine) release() {
-	e.busy, e.isFetching, e.currentLoad = false, false, placement.WeightLoad{}
-	e.transport.CloseIdleConnections()
 }
 
 // engineFor returns the record of an engine and merges the versions of its
@@ -235,7 +215,7 @@
 func (s *service) engineFor(server catalog.Server) *engine {
 	e := s.engines[server.ID]
 	if e == nil || e.started != server.Started {
-		e = &engine{started: server.Started, versions: make(map[structs.ServiceName]structs.WeightVersion)}
+		e = &engine{started: server.Started, transport: newTransport(), versions: make(map[structs.ServiceName]structs.WeightVersion)}
 		s.engines[server.ID] = e
 	}
 	for model, version := range server.Versions {
@@ -315,6 +295,7 @@
 	case result.err != nil:
 		// The engine may still carry the order out. Its count of orders keeps a
 		// delayed order from taking effect after a newer one.
+		result.engine.transport.CloseIdleConnections()
 		s.scheduleReport(result.orderTarget, result.engine, reportInterval)
 	case result.outcome == platform.OrderAccepted:
 		result.engine.acceptedOrders++
@@ -386,7 +367,7 @@
 		s.scheduleReport(result.orderTarget, result.engine, reportInterval)
 		return
 	}
-	result.engine.release()
+	s.releaseAfterReport(result.engine)
 	result.engine.acceptedOrders, result.engine.hasOrderCount = max(result.engine.acceptedOrders, result.report.AcceptedOrders), true
 	for model, version := range result.report.Versions {
 		result.engine.versions[model] = max(result.engine.versions[model], version)
--- a/daemon/services/swaps/swaps_test.go
+++ b/daemon/services/swaps/swaps_test.go
@@ -39,6 +39,10 @@
 	// version is the version that the engine runs, and ordered the one that it
 	// loads, if that is higher.
 	version, ordered structs.WeightVersion
+	// isSound stops the repetitions.
+	isSound bool
+	// connections counts those that were accepted.
+	connections int
 }
 
 // respond returns the response to a request.
@@ -75,6 +79,9 @@
 
 func (e *duplicatingEngine) serve(conn net.Conn) {
 	defer conn.Close()
+	e.mu.Lock()
+	e.connections++
+	e.mu.Unlock()
 	reader, previous := bufio.NewReader(conn), ""
 	for {
 		request, err := http.ReadRequest(reader)
@@ -85,7 +92,9 @@
 		if _, err := conn.Write([]byte(previous + response)); err != nil {
 			return
 		}
-		previous = response
+		if !e.isSound {
+			previous = response
+		}
 	}
 }
 
@@ -136,25 +145,30 @@
 	return s, f
 }
 
-// TestOrders_DuplicateResponses orders two versions of an engine that repeats its
-// responses late. The leader must not believe that the engine runs a version before
-// it does: a repeated report is no response to an order.
-func TestOrders_DuplicateResponses(t *testing.T) {
+// startEngine serves an engine on loopback and returns its address.
+func startEngine(t *testing.T, serve func(net.Conn)) string {
+	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
-	stub := &duplicatingEngine{version: 1}
 	go func() {
 		for {
 			conn, err := listener.Accept()
 			if err != nil {
 				return
 			}
-			go stub.serve(conn)
+			go serve(conn)
 		}
 	}()
+	return listener.Addr().String()
+}
+
+// orderVersions lets the leader order versions 2, 3 and 4 of an engine, one after the other,
+// and checks that it never believes that the engine runs a version before it does.
+func orderVersions(t *testing.T, address string, stub *duplicatingEngine) {
+	t.Helper()
 	clock := clockwork.NewFakeClock()
-	s, f := startService(t, clock, listener.Addr().String())
+	s, f := startService(t, clock, address)
 	var mu sync.Mutex
 	var believed, early structs.WeightVersion
 	s.OnEngineWeights(func(news contract.EngineNews) {
@@ -173,7 +187,7 @@
 		<-s.loop.Done()
 		s.workers.Stop()
 	})
-	for _, version := range []structs.WeightVersion{2, 3} {
+	for _, version := range []structs.WeightVersion{2, 3, 4} {
 		f.catalog.Publish(&contract.CatalogView{
 			Catalog:        &catalog.Catalog{Services: map[structs.ServiceName]catalog.Service{testService: {Engine: &catalog.Engine{Models: []structs.ServiceName{testModel}}}}},
 			TargetVersions: map[structs.ServiceName]structs.WeightVersion{testModel: version},
@@ -186,5 +200,22 @@
 		}), wait.Timeout(10*time.Second), wait.Gap(time.Millisecond)))
 	}
 	must.Zero(t, early)
-	must.Eq(t, 3, stub.loadedVersion())
+	must.Eq(t, 4, stub.loadedVersion())
+}
+
+// TestOrders_DuplicateResponses orders versions of an engine that repeats its responses
+// late: a repeated report is no response to an order.
+func TestOrders_DuplicateResponses(t *testing.T) {
+	stub := &duplicatingEngine{version: 1}
+	orderVersions(t, startEngine(t, stub.serve), stub)
+}
+
+// TestOrders_KeepConnection orders versions of an engine that repeats nothing. All loads use
+// one connection.
+func TestOrders_KeepConnection(t *testing.T) {
+	stub := &duplicatingEngine{version: 1, isSound: true}
+	orderVersions(t, startEngine(t, stub.serve), stub)
+	stub.mu.Lock()
+	defer stub.mu.Unlock()
+	must.Eq(t, 1, stub.connections)
 }
