Only runs that may end last in their step move

Each cut costs a connection and reads the prompt and text again.

Change: runs are offered by their expected end as before; one moves only if 1.4 times its end is later than the best end of those before it and of the texts that wait or have just begun.

--- a/coord/placement/move_budget.go
+++ b/coord/placement/move_budget.go
@@ -12,6 +12,9 @@
 	// slowConfirmTime is how long a run must be slow before it moves: it exceeds the time
 	// for which a prompt or a load of weights holds up the runs beside it.
 	slowConfirmTime = 250 * time.Millisecond
+	// lengthMargin is how much later than expected a run may well end: a quarter of the
+	// texts are longer than 1.4 times their hint.
+	lengthMargin = 1.4
 )
 
 // SlowRun is a run that would end sooner on another engine.
@@ -27,11 +30,22 @@
 	Moves int
 	// UntilNeeded is the time until the step should be whole.
 	UntilNeeded time.Duration
+	// StepEnd is the expected time until the other texts of the step are whole, as far as
+	// they cannot be sooner.
+	StepEnd time.Duration
 }
 
 // Finish returns the expected time until the run ends where it is.
 func (r SlowRun) Finish() time.Duration { return time.Duration(r.Remaining) * r.Pace }
 
+// BestFinish returns the expected time until the run ends where that is soonest.
+func (r SlowRun) BestFinish() time.Duration {
+	if r.OtherPace > 0 && ShouldMove(r.Remaining, r.Pace, r.OtherPace) {
+		return time.Duration(r.Remaining) * r.OtherPace
+	}
+	return r.Finish()
+}
+
 func (r SlowRun) saving() time.Duration { return time.Duration(r.Remaining) * (r.Pace - r.OtherPace) }
 
 // NeededBy returns the time after its submission at which a step should be whole. The rest
@@ -54,6 +68,9 @@
 	if run.SlowFor < slowConfirmTime || !ShouldMove(run.Remaining, run.Pace, run.OtherPace) {
 		return false
 	}
+	if lengthMargin*float64(run.Finish()) <= float64(run.StepEnd) {
+		return false
+	}
 	// An item that moves again has less and less to gain.
 	if run.saving() < minMoveSaving<<min(run.Moves, maxMoveDoublings) {
 		return false
--- a/coord/placement/move_budget_test.go
+++ b/coord/placement/move_budget_test.go
@@ -82,6 +82,19 @@
 	must.LessEq(t, 30, moves)
 }
 
+// TestMoveBudget_RunsThatEndTheStep offers a long and a shorter run on engines that are both
+// slow. Only the long one moves, unless the shorter one may well end last.
+func TestMoveBudget_RunsThatEndTheStep(t *testing.T) {
+	long := SlowRun{Remaining: 111, Pace: slowPace, OtherPace: fastPace, SlowFor: time.Second}
+	must.True(t, new(MoveBudget).Take(long, 1000))
+	shorter := SlowRun{Remaining: 54, Pace: slowPace, OtherPace: fastPace, SlowFor: time.Second, StepEnd: long.BestFinish()}
+	must.False(t, new(MoveBudget).Take(shorter, 1000))
+	shorter.Remaining = 80
+	must.True(t, new(MoveBudget).Take(shorter, 1000))
+	shorter.Remaining, shorter.Pace = 54, 10*fastPace
+	must.True(t, new(MoveBudget).Take(shorter, 1000))
+}
+
 // TestMoveBudget_NoMovesBackAndForth offers the same run again and again, each time with an
 // engine that seems a bit faster.
 func TestMoveBudget_NoMovesBackAndForth(t *testing.T) {
--- a/daemon/services/jobs/moves.go
+++ b/daemon/services/jobs/moves.go
@@ -27,6 +27,7 @@
 	}
 	slices.SortStableFunc(running, func(a, b straggler) int { return cmp.Compare(b.run.Finish(), a.run.Finish()) })
 	selector := s.engineSelector(j, now, false)
+	stepEnd := s.unmeasuredEnd(j, running, selector.FallbackPace())
 	for i := range running {
 		r := &running[i]
 		avoid := append(slices.Clone(r.item.avoidedServers), r.item.server)
@@ -35,6 +36,8 @@
 		if ok {
 			r.run.OtherPace = selector.PaceOf(choice)
 		}
+		r.run.StepEnd = stepEnd
+		stepEnd = max(stepEnd, r.run.BestFinish())
 		if !ok || !placement.ShouldMove(r.run.Remaining, r.run.Pace, r.run.OtherPace) {
 			r.item.slowSince = time.Time{}
 			continue
@@ -54,6 +57,22 @@
 	}
 }
 
+// unmeasuredEnd returns the expected time until those texts of a job are whole that wait, or
+// whose runs have no known pace yet.
+func (s *service) unmeasuredEnd(j *job, measured []straggler, pace time.Duration) time.Duration {
+	isMeasured := make(map[*item]bool, len(measured))
+	for _, r := range measured {
+		isMeasured[r.item] = true
+	}
+	longest := 0
+	for _, it := range j.items {
+		if (it.phase == phaseRunning || it.phase == phaseWaiting) && !isMeasured[it] {
+			longest = max(longest, s.eventsLeft(j, it))
+		}
+	}
+	return time.Duration(longest) * pace
+}
+
 // measuredRuns returns the running items of a job whose pace is known, and records it.
 func (s *service) measuredRuns(j *job, now time.Time) []straggler {
 	listed := s.servers.Entries().Load().All
