Texts that end well before their step use idle connections

Change: an item whose expected end, times 1.4, is before that of its step goes to an engine with an idle connection and a free slot that is no other model's home. Weights are loaded on engines of which the model is the home, by a cost of up to half a model.

--- a/coord/placement/engine_selector.go
+++ b/coord/placement/engine_selector.go
@@ -62,12 +62,20 @@
 	tieBreakSpread = 0.03
 )
 
+// isConnected reports whether the next item needs no new connection.
+func (e *Engine) isConnected() bool { return e.LocalItems < e.Connections }
+
 // isFull reports whether this daemon runs as many items on the engine as it has slots.
 func (e *Engine) isFull() bool { return e.LocalItems >= e.Server.Slots }
 
 // isCrowded reports whether the slots have items of this daemon and others.
 func (e *Engine) isCrowded() bool { return e.LocalItems+e.OtherItems >= e.Server.Slots }
 
+// occupancy returns the items on the engine for each of its slots.
+func (e *Engine) occupancy() float64 {
+	return float64(e.LocalItems+e.OtherItems) / float64(e.Server.Slots)
+}
+
 // TakesNow reports whether the engine should get an item now. A crowded foreign one should
 // not: the item would wait longer there than at its owner, who still has the choice. An
 // engine that is not foreign takes items whatever else runs there: owners that see each end
@@ -92,9 +100,14 @@
 }
 
 // EngineSelector selects engines for the items of a model that are placed
-// together. It keeps the engines in one heap for each round-trip time and software
-// version, so that Select examines a few engines only, however many there are.
+// together. It keeps the engines in one heap for each round-trip time, software version and
+// whether a connection is idle, so that Select examines a few engines only, however many
+// there are.
 type EngineSelector struct {
+	// StepEnd is the expected time until the step of the items is whole. An item that ends
+	// well before that goes where a connection is idle, if its own model's engines have one,
+	// rather than where it ends soonest. Zero means that each item has to end soon.
+	StepEnd      time.Duration
 	engines      []Engine
 	fallbackPace time.Duration
 	salts        []float64
@@ -102,16 +115,18 @@
 }
 
 // engineGroup is a min-heap of the engines with one round-trip time and software
-// version, ordered by the cost of an event.
+// version that need a new connection for the next item, or do not, ordered by the cost of an
+// event.
 type engineGroup struct {
-	rtt      time.Duration
-	software structs.SoftwareVersion
-	heap     []int32
+	rtt         time.Duration
+	software    structs.SoftwareVersion
+	isConnected bool
+	heap        []int32
 }
 
 // holds reports whether an engine belongs to the group.
 func (g *engineGroup) holds(engine *Engine) bool {
-	return g.rtt == engine.RTT && g.software == engine.Server.Software
+	return g.rtt == engine.RTT && g.software == engine.Server.Software && g.isConnected == engine.isConnected()
 }
 
 // NewEngineSelector returns a selector among the engines that run oldestVersion or
@@ -125,12 +140,8 @@
 			continue
 		}
 		s.salts[i] = 1 + tieBreakSpread*fraction(xxhash.Sum64String(string(engine.Server.ID))^salt)
-		at := slices.IndexFunc(s.groups, func(group engineGroup) bool { return group.holds(engine) })
-		if at < 0 {
-			at = len(s.groups)
-			s.groups = append(s.groups, engineGroup{rtt: engine.RTT, software: engine.Server.Software})
-		}
-		s.groups[at].heap = append(s.groups[at].heap, int32(i))
+		group := s.groupOf(engine)
+		group.heap = append(group.heap, int32(i))
 	}
 	for g := range s.groups {
 		heap := s.groups[g].heap
@@ -141,6 +152,16 @@
 	return s
 }
 
+// groupOf returns the group of an engine.
+func (s *EngineSelector) groupOf(engine *Engine) *engineGroup {
+	at := slices.IndexFunc(s.groups, func(group engineGroup) bool { return group.holds(engine) })
+	if at < 0 {
+		at = len(s.groups)
+		s.groups = append(s.groups, engineGroup{rtt: engine.RTT, software: engine.Server.Software, isConnected: engine.isConnected()})
+	}
+	return &s.groups[at]
+}
+
 // rendezvousHash returns the rank of a model at a server among other models.
 func rendezvousHash(server structs.HostName, model structs.ServiceName) uint64 {
 	return xxhash.Sum64String(string(server) + string(model))
@@ -167,8 +188,7 @@
 // eventCost returns the cost of an event on an engine, in nanoseconds.
 func (s *EngineSelector) eventCost(index int32) float64 {
 	engine := &s.engines[index]
-	occupancy := float64(engine.LocalItems+engine.OtherItems) / float64(engine.Server.Slots)
-	penalty := occupancyPenalty * occupancy
+	penalty := occupancyPenalty * engine.occupancy()
 	if engine.IsForeign {
 		penalty += foreignPenalty
 	}
@@ -176,7 +196,7 @@
 		penalty += crowdedPenalty
 	}
 	switch {
-	case engine.LocalItems < engine.Connections:
+	case engine.isConnected():
 	case engine.Pace > 0:
 		penalty += connectPenalty
 	default:
@@ -191,6 +211,7 @@
 // take the item.
 func (s *EngineSelector) Select(events int, avoid []structs.HostName, position resume.Position) (int, bool) {
 	best, bestCost := -1, 0.0
+	connected, connectedCost := -1, 0.0
 	for g := range s.groups {
 		// All engines of a group give the same answer unless the software is unknown.
 		group := &s.groups[g]
@@ -208,10 +229,28 @@
 		if best < 0 || cost < bestCost {
 			best, bestCost = int(index), cost
 		}
+		if group.isConnected && (connected < 0 || cost < connectedCost) {
+			connected, connectedCost = int(index), cost
+		}
+	}
+	if connected >= 0 && connected != best && s.endsInTime(connected, events) {
+		return connected, true
 	}
 	return best, best >= 0
 }
 
+// endsInTime reports whether an item with a number of events is expected to end on an engine
+// well before its step, without taking the slot of another item.
+func (s *EngineSelector) endsInTime(index, events int) bool {
+	engine := &s.engines[index]
+	if engine.IsForeign || engine.isCrowded() {
+		return false
+	}
+	pace := float64(s.PaceOf(index)) * (1 + occupancyPenalty*engine.occupancy())
+	finish := pace*float64(max(1, events)) + float64(engine.RTT)
+	return lengthMargin*finish <= float64(s.StepEnd)
+}
+
 // sameProcess returns the engine of a group of unknown software that generated a text.
 func (s *EngineSelector) sameProcess(group *engineGroup, avoid []structs.HostName, position resume.Position) (int32, bool) {
 	at := slices.IndexFunc(group.heap, func(index int32) bool {
@@ -262,28 +301,34 @@
 // Assign counts an item on an engine that Select returned.
 func (s *EngineSelector) Assign(index int) {
 	engine := &s.engines[index]
+	group := s.groupOf(engine)
+	at := slices.Index(group.heap, int32(index))
 	engine.LocalItems++
-	for g := range s.groups {
-		group := &s.groups[g]
-		if !group.holds(engine) {
-			continue
-		}
-		at := slices.Index(group.heap, int32(index))
-		if at < 0 {
-			return
-		}
-		if engine.isFull() {
-			last := len(group.heap) - 1
-			group.heap[at] = group.heap[last]
-			group.heap = group.heap[:last]
-			if at == last {
-				return
-			}
-			s.siftUp(group.heap, at)
-		}
+	if at < 0 {
+		return
+	}
+	if group.holds(engine) && !engine.isFull() {
 		s.siftDown(group.heap, at)
 		return
 	}
+	s.remove(group, at)
+	if engine.isFull() {
+		return
+	}
+	group = s.groupOf(engine)
+	group.heap = append(group.heap, int32(index))
+	s.siftUp(group.heap, len(group.heap)-1)
+}
+
+// remove takes an engine out of its group.
+func (s *EngineSelector) remove(group *engineGroup, at int) {
+	last := len(group.heap) - 1
+	group.heap[at] = group.heap[last]
+	group.heap = group.heap[:last]
+	if at < last {
+		s.siftUp(group.heap, at)
+		s.siftDown(group.heap, at)
+	}
 }
 
 func (s *EngineSelector) siftDown(heap []int32, at int) {
--- a/coord/placement/engine_selector_test.go
+++ b/coord/placement/engine_selector_test.go
@@ -93,6 +93,63 @@
 	}
 }
 
+// placeStep places a step of 40 texts, the longest first, on 12 engines of which some are a
+// third slower and have idle connections. It returns when the last text ends and how many
+// texts needed a new connection.
+func placeStep(selectorOf func([]Engine) *EngineSelector) (end time.Duration, opened int) {
+	engines := make([]Engine, 12)
+	for i, server := range newServers(len(engines)) {
+		engines[i] = Engine{Server: server, Pace: 40 * time.Millisecond, BestPace: 40 * time.Millisecond}
+		if i%2 == 0 {
+			engines[i].Pace, engines[i].Connections = 53*time.Millisecond, server.Slots
+		}
+	}
+	selector := selectorOf(engines)
+	for text := range 40 {
+		events := 100 - 2*text
+		choice, ok := selector.Select(events, nil, resume.Position{})
+		if !ok {
+			return 0, 0
+		}
+		if !selector.Engine(choice).isConnected() {
+			opened++
+		}
+		end = max(end, time.Duration(events)*selector.PaceOf(choice))
+		selector.Assign(choice)
+	}
+	return end, opened
+}
+
+// TestEngineSelector_IdleConnections plays steps on engines of which the slower ones have idle
+// connections. Texts that end well before the step use these, and the step ends no later.
+func TestEngineSelector_IdleConnections(t *testing.T) {
+	endBefore, openedBefore := placeStep(func(engines []Engine) *EngineSelector { return NewEngineSelector(engines, 0, 1) })
+	end, opened := placeStep(func(engines []Engine) *EngineSelector {
+		selector := NewEngineSelector(engines, 0, 1)
+		selector.StepEnd = 100 * selector.FallbackPace()
+		return selector
+	})
+	must.LessEq(t, endBefore, end)
+	must.Less(t, openedBefore, opened)
+	must.LessEq(t, 20, opened)
+}
+
+// TestEngineSelector_ConnectionsNeedRoom checks that an idle connection to an engine without
+// free slots, or to that of another model, is not used for the sake of the connection.
+func TestEngineSelector_ConnectionsNeedRoom(t *testing.T) {
+	servers := newServers(2)
+	for _, connected := range []Engine{
+		{OtherItems: 8, Connections: 8}, {IsForeign: true, Connections: 8}, {Connections: 8, Pace: time.Second},
+	} {
+		connected.Server, connected.Pace = servers[0], max(connected.Pace, 60*time.Millisecond)
+		selector := NewEngineSelector([]Engine{connected, {Server: servers[1], Pace: 40 * time.Millisecond}}, 0, 1)
+		selector.StepEnd = 4 * time.Second
+		choice, ok := selector.Select(20, nil, resume.Position{})
+		must.True(t, ok)
+		must.Eq(t, 1, choice)
+	}
+}
+
 // BenchmarkEngineSelector10000 selects among ten thousand engines. The target
 // is two microseconds and no allocation for each item.
 func BenchmarkEngineSelector10000(b *testing.B) {
--- a/coord/placement/weight_loads.go
+++ b/coord/placement/weight_loads.go
@@ -25,6 +25,10 @@
 	// second version count as such.
 	unusedPenalty  = 0.9
 	reloadDistance = 2
+	// awayPenalty is the cost, in models that the engine serves, of an engine with the lowest
+	// rank for the model. HomeModel prefers those with high ranks, so that the items of a
+	// model run where its weights are, and its owner has connections to few engines.
+	awayPenalty = 0.5
 )
 
 // EngineWeights is the state of a model engine as the leader sees it when it
@@ -197,8 +201,7 @@
 }
 
 // loadCost returns the cost of loading a model on an engine: it is higher if
-// the engine serves other models or is slow. A hash breaks ties between equal
-// engines.
+// the engine serves other models, is slow or is the home of other models.
 func (p *loadPlan) loadCost(engine *EngineWeights, model structs.ServiceName, newest structs.WeightVersion) float64 {
 	others := 0
 	for _, m := range p.modelStates {
@@ -217,7 +220,7 @@
 	for range paceExponent {
 		cost *= ratio
 	}
-	return cost + tieBreakSpread*fraction(rendezvousHash(engine.Server.ID, model))
+	return cost + awayPenalty*(1-fraction(rendezvousHash(engine.Server.ID, model)))
 }
 
 // medianPace returns the median of the known paces, or zero.
--- a/daemon/services/jobs/engine_selection.go
+++ b/daemon/services/jobs/engine_selection.go
@@ -59,7 +59,21 @@
 			Blocked: now.Before(state.blockedUntil[j.Model]) || now.Before(state.unreachableUntil) || !s.limits.HasRoom(server.ID),
 		})
 	}
-	return placement.NewEngineSelector(engines, j.MinVersion, s.selectionSalt)
+	selector := placement.NewEngineSelector(engines, j.MinVersion, s.selectionSalt)
+	selector.StepEnd = time.Duration(s.mostEventsLeft(j)) * selector.FallbackPace()
+	return selector
+}
+
+// mostEventsLeft returns the number of events that the longest open text of a job still
+// needs.
+func (s *service) mostEventsLeft(j *job) int {
+	most := 0
+	for _, it := range j.items {
+		if it.phase == phaseRunning || it.phase == phaseWaiting {
+			most = max(most, s.eventsLeft(j, it))
+		}
+	}
+	return most
 }
 
 func (s *service) roundTripTo(zone structs.ZoneName) time.Duration {
