Each daemon keeps its part of a server's connections

Cause: a server takes a limited number of connections from all daemons together and resets others. Nothing bounded what the daemons keep: up to 16 idle ones each, so that 33 daemons could hold 528 to a server that takes 100.

A request that finds its daemon's part in use gets a connection for itself alone, whose close the request announces, so that no kept connection is closed under another request. Reason beyond_part in the counters.

Ruled out: refusing such requests, or sending them elsewhere; parts by use, which needs a message (docs/design/connections.md).

--- a/daemon/services/links/exchange.go
+++ b/daemon/services/links/exchange.go
@@ -8,8 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"github.com/flamingobeam/flamingobeam/daemon/contract"
 	"github.com/flamingobeam/flamingobeam/daemon/transport"
 )
@@ -42,12 +40,12 @@
 		return e, nil, err
 	}
 	s.register(e)
-	roundTripper, isSingleUse := s.serverTransport, request.Fresh || !request.Repeatable && transport.MayReplay(outgoing)
-	if isSingleUse {
+	roundTripper, singleUse := s.serverTransport, s.singleUseReason(request, outgoing)
+	if singleUse != "" {
 		roundTripper = s.singleUseTransport
 	}
 	response, err := roundTripper.RoundTrip(outgoing)
-	s.countConnection(e, use, isSingleUse)
+	s.countConnection(e, use, singleUse)
 	if err != nil {
 		if cause := context.Cause(ctx); cause != nil {
 			err = cause
@@ -66,20 +64,6 @@
 	return e, response, nil
 }
 
-// countConnection counts and logs the connection that was opened for an exchange.
-func (s *service) countConnection(e *exchange, use *transport.Use, isSingleUse bool) {
-	s.metrics.Count("links.exchanges."+string(e.Kind), 1)
-	if !use.IsNew {
-		return
-	}
-	reason := use.Reason
-	if isSingleUse {
-		reason = transport.OpenedSingleUse
-	}
-	s.metrics.Count("links.opened."+string(e.Kind)+"."+string(reason), 1)
-	s.log.WithFields(logrus.Fields{"server": e.Server, "kind": e.Kind, "reason": reason, "last_idle_ms": use.LastIdle.Milliseconds(), "connections": s.connections.Total()}).Info("A connection to a server was opened.")
-}
-
 func (s *service) register(e *exchange) {
 	s.mu.Lock()
 	s.open[e] = true
--- a/daemon/services/links/service.go
+++ b/daemon/services/links/service.go
@@ -53,6 +53,7 @@
 	kernel.Base
 	config       config.Daemon
 	servers      contract.Servers
+	catalog      contract.Catalog
 	session      contract.Session
 	intake       contract.Intake
 	linkFailures contract.LinkFailures
@@ -126,6 +127,7 @@
 	s.singleUseRelayTransport = transport.New(transport.Options{DialTimeout: helperDialTimeout, SingleUse: true})
 	return kernel.FindAll(ctx,
 		kernel.Bind(&s.servers, contract.NameServers),
+		kernel.Bind(&s.catalog, contract.NameCatalog),
 		kernel.Bind(&s.session, contract.NameSession),
 		kernel.Bind(&s.linkFailures, contract.NameBalance),
 		kernel.Bind(&s.shutdown, contract.NameShutdown),
--- a/daemon/transport/connections.go
+++ b/daemon/transport/connections.go
@@ -30,6 +30,8 @@
 	OpenedAfterClose OpenReason = "announced"
 	// OpenedSingleUse means that the request asked for a connection of its own.
 	OpenedSingleUse OpenReason = "single_use"
+	// OpenedBeyondPart means that this daemon has its part of the server's connections.
+	OpenedBeyondPart OpenReason = "beyond_part"
 )
 
 // Connections keeps account of a daemon's connections to servers, by address. All
