Placing sees the memory for tokens, and preemptions

Cause: owners placed items by slots and pace alone. Long texts went together to the fastest engines, whatever their memory, and an engine that preempted runs got as many as before.

Change: owners count what their runs are expected to need at their end, and other owners' runs like their own; an item goes where that stays under 0.8 of the configured memory, if such an engine takes it now. A run that is silent for 400 ms and five times its pace while others of its model go on shows that its engine preempts; it counts as one without free slots for a second.

Ruled out: reports of engines (priced as health checks), expected tokens as a cost.

--- a/coord/placement/engine_selector.go
+++ b/coord/placement/engine_selector.go
@@ -33,6 +33,10 @@
 	BestPace time.Duration
 	// RTT is the round-trip time to the engine.
 	RTT time.Duration
+	// Memory is the engine's memory for tokens.
+	Memory TokenMemory
+	// Preempts is set for a while after the engine preempted a run: it has too many.
+	Preempts bool
 	// Blocked is set for a while after the engine refused an item.
 	Blocked bool
 }
@@ -60,6 +64,8 @@
 	// engines differ between daemons, so that not all daemons start with the
 	// same one of several equal engines.
 	tieBreakSpread = 0.03
+	// maxExamined bounds the engines of a group that are examined for one item.
+	maxExamined = 64
 )
 
 // isConnected reports whether the next item needs no new connection.
@@ -68,8 +74,11 @@
 // isFull reports whether this daemon runs as many items on the engine as it has slots.
 func (e *Engine) isFull() bool { return e.LocalItems >= e.Server.Slots }
 
-// isCrowded reports whether the slots have items of this daemon and others.
-func (e *Engine) isCrowded() bool { return e.LocalItems+e.OtherItems >= e.Server.Slots }
+// isCrowded reports whether the slots have items of this daemon and others, or the engine
+// shows that these are too many.
+func (e *Engine) isCrowded() bool {
+	return e.Preempts || e.LocalItems+e.OtherItems >= e.Server.Slots
+}
 
 // occupancy returns the items on the engine for each of its slots.
 func (e *Engine) occupancy() float64 {
@@ -210,6 +219,20 @@
 // may not continue the item's text from a position, and returns false when no engine can
 // take the item.
 func (s *EngineSelector) Select(events int, avoid []structs.HostName, position resume.Position) (int, bool) {
+	return s.search(events, 0, avoid, position)
+}
+
+// SelectFitting is Select among the engines with memory for an item that is expected to need
+// some tokens. If none of them takes the item now, the memory does not count: expectations may
+// be wrong, and an engine admits what it can.
+func (s *EngineSelector) SelectFitting(events, tokens int, avoid []structs.HostName, position resume.Position) (int, bool) {
+	if choice, ok := s.search(events, tokens, avoid, position); ok && s.engines[choice].TakesNow() {
+		return choice, true
+	}
+	return s.search(events, 0, avoid, position)
+}
+
+func (s *EngineSelector) search(events, tokens int, avoid []structs.HostName, position resume.Position) (int, bool) {
 	best, bestCost := -1, 0.0
 	connected, connectedCost := -1, 0.0
 	for g := range s.groups {
@@ -218,9 +241,9 @@
 		if group.software != "" && len(group.heap) > 0 && !position.ContinuesAt(s.engines[group.heap[0]].Server) {
 			continue
 		}
-		index, ok := s.cheapest(group, avoid)
+		index, ok := s.cheapest(group, tokens, avoid)
 		if ok && group.software == "" && !position.ContinuesAt(s.engines[index].Server) {
-			index, ok = s.sameProcess(group, avoid, position)
+			index, ok = s.sameProcess(group, tokens, avoid, position)
 		}
 		if !ok {
 			continue
@@ -252,9 +275,9 @@
 }
 
 // sameProcess returns the engine of a group of unknown software that generated a text.
-func (s *EngineSelector) sameProcess(group *engineGroup, avoid []structs.HostName, position resume.Position) (int32, bool) {
+func (s *EngineSelector) sameProcess(group *engineGroup, tokens int, avoid []structs.HostName, position resume.Position) (int32, bool) {
 	at := slices.IndexFunc(group.heap, func(index int32) bool {
-		return position.ContinuesAt(s.engines[index].Server) && !s.isAvoided(index, avoid)
+		return position.ContinuesAt(s.engines[index].Server) && !s.isAvoided(index, tokens, avoid)
 	})
 	if at < 0 {
 		return 0, false
@@ -263,19 +286,22 @@
 }
 
 // cheapest returns the engine of a group with the lowest cost that is not to be
-// avoided.
-func (s *EngineSelector) cheapest(group *engineGroup, avoid []structs.HostName) (int32, bool) {
+// avoided and has memory for a number of tokens.
+func (s *EngineSelector) cheapest(group *engineGroup, tokens int, avoid []structs.HostName) (int32, bool) {
 	if len(group.heap) == 0 {
 		return 0, false
 	}
-	if !s.isAvoided(group.heap[0], avoid) {
+	if !s.isAvoided(group.heap[0], tokens, avoid) {
 		return group.heap[0], true
 	}
-	// The few engines to avoid are near the top of the heap. The search visits
-	// nodes in the order of their costs until one is acceptable.
+	// The few engines to avoid, and those whose memory is taken, are near the top of the
+	// heap. The search visits nodes in the order of their costs until one is acceptable.
 	var buffer [16]int
 	frontier := append(buffer[:0], 0)
-	for len(frontier) > 0 {
+	for range maxExamined {
+		if len(frontier) == 0 {
+			break
+		}
 		least := 0
 		for i := range frontier {
 			if s.eventCost(group.heap[frontier[i]]) < s.eventCost(group.heap[frontier[least]]) {
@@ -283,7 +309,7 @@
 			}
 		}
 		at := frontier[least]
-		if !s.isAvoided(group.heap[at], avoid) {
+		if !s.isAvoided(group.heap[at], tokens, avoid) {
 			return group.heap[at], true
 		}
 		frontier = slices.Delete(frontier, least, least+1)
@@ -294,13 +320,18 @@
 	return 0, false
 }
 
-func (s *EngineSelector) isAvoided(index int32, avoid []structs.HostName) bool {
-	return len(avoid) > 0 && slices.Contains(avoid, s.engines[index].Server.ID)
+func (s *EngineSelector) isAvoided(index int32, tokens int, avoid []structs.HostName) bool {
+	engine := &s.engines[index]
+	return tokens > 0 && !engine.Memory.Fits(tokens) || len(avoid) > 0 && slices.Contains(avoid, engine.Server.ID)
 }
 
 // Assign counts an item on an engine that Select returned.
-func (s *EngineSelector) Assign(index int) {
+func (s *EngineSelector) Assign(index int) { s.AssignTokens(index, 0) }
+
+// AssignTokens is Assign for an item that is expected to need some tokens.
+func (s *EngineSelector) AssignTokens(index, tokens int) {
 	engine := &s.engines[index]
+	engine.Memory.Expected += tokens
 	group := s.groupOf(engine)
 	at := slices.Index(group.heap, int32(index))
 	engine.LocalItems++
--- a/daemon/contract/progress.go
+++ b/daemon/contract/progress.go
@@ -50,6 +50,16 @@
 	return sample, true
 }
 
+// Silence returns the time since the last event, and false while there is none.
+func (p *Progress) Silence(now time.Time) (time.Duration, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.events == 0 {
+		return 0, false
+	}
+	return now.Sub(p.times[(p.events-1)%len(p.times)]), true
+}
+
 // EventCount returns the number of events since the start of the run.
 func (p *Progress) EventCount() int {
 	p.mu.Lock()
--- a/daemon/services/jobs/engine_selection.go
+++ b/daemon/services/jobs/engine_selection.go
@@ -30,7 +30,7 @@
 		if !ok || !selector.Engine(choice).TakesNow() {
 			continue
 		}
-		selector.Assign(choice)
+		selector.AssignTokens(choice, w.tokens)
 		s.startRun(j, w.item, selector.Engine(choice).Server, w.eventsLeft, selector.PaceOf(choice), now)
 	}
 }
@@ -41,6 +41,10 @@
 	servers := s.servers.Entries().Load().ByService[j.route.service]
 	engines := make([]placement.Engine, 0, len(servers))
 	homes := s.modelHomes(j.route.service)
+	capacity, ownRuns, ownTokens := s.tokenCapacity(j), 0, 0
+	for _, state := range s.engines {
+		ownRuns, ownTokens = ownRuns+state.localItems, ownTokens+state.tokens
+	}
 	for _, server := range servers {
 		state := s.engineStateOf(server)
 		pace, bestPace := s.paces.Estimate(server)
@@ -52,11 +56,14 @@
 		if isPressing {
 			connections = server.Slots
 		}
+		others := s.sharedRuns.Others(server.ID, now)
 		engines = append(engines, placement.Engine{
 			Server: server, Version: max(server.Versions[j.Model], state.versions[j.Model]),
-			LocalItems: localItems, Connections: connections, OtherItems: s.sharedRuns.Others(server.ID, now), IsForeign: !isPressing && homes.isForeign(server, state, j.Model),
+			LocalItems: localItems, Connections: connections, OtherItems: others, IsForeign: !isPressing && homes.isForeign(server, state, j.Model),
 			Pace: pace, BestPace: bestPace, RTT: s.roundTripTo(server.Zone),
-			Blocked: now.Before(state.blockedUntil[j.Model]) || now.Before(state.unreachableUntil) || !s.limits.HasRoom(server.ID),
+			Memory:   placement.TokenMemory{Capacity: capacity, Expected: state.tokens + placement.ExpectedTokens(others, ownTokens, ownRuns, capacity, server.Slots)},
+			Preempts: !isPressing && now.Before(state.preemptsUntil),
+			Blocked:  now.Before(state.blockedUntil[j.Model]) || now.Before(state.unreachableUntil) || !s.limits.HasRoom(server.ID),
 		})
 	}
 	selector := placement.NewEngineSelector(engines, j.MinVersion, s.selectionSalt)
--- a/daemon/services/jobs/moves.go
+++ b/daemon/services/jobs/moves.go
@@ -21,6 +21,7 @@
 // moveStragglers records the pace of a job's running items, and stops runs that
 // would finish sooner on another engine, as far as the job's budget goes.
 func (s *service) moveStragglers(j *job, now time.Time) {
+	s.observePreemptions(j, now)
 	running := s.measuredRuns(j, now)
 	if len(running) == 0 {
 		return
--- a/daemon/services/jobs/runs.go
+++ b/daemon/services/jobs/runs.go
@@ -22,6 +22,8 @@
 	model  structs.ServiceName
 	item   *item
 	server catalog.Server
+	// tokens is what the run was expected to need of the engine's memory.
+	tokens int
 	result contract.RunResult
 	// endedAt is when the run ended.
 	endedAt time.Time
@@ -33,7 +35,9 @@
 	it.phase, it.server, it.startedAt, it.cancel, it.isMoving = phaseRunning, server.ID, now, cancel, false
 	it.slowSince = time.Time{}
 	it.progress = &contract.Progress{}
-	s.engineStateOf(server).beginRun(now)
+	state, tokens := s.engineStateOf(server), s.expectedTokens(j, it, eventsLeft)
+	state.beginRun(now)
+	state.tokens += tokens
 	s.runsChanged()
 	request := contract.RunRequest{
 		Job: &j.Job, HasWorkspaces: j.Workspace != "" || s.hasWorkspaces(), Item: it.Item, Server: server, Urgency: placement.Urgency(eventsLeft, pace, j.deadline().Sub(now), j.route.priority), Text: it.text,
@@ -47,7 +51,7 @@
 		// A run that panics is no failure of the engine and is made again.
 		result := contract.RunResult{Outcome: contract.RunInterrupted, Text: request.Text, Err: kernel.ErrPanicked}
 		defer func() {
-			outcome := runOutcome{job: id, epoch: epoch, model: model, item: it, server: server, result: result, endedAt: time.Now()}
+			outcome := runOutcome{job: id, epoch: epoch, model: model, item: it, server: server, tokens: tokens, result: result, endedAt: time.Now()}
 			postOutcome(workersCtx, s, s.runOutcomes, outcome, id)
 		}()
 		result = s.engineRunner.Run(ctx, request, progress)
@@ -138,6 +142,7 @@
 		return
 	}
 	state.endRun(outcome.result.Outcome, now)
+	state.tokens = max(0, state.tokens-outcome.tokens)
 	s.runsChanged()
 	if state.started != outcome.server.Started {
 		return
--- a/daemon/services/jobs/schedule.go
+++ b/daemon/services/jobs/schedule.go
@@ -118,6 +118,10 @@
 type engineState struct {
 	started    int64
 	localItems int
+	// tokens is what the runs of this owner are expected to need of the engine's memory, and
+	// preemptsUntil is until when it gets less work, after it preempted one of them.
+	tokens        int
+	preemptsUntil time.Time
 	// connections is the number of connections that are likely to be open, in use or
 	// idle, and usedAt is when a run last began or ended.
 	connections int
@@ -148,12 +152,12 @@
 func (s *service) engineStateOf(server catalog.Server) *engineState {
 	state := s.engines[server.ID]
 	if state == nil || state.started != server.Started {
-		localItems := 0
+		localItems, tokens := 0, 0
 		if state != nil {
-			localItems = state.localItems
+			localItems, tokens = state.localItems, state.tokens
 		}
 		state = &engineState{
-			started: server.Started, localItems: localItems,
+			started: server.Started, localItems: localItems, tokens: tokens,
 			versions:     make(map[structs.ServiceName]structs.WeightVersion),
 			blockedUntil: make(map[structs.ServiceName]time.Time),
 		}
@@ -259,7 +263,8 @@
 			}
 			continue
 		}
-		waiting = append(waiting, waitingItem{item: it, eventsLeft: s.eventsLeft(j, it)})
+		eventsLeft := s.eventsLeft(j, it)
+		waiting = append(waiting, waitingItem{item: it, eventsLeft: eventsLeft, tokens: s.expectedTokens(j, it, eventsLeft)})
 	}
 	if len(waiting) == 0 {
 		return
@@ -287,10 +292,10 @@
 
 // selectPreferred avoids the servers on which the item failed if there are others.
 func selectPreferred(selector *placement.EngineSelector, w *waitingItem, position resume.Position) (int, bool) {
-	if choice, ok := selector.Select(w.eventsLeft, w.item.avoidedServers, position); ok {
+	if choice, ok := selector.SelectFitting(w.eventsLeft, w.tokens, w.item.avoidedServers, position); ok {
 		return choice, true
 	}
-	return selector.Select(w.eventsLeft, nil, position)
+	return selector.SelectFitting(w.eventsLeft, w.tokens, nil, position)
 }
 
 // hasServerFor reports whether a server that takes new work may continue a text.
@@ -315,6 +320,8 @@
 type waitingItem struct {
 	item       *item
 	eventsLeft int
+	// tokens is what its run is expected to need of the engine's memory.
+	tokens int
 }
 
 // defaultTokensPerEvent is used if the engine's settings have no
