Requests go to free slots of their region before a queue forms

A burst of reward calls queued at the one or two servers of the owner's zone while the next zone, a millisecond away, was idle.

Change: route.Table.Pick first looks for a server with free slots in the region, nearest zone first; then the limits decide as before. Servers' slots come from their entries. Requests with an affinity and servers without slots in their entry are placed as before.

Ruled out: leaving the region for it, as a round trip takes longer than a short wait; reports of plain servers' loads among daemons.

Test: TestPick_FreeSlots plays a burst in one of two zones.

--- a/coord/route/pick.go
+++ b/coord/route/pick.go
@@ -62,25 +62,47 @@
 	maxScannedServers = 256
 )
 
-// Pick chooses a server and reports whether any may get the request. If all
-// eligible servers have reached their limits, it ignores the limits, since
-// admission control already bounds the total of requests in flight.
+// limits are the bounds that a search keeps to.
+type limits uint8
+
+const (
+	// noLimits admits any number of requests to a server.
+	noLimits limits = iota
+	// serverLimits skips servers that have reached their limits.
+	serverLimits
+	// freeSlots also skips servers whose slots are taken, and other regions. It answers
+	// demand that is uneven over zones: a request that would wait in its zone goes to the
+	// next one of its region before a queue forms, where a round trip takes less than the
+	// wait. Requests with an affinity wait where their prompt is.
+	freeSlots
+)
+
+// Pick chooses a server and reports whether any may get the request. It prefers servers with
+// free slots in its region. If all eligible servers have reached their limits, it ignores
+// the limits, since admission control already bounds the total of requests in flight.
 func (t *Table) Pick(request *Request, loads Loads) (Choice, bool) {
-	if choice, ok := t.search(request, loads, false); ok {
+	if request.Affinity == 0 {
+		if choice, ok := t.search(request, loads, freeSlots); ok {
+			return choice, true
+		}
+	}
+	if choice, ok := t.search(request, loads, serverLimits); ok {
 		return choice, true
 	}
-	return t.search(request, loads, true)
+	return t.search(request, loads, noLimits)
 }
 
-// search tries the tiers from the nearest to the farthest. It skips servers that
-// have reached their limits unless ignoreLimits is set.
-func (t *Table) search(request *Request, loads Loads, ignoreLimits bool) (Choice, bool) {
-	p := picker{table: t, request: request, loads: loads, ignoreLimits: ignoreLimits}
+// search tries the tiers from the nearest to the farthest.
+func (t *Table) search(request *Request, loads Loads, bounds limits) (Choice, bool) {
+	p := picker{table: t, request: request, loads: loads, bounds: bounds}
 	for tier := range t.tiers {
+		if bounds == freeSlots && !t.tiers[tier].SameRegion {
+			break
+		}
 		// Rollouts and internal requests are not urgent, so they don't incur
 		// the cost of traffic between regions while a server in their own
 		// region may get them, even one over its limit.
-		if tier > 0 && !ignoreLimits && !t.tiers[tier].SameRegion && request.Class >= structs.ClassRollout {
+		if tier > 0 && bounds != noLimits && !t.tiers[tier].SameRegion && request.Class >= structs.ClassRollout {
 			break
 		}
 		if choice, ok := p.pickFromTier(tier); ok {
@@ -92,10 +114,10 @@
 
 // picker is the state of one search.
 type picker struct {
-	table        *Table
-	request      *Request
-	loads        Loads
-	ignoreLimits bool
+	table   *Table
+	request *Request
+	loads   Loads
+	bounds  limits
 }
 
 // pickFromTier chooses a server of one tier and reports whether it found one.
@@ -185,7 +207,10 @@
 	if s.Share < FullShare && mix(p.request.Random^uint64(server))%FullShare >= uint64(s.Share) {
 		return false
 	}
-	if !p.ignoreLimits && p.loads.Full(server) {
+	if p.bounds != noLimits && p.loads.Full(server) {
+		return false
+	}
+	if p.bounds == freeSlots && s.Slots > 0 && p.loads.Load(server) >= s.Slots {
 		return false
 	}
 	return len(p.request.Avoid) == 0 || !slices.Contains(p.request.Avoid, s.Name)
--- a/coord/route/route_test.go
+++ b/coord/route/route_test.go
@@ -88,6 +88,31 @@
 	must.Eq(t, 2.0, table.tiers[2].Cost(bytesPerGiB))
 }
 
+// TestPick_FreeSlots plays a burst of requests in a zone whose servers run three at once each.
+// The ones that would wait go to the next zone; when all slots of the region are taken, they
+// wait in their zone rather than go to another region.
+func TestPick_FreeSlots(t *testing.T) {
+	sameRegion := structs.Place{Zone: "ashanti-b", Region: "ashanti"}
+	otherRegion := structs.Place{Zone: "volta-a", Region: "volta"}
+	servers := append(append(newServers(homePlace, 2), newServers(sameRegion, 2)...), newServers(otherRegion, 2)...)
+	for i := range servers {
+		servers[i].Slots = 3
+	}
+	table, loads := newTestTable(servers)
+	zones := map[structs.ZoneName]int{}
+	for random := range uint64(16) {
+		choice, ok := table.Pick(&Request{Random: mix(random)}, loads)
+		must.True(t, ok)
+		must.True(t, loads.load[choice.Server] < 3 || choice.Tier == 0)
+		loads.load[choice.Server]++
+		zones[table.servers[choice.Server].Place.Zone]++
+	}
+	must.Eq(t, map[structs.ZoneName]int{homePlace.Zone: 10, sameRegion.Zone: 6}, zones)
+	affine, ok := table.Pick(&Request{Affinity: 77}, loads)
+	must.True(t, ok)
+	must.Eq(t, 0, affine.Tier)
+}
+
 func TestPick_RolloutRegion(t *testing.T) {
 	otherRegion := structs.Place{Zone: "volta-a", Region: "volta"}
 	servers := append(newServers(homePlace, 2), newServers(otherRegion, 2)...)
--- a/coord/route/table.go
+++ b/coord/route/table.go
@@ -31,6 +31,8 @@
 	Version structs.WeightVersion
 	// Origin is that of the streams which the server generates.
 	Origin resume.Origin
+	// Slots is how many requests the server runs at once, or zero.
+	Slots int
 	// Share is the share of its normal traffic that the server gets, in
 	// thousandths: zero while it is ejected, and less than FullShare while its
 	// traffic ramps up after an ejection.
--- a/coord/structs/structs.go
+++ b/coord/structs/structs.go
@@ -77,6 +77,8 @@
 	Address string `json:"address" yaml:"address"`
 	// Software is the version of the server's software, if it is known.
 	Software SoftwareVersion `json:"software,omitempty" yaml:"software,omitempty"`
+	// Slots is how many requests the server runs at once; zero means unknown.
+	Slots int `json:"slots,omitempty" yaml:"slots,omitempty"`
 	// Draining is set once the host is scheduled for removal.
 	Draining bool `json:"leaving" yaml:"leaving"`
 	// EnforcesFencing reports whether the server rejects orders with an outdated
--- a/daemon/services/balance/table.go
+++ b/daemon/services/balance/table.go
@@ -144,6 +144,7 @@
 			Version: structs.WeightVersion(sr.counters[i].weightVersion.Load()),
 			Origin:  contract.OriginOf(sr.servers[i]),
 			Share:   share,
+			Slots:   sr.servers[i].Slots,
 		}
 	}
 	return servers
--- a/daemon/services/servers/servers.go
+++ b/daemon/services/servers/servers.go
@@ -231,7 +231,7 @@
 	for service, servers := range entries.ByService {
 		for _, server := range servers {
 			view.Services[service] = append(view.Services[service], structs.BackendServer{
-				Name: server.ID, Kind: structs.KindService, Service: service, Address: server.Address, Software: server.Software,
+				Name: server.ID, Kind: structs.KindService, Service: service, Address: server.Address, Software: server.Software, Slots: server.Slots,
 				Place: structs.Place{Zone: server.Zone, Region: s.regions[server.Zone]},
 			})
 		}
