Count the open connections to all servers in one number

Cause: the log line of each new connection added up the connections to all addresses, under the lock of the account; at 10,000 servers that is as many steps for each new connection.

Change: the account keeps the sum. Comments on what the transports of traffic.links are for.

Ruled out: leaving the number out of the line, as it shows when a daemon holds too many.

--- a/daemon/services/links/service.go
+++ b/daemon/services/links/service.go
@@ -45,7 +45,8 @@
 	// serverIdleTimeout is how long an idle connection is kept, unless the server closes
 	// it before.
 	serverIdleTimeout = 60 * time.Second
-	// maxIdlePerServer is the number of requests that an engine runs at once.
+	// maxIdlePerServer bounds the idle connections to one server: about as many as an
+	// engine runs requests.
 	maxIdlePerServer = 16
 )
 
@@ -89,8 +90,8 @@
 	// them.
 	serverTransport *http.Transport
 	connections     *transport.Connections
-	// singleUseTransport and singleUseRelayTransport send the requests that net/http
-	// might otherwise repeat by itself.
+	// singleUseTransport and singleUseRelayTransport send the requests that need a
+	// connection for themselves, as those that net/http might otherwise repeat by itself.
 	singleUseTransport      *http.Transport
 	singleUseRelayTransport *http.Transport
 
--- a/daemon/transport/connections.go
+++ b/daemon/transport/connections.go
@@ -41,6 +41,8 @@
 type Connections struct {
 	mu        sync.Mutex
 	addresses map[string]*addressState
+	// total is the number of open connections.
+	total int
 }
 
 // addressState counts the connections to one address. An address without connections
@@ -91,11 +93,7 @@
 func (c *Connections) Total() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	total := 0
-	for _, state := range c.addresses {
-		total += state.open
-	}
-	return total
+	return c.total
 }
 
 // Watch returns a dial function that counts the connections it opens.
@@ -114,6 +112,7 @@
 			c.addresses[address] = state
 		}
 		watched := &watchedConn{Conn: conn, account: c, state: state, reason: state.openReason(), isIdle: true, idleSince: time.Now(), lastIdle: state.lastIdle}
+		c.total++
 		state.open++
 		state.idle++
 		return watched, nil
@@ -211,6 +210,7 @@
 	c.account.mu.Lock()
 	if !c.isEnded {
 		c.isEnded = true
+		c.account.total--
 		c.state.end(c)
 	}
 	c.account.mu.Unlock()
