--- a/coord/route/assess.go
+++ b/coord/route/assess.go
@@ -81,7 +81,7 @@
 // whyNot returns why no choice fell on a server, while the nearest was in a tier. For a server
 // with a reduced share it looks for a random number with which it would have a request.
 func (t *Table) whyNot(request Request, loads Loads, a Assessment, nearest int) Objection {
-	p := picker{table: t, request: &request, loads: loads}
+	p := picker{table: t, request: &request, loads: loads, bounds: serverLimits}
 	objection := p.objection(a.Server)
 	for draw := uint64(0); draw < assessmentDraws && objection == Ejected && t.servers[a.Server].Share > 0; draw++ {
 		request.Random = mix(draw)
--- a/daemon/services/dispatch/send.go
+++ b/daemon/services/dispatch/send.go
@@ -73,13 +73,14 @@
 		Timeout: remaining, Priority: platform.NoPriority,
 		Resume: permit, Identity: identityOf(request.Workspace),
 	}
-	roundTripper, sentAt := s.transport, time.Now()
-	if fresh || s.spoilt.has(ticket.Server.Name, sentAt) {
-		roundTripper = s.freshTransport
+	kind := contract.ExchangeRequest
+	if request.IsAccepted {
+		kind = contract.ExchangeCall
 	}
+	sentAt := time.Now()
 	var connection connectionTrace
 	response, err := s.links.Do(connection.attach(ctx), contract.Exchange{
-		Server: ticket.Server.Name, Address: ticket.Server.Address, Transport: roundTripper,
+		Server: ticket.Server.Name, Address: ticket.Server.Address, Kind: kind, Fresh: fresh || s.spoilt.has(ticket.Server.Name, sentAt),
 		Repeatable: request.Route.Kind == catalog.KindIdempotent, Build: outgoing.NewRequest,
 	})
 	if err != nil {
--- a/daemon/services/links/exchange.go
+++ b/daemon/services/links/exchange.go
@@ -29,10 +29,10 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	e := &exchange{Exchange: request, service: s, cancel: cancel}
 	e.lastReceived.Store(time.Now().UnixNano())
-	isNew := false
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+	use := &transport.Use{}
+	trace := &httptrace.ClientTrace{PutIdleConn: use.PutIdle, GotConn: func(info httptrace.GotConnInfo) {
 		e.isConnected.Store(true)
-		isNew = !info.Reused
+		use.GotConn(info)
 	}}
 	outgoing, err := request.Build(httptrace.WithClientTrace(ctx, trace))
 	if err != nil {
@@ -40,11 +40,15 @@
 		return e, nil, err
 	}
 	s.register(e)
-	roundTripper := request.Transport
-	if !request.Repeatable && transport.MayReplay(outgoing) {
+	roundTripper, singleUse := s.serverTransport, s.singleUseReason(request, outgoing)
+	switch {
+	case singleUse != "":
 		roundTripper = s.singleUseTransport
+	case request.Kind == contract.ExchangeRelayed:
+		roundTripper = s.helpTransport
 	}
 	response, err := roundTripper.RoundTrip(outgoing)
+	s.countConnection(e, use, singleUse)
 	if err != nil {
 		if cause := context.Cause(ctx); cause != nil {
 			err = cause
@@ -53,9 +57,12 @@
 		return e, nil, err
 	}
 	e.recordReceived()
-	if isNew {
+	if use.IsNew {
 		s.reportReached()
 	}
+	if response.Close {
+		use.AnnouncedClose()
+	}
 	response.Body = &watchedBody{body: response.Body, exchange: e}
 	return e, response, nil
 }
--- a/daemon/services/links/service.go
+++ b/daemon/services/links/service.go
@@ -42,12 +42,19 @@
 	// serverDialTimeout bounds a connection to a server: a round trip between regions
 	// takes 60 ms, and a lost packet costs a second.
 	serverDialTimeout = 700 * time.Millisecond
+	// serverIdleTimeout is how long an idle connection is kept, unless the server closes
+	// it before.
+	serverIdleTimeout = 60 * time.Second
+	// maxIdlePerServer bounds the idle connections to one server: about as many as an
+	// engine runs requests.
+	maxIdlePerServer = 16
 )
 
 type service struct {
 	kernel.Base
 	config       config.Daemon
 	servers      contract.Servers
+	catalog      contract.Catalog
 	session      contract.Session
 	intake       contract.Intake
 	linkFailures contract.LinkFailures
@@ -79,9 +86,15 @@
 	avoidedHelpers map[string]time.Time
 
 	relayTransport *http.Transport
-	helpTransport  *http.Transport
-	// singleUseTransport and singleUseRelayTransport send the requests that net/http
-	// might otherwise repeat by itself.
+	// helpTransport opens the connections for requests of other daemons, which have lost
+	// time already and give up sooner.
+	helpTransport *http.Transport
+	// serverTransport keeps the connections to the servers, and connections the account of
+	// them.
+	serverTransport *http.Transport
+	connections     *transport.Connections
+	// singleUseTransport and singleUseRelayTransport send the requests that need a
+	// connection for themselves, as those that net/http might otherwise repeat by itself.
 	singleUseTransport      *http.Transport
 	singleUseRelayTransport *http.Transport
 
@@ -108,15 +121,20 @@
 	s.failures = kernel.NewMailbox(s.loop, mailboxCapacity, s.recordFailure)
 	s.reached = kernel.NewCoalescingMailbox(s.loop, 1, func(struct{}, struct{}) { s.detector.RecordReached() })
 	s.relayTransport = transport.New(transport.Options{DialTimeout: helperDialTimeout, IdleTimeout: helperIdleTimeout, MaxIdlePerHost: maxIdlePerHelper})
+	s.connections = transport.NewConnections()
+	s.serverTransport = transport.New(transport.Options{
+		DialTimeout: serverDialTimeout, IdleTimeout: serverIdleTimeout, MaxIdlePerHost: maxIdlePerServer, Dial: s.config.Platform.DialServer, Account: s.connections,
+	})
 	s.helpTransport = transport.New(transport.Options{
-		DialTimeout: helperDialTimeout, IdleTimeout: helperIdleTimeout, MaxIdlePerHost: maxIdlePerHelper, Dial: s.config.Platform.DialServer,
+		DialTimeout: helperDialTimeout, IdleTimeout: helperIdleTimeout, MaxIdlePerHost: maxIdlePerHelper, Dial: s.config.Platform.DialServer, Account: s.connections,
 	})
 	s.singleUseTransport = transport.New(transport.Options{
-		DialTimeout: serverDialTimeout, SingleUse: true, Dial: s.config.Platform.DialServer,
+		DialTimeout: serverDialTimeout, SingleUse: true, Dial: s.config.Platform.DialServer, Account: s.connections,
 	})
 	s.singleUseRelayTransport = transport.New(transport.Options{DialTimeout: helperDialTimeout, SingleUse: true})
 	return kernel.FindAll(ctx,
 		kernel.Bind(&s.servers, contract.NameServers),
+		kernel.Bind(&s.catalog, contract.NameCatalog),
 		kernel.Bind(&s.session, contract.NameSession),
 		kernel.Bind(&s.linkFailures, contract.NameBalance),
 		kernel.Bind(&s.shutdown, contract.NameShutdown),
@@ -145,6 +163,7 @@
 	err := s.stopRelayServer(ctx)
 	s.relayTransport.CloseIdleConnections()
 	s.helpTransport.CloseIdleConnections()
+	s.serverTransport.CloseIdleConnections()
 	s.goroutines.Wait()
 	return err
 }
