--- a/coord/batch/order.go
+++ b/coord/batch/order.go
@@ -29,28 +29,24 @@
 // workspaces of which a few are large: a workspace of whose work less than a quarter as
 // much runs as of all work comes first, however many jobs of others are due before its own.
 func Order(jobs []Standing) {
-	starved := starvedWorkspaces(jobs)
-	slices.SortFunc(jobs, func(a, b Standing) int {
-		return cmp.Or(
-			compareFlags(starved[b.Workspace], starved[a.Workspace]), a.Deadline.Compare(b.Deadline),
-			cmp.Compare(a.Priority, b.Priority), strings.Compare(a.ID, b.ID),
-		)
-	})
-}
-
-// starvedWorkspaces returns the workspaces of whose work too little runs.
-func starvedWorkspaces(jobs []Standing) map[structs.WorkspaceName]bool {
 	var all work
 	byWorkspace := make(map[structs.WorkspaceName]work)
 	for _, job := range jobs {
 		all = all.plus(job)
 		byWorkspace[job.Workspace] = byWorkspace[job.Workspace].plus(job)
 	}
-	starved := make(map[structs.WorkspaceName]bool, len(byWorkspace))
+	starved := make(map[structs.WorkspaceName]int, len(byWorkspace))
 	for name, own := range byWorkspace {
-		starved[name] = own.runningPart() < starvedPart*all.runningPart()
+		if own.runningPart() < starvedPart*all.runningPart() {
+			starved[name] = -1
+		}
 	}
-	return starved
+	slices.SortFunc(jobs, func(a, b Standing) int {
+		return cmp.Or(
+			cmp.Compare(starved[a.Workspace], starved[b.Workspace]), a.Deadline.Compare(b.Deadline),
+			cmp.Compare(a.Priority, b.Priority), strings.Compare(a.ID, b.ID),
+		)
+	})
 }
 
 type work struct{ running, waiting int }
--- a/daemon/services/jobs/jobs.go
+++ b/daemon/services/jobs/jobs.go
@@ -201,8 +201,6 @@
 	isCheckpointing  bool
 	checkpointCount  int
 	moveBudget       placement.MoveBudget
-	// holdsSpareGroups is set once groups were held back because engines were crowded.
-	holdsSpareGroups bool
 	// endedAt is when the job was ended; zero while it is open and after its
 	// texts were released.
 	endedAt time.Time
--- a/daemon/services/jobs/jobs_test.go
+++ b/daemon/services/jobs/jobs_test.go
@@ -229,17 +229,17 @@
 	must.Eq(t, phaseFinished, it.phase)
 }
 
-// TestReadyItems_DiscardsMixedTexts checks that a whole text of two weight versions is
+// TestPlaceItems_DiscardsMixedTexts checks that a whole text of two weight versions is
 // not listed once its route allows one: the route was not known when the text began.
-func TestReadyItems_DiscardsMixedTexts(t *testing.T) {
+func TestPlaceItems_DiscardsMixedTexts(t *testing.T) {
 	s := newService()
 	now := time.Now()
 	text := &contract.Text{Events: []string{"1", "2"}, Last: 2, Versions: []structs.WeightVersion{1, 2}, Version: 2, Whole: true}
 	it := &item{Item: &batch.Item{ID: "a"}, text: text}
-	// No item gets an engine while the route is missing.
+	// No item is placed while the route is missing.
 	j := &job{Job: batch.Job{ID: "job"}, items: []*item{it}, submittedAt: now, routeRemovedAt: now}
 	j.route = routeSettings{itemTTL: time.Minute, singleVersion: true}
-	must.Len(t, 0, s.readyItems(j, now))
+	s.placeItems(j, now)
 	must.Eq(t, phaseWaiting, it.phase)
 	must.Eq(t, 0, it.text.Last)
 }
--- a/daemon/services/jobs/schedule.go
+++ b/daemon/services/jobs/schedule.go
@@ -212,23 +212,17 @@
 	s.takeover.tick(now)
 }
 
-// placeWaitingItems places the waiting items in the order of batch.Admit.
+// placeWaitingItems places the waiting items: jobs in the order of batch.Order, the
+// longest items first.
 func (s *service) placeWaitingItems() {
 	s.isPlacementScheduled = false
 	if s.isStopping {
 		return
 	}
 	now := s.loop.Now()
-	waiting, portions := s.admit(now)
-	isFull := make([]bool, len(waiting))
-	for _, portion := range portions {
-		step := &waiting[portion.Step]
-		// No engine comes free during a pass.
-		if !isFull[portion.Step] {
-			isFull[portion.Step] = !s.placeItems(step.job, step.pick(portion.Items), now)
-		}
-		if portion.IsSpare && isFull[portion.Step] {
-			s.recordHeldGroups(step.job, len(portion.Items))
+	for _, j := range s.openJobsInOrder() {
+		if j.hasWaiting() && s.mayStartItems(j) {
+			s.placeItems(j, now)
 		}
 	}
 }
@@ -239,9 +233,9 @@
 	return slices.ContainsFunc(j.items, func(it *item) bool { return it.phase == phaseWaiting })
 }
 
-// readyItems returns the items of a job that wait for an engine. It ends those that need
-// none: their time is over, or their text is whole.
-func (s *service) readyItems(j *job, now time.Time) []waitingItem {
+// placeItems starts the waiting items of a job, those with the most events left
+// first.
+func (s *service) placeItems(j *job, now time.Time) {
 	var waiting []waitingItem
 	for _, it := range j.items {
 		if it.phase != phaseWaiting {
@@ -267,21 +261,13 @@
 		}
 		waiting = append(waiting, waitingItem{item: it, eventsLeft: s.eventsLeft(j, it)})
 	}
-	return waiting
-}
-
-// placeItems starts waiting items of a job, those with the most events left first. It
-// returns false if no engine took one, which also holds for its other items then.
-func (s *service) placeItems(j *job, waiting []waitingItem, now time.Time) bool {
+	if len(waiting) == 0 {
+		return
+	}
 	slices.SortStableFunc(waiting, func(a, b waitingItem) int { return cmp.Compare(b.eventsLeft, a.eventsLeft) })
 	pressing := s.pressingCount(j, waiting, now)
-	if pressing > 0 {
-		s.placeOn(j, waiting[:pressing], s.engineSelector(j, now, true), now)
-	}
-	if pressing < len(waiting) {
-		s.placeOn(j, waiting[pressing:], s.engineSelector(j, now, false), now)
-	}
-	return slices.ContainsFunc(waiting, func(w waitingItem) bool { return w.item.phase == phaseRunning || w.item.text.Last > 0 })
+	s.placeOn(j, waiting[:pressing], s.engineSelector(j, now, true), now)
+	s.placeOn(j, waiting[pressing:], s.engineSelector(j, now, false), now)
 }
 
 // selectEngine selects an engine that may continue an item's text. If there is none, the
