Runs that may end last move with a wider margin

Change: twice the expected end. A text in twelve is longer than twice its hint, and a step ends with its last text.

--- a/coord/placement/move_budget.go
+++ b/coord/placement/move_budget.go
@@ -15,6 +15,9 @@
 	// lengthMargin is how much later than expected a run may well end: a quarter of the
 	// texts are longer than 1.4 times their hint.
 	lengthMargin = 1.4
+	// moveMargin is lengthMargin for moves: one text in twelve is longer than twice its hint,
+	// and a step ends with its last text.
+	moveMargin = 2
 )
 
 // SlowRun is a run that would end sooner on another engine.
@@ -68,7 +71,7 @@
 	if run.SlowFor < slowConfirmTime || !ShouldMove(run.Remaining, run.Pace, run.OtherPace) {
 		return false
 	}
-	if lengthMargin*float64(run.Finish()) <= float64(run.StepEnd) {
+	if moveMargin*float64(run.Finish()) <= float64(run.StepEnd) {
 		return false
 	}
 	// An item that moves again has less and less to gain.
