--- a/histories/managed/connections_test.go
+++ b/histories/managed/connections_test.go
@@ -203,7 +203,7 @@
 	must.NoError(t, <-stopped)
 }
 
-func isClosed(channel chan struct{}) bool {
+func isClosed(channel <-chan struct{}) bool {
 	select {
 	case <-channel:
 		return true
--- a/histories/managed/engine_test.go
+++ b/histories/managed/engine_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -39,6 +40,8 @@
 	notices map[string]string
 	// started is the start time in the engine's entry, in Unix milliseconds.
 	started int64
+	// advertised is the address in the engine's entry; empty means its own.
+	advertised string
 	// software is the version of the engine's software.
 	software   string
 	isDraining bool
@@ -67,7 +70,9 @@
 	resumedAfter uint64
 	eventsSent   int
 	version      uint64
-	finished     bool
+	// versions are the weight versions of the events sent.
+	versions []uint64
+	finished bool
 	// callerGone is set when the caller closed the stream before its end.
 	callerGone bool
 	startedAt  time.Time
@@ -107,12 +112,15 @@
 // putEntry writes the engine's entry with its current weight version.
 func (e *engine) putEntry() {
 	e.mu.Lock()
-	version, started, state := e.version, e.started, "ready"
+	version, started, state, address := e.version, e.started, "ready", e.advertised
 	if e.isDraining {
 		state = "draining"
 	}
 	e.mu.Unlock()
-	entry := serverEntry(engineService, e.server.Listener.Addr().String(), state,
+	if address == "" {
+		address = e.server.Listener.Addr().String()
+	}
+	entry := serverEntry(engineService, address, state,
 		[]map[string]any{{"name": modelName, "version": version}}, started)
 	if e.software != "" {
 		entry["version"] = e.software
@@ -256,6 +264,9 @@
 			fmt.Fprintf(w, "weight-versions: %d\n", version)
 		}
 		e.runs[index].eventsSent++
+		if !slices.Contains(e.runs[index].versions, version) {
+			e.runs[index].versions = append(e.runs[index].versions, version)
+		}
 		e.mu.Unlock()
 		fmt.Fprintf(w, "data: %s\n\n", eventData(item, number))
 		if controller.Flush() != nil {
--- a/histories/managed/process_test.go
+++ b/histories/managed/process_test.go
@@ -21,6 +21,7 @@
 	// metricsAddress, peersAddress and relayAddress are those of the metrics, of net/rpc and
 	// of requests that other daemons pass on.
 	metricsAddress, peersAddress, relayAddress string
+	logPath                                    string
 }
 
 // daemonBinary is the path of flamingobeamd, built once for all tests of the
@@ -72,7 +73,7 @@
 	p.command.Env = append(os.Environ(), "FLAMINGOBEAM_NODE_FILE="+configPath)
 	log, err := os.Create(filepath.Join(folder, "log"))
 	must.NoError(h.t, err)
-	p.command.Stdout, p.command.Stderr = log, log
+	p.command.Stdout, p.command.Stderr, p.logPath = log, log, log.Name()
 	must.NoError(h.t, p.command.Start())
 	h.t.Cleanup(func() {
 		p.kill()
