--- a/emulate/soak/plan.go
+++ b/emulate/soak/plan.go
@@ -23,7 +23,7 @@
 	StoreLink    Kind = "store link"    // the link of a host to the store is harmed
 	ServerLink   Kind = "server link"   // the links of a server to all hosts are harmed
 	StoreDown    Kind = "store down"    // the store refuses all calls
-	StoreFailing Kind = "store failing" // the store refuses most calls and loses replies of writes it has made
+	StoreFailing Kind = "store failing" // the store makes or refuses writes, loses replies, and then refuses all calls
 	StoreSlow    Kind = "store slow"
 	SilentWatch  Kind = "silent watches"
 	LostAnswers  Kind = "lost answers"  // a server runs requests and loses some answers
@@ -118,11 +118,15 @@
 	r := rand.New(rand.NewPCG(seed, 43))
 	p := Plan{
 		Seed: seed, Length: length, Grace: time.Duration(4+2*r.IntN(6)) * time.Second,
-		PlainServers: 2 + r.IntN(4), Events: 20 + r.IntN(60), Pace: time.Duration(20+r.IntN(80)) * time.Millisecond,
+		PlainServers: 2 + r.IntN(4), Events: 20 + r.IntN(80), Pace: time.Duration(20+r.IntN(100)) * time.Millisecond,
 		Resumable: r.IntN(2) == 0, Workspaces: r.IntN(3) > 0, Duties: r.IntN(3) > 0, ChecksFencing: r.IntN(2) == 0,
 		Callers: 3 + r.IntN(6), Trainers: 2 + r.IntN(3), Items: 2 + 2*r.IntN(3), MaxAttempts: 2 + r.IntN(3),
 	}
-	for range 2 + r.IntN(4) {
+	hosts := 2 + r.IntN(4)
+	if r.IntN(12) == 0 {
+		hosts = 8 + r.IntN(9) // A fleet.
+	}
+	for range hosts {
 		p.Hosts = append(p.Hosts, Host{
 			Zone: r.IntN(2), MemoryMB: 128 + 52*r.IntN(4), Descriptors: 600 + 500*r.IntN(4), Earlier: r.IntN(3) == 0,
 		})
@@ -137,11 +141,11 @@
 	return p
 }
 
-// drawSteps draws steps that follow each other, overlap or come in series. A quarter of the
+// drawSteps draws steps that follow each other, overlap or come in series. A third of the
 // runs have planned work only.
 func (p *Plan) drawSteps(r *rand.Rand) {
 	kinds := slices.Concat(plannedKinds, faultKinds)
-	if r.IntN(4) == 0 {
+	if r.IntN(3) == 0 {
 		kinds = plannedKinds
 	}
 	for at := firstStep; at < p.Length; {
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -56,6 +56,8 @@
 known=$(sed -n 's/^test: *//p' KNOWN-RED.txt 2>/dev/null | paste -sd'|' -)
 # Tests of crowds measure the memory of a process, so they run alone, after all others.
 crowds='^TestCrowd_'
+# The soak starts many processes and holds them to times, so it runs alone as well.
+soak='^TestSoak_'
 
 # go_test NAME SKIPPED ARGUMENTS... runs tests, except those whose names match SKIPPED, and
 # counts those that passed and failed.
@@ -75,8 +77,9 @@
   fi
 }
 
-go_test go-test "$crowds${known:+|^($known)\$}" work
+go_test go-test "$crowds|$soak${known:+|^($known)\$}" work
 go_test crowds "${known:+^($known)\$}" -count=1 -p 1 -run "$crowds" ./histories/managed
+go_test soak "${known:+^($known)\$}" -count=1 -p 1 -run "$soak" ./histories/managed
 if [ -s KNOWN-RED.txt ]; then
   echo "Known to fail:"
   cat KNOWN-RED.txt
