Soak: pace of a cut stream from its server; more submissions; docs

Change: when a stream would have been whole follows from the events that its server had sent; half of the jobs are ended early. Ruled out: a smaller factor on nominal lengths, which would accuse daemons of slow servers.

--- a/emulate/soak/checks.go
+++ b/emulate/soak/checks.go
@@ -107,8 +107,8 @@
 }
 
 // noCuts checks that a host that is not disturbed cuts no request that a server has run,
-// also while it is stopped as planned: what could end within five sixths of its grace
-// period gets a whole answer.
+// also while it is stopped as planned: what would be whole, at the pace of its server, within
+// five sixths of the grace period gets a whole answer.
 func noCuts(r *Record, report func(string, ...any)) {
 	runs := r.runsByID()
 	asked := make(map[string][]time.Duration)
@@ -120,13 +120,16 @@
 			continue
 		}
 		last := runs[c.ID][len(runs[c.ID])-1]
-		nominal := last.Begun + c.Length*6/5 + r.Slack/4
+		whole := last.Begun
+		if last.Events > 0 {
+			whole += (c.Ended - last.Begun) * time.Duration(r.Plan.Events-last.After) / time.Duration(last.Events)
+		}
 		if slices.ContainsFunc(asked[c.Host], func(at time.Duration) bool {
-			return at > 0 && c.Ended >= at && at+r.Plan.Grace*5/6 <= nominal
+			return at > 0 && c.Ended >= at && at+r.Plan.Grace*5/6 <= whole+r.Slack/10
 		}) {
 			continue
 		}
-		report("%s (%s) sent at %v was cut at %v by %s, asked to stop at %v, needs %v", c.ID, c.Path, c.Sent, c.Ended, c.Host, asked[c.Host], c.Length)
+		report("%s (%s) sent at %v was cut at %v by %s, asked to stop at %v, whole at %v", c.ID, c.Path, c.Sent, c.Ended, c.Host, asked[c.Host], whole)
 	}
 }
 
--- a/emulate/soak/checks_test.go
+++ b/emulate/soak/checks_test.go
@@ -12,11 +12,11 @@
 	const at = 20 * time.Second
 	result := Result{ID: "job-0", State: "completed", Text: "a\nb", WantText: "a\nb", Score: "s", WantScore: "s", Versions: []uint64{2}}
 	return &Record{
-		Plan: Plan{Grace: 6 * time.Second}, Slack: time.Second, HolderLease: time.Second,
+		Plan: Plan{Grace: 6 * time.Second, Events: 2}, Slack: time.Second, HolderLease: time.Second,
 		Calls: []Call{
 			{ID: "once", Host: "h", Service: "plain", Kind: Once, Sent: at, Ended: at + 1, Status: 200, Got: "x", Want: "x"},
 			{ID: "refused", Host: "h", Service: "plain", Kind: Once, Sent: at, Ended: at + 1, Status: 503},
-			{ID: "cut", Host: "h", Service: "engine", Sent: at, Ended: at + 5*time.Second, Status: 200, Cut: true, Got: "a", Want: "a\nb", Length: 3 * time.Second},
+			{ID: "cut", Host: "h", Service: "engine", Sent: at, Ended: at + 5*time.Second, Status: 200, Cut: true, Got: "a", Want: "a\nb"},
 			{ID: "final", Host: "h", Service: "plain", Status: 200, Final: true},
 		},
 		Runs: []Run{
@@ -65,7 +65,7 @@
 		"own answers":         func(r *Record) { r.Calls[0].Got = "y" },
 		"truthful refusals":   func(r *Record) { r.Runs = append(r.Runs, Run{ID: "gone-0", Server: "e", Begun: late}) },
 		"asked and routed":    func(r *Record) { r.Runs[0].Service = "engine" },
-		"no cuts in calm":     func(r *Record) { r.Plan.Grace = 8 * time.Second },
+		"no cuts in calm":     func(r *Record) { r.Plan.Grace = 24 * time.Second },
 		"true versions":       func(r *Record) { r.Jobs[0].MinVersion = 3 },
 		"one software a text": func(r *Record) { r.Runs[3].Software = "v2" },
 		"stable positions":    func(r *Record) { r.Reads[1].Total = 2 },
--- a/emulate/soak/record.go
+++ b/emulate/soak/record.go
@@ -31,8 +31,6 @@
 	ID, Host, Service, Path string
 	Kind                    CallKind
 	Sent, Ended             time.Duration
-	// Length is how long servers need for it.
-	Length time.Duration
 	// Status is 0 without a response. Cut is set when the connection ended before the
 	// response was whole, and before the caller had lost patience.
 	Status int
--- a/histories/managed/soak_clients_test.go
+++ b/histories/managed/soak_clients_test.go
@@ -20,12 +20,15 @@
 	// clientPatience is how much longer than its deadline a client waits.
 	clientPatience = 1500 * time.Millisecond
 	// openJobs is how many batch jobs a trainer leaves open at once.
-	openJobs = 3
+	openJobs = 4
 	// settleTime is how long accepted jobs may need after the last step and the hosts have
 	// been in touch again; it grows as the player is held up.
 	settleTime = 25 * time.Second
 )
 
+// noAnswer stands for the status of a read without a whole response.
+const noAnswer = 599
+
 // Numbers of sequences of random numbers.
 const callerClients, streamClients, trainerClients, dutyReplies = 1000, 2000, 3000, 4000
 
@@ -62,7 +65,7 @@
 	answer := conn.send(address, method, routeHostname, c.Path, header, body, deadline+clientPatience)
 	c.Ended, c.Status, c.Cut = s.now(), answer.status, answer.isCut
 	if text := answer.body; c.Status != 0 {
-		if c.Length > 0 {
+		if c.Service == engineService {
 			text = eventsOf(text)
 		}
 		c.Got = answer.header.Get("Server-Stamp") + "|" + text
@@ -134,7 +137,7 @@
 	pause := max(100*time.Millisecond, length*time.Duration(len(s.hosts))/time.Duration(4*len(s.engines)))
 	for i := 0; s.isLoading(pause/2 + time.Duration(r.Int64N(int64(pause)))); i++ {
 		id := fmt.Sprintf("stream-%s-%d", host.name, i)
-		c := soak.Call{ID: id, Service: engineService, Path: "/stream/1", Length: length, Want: serverStamp(id) + "|" + outputText(id, s.plan.Events)}
+		c := soak.Call{ID: id, Service: engineService, Path: "/stream/1", Want: serverStamp(id) + "|" + outputText(id, s.plan.Events)}
 		if !s.plan.Resumable {
 			c.Kind = soak.Once
 		}
@@ -219,12 +222,12 @@
 		}
 		s.jobs = append(s.jobs, job)
 		s.mu.Unlock()
-		attempts, endAfter := 1+r.IntN(4), 8*time.Duration(r.IntN(8))*time.Second
+		attempts, isEndedEarly := 1+r.IntN(4), r.IntN(2) == 0
 		first := r.IntN(len(s.hosts))
 		s.clients.Go(func() {
 			defer func() { <-open }()
 			s.submit(job, i, first, attempts)
-			s.follow(job, first, endAfter)
+			s.follow(job, first, isEndedEarly)
 		})
 	}
 }
@@ -261,13 +264,12 @@
 	}
 }
 
-// follow reads an accepted job until it is complete or load has ended. After endAfter, if it
-// is not zero and at most a few seconds, the job is ended.
-func (s *soakPlayer) follow(job *soakJob, first int, endAfter time.Duration) {
+// follow reads an accepted job until it is complete, ended early or load is over.
+func (s *soakPlayer) follow(job *soakJob, first int, isEndedEarly bool) {
 	accepted := job.Accepted
 	for n := first; accepted > 0 && job.read < len(job.Items) && s.isLoading(250*time.Millisecond); n++ {
 		host := s.hosts[n%len(s.hosts)]
-		if endAfter == 8*time.Second && s.now() > accepted+time.Second {
+		if isEndedEarly && s.now() > accepted+time.Second {
 			s.note(func(*soak.Record) { job.EndTried = true })
 			if s.askJob(host, job, http.MethodDelete, "/api/lots/"+job.ID, "", "", lookUpDeadline).status == http.StatusOK {
 				s.note(func(*soak.Record) { job.Ended = s.now() })
@@ -279,15 +281,18 @@
 	}
 }
 
-// readJob reads results of a job after a position and notes them.
+// readJob reads results of a job after a position, notes them and returns the status.
 func (s *soakPlayer) readJob(host *soakHost, job *soakJob, after int, isFinal bool) int {
 	read := soak.Read{Job: job.ID, Host: host.name, Sent: s.now(), After: after, Final: isFinal}
 	path := fmt.Sprintf("/api/lots/%s?after=%d", url.PathEscape(job.ID), after)
 	answer := s.askJob(host, job, http.MethodGet, path, "", "", lookUpDeadline)
 	read.Status = answer.status
+	if read.Status == 0 {
+		read.Status = noAnswer
+	}
 	var page resultPage
 	if answer.status == http.StatusOK && (answer.isCut || json.Unmarshal([]byte(answer.body), &page) != nil) {
-		read.Status = 0
+		read.Status = noAnswer
 	}
 	read.Total = page.Total
 	for _, r := range page.Results {
@@ -332,7 +337,7 @@
 	for _, host := range s.hosts {
 		for _, job := range s.jobs {
 			for range attempts {
-				if job.Accepted == 0 || s.readJob(host, job, 0, true) == http.StatusOK {
+				if job.Accepted == 0 || s.readJob(host, job, 0, true) < http.StatusInternalServerError {
 					break
 				}
 				time.Sleep(200 * time.Millisecond)
