--- a/histories/managed/soak_hosts_test.go
+++ b/histories/managed/soak_hosts_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"os"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -83,8 +85,10 @@
 		}
 		s.trouble(host.name, began)
 		<-exited
+		log, _ := os.ReadFile(p.logPath)
+		isPortTaken := strings.Contains(string(log), "address-taken") // By a process outside the run.
 		host.mu.Lock()
-		exit := soak.Exit{Host: host.name, At: s.now(), Asked: host.asked, Killed: host.killed}
+		exit := soak.Exit{Host: host.name, At: s.now(), Asked: host.asked, Killed: host.killed || isPortTaken}
 		host.process = nil
 		host.mu.Unlock()
 		s.note(func(r *soak.Record) { r.Exits = append(r.Exits, exit) })
--- a/histories/managed/soak_steps_test.go
+++ b/histories/managed/soak_steps_test.go
@@ -234,6 +234,9 @@
 func (s *soakPlayer) changeKeys() {
 	var removed string
 	s.changeSettings(func(c *soakSettings) {
+		if !s.plan.Workspaces {
+			return
+		}
 		c.keys++
 		key := &c.secondKey
 		if c.keys%3 == 0 {
--- a/histories/managed/soak_test.go
+++ b/histories/managed/soak_test.go
@@ -26,13 +26,13 @@
 	soakOut     = flag.String("soak.out", "", "folder for the logs of seeds that fail")
 )
 
-// shortSeeds are played in CI.
-var shortSeeds = []uint64{3, 8}
+// shortSeeds are played in CI: on the daemon of 6faf5d1 they find three of the cases of review/.
+var shortSeeds = []uint64{4, 14}
 
 // TestSoak_Short plays fixed seeds.
 func TestSoak_Short(t *testing.T) {
 	for _, seed := range shortSeeds {
-		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) { playSeed(t, soak.Draw(seed, 12*time.Second)) })
+		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) { playSeed(t, soak.Draw(seed, 14*time.Second)) })
 	}
 }
 
