Soak: probe routes and keys until the end of a run

Cause: probes ended with the load, so that a key that was removed in its last six seconds was never checked against the time of its revocation. Change: probes go on while the jobs settle and are read.

--- a/histories/managed/soak_clients_test.go
+++ b/histories/managed/soak_clients_test.go
@@ -42,7 +42,7 @@
 	}
 	for i, host := range s.hosts {
 		s.clients.Go(func() { s.stream(host, s.random(streamClients+i)) })
-		s.clients.Go(func() { s.probe(host) })
+		s.probes.Go(func() { s.probe(host) })
 	}
 }
 
@@ -149,7 +149,7 @@
 	}
 }
 
-// probe asks a host for the newest routes, and with keys that come and go.
+// probe asks a host for the newest routes, and with keys that come and go, until the end.
 func (s *soakPlayer) probe(host *soakHost) {
 	var conn soakConn
 	defer conn.close()
@@ -170,7 +170,7 @@
 		probe.Ended = s.now()
 		return probe
 	}
-	for s.isLoading(time.Duration(50+20*len(s.hosts)) * time.Millisecond) {
+	for staysOpen(s.probesOver, time.Duration(50+20*len(s.hosts))*time.Millisecond) {
 		s.mu.Lock()
 		newest, keys := s.settings.generation, make([]string, 0, len(s.record.Keys))
 		for key, k := range s.record.Keys {
--- a/histories/managed/soak_hosts_test.go
+++ b/histories/managed/soak_hosts_test.go
@@ -169,8 +169,10 @@
 
 // end ends all processes and waits until they are gone.
 func (s *soakPlayer) end() {
-	if !isClosed(s.loadOver) {
-		close(s.loadOver)
+	for _, over := range []chan struct{}{s.loadOver, s.probesOver} {
+		if !isClosed(over) {
+			close(over)
+		}
 	}
 	close(s.over)
 	for _, host := range s.hosts {
--- a/histories/managed/soak_test.go
+++ b/histories/managed/soak_test.go
@@ -75,9 +75,10 @@
 	extra   *soakPlain
 	links   []*faultyLink
 	duties  *dutyPlatform
-	// loadOver and over are closed when load ends, and when daemons are no longer started.
-	loadOver, over          chan struct{}
-	clients, steps, keepers sync.WaitGroup
+	// loadOver, probesOver and over are closed when load ends, when probes do, and when
+	// daemons are no longer started.
+	loadOver, probesOver, over      chan struct{}
+	clients, probes, steps, keepers sync.WaitGroup
 
 	mu       sync.Mutex
 	record   soak.Record
@@ -97,9 +98,12 @@
 }
 
 // isLoading waits for a pause and reports whether load goes on.
-func (s *soakPlayer) isLoading(pause time.Duration) bool {
+func (s *soakPlayer) isLoading(pause time.Duration) bool { return staysOpen(s.loadOver, pause) }
+
+// staysOpen waits for a pause and reports whether a channel has not been closed.
+func staysOpen(over <-chan struct{}, pause time.Duration) bool {
 	select {
-	case <-s.loadOver:
+	case <-over:
 		return false
 	case <-time.After(pause):
 		return true
@@ -123,6 +127,8 @@
 	s.clients.Wait()
 	s.settle()
 	s.readAll()
+	close(s.probesOver)
+	s.probes.Wait()
 	record := s.collect()
 	violations := soak.Check(record)
 	for _, v := range violations {
@@ -136,7 +142,7 @@
 
 func newSoakPlayer(t *testing.T, plan soak.Plan) *soakPlayer {
 	s := &soakPlayer{
-		harness: newHarness(t), plan: plan, created: time.Now(), loadOver: make(chan struct{}), over: make(chan struct{}), weights: 1,
+		harness: newHarness(t), plan: plan, created: time.Now(), loadOver: make(chan struct{}), probesOver: make(chan struct{}), over: make(chan struct{}), weights: 1,
 		record: soak.Record{Plan: plan, Acks: make(map[int]time.Duration), Keys: make(map[string]soak.Key), HolderLease: testHolderLease},
 	}
 	s.duties = newDutyPlatform(t)
