--- a/emulate/soak/checks_control.go
+++ b/emulate/soak/checks_control.go
@@ -44,8 +44,9 @@
 	}
 }
 
-// keysForward checks that a key that stays is never refused, that a removed one is refused
-// in time, and that a process that has refused it does not accept it again.
+// keysForward checks that a key that stays is not refused, or not once the configuration that
+// gave it must be in force, that a removed one is refused in time, and that a process that has
+// refused it does not accept it again.
 func keysForward(r *Record, report func(string, ...any)) {
 	type use struct {
 		process
@@ -56,11 +57,12 @@
 		if p.Key == "" {
 			continue
 		}
-		of, removed := use{process{p.Host, p.Incarnation}, p.Key}, r.Keys[p.Key].Removed
+		of, given, removed := use{process{p.Host, p.Incarnation}, p.Key}, r.Keys[p.Key].Given, r.Keys[p.Key].Removed
+		isInForce := given == 0 || p.Sent > given+apply+r.Slack && r.isCalm(p.Host, given-contact, p.Sent)
 		switch before := refused[of]; {
-		case p.Status == 401 && removed == 0:
+		case p.Status == 401 && removed == 0 && isInForce:
 			report("%s refused a valid key at %v", p.Host, p.Sent)
-		case p.Status == 401 && p.Sent > removed && before == 0:
+		case p.Status == 401 && removed > 0 && p.Sent > removed && before == 0:
 			refused[of] = p.Ended
 		case isSuccess(p.Status) && before > 0 && p.Sent > before+r.Slack/4:
 			report("%s accepted a key at %v that it had refused at %v", p.Host, p.Sent, before)
--- a/emulate/soak/record.go
+++ b/emulate/soak/record.go
@@ -97,8 +97,9 @@
 	Status     int
 }
 
-// Key is a key of a workspace. Removed is 0 for keys that stay.
-type Key struct{ Removed time.Duration }
+// Key is a key of a workspace. Given is 0 for keys of the first configuration, Removed for
+// keys that stay.
+type Key struct{ Given, Removed time.Duration }
 
 // Leaving is a server that does not take new work for a while.
 type Leaving struct {
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -26,6 +26,7 @@
 [[ $seeds == *-* ]] || seeds=$seeds-$seeds
 
 mkdir -p out/soak
+: >out/soak/output
 go test -c -o out/soak/soak.test ./histories/managed
 cd histories/managed
 status=0
