--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -85,6 +85,9 @@
 // cases are the cases by their names.
 var cases = map[string]func(d *deployment, trouble bool) (bool, string, error){
 	"late-copy": lateCopy,
+	"takeover":  takeover("yield-scorer,7"),
+	// The same with an ID like those of the examples, for comparison.
+	"takeover-hex": takeover("7c41e09b52d6a3f8"),
 }
 
 func main() {
