--- a/review/standin2/daemons.go
+++ b/review/standin2/daemons_test.go
@@ -1,4 +1,4 @@
-package main
+package standin2
 
 import (
 	"fmt"
--- a/review/standin2/main.go
+++ b/review/standin2/main_test.go
@@ -1,11 +1,12 @@
-// Command standin2 plays the cases of a review: it starts stand-ins of the platform's
+// Package standin2 plays the cases of a review: it starts stand-ins of the platform's
 // store, of servers and of clients, and daemons of the deploy file as processes of their own.
-package main
+package standin2
 
 import (
 	"fmt"
 	"os"
 	"path/filepath"
+	"testing"
 	"time"
 )
 
@@ -90,9 +91,8 @@
 	"takeover-hex": takeover("7c41e09b52d6a3f8"),
 }
 
-func main() {
-	os.Exit(run())
-}
+// TestMain plays the case that the arguments name. The package has no tests of its own.
+func TestMain(*testing.M) { os.Exit(run()) }
 
 // run plays a case. It returns 1 if the rule was broken, 0 if it held and 2 if the case could
 // not run.
